Serve a request from caller to upstream through separate processes

Cause: nothing existed. This is the thin whole path: an operator's change goes through a replicated log to the entries, upstreams announce themselves, callers learn the entries and connect.

Change: packages core (decisions), daemon, cli, fakes; lint, types, tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Two commands set all up: "make demo" and "make test".
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = core daemon cli fakes
+CODE = packages tests benchmarks
+export PYTHONPATH := $(subst $() ,:,$(PACKAGES:%=$(CURDIR)/packages/%))
+export PYTHONHASHSEED := 0
+
+.PHONY: demo test lint format proto bench-path
+
+$(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r constraints.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps \
+	  $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/python -m nutmegchute_fakes.demo
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest -m "not known_red"
+
+known-red: $(VENV)/ready
+	.ci/known-red $(BIN)/python
+
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy $(PACKAGES:%=-p nutmegchute_%)
+	$(BIN)/mypy tests benchmarks
+
+format: $(VENV)/ready
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+	$(BIN)/ruff format $(CODE)
+
+proto: $(VENV)/ready
+	$(BIN)/python -m grpc_tools.protoc -I packages/daemon \
+	  packages/daemon/nutmegchute_daemon/wire.proto \
+	  --python_out=packages/daemon
+
+bench-path: $(VENV)/ready
+	$(BIN)/python benchmarks/path.py
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure; nothing here decides whether a build passes."""
--- /dev/null
+++ b/packages/cli/nutmegchute_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators the command line of nutmegchute."""
--- /dev/null
+++ b/packages/cli/nutmegchute_cli/declarations.py
@@ -0,0 +1,43 @@
+"""Read declarations: a folder with one JSON file per team."""
+
+import hashlib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from nutmegchute_core.errors import DeclarationError
+from nutmegchute_core.rules import check_team
+from nutmegchute_core.rules import check_tree
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from .errors import CliError
+
+
+def read_declarations(folder: Path) -> Result[dict[str, Any], CliError]:
+    """Read and check every team's file; teams are named by the files."""
+    documents: dict[str, Any] = {}
+    paths = sorted(folder.glob("*.json"))
+    if not paths:
+        return Failure(CliError(f"{folder}: no declarations (*.json) here"))
+    for path in paths:
+        try:
+            document = msgspec.json.decode(path.read_bytes())
+            check_team(path.stem, document)
+        except OSError as error:
+            return Failure(CliError(f"{path}: {error.strerror}"))
+        except (msgspec.DecodeError, DeclarationError) as error:
+            return Failure(CliError(f"{path}: {error}"))
+        documents[path.stem] = document
+    try:
+        check_tree(documents)
+    except DeclarationError as error:
+        return Failure(CliError(f"{folder}: {error}"))
+    return Success(documents)
+
+
+def change_id(bases: dict[str, int], documents: dict[str, Any]) -> str:
+    """Name a change by its content, so that a resend is recognised."""
+    data = msgspec.json.encode([bases, documents], order="deterministic")
+    return hashlib.sha256(data).hexdigest()[:32]
--- /dev/null
+++ b/packages/core/nutmegchute_core/calls.py
@@ -0,0 +1,158 @@
+"""Hold one call's life and the words passed between core and daemon."""
+
+from .charts import Chart
+from .charts import load_chart
+from .rules import Rule
+
+ANSWERED = "answered"
+NOT_RUN = "not_run"
+LOST = "lost"
+
+CALL_CHART = load_chart("call")
+
+
+class Send:
+    """Order one send of a call to an endpoint."""
+
+    __slots__ = ("attempt", "call_id", "endpoint", "remaining_s")
+
+    def __init__(
+        self, call_id: int, attempt: int, endpoint: str, remaining_s: float
+    ) -> None:
+        self.call_id = call_id
+        self.attempt = attempt
+        self.endpoint = endpoint
+        self.remaining_s = remaining_s
+
+
+class Refuse:
+    """Order the final answer "not run" and when to come back."""
+
+    __slots__ = ("call_id", "reason", "retry_after_s")
+
+    def __init__(
+        self, call_id: int, reason: str, retry_after_s: float
+    ) -> None:
+        self.call_id = call_id
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Lose:
+    """Order the final answer "unknown": the call may have run."""
+
+    __slots__ = ("call_id", "reason")
+
+    def __init__(self, call_id: int, reason: str) -> None:
+        self.call_id = call_id
+        self.reason = reason
+
+
+class Finish:
+    """Say that the answer of one attempt is the call's answer."""
+
+    __slots__ = ("attempt", "call_id")
+
+    def __init__(self, call_id: int, attempt: int) -> None:
+        self.call_id = call_id
+        self.attempt = attempt
+
+
+Action = Send | Refuse | Lose | Finish
+
+
+class Result:
+    """Report how one attempt ended.
+
+    ``load`` is the in-flight count the endpoint reported on its answer.
+    """
+
+    __slots__ = ("attempt", "call_id", "latency_s", "load", "outcome")
+
+    def __init__(
+        self,
+        call_id: int,
+        attempt: int,
+        outcome: str,
+        latency_s: float,
+        load: int | None = None,
+    ) -> None:
+        self.call_id = call_id
+        self.attempt = attempt
+        self.outcome = outcome
+        self.latency_s = latency_s
+        self.load = load
+
+
+class Call:
+    """Track one call from its arrival to its single outcome."""
+
+    __slots__ = (
+        "_arrived_at",
+        "_attempts",
+        "_call_id",
+        "_chart",
+        "_deadline_at",
+        "_rule",
+        "_service",
+        "_state",
+        "may_have_run",
+    )
+
+    def __init__(
+        self,
+        call_id: int,
+        service: str,
+        rule: Rule,
+        arrived_at: float,
+        deadline_s: float,
+    ) -> None:
+        self._chart: Chart = CALL_CHART
+        self._call_id = call_id
+        self._service = service
+        self._rule = rule
+        self._arrived_at = arrived_at
+        self._deadline_at = arrived_at + deadline_s
+        self._state = self._chart.initial
+        self._attempts: dict[int, str] = {}
+        self.may_have_run = False
+
+    @property
+    def call_id(self) -> int:
+        """Give the number the daemon knows the call by."""
+        return self._call_id
+
+    @property
+    def service(self) -> str:
+        """Name the service called."""
+        return self._service
+
+    @property
+    def rule(self) -> Rule:
+        """Give the rule the call falls under."""
+        return self._rule
+
+    @property
+    def deadline_at(self) -> float:
+        """Give the time after which no answer is of use, in seconds."""
+        return self._deadline_at
+
+    @property
+    def state(self) -> str:
+        """Name the present state of the call chart."""
+        return self._state
+
+    @property
+    def attempts(self) -> dict[int, str]:
+        """Map each attempt's number to the endpoint it went to."""
+        return self._attempts
+
+    def step(self, event: str) -> None:
+        """Follow the chart; ChartError says the event is not allowed."""
+        self._state = self._chart.step(self._state, event)
+
+    def record_send(self, endpoint: str) -> int:
+        """Note a send and return its attempt number, from 1."""
+        attempt = len(self._attempts) + 1
+        self._attempts[attempt] = endpoint
+        return attempt
--- /dev/null
+++ b/packages/core/nutmegchute_core/rules.py
@@ -0,0 +1,214 @@
+"""Read services and their rules for requests out of declarations."""
+
+from typing import Any
+
+import jsonschema
+
+from .errors import DeclarationError
+
+PRIORITIES = ("interactive", "action", "background")
+
+DEFAULT_DEADLINE_MS = 2000
+DEFAULT_SLOTS = 2
+DEFAULT_QUEUE = 64
+DEFAULT_PROBES_PER_S = 0.0
+
+RULE_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["name", "idempotent", "reason"],
+    "properties": {
+        "name": {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"},
+        "reason": {"type": "string", "minLength": 1},
+        "method": {"type": "string", "pattern": "^[A-Z]+$"},
+        "path_prefix": {"type": "string", "pattern": "^/"},
+        "idempotent": {"type": "boolean"},
+        "priority": {"enum": list(PRIORITIES)},
+        "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 600000},
+        "attempts": {"type": "integer", "minimum": 1, "maximum": 4},
+        "hedge": {"type": "boolean"},
+    },
+}
+
+SERVICE_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["rules"],
+    "properties": {
+        "slots": {"type": "integer", "minimum": 1, "maximum": 1024},
+        "queue": {"type": "integer", "minimum": 0, "maximum": 65536},
+        "probes_per_s": {"type": "number", "minimum": 0, "maximum": 10000},
+        "key_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+        "rules": {"type": "array", "minItems": 1, "items": RULE_SCHEMA},
+    },
+}
+
+TEAM_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["services"],
+    "properties": {
+        "services": {
+            "type": "object",
+            "propertyNames": {"pattern": "^[a-z][a-z0-9-]*$"},
+            "additionalProperties": SERVICE_SCHEMA,
+        },
+    },
+}
+
+_TEAM_VALIDATOR = jsonschema.Draft202012Validator(TEAM_SCHEMA)
+
+
+class Rule:
+    """Say how one kind of request may be sent, retried or refused."""
+
+    __slots__ = (
+        "_attempts",
+        "_deadline_s",
+        "_hedge",
+        "_idempotent",
+        "_method",
+        "_name",
+        "_path_prefix",
+        "_priority",
+    )
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self._name: str = document["name"]
+        self._method: str | None = document.get("method")
+        self._path_prefix: str = document.get("path_prefix", "/")
+        self._idempotent: bool = document["idempotent"]
+        self._priority: str = document.get("priority", PRIORITIES[0])
+        deadline_ms: int = document.get("deadline_ms", DEFAULT_DEADLINE_MS)
+        self._deadline_s = deadline_ms / 1000
+        self._attempts: int = document.get("attempts", 2)
+        self._hedge: bool = document.get("hedge", False)
+
+    @property
+    def name(self) -> str:
+        """Name the class of request."""
+        return self._name
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether running the request twice does no harm."""
+        return self._idempotent
+
+    @property
+    def priority(self) -> str:
+        """Name the priority, one of PRIORITIES."""
+        return self._priority
+
+    @property
+    def deadline_s(self) -> float:
+        """Give the time in which an answer is still of use, in seconds."""
+        return self._deadline_s
+
+    @property
+    def attempts(self) -> int:
+        """Give the most sends for one call, the first included."""
+        return self._attempts
+
+    @property
+    def hedge(self) -> bool:
+        """Tell whether a second send may race the first."""
+        return self._hedge and self._idempotent
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether the rule covers the method and path."""
+        if self._method is not None and self._method != method:
+            return False
+        return path.startswith(self._path_prefix)
+
+
+class Service:
+    """Hold what a team declared about one service."""
+
+    __slots__ = (
+        "_key_sha256",
+        "_name",
+        "_probes_per_s",
+        "_queue",
+        "_rules",
+        "_slots",
+    )
+
+    def __init__(self, name: str, document: dict[str, Any]) -> None:
+        self._name = name
+        self._slots: int = document.get("slots", DEFAULT_SLOTS)
+        self._queue: int = document.get("queue", DEFAULT_QUEUE)
+        self._probes_per_s: float = document.get(
+            "probes_per_s", DEFAULT_PROBES_PER_S
+        )
+        self._key_sha256: str | None = document.get("key_sha256")
+        self._rules = [Rule(rule) for rule in document["rules"]]
+
+    @property
+    def name(self) -> str:
+        """Name the service."""
+        return self._name
+
+    @property
+    def slots(self) -> int:
+        """Give the calls one endpoint runs at once."""
+        return self._slots
+
+    @property
+    def queue(self) -> int:
+        """Give the most calls an entry keeps waiting."""
+        return self._queue
+
+    @property
+    def probes_per_s(self) -> float:
+        """Give the service's whole probe budget, in probes a second."""
+        return self._probes_per_s
+
+    @property
+    def key_sha256(self) -> str | None:
+        """Give the digest of the key that announcements must show."""
+        return self._key_sha256
+
+    @property
+    def rules(self) -> list[Rule]:
+        """List the rules, first match first."""
+        return self._rules
+
+    def rule_for(self, method: str, path: str) -> Rule | None:
+        """Return the first rule that covers the request, if any."""
+        for rule in self._rules:
+            if rule.matches(method, path):
+                return rule
+        return None
+
+
+def check_team(team: str, document: Any) -> None:
+    """Raise DeclarationError at the first wrong place of a team's branch."""
+    errors = sorted(
+        _TEAM_VALIDATOR.iter_errors(document),
+        key=lambda error: list(map(str, error.absolute_path)),
+    )
+    for error in errors:
+        steps = [team, *map(str, error.absolute_path)]
+        raise DeclarationError("/".join(steps), error.message)
+
+
+def check_tree(documents: dict[str, Any]) -> None:
+    """Raise DeclarationError where branches contradict one another."""
+    owners: dict[str, str] = {}
+    for team in sorted(documents):
+        for name in documents[team]["services"]:
+            if name in owners:
+                raise DeclarationError(
+                    f"{team}/services/{name}",
+                    f"service is declared by team {owners[name]!r} already",
+                )
+            owners[name] = team
+
+
+def read_services(documents: dict[str, Any]) -> dict[str, Service]:
+    """Build every service that a checked tree declares."""
+    services: dict[str, Service] = {}
+    for team in sorted(documents):
+        for name, document in documents[team]["services"].items():
+            services[name] = Service(name, document)
+    return services
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the roles of nutmegchute: the loop, its edges and the disk."""
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -0,0 +1,98 @@
+"""Share what every role does: start, run until told to stop, stop."""
+
+import asyncio
+import signal
+
+import cherrypy
+
+from .errors import StartError
+from .events import Event
+from .events import log
+from .links import Links
+from .metrics import Metrics
+from .servers import HttpServer
+from .servers import LoopAsker
+from .settings import Settings
+
+GRPC_GRACE_S = 0.2
+
+
+class Daemon:
+    """Run one role on one loop on one thread."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._asker = LoopAsker(self._loop)
+        self._links = Links()
+        self._metrics = Metrics(settings.statsd_address, settings.name)
+        self._http = HttpServer(settings.http_address, settings.http_threads)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Start, wait for a signal, finish the work and stop.
+
+        :raises StartError: an address or the data folder cannot be used
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stopping.set)
+        self.prepare()
+        await self._listen()
+        self.begin()
+        log(Event.STARTED, role=self._settings.role)
+        await self._stopping.wait()
+        log(Event.STOPPING)
+        await self.finish()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.to_thread(self._http.stop)
+        cherrypy.engine.exit()
+        await self._links.stop(GRPC_GRACE_S)
+        self.close()
+        log(Event.STOPPED)
+
+    def prepare(self) -> None:
+        """Build the role's state and mount what it serves."""
+        raise NotImplementedError
+
+    def begin(self) -> None:
+        """Start the role's periodic work."""
+        raise NotImplementedError
+
+    async def finish(self) -> None:
+        """Complete what is in flight before the listeners close."""
+
+    def close(self) -> None:
+        """Release what the role holds."""
+
+    def every(self, period_s: float, function: object) -> None:
+        """Run a function or coroutine function again and again."""
+        task = self._loop.create_task(self._repeat(period_s, function))
+        self._tasks.append(task)
+
+    async def _repeat(self, period_s: float, function: object) -> None:
+        assert callable(function)
+        while True:
+            pending = function()
+            if asyncio.iscoroutine(pending):
+                await pending
+            await asyncio.sleep(period_s)
+
+    async def _listen(self) -> None:
+        try:
+            await self._links.start(self._settings.grpc_address)
+        except RuntimeError as error:
+            raise StartError(
+                f"grpc_address: cannot listen on "
+                f"{self._settings.grpc_address}: address in use"
+            ) from error
+        try:
+            self._http.start()
+        except OSError as error:
+            raise StartError(
+                f"http_address: cannot listen on "
+                f"{self._settings.http_address}: {error}"
+            ) from error
+        cherrypy.engine.start()
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -0,0 +1,65 @@
+"""Number every log event; docs/events.rst is the catalogue."""
+
+import enum
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class Event(enum.Enum):
+    """Give each event its number and text."""
+
+    STARTED = ("NC1001", "daemon started")
+    STOPPING = ("NC1002", "daemon stopping")
+    STOPPED = ("NC1003", "daemon stopped")
+    START_FAILED = ("NC1004", "daemon could not start")
+    LED = ("NC2001", "replica leads")
+    FOLLOWED = ("NC2002", "replica follows")
+    CHANGE_DECIDED = ("NC2003", "change decided")
+    PEER_UNREACHABLE = ("NC2004", "control replica unreachable")
+    CONFIG_APPLIED = ("NC3001", "configuration in force")
+    CONFIG_UNREACHABLE = ("NC3002", "no control replica answered")
+    UPSTREAM_ANNOUNCED = ("NC3003", "upstream announced")
+    CALL_LOST = ("NC3004", "call ended with unknown outcome")
+    DRAINING = ("NC3005", "entry drains")
+    CALL_FAILED = ("NC3006", "call handler failed")
+
+    @property
+    def number(self) -> str:
+        """Give the event's number."""
+        return str(self.value[0])
+
+    @property
+    def text(self) -> str:
+        """Give the event's text."""
+        return str(self.value[1])
+
+
+def configure_logs(level: str, name: str) -> None:
+    """Send JSON lines of the level and above to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+    )
+    structlog.contextvars.bind_contextvars(daemon=name)
+
+
+def log(event: Event, level: str = "info", **fields: Any) -> None:
+    """Log one numbered event with its fields."""
+    logger = structlog.get_logger()
+    getattr(logger, level)(event.text, number=event.number, **fields)
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -0,0 +1,133 @@
+"""Carry core messages between daemons by gRPC."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import grpc
+import msgspec
+
+from .wire_pb2 import Packet
+
+UNARY_TIMEOUT_S = 1.0
+# Proxies from the environment must not stand between our own daemons, and
+# a peer that restarts must be found again in well under an election time.
+CHANNEL_OPTIONS = [
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+]
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class Method:
+    """Name a method and the types that travel over it."""
+
+    __slots__ = ("_decode_reply", "_decode_request", "_name", "_service")
+
+    def __init__(
+        self, service: str, name: str, request: Any, reply: Any
+    ) -> None:
+        self._service = service
+        self._name = name
+        self._decode_request = msgspec.msgpack.Decoder(request).decode
+        self._decode_reply = msgspec.msgpack.Decoder(reply).decode
+
+    @property
+    def path(self) -> str:
+        """Give the method's full name on the wire."""
+        return f"/nutmegchute.{self._service}/{self._name}"
+
+    @property
+    def service(self) -> str:
+        """Name the gRPC service."""
+        return self._service
+
+    @property
+    def name(self) -> str:
+        """Name the method within its service."""
+        return self._name
+
+    def decode_request(self, packet: Packet) -> Any:
+        """Read a request; msgspec refuses one of another form."""
+        return self._decode_request(packet.message)
+
+    def decode_reply(self, packet: Packet) -> Any:
+        """Read a reply; msgspec refuses one of another form."""
+        return self._decode_reply(packet.message)
+
+
+class Links:
+    """Hold the channels of this daemon and serve its methods."""
+
+    __slots__ = ("_channels", "_server")
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Any] = {}
+        self._server = grpc.aio.server(
+            options=[("grpc.so_reuseport", 0), *CHANNEL_OPTIONS]
+        )
+
+    def serve(self, method: Method, handler: Handler) -> None:
+        """Answer a method by a coroutine on the loop."""
+
+        async def answer(packet: Packet, context: Any) -> Packet:
+            try:
+                request = method.decode_request(packet)
+            except msgspec.DecodeError as error:
+                code = grpc.StatusCode.INVALID_ARGUMENT
+                await context.abort(code, str(error))
+                raise
+            reply = await handler(request)
+            return Packet(message=_ENCODER.encode(reply))
+
+        rpc = grpc.unary_unary_rpc_method_handler(
+            answer,
+            request_deserializer=Packet.FromString,
+            response_serializer=Packet.SerializeToString,
+        )
+        generic = grpc.method_handlers_generic_handler(
+            f"nutmegchute.{method.service}", {method.name: rpc}
+        )
+        self._server.add_generic_rpc_handlers((generic,))
+
+    async def start(self, address: str) -> None:
+        """Listen; RuntimeError says the address is in use."""
+        self._server.add_insecure_port(address)
+        await self._server.start()
+
+    async def ask(
+        self,
+        address: str,
+        method: Method,
+        request: Any,
+        timeout_s: float = UNARY_TIMEOUT_S,
+    ) -> Any | None:
+        """Ask another daemon; None says that no answer came in time."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(
+                address, options=CHANNEL_OPTIONS
+            )
+            self._channels[address] = channel
+        call = channel.unary_unary(
+            method.path,
+            request_serializer=Packet.SerializeToString,
+            response_deserializer=Packet.FromString,
+        )
+        packet = Packet(message=_ENCODER.encode(request))
+        try:
+            reply = await call(packet, timeout=timeout_s)
+        except grpc.aio.AioRpcError:
+            return None
+        return method.decode_reply(reply)
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop serving and close every channel."""
+        await self._server.stop(grace_s)
+        for channel in self._channels.values():
+            await channel.close()
--- /dev/null
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -0,0 +1,233 @@
+"""Start and stop a small deployment on loopback, for demo and tests."""
+
+import contextlib
+import hashlib
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+READY_S = 20.0
+STOP_S = 20.0
+LOG_LINES = 12
+OPERATOR_KEY = "loopback-operator-key"
+
+
+class ClusterError(Exception):
+    """Say which part of the deployment did not come up or go down."""
+
+
+class Process:
+    """Hold one process of the deployment and its addresses."""
+
+    __slots__ = ("_command", "_log", "_name", "_process", "address")
+
+    def __init__(
+        self, name: str, command: list[str], address: str, log: Path
+    ) -> None:
+        self._name = name
+        self._command = command
+        self._log = log
+        self.address = address
+        self._process = self._start()
+
+    @property
+    def name(self) -> str:
+        """Name the process."""
+        return self._name
+
+    @property
+    def pid(self) -> int:
+        """Give the process id."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process lives."""
+        return self._process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def wait(self, timeout_s: float = STOP_S) -> int:
+        """Wait for the end and return the exit status."""
+        return self._process.wait(timeout_s)
+
+    def kill(self) -> None:
+        """Kill the process and reap it."""
+        if self.running:
+            self._process.kill()
+        self._process.wait()
+
+    def restart(self) -> None:
+        """Start the process again after its end."""
+        self._process = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self._log.open("ab") as log:
+            return subprocess.Popen(
+                self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+
+class Cluster:
+    """Start control replicas, entries and fake upstreams."""
+
+    def __init__(self, folder: Path, zones: list[str]) -> None:
+        self._folder = folder
+        self._zones = zones
+        self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
+        self.controls: list[Process] = []
+        self.entries: list[Process] = []
+        self.upstreams: list[Process] = []
+
+    def start(self, controls: int, entries: int, **extra: Any) -> None:
+        """Start the daemons and wait until a leader is there.
+
+        ``extra`` goes into the settings of the entries.
+        """
+        peers = []
+        for number in range(1, controls + 1):
+            peers.append(
+                {
+                    "name": f"control-{number}",
+                    "grpc_address": free_address(),
+                    "http_address": free_address(),
+                }
+            )
+        seeds = [free_address() for _ in range(entries)]
+        for number, peer in enumerate(peers):
+            document = self._settings("control", number, peer, peers)
+            document["data_folder"] = str(self._folder / peer["name"])
+            document["operators"] = [
+                {
+                    "name": "operator",
+                    "key_sha256": digest(OPERATOR_KEY),
+                    "branches": ["*"],
+                }
+            ]
+            self.controls.append(self._daemon(document))
+        for number, address in enumerate(seeds):
+            own = {
+                "name": f"entry-{number + 1}",
+                "grpc_address": address,
+                "http_address": free_address(),
+            }
+            document = self._settings("entry", number, own, peers)
+            document["entries"] = seeds
+            document.update(extra)
+            self.entries.append(self._daemon(document))
+        self.wait_for("a leader", self.leader)
+        for entry in self.entries:
+            self.wait_for(entry.name, lambda one=entry: self.ask(one))
+
+    def add_upstream(self, service: str, **options: Any) -> Process:
+        """Start a fake upstream; options become command-line options."""
+        address = free_address()
+        number = len(self.upstreams)
+        command = [
+            sys.executable,
+            "-m",
+            "nutmegchute_fakes.upstreams",
+            f"--service={service}",
+            f"--address={address}",
+            f"--zone={self._zones[number % len(self._zones)]}",
+            "--entries=" + ",".join(one.address for one in self.entries),
+        ]
+        for name, value in options.items():
+            command.append(f"--{name.replace('_', '-')}={value}")
+        log = self._folder / f"upstream-{number + 1}.log"
+        process = Process(f"upstream-{number + 1}", command, address, log)
+        self.upstreams.append(process)
+        return process
+
+    def ask(self, process: Process, path: str = "/status") -> Any | None:
+        """Ask a process over HTTP; None says that it did not answer."""
+        try:
+            answer = self._pool.request(
+                "GET", f"http://{process.address}{path}"
+            )
+        except HTTPError:
+            return None
+        if answer.status != 200:
+            return None
+        return msgspec.json.decode(answer.data)
+
+    def leader(self) -> Process | None:
+        """Return the control replica that leads, if one does."""
+        for process in self.controls:
+            status = self.ask(process) if process.running else None
+            if status is not None and status["state"] == "leader":
+                return process
+        return None
+
+    def wait_for(self, what: str, probe: Any) -> Any:
+        """Probe until something true comes back.
+
+        :raises ClusterError: nothing came in READY_S
+        """
+        deadline = time.monotonic() + READY_S
+        while time.monotonic() < deadline:
+            found = probe()
+            if found:
+                return found
+            time.sleep(0.05)
+        raise ClusterError(
+            f"waited {READY_S} s in vain for {what}\n{self._last_words()}"
+        )
+
+    def stop(self) -> None:
+        """Stop every process, by force where asking does not do."""
+        everyone = [*self.upstreams, *self.entries, *self.controls]
+        for process in everyone:
+            if process.running:
+                process.signal(15)
+        deadline = time.monotonic() + STOP_S
+        for process in everyone:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(max(0.1, deadline - time.monotonic()))
+            process.kill()
+
+    def _last_words(self) -> str:
+        lines = []
+        for path in sorted(self._folder.glob("*.log")):
+            lines.append(f"{path.name}:")
+            lines.extend(path.read_text().splitlines()[-LOG_LINES:])
+        return "\n".join(lines)
+
+    def _settings(
+        self, role: str, number: int, own: dict[str, str], peers: list[Any]
+    ) -> dict[str, Any]:
+        return {
+            "role": role,
+            "availability_zone": self._zones[number % len(self._zones)],
+            "control": peers,
+            **own,
+        }
+
+    def _daemon(self, document: dict[str, Any]) -> Process:
+        name = document["name"]
+        path = self._folder / f"{name}.json"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
+        command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
+        log = self._folder / f"{name}.log"
+        return Process(name, command, document["http_address"], log)
+
+
+def digest(key: str) -> str:
+    """Return the digest under which settings keep a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -0,0 +1,225 @@
+"""Be a fake upstream: slots, a record of what ran, announcements.
+
+Usage:
+  upstreams --service=NAME --address=ADDRESS
+      --zone=NAME --entries=ADDRESSES [--slots=N] [--service-ms=MS]
+      [--key=KEY]
+
+Options:
+  --service=NAME       Service to announce.
+  --address=ADDRESS    IP and port to serve on.
+  --zone=NAME          Availability zone to announce.
+  --entries=ADDRESSES  Entries to announce to, separated by commas.
+  --slots=N            Calls run at once [default: 3].
+  --service-ms=MS      Time one call takes [default: 2].
+  --key=KEY            Key the service's announcements must show.
+"""
+
+import signal
+import threading
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+import urllib3
+from cheroot import wsgi
+from docopt import docopt
+from urllib3.exceptions import HTTPError
+
+ANNOUNCE_S = 0.5
+DRAIN_S = 1.5
+EXTRA_THREADS = 8
+PATIENCE = 4
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class FakeUpstream:
+    """Serve calls on a few slots and remember what ran."""
+
+    __slots__ = (
+        "_address",
+        "_busy",
+        "_draining",
+        "_incarnation",
+        "_lock",
+        "_ran",
+        "_service",
+        "_service_s",
+        "_slots",
+        "_slots_free",
+        "_zone",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        address: str,
+        zone: str,
+        slots: int,
+        service_s: float,
+    ) -> None:
+        self._service = service
+        self._address = address
+        self._zone = zone
+        self._slots = slots
+        self._service_s = service_s
+        self._slots_free = threading.Semaphore(slots)
+        self._lock = threading.Lock()
+        self._busy = 0
+        self._ran: list[str] = []
+        self._draining = False
+        self._incarnation = time.time_ns()
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the endpoint is leaving."""
+        return self._draining
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a call, or a question of the test's."""
+        path = environ["PATH_INFO"]
+        if path == "/_ran":
+            return _answer(start_response, self._ran, [])
+        if path == "/_drain":
+            self.drain()
+            return _answer(start_response, {}, [])
+        return self._run(environ, start_response)
+
+    def drain(self) -> None:
+        """Announce from now on that the endpoint is leaving."""
+        self._draining = True
+
+    def announcement(self) -> dict[str, Any]:
+        """Give the endpoint's present announcement."""
+        return {
+            "service": self._service,
+            "endpoint": self._address,
+            "availability_zone": self._zone,
+            "slots": self._slots,
+            "incarnation": self._incarnation,
+            "state": "draining" if self._draining else "up",
+        }
+
+    def _run(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        body = environ["wsgi.input"].read()
+        with self._lock:
+            shed = self._busy >= self._slots * PATIENCE
+            if not shed:
+                self._busy += 1
+        if shed:
+            headers = [("Nutmegchute-Not-Run", "shed")]
+            return _answer(start_response, {}, headers, "503 Shed")
+        with self._slots_free:
+            time.sleep(self._service_s)
+            identity = environ.get("HTTP_X_REQUEST_ID", "")
+            with self._lock:
+                self._ran.append(identity)
+                self._busy -= 1
+                load = self._busy
+        answer = {
+            "service": self._service,
+            "endpoint": self._address,
+            "echo": identity,
+            "bytes": len(body),
+        }
+        headers = [("Nutmegchute-Load", str(load))]
+        return _answer(start_response, answer, headers)
+
+
+class Announcer:
+    """Announce an upstream to the entries until it stops."""
+
+    __slots__ = ("_entries", "_headers", "_pool", "_stopping", "_upstream")
+
+    def __init__(
+        self, upstream: FakeUpstream, entries: list[str], key: str | None
+    ) -> None:
+        self._upstream = upstream
+        self._entries = entries
+        self._headers = {"Nutmegchute-Service-Key": key or ""}
+        self._pool = urllib3.PoolManager(timeout=1.0, retries=False)
+        self._stopping = threading.Event()
+
+    def stop(self) -> None:
+        """End the announcements."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Announce to one entry at a time; turn to the next on failure."""
+        turn = 0
+        while not self._stopping.wait(ANNOUNCE_S if turn else 0):
+            for _ in self._entries:
+                entry = self._entries[turn % len(self._entries)]
+                if self._announce(entry):
+                    break
+                turn += 1
+            turn = turn or len(self._entries)
+
+    def _announce(self, entry: str) -> bool:
+        body = msgspec.json.encode(self._upstream.announcement())
+        url = f"http://{entry}/announce"
+        try:
+            answer = self._pool.request(
+                "POST", url, body=body, headers=self._headers
+            )
+        except HTTPError:
+            return False
+        return answer.status == 200
+
+
+def _answer(
+    start_response: StartResponse,
+    value: Any,
+    headers: list[tuple[str, str]],
+    status: str = "200 OK",
+) -> list[bytes]:
+    body = msgspec.json.encode(value)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        *headers,
+    ]
+    start_response(status, headers)
+    return [body]
+
+
+def main() -> None:
+    """Serve and announce until told to stop; drain first."""
+    arguments = docopt(__doc__)
+    slots = int(arguments["--slots"])
+    upstream = FakeUpstream(
+        service=arguments["--service"],
+        address=arguments["--address"],
+        zone=arguments["--zone"],
+        slots=slots,
+        service_s=float(arguments["--service-ms"]) / 1000,
+    )
+    host, _, port = arguments["--address"].rpartition(":")
+    threads = slots * PATIENCE + EXTRA_THREADS
+    server = wsgi.Server((host, int(port)), upstream, numthreads=threads)
+    entries = arguments["--entries"].split(",")
+    announcer = Announcer(upstream, entries, arguments["--key"])
+    threading.Thread(target=announcer.run, daemon=True).start()
+
+    def stop(number: int, frame: Any) -> None:
+        threading.Thread(target=drain, daemon=True).start()
+
+    def drain() -> None:
+        upstream.drain()
+        time.sleep(DRAIN_S)
+        announcer.stop()
+        server.stop()
+
+    signal.signal(signal.SIGTERM, stop)
+    server.start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,35 @@
+"""Share small builders among the tests."""
+
+from typing import Any
+
+from nutmegchute_core.members import Announcement
+
+
+def rule(**values: Any) -> dict[str, Any]:
+    """Build a rule's document."""
+    document = {"name": "lookup", "idempotent": True, "reason": "a test"}
+    document.update(values)
+    return document
+
+
+def team(**services: list[dict[str, Any]]) -> dict[str, Any]:
+    """Build a team's document from rules by service."""
+    return {
+        "services": {
+            name: {"slots": 2, "rules": rules}
+            for name, rules in services.items()
+        }
+    }
+
+
+def announcement(endpoint: str, **values: Any) -> Announcement:
+    """Build an announcement of service "catalogo"."""
+    fields: dict[str, Any] = {
+        "service": "catalogo",
+        "endpoint": endpoint,
+        "availability_zone": "surco",
+        "slots": 2,
+        "incarnation": 1,
+    }
+    fields.update(values)
+    return Announcement(**fields)
--- /dev/null
+++ b/tests/test_balancers.py
@@ -0,0 +1,93 @@
+"""Test the decisions about calls on virtual time."""
+
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Lose
+from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Result
+from nutmegchute_core.calls import Send
+from nutmegchute_core.members import DRAINING
+from nutmegchute_core.rules import read_services
+from support import announcement
+from support import rule
+from support import team
+
+LOAN = rule(name="loan", method="POST", idempotent=False)
+
+
+def build(*endpoints: str) -> Balancer:
+    """Build a balancer with one service and the endpoints given."""
+    balancer = Balancer(seed=1)
+    documents = {"lending": team(catalogo=[LOAN, rule()])}
+    balancer.configure(read_services(documents), now=0.0)
+    live = [announcement(endpoint) for endpoint in endpoints]
+    balancer.update_upstreams(live, now=0.0)
+    return balancer
+
+
+def arrive(balancer: Balancer, method: str) -> Send:
+    """Let one call arrive that is sent at once."""
+    _, actions = balancer.arrive("catalogo", method, "/", 0.0)
+    assert isinstance(actions[0], Send)
+    return actions[0]
+
+
+def test_answer_ends_the_call() -> None:
+    """Send once, take the answer, keep nothing."""
+    balancer = build("a:1")
+    send = arrive(balancer, "GET")
+    result = Result(send.call_id, send.attempt, ANSWERED, 0.001)
+    actions = balancer.finish(result, 0.001)
+    assert isinstance(actions[0], Finish)
+    assert balancer.in_flight == 0
+
+
+def test_lost_loan_is_never_sent_again() -> None:
+    """A loan whose answer is lost must not run twice.
+
+    The caller sees "unknown". The loan is sent, the connection breaks
+    after bytes left, and a second endpoint is free; sending it there
+    could have two libraries pack the same book.
+    """
+    balancer = build("a:1", "b:1")
+    send = arrive(balancer, "POST")
+    result = Result(send.call_id, send.attempt, LOST, 0.001)
+    actions = balancer.finish(result, 0.001)
+    assert [type(action) for action in actions] == [Lose]
+
+
+def test_loan_not_run_is_sent_elsewhere() -> None:
+    """An endpoint that sheds before running lets another run the loan."""
+    balancer = build("a:1", "b:1")
+    send = arrive(balancer, "POST")
+    result = Result(send.call_id, send.attempt, NOT_RUN, 0.001)
+    actions = balancer.finish(result, 0.001)
+    assert isinstance(actions[0], Send)
+    assert actions[0].endpoint != send.endpoint
+
+
+def test_lost_lookup_that_expires_is_not_called_not_run() -> None:
+    """A lookup lost once may have run, so it ends as unknown.
+
+    The caller sees "unknown", not "not run": the first attempt was lost,
+    the retry waited in the queue until the deadline passed.
+    """
+    balancer = build("a:1")
+    send = arrive(balancer, "GET")
+    result = Result(send.call_id, send.attempt, LOST, 0.001)
+    assert balancer.finish(result, 0.001) == []
+    actions = balancer.tick(10.0)
+    assert [type(action) for action in actions] == [Lose]
+
+
+def test_draining_endpoint_gets_nothing() -> None:
+    """Work for a service whose only endpoint leaves waits, then refuses."""
+    balancer = build("a:1")
+    leaving = announcement("a:1", state=DRAINING)
+    balancer.update_upstreams([leaving], 0.0)
+    _, actions = balancer.arrive("catalogo", "GET", "/", 0.0)
+    assert actions == []
+    assert isinstance(balancer.tick(10.0)[0], Refuse)
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,57 @@
+"""Hold the line between decisions and the outside world."""
+
+import ast
+from pathlib import Path
+
+import nutmegchute_core
+
+FORBIDDEN = {
+    "asyncio",
+    "concurrent",
+    "datetime",
+    "grpc",
+    "logging",
+    "multiprocessing",
+    "os",
+    "pathlib",
+    "queue",
+    "secrets",
+    "selectors",
+    "signal",
+    "socket",
+    "subprocess",
+    "sys",
+    "tempfile",
+    "threading",
+    "time",
+    "urllib3",
+}
+CALLS = {"open", "print", "input"}
+
+
+def _imports(tree: ast.AST) -> set[str]:
+    found = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            found.update(alias.name.split(".")[0] for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.level == 0:
+            found.add((node.module or "").split(".")[0])
+        elif isinstance(node, ast.Call) and isinstance(node.func, ast.Name):
+            found.update({node.func.id} & CALLS)
+    return found
+
+
+def test_core_reaches_nothing_outside() -> None:
+    """Find no I/O, clock or thread module in the core."""
+    folder = Path(nutmegchute_core.__file__).parent
+    paths = sorted(folder.rglob("*.py"))
+    assert len(paths) > 5
+    for path in paths:
+        found = _imports(ast.parse(path.read_text()))
+        assert not found & (FORBIDDEN | CALLS), path.name
+
+
+def test_the_check_itself_finds_a_clock() -> None:
+    """Fail on a module that reads the time, so the check can fail."""
+    assert _imports(ast.parse("from time import monotonic")) & FORBIDDEN
+    assert _imports(ast.parse("open('x')")) & CALLS
