--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -30,7 +30,7 @@
 
 
 def _imports(tree: ast.AST) -> set[str]:
-    found = set()
+    found: set[str] = set()
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
             found.update(alias.name.split(".")[0] for alias in node.names)
