Split following and gossip from the entry, commands from the replica

Change: followers, gossips, commands and machines are modules of their own; the balancer gains abandon, next_wakeup, Cancel and Probe.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(subst $() ,:,$(PACKAGES:%=$(CURDIR)/packages/%))
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format proto bench-path
+.PHONY: demo test known-red lint format proto
 
 $(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -42,5 +42,6 @@
 	  packages/daemon/nutmegchute_daemon/wire.proto \
 	  --python_out=packages/daemon
 
-bench-path: $(VENV)/ready
-	$(BIN)/python benchmarks/path.py
+# bench-NAME runs benchmarks/NAME.py.
+bench-%: $(VENV)/ready
+	$(BIN)/python benchmarks/$*.py
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -6,6 +6,7 @@
 from .calls import Action
 from .calls import ANSWERED
 from .calls import Call
+from .calls import Cancel
 from .calls import Finish
 from .calls import Lose
 from .calls import LOST
@@ -196,12 +197,35 @@
         if call is None:
             return []
         pool = self._pools.get(call.service)
+        call.outstanding.discard(result.attempt)
         self._release(pool, call.attempts[result.attempt])
         actions = [self._conclude(pool, call, result, now)]
         if pool is not None:
             actions.extend(self._dispatch(pool, now))
         return [action for action in actions if action is not None]
 
+    def abandon(self, call_id: int, now: float) -> list[Action]:
+        """Forget a call whose caller has gone; cancel what is in flight."""
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return []
+        actions: list[Action] = []
+        pool = self._pools.get(call.service)
+        for attempt in sorted(call.outstanding):
+            self._release(pool, call.attempts[attempt])
+            actions.append(Cancel(call_id, attempt))
+        if pool is not None:
+            actions.extend(self._dispatch(pool, now))
+        return actions
+
+    def next_wakeup(self) -> float | None:
+        """Give the time by which tick must run, in seconds, if any."""
+        times = []
+        for pool in self._pools.values():
+            if pool.queue:
+                times.append(min(item[1] for item in pool.queue))
+        return min(times, default=None)
+
     def tick(self, now: float) -> list[Action]:
         """Refuse queued calls that can no longer be answered in time."""
         actions: list[Action] = []
@@ -239,7 +263,10 @@
     def _dispatch(self, pool: Pool, now: float) -> list[Action]:
         actions: list[Action] = []
         while pool.queue:
-            call = self._calls[pool.queue[0][2]]
+            call = self._calls.get(pool.queue[0][2])
+            if call is None:
+                heapq.heappop(pool.queue)
+                continue
             if now >= call.deadline_at:
                 heapq.heappop(pool.queue)
                 actions.append(self._give_up(call, "deadline passed"))
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -7,6 +7,7 @@
 ANSWERED = "answered"
 NOT_RUN = "not_run"
 LOST = "lost"
+CANCELLED = "cancelled"
 
 CALL_CHART = load_chart("call")
 
@@ -58,7 +59,31 @@
         self.attempt = attempt
 
 
-Action = Send | Refuse | Lose | Finish
+class Cancel:
+    """Order that an attempt's connection be closed; it lost or nobody waits.
+
+    The attempt still ends with a Result, whose outcome is CANCELLED.
+    """
+
+    __slots__ = ("attempt", "call_id")
+
+    def __init__(self, call_id: int, attempt: int) -> None:
+        self.call_id = call_id
+        self.attempt = attempt
+
+
+class Probe:
+    """Order one question to an endpoint about its load."""
+
+    __slots__ = ("endpoint", "service")
+
+    def __init__(self, service: str, endpoint: str) -> None:
+        self.service = service
+        self.endpoint = endpoint
+
+
+CallAction = Send | Refuse | Lose | Finish | Cancel
+Action = CallAction | Probe
 
 
 class Result:
@@ -97,6 +122,7 @@
         "_service",
         "_state",
         "may_have_run",
+        "outstanding",
     )
 
     def __init__(
@@ -116,6 +142,7 @@
         self._state = self._chart.initial
         self._attempts: dict[int, str] = {}
         self.may_have_run = False
+        self.outstanding: set[int] = set()
 
     @property
     def call_id(self) -> int:
@@ -155,4 +182,5 @@
         """Note a send and return its attempt number, from 1."""
         attempt = len(self._attempts) + 1
         self._attempts[attempt] = endpoint
+        self.outstanding.add(attempt)
         return attempt
--- /dev/null
+++ b/packages/core/nutmegchute_core/commands.py
@@ -0,0 +1,12 @@
+"""List every command that the replicated log may hold."""
+
+import msgspec
+
+from .trees import Change
+
+
+class NoOp(msgspec.Struct, frozen=True, tag=True):
+    """Open a leader's term, so that entries of earlier terms commit."""
+
+
+Command = Change | NoOp
--- /dev/null
+++ b/packages/core/nutmegchute_core/machines.py
@@ -0,0 +1,48 @@
+"""Apply committed commands to the state that all replicas share."""
+
+from functools import singledispatchmethod
+
+from .commands import NoOp
+from .replicas import LogEntry
+from .trees import Answer
+from .trees import Change
+from .trees import Tree
+
+Outcome = Answer | None
+
+
+class Machine:
+    """Hold the replicated state; equal logs give equal machines."""
+
+    __slots__ = ("_applied", "_tree")
+
+    def __init__(self) -> None:
+        self._tree = Tree()
+        self._applied = 0
+
+    @property
+    def tree(self) -> Tree:
+        """Give the configuration tree."""
+        return self._tree
+
+    @property
+    def applied(self) -> int:
+        """Give the index of the last entry applied."""
+        return self._applied
+
+    def apply(self, entry: LogEntry) -> Outcome:
+        """Apply the next entry and return what became of it."""
+        self._applied = entry.index
+        return self._apply(entry.command, entry.index)
+
+    @singledispatchmethod
+    def _apply(self, command: object, index: int) -> Outcome:
+        raise TypeError(f"no such command: {command!r}")
+
+    @_apply.register
+    def _(self, command: NoOp, index: int) -> Outcome:
+        return None
+
+    @_apply.register
+    def _(self, command: Change, index: int) -> Outcome:
+        return self._tree.apply(index, command)
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from .charts import load_chart
+from .commands import Command
+from .commands import NoOp
 from .errors import NotLeaderError
-from .trees import Change
 
 ELECTION_S = 0.6
 HEARTBEAT_S = 0.1
@@ -19,13 +20,6 @@
 REPLICA_CHART = load_chart("replica")
 
 
-class NoOp(msgspec.Struct, frozen=True, tag=True):
-    """Open a leader's term, so that entries of earlier terms commit."""
-
-
-Command = Change | NoOp
-
-
 class LogEntry(msgspec.Struct, frozen=True):
     """Hold one command at its place in the log."""
 
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import msgspec
-from nutmegchute_core.calls import Action
+from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import Refuse
@@ -48,13 +48,13 @@
 
     def __init__(self) -> None:
         self.call_id = 0
-        self._actions: queue.SimpleQueue[Action] = queue.SimpleQueue()
+        self._actions: queue.SimpleQueue[CallAction] = queue.SimpleQueue()
 
-    def put(self, action: Action) -> None:
+    def put(self, action: CallAction) -> None:
         """Hand over an action; the loop calls this."""
         self._actions.put(action)
 
-    def take(self, timeout_s: float) -> Action | None:
+    def take(self, timeout_s: float) -> CallAction | None:
         """Wait for the next action; None says that none came."""
         try:
             return self._actions.get(timeout=timeout_s)
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -13,13 +13,13 @@
 from nutmegchute_core.fleets import Fleet
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
+from nutmegchute_core.machines import Machine
 from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.replicas import Message
 from nutmegchute_core.replicas import Replica
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
-from nutmegchute_core.trees import Tree
 
 from .daemons import Daemon
 from .errors import StartError
@@ -70,7 +70,7 @@
         self._addresses = {
             peer.name: peer.grpc_address for peer in settings.control
         }
-        self._tree = Tree()
+        self._machine = Machine()
         self._fleet = Fleet()
         self._changed = asyncio.Event()
         self._waiting: dict[str, asyncio.Future[Answer]] = {}
@@ -116,18 +116,18 @@
     def tree(self) -> dict[str, Any]:
         """Describe the tree as this replica has it."""
         return {
-            "index": self._tree.index,
-            "revisions": self._tree.revisions,
-            "documents": self._tree.documents,
+            "index": self._machine.tree.index,
+            "revisions": self._machine.tree.revisions,
+            "documents": self._machine.tree.documents,
         }
 
     def audit(self) -> list[Any]:
         """List the audit trail."""
-        return self._tree.audit
+        return self._machine.tree.audit
 
     def status(self) -> dict[str, Any]:
         """Describe this replica and the entries that follow it."""
-        index = self._tree.index
+        index = self._machine.tree.index
         return {
             "name": self._settings.name,
             "state": self._replica.state,
@@ -163,9 +163,9 @@
         for message in effects.messages:
             self._loop.create_task(self._deliver(message))
         for entry in effects.committed:
-            if not isinstance(entry.command, Change):
-                continue
-            self._settle(self._tree.apply(entry.index, entry.command))
+            outcome = self._machine.apply(entry)
+            if isinstance(outcome, Answer):
+                self._settle(outcome)
         leads = self._replica.state == LEADER
         if leads == self._was_leader:
             return
@@ -199,20 +199,20 @@
         if self._replica.state != LEADER:
             return self._follow_reply(None)
         self._fleet.hear(request, self._loop.time())
-        if request.index >= self._tree.index:
+        if request.index >= self._machine.tree.index:
             changed = self._changed
             try:
                 async with asyncio.timeout(HOLD_S):
                     await changed.wait()
             except TimeoutError:
                 return self._follow_reply(None)
-        return self._follow_reply(self._tree.documents)
+        return self._follow_reply(self._machine.tree.documents)
 
     def _follow_reply(self, documents: dict[str, Any] | None) -> FollowReply:
         return FollowReply(
             leader=self._replica.leader,
-            index=self._tree.index,
-            revisions=self._tree.revisions,
+            index=self._machine.tree.index,
+            revisions=self._machine.tree.revisions,
             documents=documents,
         )
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -8,16 +8,16 @@
 import msgspec
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
+from nutmegchute_core.calls import Cancel
 from nutmegchute_core.calls import Lose
+from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
-from nutmegchute_core.fleets import FollowRequest
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import Gossip
 from nutmegchute_core.members import LEASE_S
 from nutmegchute_core.members import Members
 from nutmegchute_core.rules import read_services
@@ -28,14 +28,12 @@
 from .daemons import Daemon
 from .events import Event
 from .events import log
-from .protocols import EXCHANGE
-from .protocols import FOLLOW
+from .followers import Follower
+from .gossips import Gossiper
 
 TICK_S = 0.01
 GOSSIP_S = 0.25
 EXPIRE_S = 0.1
-FOLLOW_TIMEOUT_S = 2.0
-FOLLOW_RETRY_S = 0.1
 DRAIN_TICK_S = 0.05
 REFRESH_SHARE = 3
 
@@ -54,10 +52,14 @@
         self._directory = Directory(own)
         self._tickets: dict[int, Ticket] = {}
         self._turn = 0
-        self._index = 0
-        self._revisions: dict[str, int] = {}
-        self._leader = 0
-        self._links.serve(EXCHANGE, self._on_gossip)
+        self._follower = Follower(settings, self._links, self._apply)
+        self._gossiper = Gossiper(
+            settings=settings,
+            links=self._links,
+            members=self._members,
+            directory=self._directory,
+            on_change=self._update_upstreams,
+        )
         application = CallApplication(
             self, self._asker, settings.name, settings.request_body_bytes
         )
@@ -68,14 +70,14 @@
         """Start ticking, gossiping and following the configuration."""
         self.every(TICK_S, self._tick)
         self.every(EXPIRE_S, self._expire)
-        self.every(GOSSIP_S, self._gossip)
-        self.every(0, self._follow)
+        self.every(GOSSIP_S, self._gossiper.spread)
+        self.every(0, self._follower.follow)
 
     async def finish(self) -> None:
         """Leave the directory, outlast every answer, end the calls."""
         self._directory.drain()
         log(Event.DRAINING)
-        await self._gossip()
+        await self._gossiper.spread()
         # A caller may have been given this address a moment ago and may
         # keep it that long; closing earlier would refuse its connection.
         await asyncio.sleep(self._settings.entries_keep_s)
@@ -130,19 +132,21 @@
         return {
             "entry": self._directory.own,
             "entries": self._directory.usable(self._loop.time()),
-            "index": self._index,
-            "revisions": self._revisions,
+            "index": self._follower.index,
+            "revisions": self._follower.revisions,
             "in_flight": self._balancer.in_flight,
             "upstreams": self._members.live(),
         }
 
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
+            if isinstance(action, Probe):
+                continue
             ticket = self._tickets.get(action.call_id)
             if ticket is None:
                 continue
             ticket.put(action)
-            if isinstance(action, Send):
+            if isinstance(action, (Send, Cancel)):
                 continue
             del self._tickets[action.call_id]
             if isinstance(action, Refuse):
@@ -163,82 +167,11 @@
         live = self._members.live()
         self._perform(self._balancer.update_upstreams(live, now))
 
-    def _word(self) -> Gossip:
-        own = self._directory.own
-        return Gossip(
-            entry=own.name,
-            address=own.address,
-            availability_zone=own.availability_zone,
-            draining=own.draining,
-            vouches=self._members.vouches(self._loop.time()),
-        )
-
-    async def _gossip(self) -> None:
-        word = self._word()
-        own = self._settings.grpc_address
-        asks = []
-        for address in self._settings.entries:
-            if address == own:
-                continue
-            asks.append(self._links.ask(address, EXCHANGE, word))
-        for reply in await asyncio.gather(*asks):
-            if reply is None:
-                continue
-            self._hear(reply)
-
-    async def _on_gossip(self, gossip: Gossip) -> Gossip:
-        self._hear(gossip)
-        return self._word()
-
-    def _hear(self, gossip: Gossip) -> None:
-        now = self._loop.time()
-        word = EntryWord(
-            gossip.entry,
-            gossip.address,
-            gossip.availability_zone,
-            gossip.draining,
-        )
-        self._directory.hear(word, now)
-        if self._members.hear(gossip, now):
-            self._update_upstreams()
-
-    async def _follow(self) -> None:
-        peers = self._settings.control
-        if not peers:
-            await asyncio.sleep(FOLLOW_TIMEOUT_S)
-            return
-        peer = peers[self._leader % len(peers)]
-        request = FollowRequest(self._settings.name, self._index)
-        reply = await self._links.ask(
-            peer.grpc_address, FOLLOW, request, FOLLOW_TIMEOUT_S
-        )
-        if reply is None:
-            log(Event.CONFIG_UNREACHABLE, "warning", replica=peer.name)
-            self._leader += 1
-            await asyncio.sleep(FOLLOW_RETRY_S)
-            return
-        if reply.leader != peer.name:
-            self._turn_to(reply.leader)
-            await asyncio.sleep(FOLLOW_RETRY_S)
-            return
-        self._apply(reply)
-
-    def _turn_to(self, leader: str | None) -> None:
-        for position, peer in enumerate(self._settings.control):
-            if peer.name == leader:
-                self._leader = position
-                return
-        self._leader += 1
-
     def _apply(self, reply: FollowReply) -> None:
-        if reply.documents is None or reply.index <= self._index:
-            return
         now = self._loop.time()
+        assert reply.documents is not None
         self._balancer.configure(read_services(reply.documents), now)
-        self._index = reply.index
-        self._revisions = reply.revisions
         self._update_upstreams()
-        log(Event.CONFIG_APPLIED, index=self._index)
 
 
 class EntryPages:
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -2,6 +2,7 @@
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import Cancel
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import LOST
@@ -91,3 +92,15 @@
     _, actions = balancer.arrive("catalogo", "GET", "/", 0.0)
     assert actions == []
     assert isinstance(balancer.tick(10.0)[0], Refuse)
+
+
+def test_abandoned_call_is_cancelled_and_frees_its_slot() -> None:
+    """A caller that hangs up leaves no slot taken."""
+    balancer = build("a:1")
+    sends = [arrive(balancer, "GET") for _ in range(2)]
+    call_id, actions = balancer.arrive("catalogo", "GET", "/", 0.0)
+    assert actions == []
+    first, then = balancer.abandon(sends[0].call_id, 0.1)
+    assert isinstance(first, Cancel)
+    assert isinstance(then, Send)
+    assert then.call_id == call_id
--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 
 import pytest
+from nutmegchute_core.commands import NoOp
 from nutmegchute_core.replicas import HardState
 from nutmegchute_core.replicas import LogEntry
-from nutmegchute_core.replicas import NoOp
 from nutmegchute_daemon.errors import StorageError
 from nutmegchute_daemon.storages import Storage
 
