Give the balancer probes, attempt depth and failed answers

The edge needs the whole contract before the policy behind it is built: take_probe, arrive(attempt=), Result.failed, Service.probe_path and Service.most_entries.

--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 
 # bench-NAME runs benchmarks/NAME.py.
 bench-%: $(VENV)/ready
-	$(BIN)/python benchmarks/$*.py
+	$(BIN)/python -m benchmarks.$*
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -124,10 +124,19 @@
 class Balancer:
     """Turn arrivals, results and time into sends and final answers."""
 
-    __slots__ = ("_calls", "_next_id", "_pools", "_random")
-
-    def __init__(self, seed: int) -> None:
+    __slots__ = (
+        "_availability_zone",
+        "_calls",
+        "_next_id",
+        "_pools",
+        "_random",
+    )
+
+    def __init__(
+        self, seed: int, availability_zone: str | None = None
+    ) -> None:
         self._random = Random(seed)
+        self._availability_zone = availability_zone
         self._pools: dict[str, Pool] = {}
         self._calls: dict[int, Call] = {}
         self._next_id = 1
@@ -170,8 +179,14 @@
         path: str,
         now: float,
         caller_deadline_s: float | None = None,
+        attempt: int = 1,
     ) -> tuple[int, list[Action]]:
-        """Admit a call; return its id and the first actions."""
+        """Admit a call; return its id and the first actions.
+
+        ``attempt`` is the number the call arrived with. Over 1, a layer
+        above is retrying already and the call earns no retry here: each
+        of 16 layers sending twice would make 65,536 calls of one.
+        """
         call_id = self._next_id
         self._next_id += 1
         pool = self._pools.get(service)
@@ -204,6 +219,17 @@
             actions.extend(self._dispatch(pool, now))
         return [action for action in actions if action is not None]
 
+    def take_probe(
+        self,
+        service: str,
+        endpoint: str,
+        load: int | None,
+        latency_s: float,
+        now: float,
+    ) -> list[Action]:
+        """Take a probe's end; a load of None says that it failed."""
+        return []
+
     def abandon(self, call_id: int, now: float) -> list[Action]:
         """Forget a call whose caller has gone; cancel what is in flight."""
         call = self._calls.pop(call_id, None)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -90,9 +90,18 @@
     """Report how one attempt ended.
 
     ``load`` is the in-flight count the endpoint reported on its answer.
+    ``failed`` marks an answer that says the endpoint itself is broken (a
+    5xx status that is not "not run").
     """
 
-    __slots__ = ("attempt", "call_id", "latency_s", "load", "outcome")
+    __slots__ = (
+        "attempt",
+        "call_id",
+        "failed",
+        "latency_s",
+        "load",
+        "outcome",
+    )
 
     def __init__(
         self,
@@ -101,12 +110,14 @@
         outcome: str,
         latency_s: float,
         load: int | None = None,
+        failed: bool = False,
     ) -> None:
         self.call_id = call_id
         self.attempt = attempt
         self.outcome = outcome
         self.latency_s = latency_s
         self.load = load
+        self.failed = failed
 
 
 class Call:
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -12,6 +12,8 @@
 DEFAULT_SLOTS = 2
 DEFAULT_QUEUE = 64
 DEFAULT_PROBES_PER_S = 0.0
+DEFAULT_PROBE_PATH = "/load"
+DEFAULT_MOST_ENTRIES = 17
 
 RULE_SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -38,6 +40,8 @@
         "slots": {"type": "integer", "minimum": 1, "maximum": 1024},
         "queue": {"type": "integer", "minimum": 0, "maximum": 65536},
         "probes_per_s": {"type": "number", "minimum": 0, "maximum": 10000},
+        "probe_path": {"type": "string", "pattern": "^/"},
+        "most_entries": {"type": "integer", "minimum": 1, "maximum": 256},
         "key_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
         "rules": {"type": "array", "minItems": 1, "items": RULE_SCHEMA},
     },
@@ -126,7 +130,9 @@
 
     __slots__ = (
         "_key_sha256",
+        "_most_entries",
         "_name",
+        "_probe_path",
         "_probes_per_s",
         "_queue",
         "_rules",
@@ -140,6 +146,10 @@
         self._probes_per_s: float = document.get(
             "probes_per_s", DEFAULT_PROBES_PER_S
         )
+        self._probe_path: str = document.get("probe_path", DEFAULT_PROBE_PATH)
+        self._most_entries: int = document.get(
+            "most_entries", DEFAULT_MOST_ENTRIES
+        )
         self._key_sha256: str | None = document.get("key_sha256")
         self._rules = [Rule(rule) for rule in document["rules"]]
 
@@ -163,6 +173,16 @@
         """Give the service's whole probe budget, in probes a second."""
         return self._probes_per_s
 
+    @property
+    def probe_path(self) -> str:
+        """Give the path at which an endpoint reports its load."""
+        return self._probe_path
+
+    @property
+    def most_entries(self) -> int:
+        """Give the most entries that ever share the probe budget."""
+        return self._most_entries
+
     @property
     def key_sha256(self) -> str | None:
         """Give the digest of the key that announcements must show."""
