--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -1,124 +1,30 @@
 """Decide, for one entry, which upstream runs each call and when."""
 
-import heapq
 from random import Random
 
 from .calls import Action
 from .calls import ANSWERED
 from .calls import Call
 from .calls import Cancel
+from .calls import CANCELLED
 from .calls import Finish
 from .calls import Lose
 from .calls import LOST
 from .calls import NOT_RUN
+from .calls import Probe
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
 from .members import Announcement
-from .members import DRAINING
-from .rules import PRIORITIES
+from .policies import Policy
+from .pools import Pool
 from .rules import Service
+from .timers import EXPIRY
+from .timers import HEDGE
+from .timers import Timers
 
-RETRY_SHARE = 0.1
-RETRY_BURST = 10.0
-RETRY_AFTER_S = 0.5
-CHOICES = 2
-
-
-class RetryBudget:
-    """Bound extra sends to a share of recent calls."""
-
-    __slots__ = ("_tokens",)
-
-    def __init__(self) -> None:
-        self._tokens = RETRY_BURST
-
-    @property
-    def tokens(self) -> float:
-        """Give the extra sends allowed now."""
-        return self._tokens
-
-    def earn(self) -> None:
-        """Add the share that one arriving call earns."""
-        self._tokens = min(RETRY_BURST, self._tokens + RETRY_SHARE)
-
-    def spend(self) -> bool:
-        """Take one extra send, if there is one."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
-class Endpoint:
-    """Count what this entry has in flight at one endpoint."""
-
-    __slots__ = ("_announcement", "in_flight")
-
-    def __init__(self, announcement: Announcement) -> None:
-        self._announcement = announcement
-        self.in_flight = 0
-
-    @property
-    def announcement(self) -> Announcement:
-        """Give the endpoint's newest announcement."""
-        return self._announcement
-
-    @announcement.setter
-    def announcement(self, announcement: Announcement) -> None:
-        self._announcement = announcement
-
-    @property
-    def accepts(self) -> bool:
-        """Tell whether new work may go there."""
-        if self._announcement.state == DRAINING:
-            return False
-        return self.in_flight < self._announcement.slots
-
-
-class Pool:
-    """Hold one service's endpoints, queue and budget."""
-
-    __slots__ = ("_endpoints", "_order", "budget", "queue", "service")
-
-    def __init__(self, service: Service) -> None:
-        self.service = service
-        self.budget = RetryBudget()
-        self.queue: list[tuple[int, float, int]] = []
-        self._endpoints: dict[str, Endpoint] = {}
-        self._order: list[Endpoint] = []
-
-    @property
-    def endpoints(self) -> dict[str, Endpoint]:
-        """Map addresses to the endpoints known."""
-        return self._endpoints
-
-    def update(self, announcements: list[Announcement]) -> None:
-        """Take the live endpoints; counts of the staying ones stay."""
-        kept = {}
-        for announcement in announcements:
-            address = announcement.endpoint
-            endpoint = self._endpoints.get(address)
-            if endpoint is None:
-                endpoint = Endpoint(announcement)
-            endpoint.announcement = announcement
-            kept[address] = endpoint
-        self._endpoints = kept
-        self._order = list(kept.values())
-
-    def choose(self, random: Random, avoid: set[str]) -> Endpoint | None:
-        """Pick the least busy of a few random endpoints with a free slot."""
-        free = []
-        for endpoint in self._order:
-            if not endpoint.accepts:
-                continue
-            if endpoint.announcement.endpoint in avoid:
-                continue
-            free.append(endpoint)
-        if not free:
-            return None
-        few = random.sample(free, min(CHOICES, len(free)))
-        return min(few, key=lambda endpoint: endpoint.in_flight)
+QUEUED = "queued"
+MOST_STUCK = 4
 
 
 class Balancer:
@@ -128,17 +34,24 @@
         "_availability_zone",
         "_calls",
         "_next_id",
+        "_policy",
         "_pools",
         "_random",
+        "_timers",
     )
 
     def __init__(
-        self, seed: int, availability_zone: str | None = None
+        self,
+        seed: int,
+        availability_zone: str | None = None,
+        policy: Policy | None = None,
     ) -> None:
         self._random = Random(seed)
         self._availability_zone = availability_zone
+        self._policy = policy or Policy()
         self._pools: dict[str, Pool] = {}
         self._calls: dict[int, Call] = {}
+        self._timers = Timers()
         self._next_id = 1
 
     @property
@@ -152,8 +65,14 @@
         for name, service in services.items():
             pool = self._pools.get(name)
             if pool is None:
-                pool = Pool(service)
-            pool.service = service
+                pool = Pool(
+                    service,
+                    self._random,
+                    self._availability_zone,
+                    self._policy,
+                )
+            else:
+                pool.reconfigure(service)
             pools[name] = pool
         self._pools = pools
 
@@ -168,8 +87,8 @@
             )
         actions: list[Action] = []
         for name, pool in self._pools.items():
-            pool.update(by_service.get(name, []))
-            actions.extend(self._dispatch(pool, now))
+            pool.update(by_service.get(name, []), now)
+            self._dispatch(pool, now, actions)
         return actions
 
     def arrive(
@@ -198,26 +117,34 @@
         deadline_s = rule.deadline_s
         if caller_deadline_s is not None:
             deadline_s = min(deadline_s, caller_deadline_s)
-        call = Call(call_id, service, rule, now, deadline_s)
-        pool.budget.earn()
+        call = Call(call_id, service, rule, now, deadline_s, attempt > 1)
         self._calls[call_id] = call
-        if len(pool.queue) >= pool.service.queue:
-            return call_id, [self._give_up(call, "queue full")]
+        reason = pool.admit(call, now)
+        if reason is not None:
+            return call_id, [self._give_up(pool, call, reason)]
         self._enqueue(pool, call)
-        return call_id, self._dispatch(pool, now)
+        actions: list[Action] = []
+        self._dispatch(pool, now, actions)
+        self._guard(pool, call)
+        return call_id, actions
 
     def finish(self, result: Result, now: float) -> list[Action]:
         """Take an attempt's end and decide what follows from it."""
         call = self._calls.get(result.call_id)
-        if call is None:
+        if call is None or result.attempt not in call.outstanding:
+            # The loser of a hedge or an abandoned call: its slot was
+            # given back when it was cancelled.
             return []
-        pool = self._pools.get(call.service)
         call.outstanding.discard(result.attempt)
-        self._release(pool, call.attempts[result.attempt])
-        actions = [self._conclude(pool, call, result, now)]
+        pool = self._pools.get(call.service)
+        if pool is not None:
+            pool.take_result(call, result, now)
+        actions: list[Action] = []
+        self._conclude(pool, call, result, now, actions)
         if pool is not None:
-            actions.extend(self._dispatch(pool, now))
-        return [action for action in actions if action is not None]
+            self._dispatch(pool, now, actions)
+            self._guard(pool, call)
+        return actions
 
     def take_probe(
         self,
@@ -228,7 +155,12 @@
         now: float,
     ) -> list[Action]:
         """Take a probe's end; a load of None says that it failed."""
-        return []
+        actions: list[Action] = []
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.take_probe(endpoint, load, now)
+            self._dispatch(pool, now, actions)
+        return actions
 
     def abandon(self, call_id: int, now: float) -> list[Action]:
         """Forget a call whose caller has gone; cancel what is in flight."""
@@ -237,80 +169,165 @@
             return []
         actions: list[Action] = []
         pool = self._pools.get(call.service)
-        for attempt in sorted(call.outstanding):
-            self._release(pool, call.attempts[attempt])
-            actions.append(Cancel(call_id, attempt))
+        self._cancel(pool, call, now, actions)
         if pool is not None:
-            actions.extend(self._dispatch(pool, now))
+            pool.queue.remove(call_id)
+            self._dispatch(pool, now, actions)
         return actions
 
     def next_wakeup(self) -> float | None:
         """Give the time by which tick must run, in seconds, if any."""
-        times = []
+        soonest = self._timers.next_at
+        if not self._policy.probing:
+            return soonest
         for pool in self._pools.values():
-            if pool.queue:
-                times.append(min(item[1] for item in pool.queue))
-        return min(times, default=None)
+            at = pool.next_probe_at
+            if at is not None and (soonest is None or at < soonest):
+                soonest = at
+        return soonest
 
     def tick(self, now: float) -> list[Action]:
-        """Refuse queued calls that can no longer be answered in time."""
+        """Do what has fallen due: hedges, refusals, probes."""
         actions: list[Action] = []
-        for pool in self._pools.values():
-            actions.extend(self._dispatch(pool, now))
+        while True:
+            due = self._timers.take(now)
+            if due is None:
+                break
+            kind, call_id = due
+            call = self._calls.get(call_id)
+            if call is None:
+                continue
+            if kind == HEDGE:
+                self._hedge(call, now, actions)
+            elif kind == EXPIRY:
+                self._expire(call, actions)
+        for name, pool in self._pools.items():
+            if pool.queue:
+                self._dispatch(pool, now, actions)
+            if not self._policy.probing:
+                continue
+            address = pool.next_probe(now)
+            if address is not None:
+                actions.append(Probe(name, address))
         return actions
 
     def _conclude(
-        self, pool: Pool | None, call: Call, result: Result, now: float
-    ) -> Action | None:
+        self,
+        pool: Pool | None,
+        call: Call,
+        result: Result,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        if result.outcome == LOST or result.outcome == CANCELLED:
+            call.may_have_run = True
         if result.outcome == ANSWERED:
+            if result.failed and self._retry(pool, call, result):
+                # The endpoint may have acted before it failed.
+                call.may_have_run = True
+                return
             call.step("answer")
             del self._calls[call.call_id]
-            return Finish(call.call_id, result.attempt)
+            actions.append(Finish(call.call_id, result.attempt))
+            self._cancel(pool, call, now, actions)
+            return
+        if self._retry(pool, call, result):
+            return
+        if not call.outstanding:
+            actions.append(self._give_up(pool, call, "no upstream answered"))
+
+    def _retry(self, pool: Pool | None, call: Call, result: Result) -> bool:
+        """Queue a failed call again; return whether it goes on."""
+        if call.outstanding:
+            # The other attempt of a hedged call is the retry.
+            return True
         may_repeat = result.outcome == NOT_RUN or call.rule.idempotent
-        if result.outcome == LOST:
-            call.may_have_run = True
-        if pool is not None and may_repeat and self._may_retry(pool, call):
-            call.step("retry")
-            self._enqueue(pool, call)
-            return None
-        return self._give_up(call, "no upstream answered")
-
-    def _may_retry(self, pool: Pool, call: Call) -> bool:
-        if len(call.attempts) >= call.rule.attempts:
+        if pool is None or not may_repeat or not pool.may_retry(call):
             return False
-        return pool.budget.spend()
+        call.step("retry")
+        self._enqueue(pool, call)
+        return True
 
     def _enqueue(self, pool: Pool, call: Call) -> None:
         if call.state == "admitted":
             call.step("queue")
-        rank = PRIORITIES.index(call.rule.priority)
-        heapq.heappush(pool.queue, (rank, call.deadline_at, call.call_id))
+        pool.queue.push(call.call_id, call.rule.priority, call.arrived_at)
 
-    def _dispatch(self, pool: Pool, now: float) -> list[Action]:
-        actions: list[Action] = []
-        while pool.queue:
-            call = self._calls.get(pool.queue[0][2])
-            if call is None:
-                heapq.heappop(pool.queue)
-                continue
-            if now >= call.deadline_at:
-                heapq.heappop(pool.queue)
-                actions.append(self._give_up(call, "deadline passed"))
+    def _dispatch(self, pool: Pool, now: float, actions: list[Action]) -> None:
+        stuck: list[Call] = []
+        while len(stuck) <= MOST_STUCK:
+            call_id = pool.queue.first()
+            if call_id is None:
+                break
+            call = self._calls[call_id]
+            if pool.too_late(call, now):
+                pool.queue.remove(call_id)
+                actions.append(
+                    self._give_up(pool, call, "cannot be answered in time")
+                )
                 continue
-            avoid = set(call.attempts.values())
-            endpoint = pool.choose(self._random, avoid)
-            if endpoint is None:
+            if not pool.has_room():
                 break
-            heapq.heappop(pool.queue)
-            endpoint.in_flight += 1
+            endpoint = pool.choose(call, now)
+            pool.queue.remove(call_id)
+            if endpoint is None:
+                stuck.append(call)
+                if not call.attempts:
+                    break
+                # A retry avoids where it failed; a call behind it may
+                # go there and must not wait for the retry's deadline.
+                continue
             call.step("send")
-            address = endpoint.announcement.endpoint
-            attempt = call.record_send(address)
-            remaining_s = call.deadline_at - now
-            actions.append(Send(call.call_id, attempt, address, remaining_s))
-        return actions
+            actions.append(self._send(pool, call, endpoint, now))
+            delay_s = pool.hedge_delay_s(call)
+            if delay_s is not None:
+                self._timers.add(now + delay_s, HEDGE, call_id)
+        for call in stuck:
+            self._enqueue(pool, call)
+
+    def _guard(self, pool: Pool, call: Call) -> None:
+        """See to it that a call left waiting is refused in time."""
+        if call.state == QUEUED:
+            at = pool.latest_send_at(call)
+            self._timers.add(at, EXPIRY, call.call_id)
+
+    def _send(self, pool: Pool, call: Call, address: str, now: float) -> Send:
+        attempt = call.record_send(address, now)
+        pool.take_send(address)
+        return Send(call.call_id, attempt, address, call.deadline_at - now)
+
+    def _hedge(self, call: Call, now: float, actions: list[Action]) -> None:
+        pool = self._pools.get(call.service)
+        if pool is None or len(call.outstanding) != 1:
+            return
+        address = pool.choose_hedge(call, now)
+        if address is None:
+            return
+        call.step("hedge")
+        actions.append(self._send(pool, call, address, now))
+
+    def _expire(self, call: Call, actions: list[Action]) -> None:
+        if call.state != QUEUED:
+            return
+        pool = self._pools.get(call.service)
+        if pool is not None:
+            pool.queue.remove(call.call_id)
+        actions.append(self._give_up(pool, call, "deadline passed"))
 
-    def _give_up(self, call: Call, reason: str) -> Action:
+    def _cancel(
+        self,
+        pool: Pool | None,
+        call: Call,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        for attempt in sorted(call.outstanding):
+            actions.append(Cancel(call.call_id, attempt))
+            if pool is not None:
+                pool.take_cancel(call, attempt, now)
+        call.outstanding.clear()
+
+    def _give_up(self, pool: Pool | None, call: Call, reason: str) -> Action:
         del self._calls[call.call_id]
         if call.may_have_run:
             # An earlier attempt was lost after bytes had left: "not run"
@@ -319,11 +336,5 @@
             call.step("lose")
             return Lose(call.call_id, reason)
         call.step("refuse")
-        return Refuse(call.call_id, reason, RETRY_AFTER_S)
-
-    def _release(self, pool: Pool | None, address: str) -> None:
-        if pool is None:
-            return
-        endpoint = pool.endpoints.get(address)
-        if endpoint is not None and endpoint.in_flight > 0:
-            endpoint.in_flight -= 1
+        retry_after_s = 0.0 if pool is None else pool.retry_after_s
+        return Refuse(call.call_id, reason, retry_after_s)
--- /dev/null
+++ b/packages/core/nutmegchute_core/budgets.py
@@ -0,0 +1,83 @@
+"""Bound what may be spent: extra sends by calls, probes by time."""
+
+EXTRA_SHARE = 0.08
+EXTRA_BURST = 10.0
+EXTRA_START = 3.0
+HEDGE_RESERVE = 2.0
+
+# Float sums of gaps must not let one probe more into a window.
+GAP_SLACK = 1e-6
+
+
+class ExtraBudget:
+    """Bound retries and hedges to a share of recent calls.
+
+    Hedges leave a reserve: a retry rescues a call that has failed, a
+    hedge only one that may be late.
+    """
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        self._tokens = EXTRA_START
+
+    @property
+    def tokens(self) -> float:
+        """Give the extra sends allowed now."""
+        return self._tokens
+
+    def earn(self) -> None:
+        """Add the share that one arriving call earns."""
+        self._tokens = min(EXTRA_BURST, self._tokens + EXTRA_SHARE)
+
+    def spend_retry(self) -> bool:
+        """Take one retry, if there is one."""
+        return self._spend(0.0)
+
+    def spend_hedge(self) -> bool:
+        """Take one hedge, if the reserve for retries stays whole."""
+        return self._spend(HEDGE_RESERVE)
+
+    def _spend(self, reserve: float) -> bool:
+        if self._tokens < 1.0 + reserve:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class ProbeBudget:
+    """Space one entry's probes so that the service's budget holds.
+
+    The share is the budget over the most entries configured, never over
+    the entries seen: two entries that see one another differently would
+    otherwise spend more than the whole. A token bucket lets its burst
+    come on top of the rate within a second; a least gap does not.
+    """
+
+    __slots__ = ("_gap_s", "_next_at")
+
+    def __init__(self, probes_per_s: float, most_entries: int) -> None:
+        share = probes_per_s / most_entries
+        if share >= 1.0:
+            # Whole probes, so that any second holds at most the share.
+            share = float(int(share))
+        self._gap_s = (1.0 + GAP_SLACK) / share if share > 0 else None
+        self._next_at = 0.0
+
+    @property
+    def next_at(self) -> float | None:
+        """Give when the next probe may go, in seconds; None is never."""
+        return None if self._gap_s is None else self._next_at
+
+    def spend(self, now: float) -> bool:
+        """Take one probe, if its time has come."""
+        if self._gap_s is None or now < self._next_at:
+            return False
+        self._next_at = now + self._gap_s
+        return True
+
+    def follow(self, earlier: "ProbeBudget") -> None:
+        """Go on from the budget in force before, so none is spent twice."""
+        if self._gap_s is None:
+            return
+        self._next_at = max(self._next_at, earlier._next_at)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -129,7 +129,9 @@
         "_call_id",
         "_chart",
         "_deadline_at",
+        "_is_retry",
         "_rule",
+        "_sent_at",
         "_service",
         "_state",
         "may_have_run",
@@ -143,7 +145,9 @@
         rule: Rule,
         arrived_at: float,
         deadline_s: float,
+        is_retry: bool = False,
     ) -> None:
+        self._is_retry = is_retry
         self._chart: Chart = CALL_CHART
         self._call_id = call_id
         self._service = service
@@ -152,6 +156,7 @@
         self._deadline_at = arrived_at + deadline_s
         self._state = self._chart.initial
         self._attempts: dict[int, str] = {}
+        self._sent_at: dict[int, float] = {}
         self.may_have_run = False
         self.outstanding: set[int] = set()
 
@@ -170,6 +175,16 @@
         """Give the rule the call falls under."""
         return self._rule
 
+    @property
+    def is_retry(self) -> bool:
+        """Tell whether a layer above sends the call for a second time."""
+        return self._is_retry
+
+    @property
+    def arrived_at(self) -> float:
+        """Give when the call arrived, in seconds."""
+        return self._arrived_at
+
     @property
     def deadline_at(self) -> float:
         """Give the time after which no answer is of use, in seconds."""
@@ -189,9 +204,14 @@
         """Follow the chart; ChartError says the event is not allowed."""
         self._state = self._chart.step(self._state, event)
 
-    def record_send(self, endpoint: str) -> int:
+    def sent_at(self, attempt: int) -> float:
+        """Give when an attempt was sent, in seconds."""
+        return self._sent_at[attempt]
+
+    def record_send(self, endpoint: str, now: float) -> int:
         """Note a send and return its attempt number, from 1."""
         attempt = len(self._attempts) + 1
         self._attempts[attempt] = endpoint
+        self._sent_at[attempt] = now
         self.outstanding.add(attempt)
         return attempt
--- /dev/null
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -0,0 +1,166 @@
+"""Hold what one entry knows of one endpoint, and how old that is."""
+
+from .members import Announcement
+from .members import DRAINING
+
+# An endpoint is judged by its last few answers; older ones fade.
+LATENCY_WEIGHT = 0.3
+LATENCY_KEPT_S = 2.0
+
+EJECT_AFTER = 3
+EJECT_FIRST_S = 0.5
+EJECT_MOST_S = 8.0
+
+STUCK_AFTER = 8
+WARM_UP_S = 2.0
+COLD_FACTOR = 3.0
+
+
+class Endpoint:
+    """Count own calls in flight and remember reports and failures."""
+
+    __slots__ = (
+        "_announcement",
+        "_ejections",
+        "_failures",
+        "_heard_at",
+        "_latency_at",
+        "_latency_s",
+        "_others",
+        "_repeats",
+        "_report",
+        "ejected_until",
+        "in_flight",
+        "joined_at",
+        "local",
+        "stalled",
+    )
+
+    def __init__(
+        self, announcement: Announcement, local: bool, joined_at: float | None
+    ) -> None:
+        self._announcement = announcement
+        self._latency_s: float | None = None
+        self._latency_at = 0.0
+        self._others = 0.0
+        self._heard_at: float | None = None
+        self._report: int | None = None
+        self._repeats = 0
+        self._failures = 0
+        self._ejections = 0
+        self.ejected_until = 0.0
+        self.in_flight = 0
+        self.joined_at = joined_at
+        self.local = local
+        self.stalled = 0
+
+    @property
+    def announcement(self) -> Announcement:
+        """Give the endpoint's newest announcement."""
+        return self._announcement
+
+    @announcement.setter
+    def announcement(self, announcement: Announcement) -> None:
+        self._announcement = announcement
+
+    @property
+    def address(self) -> str:
+        """Give the endpoint's address."""
+        return self._announcement.endpoint
+
+    @property
+    def slots(self) -> int:
+        """Give the calls the endpoint runs at once."""
+        return self._announcement.slots
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the endpoint is leaving."""
+        return self._announcement.state == DRAINING
+
+    @property
+    def suspect(self) -> bool:
+        """Tell whether it was ejected and has not answered since."""
+        return self._ejections > 0
+
+    @property
+    def heard_at(self) -> float | None:
+        """Give when its load was last heard, in seconds, if ever."""
+        return self._heard_at
+
+    @property
+    def stuck(self) -> bool:
+        """Tell whether its reports repeat too long to be believed."""
+        return self._repeats >= STUCK_AFTER
+
+    def others(self, mean: float, keep_s: float, now: float) -> float:
+        """Estimate the calls that other entries have there.
+
+        The report counts fully when new and gives way to the mean over
+        all endpoints as it ages; ``keep_s`` is the age of half weight.
+        """
+        if self._heard_at is None:
+            return mean
+        weight = keep_s / (keep_s + now - self._heard_at)
+        return mean + (self._others - mean) * weight
+
+    def latency(self, mean_s: float, now: float) -> float:
+        """Estimate an answer's time, in seconds; old news fade."""
+        if self._latency_s is None:
+            return mean_s
+        age_s = now - self._latency_at
+        weight = LATENCY_KEPT_S / (LATENCY_KEPT_S + age_s)
+        return mean_s + (self._latency_s - mean_s) * weight
+
+    def coldness(self, now: float) -> float:
+        """Give by how much a newcomer is held to be slower."""
+        if self.joined_at is None:
+            return 1.0
+        age_s = now - self.joined_at
+        if age_s >= WARM_UP_S:
+            self.joined_at = None
+            return 1.0
+        return 1.0 + (COLD_FACTOR - 1.0) * (1.0 - age_s / WARM_UP_S)
+
+    def hear_load(self, load: int, now: float) -> float:
+        """Take a load report; return the share of other entries."""
+        if load == self._report:
+            self._repeats += 1
+        else:
+            self._repeats = 0
+        self._report = load
+        self._others = float(max(0, load - self.in_flight))
+        self._heard_at = now
+        return self._others
+
+    def hear_latency(self, latency_s: float, now: float) -> None:
+        """Take the time an answer took, in seconds."""
+        self._latency_at = now
+        if self._latency_s is None:
+            self._latency_s = latency_s
+            return
+        self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+
+    def hear_late(self, elapsed_s: float, now: float) -> None:
+        """Take word of an answer that is still out after so long."""
+        if self._latency_s is None or elapsed_s > self._latency_s:
+            self.hear_latency(elapsed_s, now)
+
+    def succeed(self) -> None:
+        """Forget failures; the endpoint answers."""
+        self._failures = 0
+        self._ejections = 0
+        self.ejected_until = 0.0
+        self.stalled = 0
+
+    def fail(self, now: float) -> bool:
+        """Count a failure; return whether it ejects the endpoint."""
+        self._failures += 1
+        if self._failures < EJECT_AFTER and not self._ejections:
+            return False
+        # A trial that fails ejects again at once, for twice as long.
+        pause_s = EJECT_FIRST_S * 2**self._ejections
+        self.ejected_until = now + min(EJECT_MOST_S, pause_s)
+        self._ejections = min(self._ejections + 1, 16)
+        self._failures = 0
+        return True
--- /dev/null
+++ b/packages/core/nutmegchute_core/queues.py
@@ -0,0 +1,56 @@
+"""Keep calls waiting: urgent ones first, old ones in the end too."""
+
+import heapq
+
+from .rules import PRIORITIES
+
+# A waiting call passes as one of higher priority that arrived this much
+# later, so background work yields for a while and then arrives.
+HEAD_START_S = {"interactive": 0.0, "action": 0.02, "background": 1.0}
+
+
+class WaitQueue:
+    """Order waiting calls by arrival plus what their priority adds."""
+
+    __slots__ = ("_counts", "_heap", "_waiting")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int]] = []
+        self._waiting: dict[int, str] = {}
+        self._counts = dict.fromkeys(PRIORITIES, 0)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def ahead_of(self, priority: str) -> int:
+        """Count the calls that go before a new one, roughly."""
+        count = 0
+        for name in PRIORITIES:
+            count += self._counts[name]
+            if name == priority:
+                break
+        return count
+
+    def push(self, call_id: int, priority: str, arrived_at: float) -> None:
+        """Let a call wait; a retry keeps the place of its arrival."""
+        key = arrived_at + HEAD_START_S[priority]
+        heapq.heappush(self._heap, (key, call_id))
+        self._waiting[call_id] = priority
+        self._counts[priority] += 1
+
+    def remove(self, call_id: int) -> bool:
+        """Take a call out; return whether it waited."""
+        priority = self._waiting.pop(call_id, None)
+        if priority is None:
+            return False
+        self._counts[priority] -= 1
+        return True
+
+    def first(self) -> int | None:
+        """Return the call that is next, if any; it stays."""
+        while self._heap:
+            call_id = self._heap[0][1]
+            if call_id in self._waiting:
+                return call_id
+            heapq.heappop(self._heap)
+        return None
--- /dev/null
+++ b/packages/core/nutmegchute_core/timers.py
@@ -0,0 +1,33 @@
+"""Keep what falls due, one heap for all services."""
+
+import heapq
+
+EXPIRY = "expiry"
+HEDGE = "hedge"
+
+
+class Timers:
+    """Order timers by time; who takes one checks that it still holds."""
+
+    __slots__ = ("_count", "_heap")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, str, int]] = []
+        self._count = 0
+
+    @property
+    def next_at(self) -> float | None:
+        """Give when the next timer falls due, in seconds, if any."""
+        return self._heap[0][0] if self._heap else None
+
+    def add(self, at: float, kind: str, call_id: int) -> None:
+        """Set a timer for a call."""
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, kind, call_id))
+
+    def take(self, now: float) -> tuple[str, int] | None:
+        """Remove and return the next timer that is due, if any."""
+        if not self._heap or self._heap[0][0] > now:
+            return None
+        _, _, kind, call_id = heapq.heappop(self._heap)
+        return kind, call_id
