Judge endpoints by slowness beyond a band, and refuse early

Change: only latency beyond 1.5x of the mean counts; a call that would wait over half of its deadline is refused at once; probes go to suspects alone.

--- a/benchmarks/policy_scenarios.py
+++ b/benchmarks/policy_scenarios.py
@@ -218,7 +218,7 @@
     def arrivals(self, site: Site, seed: int) -> list[Arrival]:
         """Draw the calls; the same for every policy."""
         random = Random(seed)
-        found = []
+        found: list[Arrival] = []
         most = max(self.load(0.0), self.load(self.run_s))
         methods = list(site.mix)
         weights = list(site.mix.values())
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -293,7 +293,7 @@
 
     def _send(self, pool: Pool, call: Call, address: str, now: float) -> Send:
         attempt = call.record_send(address, now)
-        pool.take_send(address)
+        pool.take_send(call, attempt)
         return Send(call.call_id, attempt, address, call.deadline_at - now)
 
     def _hedge(self, call: Call, now: float, actions: list[Action]) -> None:
--- a/packages/core/nutmegchute_core/budgets.py
+++ b/packages/core/nutmegchute_core/budgets.py
@@ -76,6 +76,11 @@
         self._next_at = now + self._gap_s
         return True
 
+    def postpone(self, now: float) -> None:
+        """Look again after a gap: there is nothing to ask now."""
+        if self._gap_s is not None:
+            self._next_at = now + self._gap_s
+
     def follow(self, earlier: "ProbeBudget") -> None:
         """Go on from the budget in force before, so none is spent twice."""
         if self._gap_s is None:
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -20,6 +20,9 @@
 SPREAD = 1.0
 OTHER_ZONE_S = 0.002
 SUSPECT_FACTOR = 1.0
+ZONE_STALLS = 2
+STALL_S = 1.0
+LATENCY_BAND = 1.5
 EJECTED_MOST_SHARE = 0.5
 
 
@@ -29,19 +32,26 @@
     __slots__ = (
         "_ejected",
         "_latency",
+        "_members",
         "_order",
         "_others",
         "_policy",
+        "_probed",
         "_random",
         "_recent",
+        "_stalls",
     )
 
-    def __init__(self, random: Random, policy: Policy) -> None:
+    def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
+        self._probed = probed and policy.probing
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
-        self._recent: dict[str, Endpoint] = {}
-        self._ejected: set[str] = set()
+        self._members: set[Endpoint] = set()
+        # A dict for its order: the endpoint heard last comes last.
+        self._recent: dict[Endpoint, None] = {}
+        self._ejected: set[Endpoint] = set()
+        self._stalls: dict[str, set[str]] = {}
         self._latency = Mean(FIRST_S)
         self._others = Mean(0.0)
 
@@ -50,19 +60,14 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
-    @property
-    def ejected(self) -> set[str]:
-        """Name the endpoints that are ejected or on trial."""
-        return self._ejected
-
     def update(self, endpoints: list[Endpoint]) -> None:
         """Take the endpoints that may be chosen."""
         self._order = endpoints
-        known = {endpoint.address for endpoint in endpoints}
-        self._ejected &= known
-        for address in list(self._recent):
-            if address not in known:
-                del self._recent[address]
+        self._members = set(endpoints)
+        self._ejected &= self._members
+        for endpoint in list(self._recent):
+            if endpoint not in self._members:
+                del self._recent[endpoint]
 
     def choose(
         self, avoid: list[str], trial: bool, now: float
@@ -89,9 +94,9 @@
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Estimate when a call sent now would be answered, in seconds."""
         mean_s = self._latency.value
-        latency_s = mean_s
+        slowness = 1.0
         if self._policy.latency:
-            latency_s = endpoint.latency(mean_s, now)
+            slowness = endpoint.latency(mean_s, now) / mean_s / LATENCY_BAND
         load = float(endpoint.in_flight)
         mean = self._others.value
         if self._policy.reports and not (
@@ -103,9 +108,14 @@
         slots = endpoint.slots
         over = load + 1.0 - slots
         waiting = (over + sqrt(over * over + SPREAD)) / 2.0
-        score = latency_s * (1.0 + waiting / slots)
+        score = mean_s * (1.0 + waiting / slots)
+        if slowness > 1.0:
+            score *= slowness
         if self._policy.suspicion:
-            score *= 1.0 + SUSPECT_FACTOR * endpoint.stalled
+            stalled = endpoint.stalled * endpoint.freshness(STALL_S, now)
+            if len(self._stalls.get(endpoint.zone, ())) >= ZONE_STALLS:
+                stalled += 1
+            score *= 1.0 + SUSPECT_FACTOR * stalled
         if self._policy.warm_up:
             score *= endpoint.coldness(now)
         if self._policy.zones and not endpoint.local:
@@ -115,8 +125,12 @@
     def hear_load(self, endpoint: Endpoint, load: int, now: float) -> None:
         """Take an endpoint's load report."""
         self._others.learn(endpoint.hear_load(load, now))
-        self._recent.pop(endpoint.address, None)
-        self._recent[endpoint.address] = endpoint
+        if endpoint not in self._members:
+            # Its last answers still come in while it drains; as a recent
+            # one it would be a candidate again.
+            return
+        self._recent.pop(endpoint, None)
+        self._recent[endpoint] = None
         if len(self._recent) > RECENT:
             del self._recent[next(iter(self._recent))]
 
@@ -127,31 +141,57 @@
         endpoint.hear_latency(latency_s, now)
         self._latency.learn(latency_s)
         endpoint.succeed()
-        self._ejected.discard(endpoint.address)
+        self._stalls.pop(endpoint.zone, None)
+        self._ejected.discard(endpoint)
+
+    def hear_stall(
+        self, endpoint: Endpoint, elapsed_s: float, now: float
+    ) -> None:
+        """Take word that an answer is late, before it is known to be lost.
+
+        Several endpoints of one availability zone stalled, with no answer
+        from any other there since, tell of the zone: were each endpoint
+        to be tried first, every entry would lose a call at each of them.
+        """
+        endpoint.stalled += 1
+        endpoint.stalled_at = now
+        endpoint.hear_late(elapsed_s, now)
+        self._stalls.setdefault(endpoint.zone, set()).add(endpoint.address)
 
     def hear_failure(self, endpoint: Endpoint, now: float) -> None:
         """Take word that an attempt failed at an endpoint."""
-        if self._policy.ejection and endpoint.fail(now):
-            self._ejected.add(endpoint.address)
+        if endpoint not in self._members or not self._policy.ejection:
+            return
+        if endpoint.fail(now):
+            self._ejected.add(endpoint)
 
-    def stalest(self, before: float) -> Endpoint | None:
-        """Return the endpoint unheard for longest, if before a time."""
+    def suspect(self, now: float) -> Endpoint | None:
+        """Return the endpoint whose recovery is most worth asking for."""
         best = None
-        best_at = before
         for endpoint in self._order:
-            heard_at = endpoint.heard_at
-            if heard_at is None:
-                return endpoint
-            if heard_at < best_at:
+            ejected = endpoint in self._ejected
+            if not ejected and not endpoint.stalled:
+                continue
+            if ejected and now < endpoint.ejected_until:
+                continue
+            if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
-                best_at = heard_at
         return best
 
+    def hear_sign_of_life(self, endpoint: Endpoint, now: float) -> None:
+        """Take a probe's answer: a trial may follow, a stall is over."""
+        endpoint.stalled = 0
+        self._stalls.pop(endpoint.zone, None)
+        endpoint.alive = True
+
     def _open(self, endpoint: Endpoint, trial: bool, now: float) -> bool:
-        if endpoint.address not in self._ejected:
+        if endpoint not in self._ejected:
             return True
         if now < endpoint.ejected_until or not trial:
             return False
+        if self._probed and not endpoint.alive:
+            # A trial that fails costs a caller time, a probe does not.
+            return False
         return endpoint.in_flight == 0
 
     def _below_floor(self) -> bool:
@@ -165,7 +205,7 @@
         if len(order) <= RECENT + SAMPLE:
             found = order
         else:
-            found = list(self._recent.values())
+            found = list(self._recent)
             for _ in range(SAMPLE):
                 found.append(order[int(self._random.random() * len(order))])
         start = int(self._random.random() * len(found)) if found else 0
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -29,11 +29,14 @@
         "_others",
         "_repeats",
         "_report",
+        "alive",
         "ejected_until",
         "in_flight",
         "joined_at",
         "local",
+        "probed_at",
         "stalled",
+        "stalled_at",
     )
 
     def __init__(
@@ -53,6 +56,9 @@
         self.joined_at = joined_at
         self.local = local
         self.stalled = 0
+        self.stalled_at = 0.0
+        self.probed_at = 0.0
+        self.alive = False
 
     @property
     def announcement(self) -> Announcement:
@@ -68,6 +74,11 @@
         """Give the endpoint's address."""
         return self._announcement.endpoint
 
+    @property
+    def zone(self) -> str:
+        """Name the endpoint's availability zone."""
+        return self._announcement.availability_zone
+
     @property
     def slots(self) -> int:
         """Give the calls the endpoint runs at once."""
@@ -78,16 +89,6 @@
         """Tell whether the endpoint is leaving."""
         return self._announcement.state == DRAINING
 
-    @property
-    def suspect(self) -> bool:
-        """Tell whether it was ejected and has not answered since."""
-        return self._ejections > 0
-
-    @property
-    def heard_at(self) -> float | None:
-        """Give when its load was last heard, in seconds, if ever."""
-        return self._heard_at
-
     @property
     def stuck(self) -> bool:
         """Tell whether its reports repeat too long to be believed."""
@@ -112,6 +113,10 @@
         weight = LATENCY_KEPT_S / (LATENCY_KEPT_S + age_s)
         return mean_s + (self._latency_s - mean_s) * weight
 
+    def freshness(self, keep_s: float, now: float) -> float:
+        """Give what its last stall still weighs, half after ``keep_s``."""
+        return keep_s / (keep_s + now - self.stalled_at)
+
     def coldness(self, now: float) -> float:
         """Give by how much a newcomer is held to be slower."""
         if self.joined_at is None:
@@ -156,6 +161,7 @@
     def fail(self, now: float) -> bool:
         """Count a failure; return whether it ejects the endpoint."""
         self._failures += 1
+        self.alive = False
         if self._failures < EJECT_AFTER and not self._ejections:
             return False
         # A trial that fails ejects again at once, for twice as long.
--- a/packages/core/nutmegchute_core/limits.py
+++ b/packages/core/nutmegchute_core/limits.py
@@ -24,30 +24,35 @@
 
     def __init__(self) -> None:
         self._least = 1.0
-        self._size = 0.0
+        self._size: float | None = None
         self._shrunk_at = 0.0
 
     @property
     def size(self) -> float:
         """Give the most calls in flight."""
-        return self._size
+        return self._least if self._size is None else self._size
 
-    def set_share(self, slots: float) -> None:
-        """Take the slots that would be this entry's equal share."""
+    def set_share(self, slots: float, endpoint_slots: int) -> None:
+        """Take the slots that would be this entry's equal share.
+
+        A new entry starts above its share, or with one endpoint's slots:
+        entries may be fewer than configured.
+        """
         self._least = max(1.0, slots * LEAST_SHARE)
-        if self._size == 0.0:
-            self._size = max(1.0, slots * FIRST_SHARE)
-        self._size = max(self._size, self._least)
+        if self._size is None and endpoint_slots:
+            self._size = max(float(endpoint_slots), slots * FIRST_SHARE)
+        elif self._size is not None:
+            self._size = max(self._size, self._least)
 
     def learn(
         self, load: int, slots: int, in_flight: int, now: float, pause_s: float
     ) -> None:
         """Take one report; shrink at most once in ``pause_s``."""
         if load <= slots * (1.0 + QUEUE_SHARE):
-            if in_flight + 1 >= self._size / 2:
-                self._size += GAIN / self._size
+            if in_flight + 1 >= self.size / 2:
+                self._size = self.size + GAIN / self.size
             return
         if now - self._shrunk_at < pause_s:
             return
         self._shrunk_at = now
-        self._size = max(self._least, self._size * BACK_OFF)
+        self._size = max(self._least, self.size * BACK_OFF)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -20,9 +20,8 @@
 HEDGE_QUANTILE = 0.92
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
-PROBE_AGE_S = 0.5
 RETRY_AFTER_LEAST_S = 0.2
-FIRST_SHARE = 1.5
+ADMIT_SHARE = 0.5
 
 
 class Pool:
@@ -33,11 +32,11 @@
         "_endpoints",
         "_extra",
         "_half",
-        "_in_flight",
         "_policy",
         "_probes",
         "_service",
         "_slow",
+        "_under_way",
         "_window",
         "_zone",
         "queue",
@@ -53,14 +52,14 @@
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._chooser = Chooser(random, policy)
+        self._chooser = Chooser(random, policy, service.probes_per_s > 0)
         self._extra = ExtraBudget()
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
         self._window = Window()
         self._half = Quantile(0.5)
         self._slow = Quantile(HEDGE_QUANTILE)
         self._endpoints: dict[str, Endpoint] = {}
-        self._in_flight = 0
+        self._under_way: dict[tuple[int, int], Endpoint] = {}
         self.queue = WaitQueue()
 
     @property
@@ -81,7 +80,7 @@
     @property
     def in_flight(self) -> int:
         """Count the attempts under way."""
-        return self._in_flight
+        return len(self._under_way)
 
     @property
     def retry_after_s(self) -> float:
@@ -110,6 +109,7 @@
         first = not self._endpoints
         kept = {}
         slots = 0
+        most_slots = 0
         for announcement in announcements:
             address = announcement.endpoint
             endpoint = self._endpoints.get(address)
@@ -120,22 +120,16 @@
             ):
                 local = announcement.availability_zone == self._zone
                 joined_at = None if first else now
-                previous = endpoint
                 endpoint = Endpoint(announcement, local, joined_at)
-                if previous is not None:
-                    endpoint.in_flight = previous.in_flight
             endpoint.announcement = announcement
             kept[address] = endpoint
             slots += announcement.slots
-        for address, endpoint in self._endpoints.items():
-            if address not in kept and endpoint.in_flight:
-                # Its attempts still end one by one; forgetting it now
-                # would let the count of calls in flight run off.
-                self._in_flight -= endpoint.in_flight
+            most_slots = max(most_slots, announcement.slots)
         self._endpoints = kept
         open_ones = [one for one in kept.values() if not one.draining]
         self._chooser.update(open_ones)
-        self._window.set_share(slots / self._service.most_entries)
+        share = slots / self._service.most_entries
+        self._window.set_share(share, most_slots)
 
     def admit(self, call: Call, now: float) -> str | None:
         """Earn the call's share of extra sends; say why it is refused."""
@@ -148,7 +142,7 @@
             return None
         ahead = self.queue.ahead_of(call.rule.priority)
         wait_s = ahead * self._gap_s + self._typical_s(call)
-        if now + wait_s > call.deadline_at:
+        if wait_s > (call.deadline_at - now) * ADMIT_SHARE:
             return "cannot be answered in time"
         return None
 
@@ -166,7 +160,7 @@
         """Tell whether the window lets one more attempt go."""
         if not self._policy.limit:
             return True
-        return self._in_flight < self._window.size
+        return self.in_flight < self._window.size
 
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
@@ -179,8 +173,8 @@
         address = next(iter(call.attempts.values()))
         endpoint = self._endpoints.get(address)
         if endpoint is not None:
-            endpoint.stalled += 1
-            endpoint.hear_late(now - call.sent_at(1), now)
+            elapsed_s = now - call.sent_at(1)
+            self._chooser.hear_stall(endpoint, elapsed_s, now)
         if not call.rule.hedge or call.is_retry or self.queue:
             return None
         if len(call.attempts) >= call.rule.attempts:
@@ -204,20 +198,21 @@
             return False
         return self._extra.spend_retry()
 
-    def take_send(self, address: str) -> None:
+    def take_send(self, call: Call, attempt: int) -> None:
         """Count an attempt that starts."""
-        self._endpoints[address].in_flight += 1
-        self._in_flight += 1
+        endpoint = self._endpoints[call.attempts[attempt]]
+        endpoint.in_flight += 1
+        self._under_way[call.call_id, attempt] = endpoint
 
     def take_cancel(self, call: Call, attempt: int, now: float) -> None:
         """Count an attempt that ends without an answer."""
-        endpoint = self._release(call.attempts[attempt])
+        endpoint = self._release(call.call_id, attempt)
         if endpoint is not None:
             endpoint.hear_late(now - call.sent_at(attempt), now)
 
     def take_result(self, call: Call, result: Result, now: float) -> None:
         """Learn from how an attempt ended."""
-        endpoint = self._release(call.attempts[result.attempt])
+        endpoint = self._release(call.call_id, result.attempt)
         if endpoint is None:
             return
         if result.load is not None and self._policy.reports:
@@ -238,15 +233,20 @@
             self._chooser.hear_failure(endpoint, now)
             return
         self._chooser.hear_load(endpoint, load, now)
+        self._chooser.hear_sign_of_life(endpoint, now)
 
     def next_probe(self, now: float) -> str | None:
         """Return the endpoint to probe now, if budget and need allow."""
         at = self._probes.next_at
         if at is None or now < at:
             return None
-        stalest = self._chooser.stalest(now - PROBE_AGE_S)
+        suspect = self._chooser.suspect(now)
+        if suspect is None:
+            self._probes.postpone(now)
+            return None
         self._probes.spend(now)
-        return None if stalest is None else stalest.address
+        suspect.probed_at = now
+        return suspect.address
 
     def _take_answer(
         self, endpoint: Endpoint, result: Result, now: float
@@ -259,7 +259,7 @@
         self._window.learn(
             result.load,
             endpoint.slots,
-            self._in_flight,
+            self.in_flight,
             now,
             self._half.value_s,
         )
@@ -275,10 +275,11 @@
         most_s = (call.deadline_at - call.arrived_at) * TYPICAL_MOST_SHARE
         return min(most_s, self._half.value_s)
 
-    def _release(self, address: str) -> Endpoint | None:
-        endpoint = self._endpoints.get(address)
-        if endpoint is None or endpoint.in_flight <= 0:
-            return None
-        endpoint.in_flight -= 1
-        self._in_flight -= 1
+    def _release(self, call_id: int, attempt: int) -> Endpoint | None:
+        # Kept by attempt, not by address: an endpoint that left and came
+        # back would otherwise be credited with the ends of calls that
+        # went to the process before it, and get more than its slots.
+        endpoint = self._under_way.pop((call_id, attempt), None)
+        if endpoint is not None:
+            endpoint.in_flight -= 1
         return endpoint
