--- a/packages/core/nutmegchute_core/commands.py
+++ b/packages/core/nutmegchute_core/commands.py
@@ -3,10 +3,11 @@
 import msgspec
 
 from .trees import Change
+from .trees import Refusal
 
 
 class NoOp(msgspec.Struct, frozen=True, tag=True):
     """Open a leader's term, so that entries of earlier terms commit."""
 
 
-Command = Change | NoOp
+Command = Change | Refusal | NoOp
--- a/packages/core/nutmegchute_core/machines.py
+++ b/packages/core/nutmegchute_core/machines.py
@@ -2,15 +2,29 @@
 
 from functools import singledispatchmethod
 
+import msgspec
+
 from .commands import NoOp
 from .replicas import LogEntry
 from .trees import Answer
 from .trees import Change
+from .trees import Refusal
 from .trees import Tree
+from .trees import TreeState
 
 Outcome = Answer | None
 
 
+class MachineState(msgspec.Struct, frozen=True):
+    """Hold the whole replicated state in the form that snapshots keep.
+
+    A field added later needs a default, so that older snapshots load.
+    """
+
+    applied: int = 0
+    tree: TreeState = TreeState()
+
+
 class Machine:
     """Hold the replicated state; equal logs give equal machines."""
 
@@ -35,6 +49,15 @@
         self._applied = entry.index
         return self._apply(entry.command, entry.index)
 
+    def snapshot(self) -> MachineState:
+        """Give the state after the last entry applied."""
+        return MachineState(self._applied, self._tree.snapshot())
+
+    def restore(self, state: MachineState) -> None:
+        """Take a snapshot's state in place of the present one."""
+        self._applied = state.applied
+        self._tree.restore(state.tree)
+
     @singledispatchmethod
     def _apply(self, command: object, index: int) -> Outcome:
         raise TypeError(f"no such command: {command!r}")
@@ -46,3 +69,8 @@
     @_apply.register
     def _(self, command: Change, index: int) -> Outcome:
         return self._tree.apply(index, command)
+
+    @_apply.register
+    def _(self, command: Refusal, index: int) -> Outcome:
+        self._tree.refuse(index, command)
+        return None
--- a/packages/core/nutmegchute_core/trees.py
+++ b/packages/core/nutmegchute_core/trees.py
@@ -1,8 +1,10 @@
 """Keep the configuration tree: one branch, with its revision, per team."""
 
+from collections import deque
 from typing import Any
 
 import msgspec
+import xxhash
 
 from .errors import DeclarationError
 from .rules import check_team
@@ -13,6 +15,12 @@
 INVALID = "invalid"
 FORBIDDEN = "forbidden"
 
+# Nine days at 1,100 changes a day. A change resent after its answer was
+# forgotten cannot apply twice: when it was accepted, the revisions that
+# it names rose, so it ends as a conflict.
+ANSWERS_KEPT = 10_000
+AUDIT_KEPT = 10_000
+
 
 class Change(msgspec.Struct, frozen=True, tag=True):
     """Ask for new documents in one or more branches, all or none.
@@ -28,6 +36,16 @@
     at_unix_s: float
 
 
+class Refusal(msgspec.Struct, frozen=True, tag=True):
+    """Record in the audit trail that a change was not let in."""
+
+    change_id: str
+    operator: str
+    teams: list[str]
+    detail: str
+    at_unix_s: float
+
+
 class Answer(msgspec.Struct, frozen=True):
     """Tell an operator what became of a change."""
 
@@ -51,13 +69,29 @@
     detail: str = ""
 
 
-class Branch(msgspec.Struct):
+class Branch(msgspec.Struct, frozen=True):
     """Hold one team's document and how often it has changed."""
 
     revision: int
     document: Any
 
 
+class Kept(msgspec.Struct, frozen=True):
+    """Hold the answer to a change and the digest of what it asked."""
+
+    digest: str
+    answer: Answer
+
+
+class TreeState(msgspec.Struct, frozen=True):
+    """Hold a tree in the form that snapshots keep."""
+
+    index: int = 0
+    branches: dict[str, Branch] = {}
+    answers: list[Kept] = []
+    audit: list[AuditRecord] = []
+
+
 class Tree:
     """Apply changes in log order; every replica reaches the same tree."""
 
@@ -65,8 +99,8 @@
 
     def __init__(self) -> None:
         self._branches: dict[str, Branch] = {}
-        self._answers: dict[str, Answer] = {}
-        self._audit: list[AuditRecord] = []
+        self._answers: dict[str, Kept] = {}
+        self._audit: deque[AuditRecord] = deque(maxlen=AUDIT_KEPT)
         self._index = 0
 
     @property
@@ -76,8 +110,8 @@
 
     @property
     def audit(self) -> list[AuditRecord]:
-        """List every change asked for, oldest first."""
-        return self._audit
+        """List the last AUDIT_KEPT changes asked for, oldest first."""
+        return list(self._audit)
 
     @property
     def revisions(self) -> dict[str, int]:
@@ -98,28 +132,90 @@
 
     def apply(self, index: int, change: Change) -> Answer:
         """Apply a committed change, or repeat the answer it got before."""
+        digest = _digest(change)
         known = self._answers.get(change.change_id)
         if known is not None:
             # A resent change was accepted once; applying it again would
             # either conflict with itself or overwrite a later change.
-            return known
+            return self._repeat(index, change, known, digest)
         before = self._pick(change.documents)
         answer = self._decide(index, change)
-        self._answers[change.change_id] = answer
-        record = AuditRecord(
-            index=index,
-            at_unix_s=change.at_unix_s,
-            operator=change.operator,
-            change_id=change.change_id,
-            outcome=answer.outcome,
-            from_revisions=before,
-            to_revisions=self._pick(change.documents),
-            detail=answer.detail,
+        self._remember(Kept(digest, answer))
+        self._record(index, change, answer, before)
+        return answer
+
+    def refuse(self, index: int, refusal: Refusal) -> None:
+        """Put a change that was not let in on the audit trail."""
+        revisions = {team: self._revision(team) for team in refusal.teams}
+        self._audit.append(
+            AuditRecord(
+                index=index,
+                at_unix_s=refusal.at_unix_s,
+                operator=refusal.operator,
+                change_id=refusal.change_id,
+                outcome=FORBIDDEN,
+                from_revisions=revisions,
+                to_revisions=revisions,
+                detail=refusal.detail,
+            )
         )
-        self._audit.append(record)
+
+    def snapshot(self) -> TreeState:
+        """Give the tree in the form that snapshots keep."""
+        return TreeState(
+            index=self._index,
+            branches=dict(self._branches),
+            answers=list(self._answers.values()),
+            audit=list(self._audit),
+        )
+
+    def restore(self, state: TreeState) -> None:
+        """Take a snapshot's tree in place of the present one."""
+        self._index = state.index
+        self._branches = dict(state.branches)
+        self._answers = {kept.answer.change_id: kept for kept in state.answers}
+        self._audit = deque(state.audit, AUDIT_KEPT)
+
+    def _repeat(
+        self, index: int, change: Change, known: Kept, digest: str
+    ) -> Answer:
+        if known.digest == digest:
+            return known.answer
+        # Giving the first answer here would tell an operator that a
+        # change was accepted which nobody has looked at.
+        detail = f"change id {change.change_id} was used for another change"
+        answer = self._answer(index, change, INVALID, detail)
+        self._record(index, change, answer, answer.revisions)
         return answer
 
+    def _remember(self, kept: Kept) -> None:
+        self._answers[kept.answer.change_id] = kept
+        if len(self._answers) > ANSWERS_KEPT:
+            del self._answers[next(iter(self._answers))]
+
+    def _record(
+        self,
+        index: int,
+        change: Change,
+        answer: Answer,
+        before: dict[str, int],
+    ) -> None:
+        self._audit.append(
+            AuditRecord(
+                index=index,
+                at_unix_s=change.at_unix_s,
+                operator=change.operator,
+                change_id=change.change_id,
+                outcome=answer.outcome,
+                from_revisions=before,
+                to_revisions=answer.revisions,
+                detail=answer.detail,
+            )
+        )
+
     def _decide(self, index: int, change: Change) -> Answer:
+        if not change.documents:
+            return self._answer(index, change, INVALID, "names no branch")
         for team in sorted(change.documents):
             current = self._revision(team)
             if change.bases.get(team, 0) == current:
@@ -163,3 +259,9 @@
     def _revision(self, team: str) -> int:
         branch = self._branches.get(team)
         return branch.revision if branch is not None else 0
+
+
+def _digest(change: Change) -> str:
+    asked = [change.operator, change.bases, change.documents]
+    data = msgspec.json.encode(asked, order="deterministic")
+    return str(xxhash.xxh3_128_hexdigest(data))
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -9,11 +9,13 @@
 
 import cherrypy
 import msgspec
+from nutmegchute_core.commands import Command
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.fleets import Fleet
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
 from nutmegchute_core.machines import Machine
+from nutmegchute_core.machines import Outcome
 from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.replicas import Message
 from nutmegchute_core.replicas import Replica
@@ -73,7 +75,7 @@
         self._machine = Machine()
         self._fleet = Fleet()
         self._changed = asyncio.Event()
-        self._waiting: dict[str, asyncio.Future[Answer]] = {}
+        self._waiting: dict[tuple[int, int], asyncio.Future[Outcome]] = {}
         self._was_leader = False
         self._links.serve(DELIVER, self._on_deliver)
         self._links.serve(FOLLOW, self._on_follow)
@@ -95,23 +97,34 @@
                 return operator
         return None
 
+    async def propose(self, command: Command) -> Outcome:
+        """Put a command into the log and wait for what became of it.
+
+        The wait is for the log's place, so it works for every command.
+
+        :raises NotLeaderError: ask the leader instead; nothing was done
+        :raises TimeoutError: the outcome is not known
+        """
+        index = self._replica.propose(command, self._loop.time())
+        place = (index, self._replica.term)
+        future: asyncio.Future[Outcome] = self._loop.create_future()
+        self._waiting[place] = future
+        self._perform()
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                return await future
+        finally:
+            self._waiting.pop(place, None)
+
     async def change(self, change: Change) -> Answer:
         """Propose a change and wait for what became of it.
 
         :raises NotLeaderError: ask the leader instead
         :raises TimeoutError: the outcome is not known; resend the change
         """
-        future = self._waiting.get(change.change_id)
-        if future is None:
-            future = self._loop.create_future()
-            self._replica.propose(change, self._loop.time())
-            self._waiting[change.change_id] = future
-            self._perform()
-        try:
-            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-                return await asyncio.shield(future)
-        finally:
-            self._waiting.pop(change.change_id, None)
+        answer = await self.propose(change)
+        assert isinstance(answer, Answer)
+        return answer
 
     def tree(self) -> dict[str, Any]:
         """Describe the tree as this replica has it."""
@@ -164,8 +177,11 @@
             self._loop.create_task(self._deliver(message))
         for entry in effects.committed:
             outcome = self._machine.apply(entry)
+            future = self._waiting.pop((entry.index, entry.term), None)
+            if future is not None and not future.done():
+                future.set_result(outcome)
             if isinstance(outcome, Answer):
-                self._settle(outcome)
+                self._report(outcome)
         leads = self._replica.state == LEADER
         if leads == self._was_leader:
             return
@@ -173,16 +189,13 @@
         event = Event.LED if leads else Event.FOLLOWED
         log(event, term=self._replica.term)
 
-    def _settle(self, answer: Answer) -> None:
+    def _report(self, answer: Answer) -> None:
         log(
             Event.CHANGE_DECIDED,
             change_id=answer.change_id,
             outcome=answer.outcome,
             index=answer.index,
         )
-        future = self._waiting.get(answer.change_id)
-        if future is not None and not future.done():
-            future.set_result(answer)
         if answer.outcome == ACCEPTED:
             self._changed.set()
             self._changed = asyncio.Event()
