--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -4,8 +4,6 @@
 import secrets
 from typing import Any
 
-import cherrypy
-import msgspec
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import Cancel
@@ -30,12 +28,12 @@
 from .events import log
 from .followers import Follower
 from .gossips import Gossiper
+from .pages import EntryPages
 
 TICK_S = 0.01
 GOSSIP_S = 0.25
 EXPIRE_S = 0.1
 DRAIN_TICK_S = 0.05
-REFRESH_SHARE = 3
 
 
 class EntryDaemon(Daemon):
@@ -63,7 +61,9 @@
         application = CallApplication(
             self, self._asker, settings.name, settings.request_body_bytes
         )
-        self._http.mount(EntryPages(self))
+        self._http.mount(
+            EntryPages(self, self._asker, settings.entries_keep_s)
+        )
         self._http.graft(application, CALL_PATH)
 
     def begin(self) -> None:
@@ -172,45 +172,3 @@
         assert reply.documents is not None
         self._balancer.configure(read_services(reply.documents), now)
         self._update_upstreams()
-
-
-class EntryPages:
-    """Answer callers' and upstreams' questions over HTTP."""
-
-    def __init__(self, daemon: EntryDaemon) -> None:
-        self._daemon = daemon
-        self._asker = daemon._asker
-
-    @cherrypy.expose
-    def entries(self, availability_zone: str | None = None) -> bytes:
-        """Name the entries to use and how long to keep the answer."""
-        words = self._asker.ask(self._daemon.usable_entries, availability_zone)
-        return _json(
-            {
-                "entries": words,
-                "keep_s": self._daemon._settings.entries_keep_s,
-            }
-        )
-
-    @cherrypy.expose
-    def announce(self) -> bytes:
-        """Take an upstream's announcement."""
-        body = cherrypy.request.body.read(65536)
-        try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except msgspec.DecodeError as error:
-            raise cherrypy.HTTPError(400, str(error)) from error
-        lease_s = self._asker.ask(self._daemon.announce, announcement)
-        return _json(
-            {"lease_s": lease_s, "refresh_s": lease_s / REFRESH_SHARE}
-        )
-
-    @cherrypy.expose
-    def status(self) -> bytes:
-        """Describe this entry."""
-        return _json(self._asker.ask(self._daemon.status))
-
-
-def _json(value: Any) -> bytes:
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    return msgspec.json.encode(value)
