Keep connections open and gather metrics into one datagram

Cause: the HTTP server keeps ten idle connections by default and closes every further one after its answer, at the entry and at the fake upstream; and each call sent three datagrams from the loop.

--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -15,6 +15,7 @@
 from .settings import Settings
 
 GRPC_GRACE_S = 0.2
+FLUSH_S = 1.0
 
 
 class Daemon:
@@ -39,6 +40,7 @@
             self._loop.add_signal_handler(number, self._stopping.set)
         self.prepare()
         await self._listen()
+        self.every(FLUSH_S, self._metrics.flush)
         self.begin()
         log(Event.STARTED, role=self._settings.role)
         await self._stopping.wait()
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -1,30 +1,65 @@
 """Count and time what the daemon does, by statsd over UDP."""
 
+import threading
+from collections import Counter
+
 import statsd
 
 from .settings import split_address
 
 PREFIX = "nutmegchute"
+TIMINGS = 200
 
 
 class Metrics:
-    """Send counters, gauges and timings; a dead listener harms nothing."""
+    """Gather counters and timings; a dead listener harms nothing.
+
+    One datagram per count cost three system calls per request on the loop,
+    and each of them handed the interpreter lock to another thread. What is
+    gathered leaves in one datagram each time it is flushed.
+    """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_counts", "_gauges", "_lock", "_timings")
 
     def __init__(self, address: str, name: str) -> None:
         host, port = split_address(address)
         prefix = f"{PREFIX}.{name}"
         self._client = statsd.StatsClient(host, port, prefix=prefix)
+        self._lock = threading.Lock()
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._timings: list[tuple[str, float]] = []
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
-        self._client.incr(name, by)
+        with self._lock:
+            self._counts[name] += by
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._client.gauge(name, value)
+        with self._lock:
+            self._gauges[name] = value
 
     def time_ms(self, name: str, value_ms: float) -> None:
-        """Record a duration, in milliseconds."""
-        self._client.timing(name, value_ms)
+        """Record a duration, in milliseconds.
+
+        Only TIMINGS of them are kept between two flushes: the listener's
+        percentiles need a sample, and memory must have a bound.
+        """
+        with self._lock:
+            if len(self._timings) < TIMINGS:
+                self._timings.append((name, value_ms))
+
+    def flush(self) -> None:
+        """Send what was gathered since the last flush."""
+        with self._lock:
+            counts, self._counts = self._counts, Counter()
+            gauges, self._gauges = self._gauges, {}
+            timings, self._timings = self._timings, []
+        with self._client.pipeline() as pipeline:
+            for name, by in counts.items():
+                pipeline.incr(name, by)
+            for name, value in gauges.items():
+                pipeline.gauge(name, value)
+            for name, value_ms in timings:
+                pipeline.timing(name, value_ms)
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -14,6 +14,7 @@
 ASK_TIMEOUT_S = 5.0
 KEEP_ALIVE_S = 75
 ACCEPT_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4096
 SERVER_NAME = "nutmegchute"
 
 
@@ -67,6 +68,9 @@
             request_queue_size=ACCEPT_BACKLOG,
             timeout=KEEP_ALIVE_S,
         )
+        # The default of ten closes every further connection after an
+        # answer, and its caller pays for a new one.
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self._thread = threading.Thread(
             target=self._server.serve, name="http", daemon=True
         )
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -32,6 +32,7 @@
 DRAIN_S = 1.5
 EXTRA_THREADS = 8
 PATIENCE = 4
+KEEP_ALIVE_CONNECTIONS = 1024
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -204,6 +205,9 @@
     host, _, port = arguments["--address"].rpartition(":")
     threads = slots * PATIENCE + EXTRA_THREADS
     server = wsgi.Server((host, int(port)), upstream, numthreads=threads)
+    # The server's own default of ten would close the entries' connections
+    # after each answer and measure connecting instead of answering.
+    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     entries = arguments["--entries"].split(",")
     announcer = Announcer(upstream, entries, arguments["--key"])
     threading.Thread(target=announcer.run, daemon=True).start()
