--- a/packages/core/nutmegchute_core/members.py
+++ b/packages/core/nutmegchute_core/members.py
@@ -1,11 +1,45 @@
-"""Know which endpoints live: leases by announcement, spread by gossip."""
+"""Know which endpoints live: leases by announcement, spread by gossip.
+
+An endpoint announces itself to one entry, which keeps it in its own set
+for a lease. Entries tell each other only which generation of that set
+they vouch for; announcements travel when the set changes. No timestamp
+ever travels: each word names the last word heard from its receiver, and
+the receiver dates it by its own clock at the moment it sent that one.
+"""
+
+from collections import OrderedDict
+from typing import Annotated
 
 import msgspec
+import xxhash
 
 UP = "up"
 DRAINING = "draining"
 
 LEASE_S = 3.0
+VOUCH_S = 2.5
+FLOOR_S = 60.0
+PAUSE_S = 1.0
+QUIET_S = 0.5
+
+MAX_ENDPOINTS = 4096
+MAX_PEERS = 64
+MAX_FLOORS = 8192
+MAX_CHANGES = 256
+MAX_MARKS = 16
+
+TAKEN = "taken"
+CHANGED = "changed"
+STALE = "stale"
+FULL = "full"
+PAUSED = "paused"
+
+_ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+_NAME = "^[a-z][a-z0-9-]*$"
+
+Key = tuple[str, str]
+
+_ENCODER = msgspec.msgpack.Encoder()
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -15,117 +49,434 @@
     about an earlier process at the same address lose against newer ones.
     """
 
-    service: str
-    endpoint: str
-    availability_zone: str
-    slots: int
-    incarnation: int
-    state: str = UP
+    service: Annotated[str, msgspec.Meta(pattern=_NAME, max_length=63)]
+    endpoint: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+    availability_zone: Annotated[
+        str, msgspec.Meta(pattern=_NAME, max_length=63)
+    ]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1024)]
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+    state: Annotated[str, msgspec.Meta(pattern="^(up|draining)$")] = UP
 
+    @property
+    def key(self) -> Key:
+        """Give service and address, which name the endpoint."""
+        return (self.service, self.endpoint)
 
-class Vouch(msgspec.Struct, frozen=True):
-    """Pass on the announcement one entry took, with its age."""
 
-    announcement: Announcement
-    age_s: float
+class Vouch(msgspec.Struct, frozen=True, array_like=True):
+    """Say which state of its own set an entry vouches for.
 
+    ``changed`` and ``removed`` lead from generation ``base`` (0: from
+    nothing) to ``generation``; at rest both are empty. ``digest`` is that
+    of the whole set. ``echo`` repeats the mark of the last word heard from
+    the receiver; ``seen_epoch`` and ``seen_generation`` tell what the
+    sender holds of the receiver's set.
+    """
 
-class Gossip(msgspec.Struct, frozen=True):
-    """Carry what an entry vouches for, and whether it drains."""
+    epoch: int
+    generation: int
+    digest: int
+    base: int
+    changed: list[Announcement]
+    removed: list[Key]
+    mark: int
+    echo: int
+    seen_epoch: int
+    seen_generation: int
 
-    entry: str
-    address: str
-    availability_zone: str
-    draining: bool
-    vouches: list[Vouch]
 
+class Changes:
+    """List what leads from a generation of a set to the present one."""
 
-class Upstream:
-    """Hold what is known of one endpoint."""
+    __slots__ = ("base", "changed", "removed")
 
-    __slots__ = ("_announcement", "_heard_at")
+    def __init__(
+        self, base: int, changed: list[Announcement], removed: list[Key]
+    ) -> None:
+        self.base = base
+        self.changed = changed
+        self.removed = removed
 
-    def __init__(self, announcement: Announcement, heard_at: float) -> None:
-        self._announcement = announcement
-        self._heard_at = heard_at
+
+class OwnSet:
+    """Hold the endpoints that announce themselves to this entry."""
+
+    __slots__ = (
+        "_changes",
+        "_digest",
+        "_epoch",
+        "_forgotten",
+        "_generation",
+        "_heard",
+    )
+
+    def __init__(self, epoch: int) -> None:
+        self._epoch = epoch
+        self._generation = 1
+        self._forgotten = 1
+        self._digest = 0
+        self._heard: dict[Key, tuple[Announcement, float]] = {}
+        self._changes: OrderedDict[Key, int] = OrderedDict()
+
+    @property
+    def epoch(self) -> int:
+        """Give the number of this entry's run."""
+        return self._epoch
 
     @property
-    def announcement(self) -> Announcement:
-        """Give the newest announcement."""
-        return self._announcement
+    def generation(self) -> int:
+        """Count the changes of the set, from 1."""
+        return self._generation
 
     @property
-    def heard_at(self) -> float:
-        """Give when the endpoint last spoke, in local seconds."""
-        return self._heard_at
+    def digest(self) -> int:
+        """Give a digest of the whole set."""
+        return self._digest
 
+    def __len__(self) -> int:
+        """Count the endpoints."""
+        return len(self._heard)
 
-class Members:
-    """Merge announcements and gossip into the set of live endpoints."""
+    def get(self, key: Key) -> Announcement | None:
+        """Return the newest announcement of an endpoint, if any."""
+        known = self._heard.get(key)
+        return known[0] if known is not None else None
 
-    __slots__ = ("_own", "_upstreams")
+    def announcements(self) -> list[Announcement]:
+        """List what the endpoints announced."""
+        return [announcement for announcement, _ in self._heard.values()]
+
+    def put(self, announcement: Announcement, now: float) -> bool:
+        """Renew a lease; return whether the set changed."""
+        old = self.get(announcement.key)
+        self._heard[announcement.key] = (announcement, now)
+        if old == announcement:
+            return False
+        if old is not None:
+            self._digest ^= digest_of(old)
+        self._digest ^= digest_of(announcement)
+        self._note(announcement.key)
+        return True
+
+    def remove(self, key: Key) -> None:
+        """Take an endpoint out of the set."""
+        announcement, _ = self._heard.pop(key)
+        self._digest ^= digest_of(announcement)
+        self._note(key)
+
+    def lapsed(self, now: float) -> list[Key]:
+        """List the endpoints whose lease ran out."""
+        return [
+            key
+            for key, (_, heard_at) in self._heard.items()
+            if now - heard_at > LEASE_S
+        ]
+
+    def since(self, base: int) -> Changes | None:
+        """Give what changed after a generation; None: no longer known."""
+        if base < self._forgotten:
+            return None
+        changed: list[Announcement] = []
+        removed: list[Key] = []
+        for key, generation in reversed(self._changes.items()):
+            if generation <= base:
+                break
+            announcement = self.get(key)
+            if announcement is None:
+                removed.append(key)
+                continue
+            changed.append(announcement)
+        return Changes(base, changed, removed)
+
+    def _note(self, key: Key) -> None:
+        self._generation += 1
+        self._changes.pop(key, None)
+        self._changes[key] = self._generation
+        if len(self._changes) > MAX_CHANGES:
+            _, self._forgotten = self._changes.popitem(last=False)
+
+
+class PeerSet:
+    """Hold what another entry vouches for, and since when."""
+
+    __slots__ = (
+        "dated_at",
+        "digest",
+        "echo",
+        "echo_epoch",
+        "epoch",
+        "generation",
+        "heard",
+        "marks",
+        "seen",
+    )
 
     def __init__(self) -> None:
-        self._upstreams: dict[tuple[str, str], Upstream] = {}
-        self._own: set[tuple[str, str]] = set()
-
-    def announce(self, announcement: Announcement, now: float) -> bool:
-        """Take an endpoint's own word; return whether anything changed."""
-        key = (announcement.service, announcement.endpoint)
-        self._own.add(key)
-        return self._merge(announcement, now)
-
-    def hear(self, gossip: Gossip, now: float) -> bool:
-        """Take another entry's word; return whether anything changed."""
-        changed = False
-        for vouch in gossip.vouches:
-            heard_at = now - vouch.age_s
-            changed |= self._merge(vouch.announcement, heard_at)
-        return changed
+        self.epoch = 0
+        self.generation = 0
+        self.digest = 0
+        self.heard: dict[Key, Announcement] = {}
+        self.dated_at: float | None = None
+        self.marks: OrderedDict[int, float] = OrderedDict()
+        self.echo = 0
+        self.echo_epoch = 0
+        self.seen = (0, 0)
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether the vouch still stands."""
+        return self.dated_at is not None and now - self.dated_at <= VOUCH_S
+
+    def forget(self) -> None:
+        """Drop the set; the next word brings it whole."""
+        self.generation = 0
+        self.digest = 0
+        self.heard = {}
+
+    def put(self, announcement: Announcement) -> None:
+        """Take an announcement in place of the one known."""
+        self.remove(announcement.key)
+        self.heard[announcement.key] = announcement
+        self.digest ^= digest_of(announcement)
+
+    def remove(self, key: Key) -> None:
+        """Take an endpoint out of the set, if it is there."""
+        old = self.heard.pop(key, None)
+        if old is not None:
+            self.digest ^= digest_of(old)
+
+
+class Floor:
+    """Hold the least incarnation that an address may still show."""
+
+    __slots__ = ("drained", "heard_at", "incarnation")
+
+    def __init__(
+        self, incarnation: int, drained: bool, heard_at: float
+    ) -> None:
+        self.incarnation = incarnation
+        self.drained = drained
+        self.heard_at = heard_at
+
+
+class Members:
+    """Merge announcements and vouches into the set of live endpoints.
+
+    ``epoch`` must differ at every start of the entry.
+    """
+
+    __slots__ = (
+        "_drains",
+        "_floors",
+        "_mark",
+        "_own",
+        "_peers",
+        "_quiet_until",
+        "_seen",
+    )
+
+    def __init__(self, epoch: int) -> None:
+        self._own = OwnSet(epoch)
+        self._mark = epoch
+        self._peers: dict[str, PeerSet] = {}
+        self._floors: OrderedDict[Key, Floor] = OrderedDict()
+        self._drains = 0
+        self._quiet_until = 0.0
+        self._seen: float | None = None
+
+    @property
+    def generation(self) -> int:
+        """Count the changes of this entry's own set."""
+        return self._own.generation
+
+    def floor(self, key: Key) -> int:
+        """Give the highest incarnation heard of at an address."""
+        floor = self._floors.get(key)
+        return floor.incarnation if floor is not None else 0
+
+    def announce(self, announcement: Announcement, now: float) -> str:
+        """Take an endpoint's own word.
+
+        Return TAKEN, CHANGED, STALE (a newer incarnation is known), FULL
+        or PAUSED (announce again in QUIET_S).
+        """
+        self._watch(now)
+        if now < self._quiet_until:
+            return PAUSED
+        key = announcement.key
+        floor = self._floors.get(key)
+        if floor is not None and announcement.incarnation < floor.incarnation:
+            return STALE
+        if self._own.get(key) is None and len(self._own) >= MAX_ENDPOINTS:
+            return FULL
+        self._raise_floor(announcement, now)
+        changed = self._own.put(self._settle(announcement), now)
+        return CHANGED if changed else TAKEN
 
     def expire(self, now: float) -> bool:
-        """Drop endpoints whose lease ran out; return whether any did."""
-        dead = []
-        for key, upstream in self._upstreams.items():
-            if now - upstream.heard_at <= LEASE_S:
+        """Drop what lapsed; return whether this entry's own set changed."""
+        self._watch(now)
+        lapsed = self._own.lapsed(now)
+        for key in lapsed:
+            self._own.remove(key)
+        for peer in self._peers.values():
+            if not peer.fresh(now):
+                peer.forget()
+        while self._floors:
+            key, floor = next(iter(self._floors.items()))
+            if now - floor.heard_at <= FLOOR_S:
+                break
+            del self._floors[key]
+        return bool(lapsed)
+
+    def vouch(self, peer_name: str, now: float) -> Vouch:
+        """Build the word for another entry."""
+        self.expire(now)
+        peer = self._peer(peer_name)
+        changes = Changes(self._own.generation, [], [])
+        if peer is not None and peer.echo:
+            changes = self._changes_for(peer)
+        self._mark += 1
+        vouch = Vouch(
+            epoch=self._own.epoch,
+            generation=self._own.generation,
+            digest=self._own.digest,
+            base=changes.base,
+            changed=changes.changed,
+            removed=changes.removed,
+            mark=self._mark,
+            echo=peer.echo if peer is not None else 0,
+            seen_epoch=peer.epoch if peer is not None else 0,
+            seen_generation=peer.generation if peer is not None else 0,
+        )
+        if peer is not None:
+            peer.marks[vouch.mark] = now
+            if len(peer.marks) > MAX_MARKS:
+                peer.marks.popitem(last=False)
+        return vouch
+
+    def hear(self, name: str, vouch: Vouch, now: float) -> float | None:
+        """Take another entry's word.
+
+        Return when it was true at the latest by this entry's clock, None
+        where that cannot be told yet.
+        """
+        peer = self._peer(name)
+        if peer is None:
+            return None
+        if vouch.epoch != peer.echo_epoch or vouch.mark > peer.echo:
+            peer.echo = vouch.mark
+            peer.echo_epoch = vouch.epoch
+            peer.seen = (vouch.seen_epoch, vouch.seen_generation)
+        dated_at = peer.marks.get(vouch.echo)
+        # A word that answers none of ours may have been under way for any
+        # time, or come from an earlier run of the entry: taken as new, it
+        # would bring back endpoints that have left.
+        if dated_at is None:
+            return None
+        if peer.dated_at is not None and dated_at < peer.dated_at:
+            return None
+        if self._merge(peer, vouch, now):
+            peer.dated_at = dated_at
+        return dated_at
+
+    def live(self, now: float) -> list[Announcement]:
+        """List every endpoint someone vouches for, by service and address."""
+        found: dict[Key, Announcement] = {}
+        for announcement in self._own.announcements():
+            found[announcement.key] = announcement
+        for peer in self._peers.values():
+            if not peer.fresh(now):
                 continue
-            dead.append(key)
-        for key in dead:
-            del self._upstreams[key]
-            self._own.discard(key)
-        return bool(dead)
-
-    def vouches(self, now: float) -> list[Vouch]:
-        """List what this entry heard from the endpoints themselves."""
-        found = []
-        for key in sorted(self._own):
-            upstream = self._upstreams[key]
-            age_s = now - upstream.heard_at
-            found.append(Vouch(upstream.announcement, age_s))
-        return found
-
-    def live(self) -> list[Announcement]:
-        """List every endpoint with a lease, by service and address."""
-        return [
-            self._upstreams[key].announcement
-            for key in sorted(self._upstreams)
-        ]
+            for key, announcement in peer.heard.items():
+                old = found.get(key)
+                if old is None or _rank(old) < _rank(announcement):
+                    found[key] = announcement
+        listed = []
+        for key in sorted(found):
+            listed.append(self._settle(found[key]))
+        return listed
 
-    def _merge(self, announcement: Announcement, heard_at: float) -> bool:
-        key = (announcement.service, announcement.endpoint)
-        known = self._upstreams.get(key)
-        if known is None:
-            self._upstreams[key] = Upstream(announcement, heard_at)
-            return True
-        old = known.announcement
-        if announcement.incarnation < old.incarnation:
+    def stamp(self, now: float) -> tuple[object, ...]:
+        """Give a value that differs whenever ``live`` does."""
+        peers = []
+        for name, peer in self._peers.items():
+            if peer.fresh(now):
+                peers.append((name, peer.epoch, peer.generation))
+        return self._own.generation, self._drains, tuple(peers)
+
+    def _merge(self, peer: PeerSet, vouch: Vouch, now: float) -> bool:
+        if vouch.epoch != peer.epoch:
+            peer.forget()
+            peer.epoch = vouch.epoch
+        if vouch.generation < peer.generation:
+            return False
+        if vouch.base > peer.generation:
             return False
-        if announcement.incarnation == old.incarnation:
-            if heard_at <= known.heard_at:
-                return False
-            if old.state == DRAINING and announcement.state == UP:
-                # Drain is final within an incarnation: a delayed "up"
-                # from another entry must not bring the endpoint back.
-                announcement = old
-        self._upstreams[key] = Upstream(announcement, heard_at)
-        return old != announcement
+        if vouch.base == 0:
+            peer.forget()
+        for key in vouch.removed:
+            peer.remove(key)
+        for announcement in vouch.changed:
+            peer.put(announcement)
+            self._raise_floor(announcement, now)
+        peer.generation = vouch.generation
+        if peer.digest == vouch.digest:
+            return True
+        peer.forget()
+        return False
+
+    def _changes_for(self, peer: PeerSet) -> Changes:
+        epoch, generation = peer.seen
+        if epoch == self._own.epoch and generation:
+            changes = self._own.since(generation)
+            if changes is not None:
+                return changes
+        return Changes(0, self._own.announcements(), [])
+
+    def _peer(self, name: str) -> PeerSet | None:
+        peer = self._peers.get(name)
+        if peer is None and len(self._peers) < MAX_PEERS:
+            peer = self._peers[name] = PeerSet()
+        return peer
+
+    def _settle(self, announcement: Announcement) -> Announcement:
+        floor = self._floors.get(announcement.key)
+        if floor is None or not floor.drained:
+            return announcement
+        if announcement.incarnation > floor.incarnation:
+            return announcement
+        # Drain is final within an incarnation: a delayed "up", or one
+        # still vouched for by the entry the endpoint has moved away from,
+        # must not bring it back.
+        return msgspec.structs.replace(announcement, state=DRAINING)
+
+    def _raise_floor(self, announcement: Announcement, now: float) -> None:
+        drained = announcement.state == DRAINING
+        self._drains += drained
+        floor = self._floors.pop(announcement.key, None)
+        if floor is None or floor.incarnation < announcement.incarnation:
+            floor = Floor(announcement.incarnation, drained, now)
+        elif floor.incarnation == announcement.incarnation:
+            floor.drained = floor.drained or drained
+            floor.heard_at = now
+        self._floors[announcement.key] = floor
+        if len(self._floors) > MAX_FLOORS:
+            self._floors.popitem(last=False)
+
+    def _watch(self, now: float) -> None:
+        # A process that was stopped for a while wakes to announcements
+        # that waited in its sockets. The endpoints that sent them may have
+        # drained at another entry since; those that live announce again.
+        if self._seen is not None and now - self._seen > PAUSE_S:
+            self._quiet_until = now + QUIET_S
+        self._seen = now
+
+
+def _rank(announcement: Announcement) -> tuple[int, bool]:
+    return announcement.incarnation, announcement.state == DRAINING
+
+
+def digest_of(announcement: Announcement) -> int:
+    """Return a 64-bit digest; a set's is the XOR of its members'."""
+    return xxhash.xxh64_intdigest(_ENCODER.encode(announcement))
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/announcements.py
@@ -0,0 +1,157 @@
+"""Take upstreams' announcements over HTTP."""
+
+import hashlib
+import hmac
+import ipaddress
+from typing import Any
+
+import msgspec
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.members import CHANGED
+from nutmegchute_core.members import FULL
+from nutmegchute_core.members import LEASE_S
+from nutmegchute_core.members import Members
+from nutmegchute_core.members import PAUSED
+from nutmegchute_core.members import QUIET_S
+from nutmegchute_core.members import STALE
+from nutmegchute_core.rules import Service
+
+from .errors import DaemonError
+from .events import Event
+from .events import log
+
+ANNOUNCEMENT_BYTES = 4096
+KEY_BYTES = 256
+REFRESH_SHARE = 3
+
+_DECODER = msgspec.json.Decoder(Announcement)
+
+
+class AnnouncementError(DaemonError):
+    """Say why an announcement was not taken, and its HTTP status.
+
+    ``fields`` go into the answer next to the reason.
+    """
+
+    __slots__ = ("_fields", "_retry_after_s", "_status")
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+        **fields: Any,
+    ) -> None:
+        super().__init__(reason)
+        self._status = status
+        self._retry_after_s = retry_after_s
+        self._fields = fields
+
+    @property
+    def status(self) -> int:
+        """Give the HTTP status."""
+        return self._status
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Give when announcing again is of use, in seconds, if it is."""
+        return self._retry_after_s
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        """Give what the upstream may act on."""
+        return self._fields
+
+
+class Announcements:
+    """Check announcements against the services; lives on the loop."""
+
+    __slots__ = ("_members", "_services")
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self._services: dict[str, Service] | None = None
+
+    def configure(self, services: dict[str, Service]) -> None:
+        """Take the services that the configuration in force declares."""
+        self._services = services
+
+    def take(
+        self, announcement: Announcement, key: str, now: float
+    ) -> dict[str, float]:
+        """Take an endpoint's word; return its lease.
+
+        :raises AnnouncementError: it was not taken
+        """
+        self._check_key(announcement, key)
+        outcome = self._members.announce(announcement, now)
+        if outcome == STALE:
+            floor = self._members.floor(announcement.key)
+            raise AnnouncementError(
+                409,
+                "a newer process has announced this endpoint; "
+                f"incarnation must be at least {floor}",
+                incarnation=floor,
+            )
+        if outcome == FULL:
+            raise AnnouncementError(503, "too many endpoints", QUIET_S)
+        if outcome == PAUSED:
+            raise AnnouncementError(503, "entry was paused", QUIET_S)
+        if outcome == CHANGED:
+            log(
+                Event.UPSTREAM_ANNOUNCED,
+                service=announcement.service,
+                endpoint=announcement.endpoint,
+                state=announcement.state,
+            )
+        return {"lease_s": LEASE_S, "refresh_s": LEASE_S / REFRESH_SHARE}
+
+    def _check_key(self, announcement: Announcement, key: str) -> None:
+        if self._services is None:
+            raise AnnouncementError(
+                503, "no configuration in force yet", QUIET_S
+            )
+        service = self._services.get(announcement.service)
+        if service is None:
+            raise AnnouncementError(
+                404, f"service {announcement.service!r} is not declared"
+            )
+        if service.key_sha256 is None:
+            return
+        if not key:
+            raise AnnouncementError(
+                401, f"service {service.name!r} asks for its key"
+            )
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        if hmac.compare_digest(digest, service.key_sha256):
+            return
+        raise AnnouncementError(
+            403, f"the key does not open service {service.name!r}"
+        )
+
+
+def read_announcement(body: bytes) -> Announcement:
+    """Read an announcement.
+
+    :raises AnnouncementError: it is malformed; the reason names the place
+    """
+    if len(body) > ANNOUNCEMENT_BYTES:
+        raise AnnouncementError(
+            413, f"announcement is larger than {ANNOUNCEMENT_BYTES} bytes"
+        )
+    try:
+        announcement = _DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise AnnouncementError(400, str(error)) from error
+    host, _, port = announcement.endpoint.rpartition(":")
+    try:
+        address = ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise AnnouncementError(400, f"endpoint: {error}") from error
+    if not 0 < int(port) < 65536 or not _reachable(address):
+        raise AnnouncementError(400, "endpoint: no such address and port")
+    return announcement
+
+
+def _reachable(address: ipaddress.IPv4Address) -> bool:
+    return not (address.is_multicast or address.is_unspecified)
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -1,6 +1,7 @@
 """Run the entry role: calls, announcements, gossip, configuration."""
 
 import asyncio
+import random
 import secrets
 from typing import Any
 
@@ -18,10 +19,14 @@
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import LEASE_S
 from nutmegchute_core.members import Members
 from nutmegchute_core.rules import read_services
 
+from .announcements import ANNOUNCEMENT_BYTES
+from .announcements import AnnouncementError
+from .announcements import Announcements
+from .announcements import KEY_BYTES
+from .announcements import read_announcement
 from .callers import CALL_PATH
 from .callers import CallApplication
 from .callers import Ticket
@@ -30,12 +35,11 @@
 from .events import log
 from .followers import Follower
 from .gossips import Gossiper
+from .gossips import TICK_S as GOSSIP_TICK_S
+from .protocols import SERVICE_KEY_HEADER
 
 TICK_S = 0.01
-GOSSIP_S = 0.25
-EXPIRE_S = 0.1
 DRAIN_TICK_S = 0.05
-REFRESH_SHARE = 3
 
 
 class EntryDaemon(Daemon):
@@ -48,10 +52,10 @@
             settings.name, settings.http_address, settings.availability_zone
         )
         self._balancer = Balancer(secrets.randbits(32))
-        self._members = Members()
-        self._directory = Directory(own)
+        self._members = Members(secrets.randbits(48))
+        self._announcements = Announcements(self._members)
+        self._directory = Directory(own, random.random())
         self._tickets: dict[int, Ticket] = {}
-        self._turn = 0
         self._follower = Follower(settings, self._links, self._apply)
         self._gossiper = Gossiper(
             settings=settings,
@@ -69,8 +73,7 @@
     def begin(self) -> None:
         """Start ticking, gossiping and following the configuration."""
         self.every(TICK_S, self._tick)
-        self.every(EXPIRE_S, self._expire)
-        self.every(GOSSIP_S, self._gossiper.spread)
+        self.every(GOSSIP_TICK_S, self._gossiper.tick)
         self.every(0, self._follower.follow)
 
     async def finish(self) -> None:
@@ -108,23 +111,22 @@
         self._metrics.time_ms("attempt", result.latency_s * 1000)
         self._perform(self._balancer.finish(result, self._loop.time()))
 
-    def announce(self, announcement: Announcement) -> float:
-        """Take an endpoint's word; return the lease, in seconds."""
-        if self._members.announce(announcement, self._loop.time()):
-            log(
-                Event.UPSTREAM_ANNOUNCED,
-                service=announcement.service,
-                endpoint=announcement.endpoint,
-                state=announcement.state,
-            )
-            self._update_upstreams()
-        return LEASE_S
+    def announce(
+        self, announcement: Announcement, key: str
+    ) -> dict[str, float]:
+        """Take an endpoint's word; return its lease.
+
+        :raises AnnouncementError: it was not taken
+        """
+        now = self._loop.time()
+        lease = self._announcements.take(announcement, key, now)
+        self._gossiper.refresh()
+        return lease
 
     def usable_entries(self, zone: str | None) -> list[EntryWord]:
         """Choose the entries that a caller should use."""
-        self._turn += 1
         return self._directory.answer(
-            zone, self._settings.entries_answer, self._turn, self._loop.time()
+            zone, self._settings.entries_answer, self._loop.time()
         )
 
     def status(self) -> dict[str, Any]:
@@ -135,7 +137,7 @@
             "index": self._follower.index,
             "revisions": self._follower.revisions,
             "in_flight": self._balancer.in_flight,
-            "upstreams": self._members.live(),
+            "upstreams": self._members.live(self._loop.time()),
         }
 
     def _perform(self, actions: list[Action]) -> None:
@@ -158,20 +160,17 @@
     def _tick(self) -> None:
         self._perform(self._balancer.tick(self._loop.time()))
 
-    def _expire(self) -> None:
-        if self._members.expire(self._loop.time()):
-            self._update_upstreams()
-
-    def _update_upstreams(self) -> None:
+    def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
-        live = self._members.live()
         self._perform(self._balancer.update_upstreams(live, now))
 
     def _apply(self, reply: FollowReply) -> None:
         now = self._loop.time()
         assert reply.documents is not None
-        self._balancer.configure(read_services(reply.documents), now)
-        self._update_upstreams()
+        services = read_services(reply.documents)
+        self._balancer.configure(services, now)
+        self._announcements.configure(services)
+        self._update_upstreams(self._members.live(now))
 
 
 class EntryPages:
@@ -195,15 +194,19 @@
     @cherrypy.expose
     def announce(self) -> bytes:
         """Take an upstream's announcement."""
-        body = cherrypy.request.body.read(65536)
+        key = cherrypy.request.headers.get(SERVICE_KEY_HEADER, "")
+        body = cherrypy.request.body.read(ANNOUNCEMENT_BYTES + 1)
         try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except msgspec.DecodeError as error:
-            raise cherrypy.HTTPError(400, str(error)) from error
-        lease_s = self._asker.ask(self._daemon.announce, announcement)
-        return _json(
-            {"lease_s": lease_s, "refresh_s": lease_s / REFRESH_SHARE}
-        )
+            announcement = read_announcement(body)
+            lease = self._asker.ask(
+                self._daemon.announce, announcement, key[:KEY_BYTES]
+            )
+        except AnnouncementError as error:
+            cherrypy.response.status = error.status
+            if error.retry_after_s is not None:
+                cherrypy.response.headers["Retry-After"] = "1"
+            return _json({"reason": str(error), **error.fields})
+        return _json(lease)
 
     @cherrypy.expose
     def status(self) -> bytes:
--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -3,20 +3,56 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
-from nutmegchute_core.members import Gossip
+from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Members
+from nutmegchute_core.members import Vouch
 
 from .links import Links
-from .protocols import EXCHANGE
+from .links import Method
 from .settings import Settings
 
+GOSSIP_S = 0.5
+TICK_S = 0.05
+TIMEOUT_S = 0.5
+
+
+class Gossip(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one entry's word to another.
+
+    ``demand`` maps availability zones to the callers that asked lately.
+    """
+
+    word: EntryWord
+    grpc_address: str
+    demand: dict[str, float]
+    vouch: Vouch
+
+
+EXCHANGE = Method("Membership", "Exchange", Gossip, Gossip)
+
 
 class Gossiper:
-    """Spread this entry's word and hear the others'."""
+    """Spread this entry's word and hear the others'.
+
+    A pair of entries exchanges words every GOSSIP_S, by whichever of the
+    two is first; a change of the own set goes out with the next tick.
+    """
 
-    __slots__ = ("_directory", "_links", "_members", "_on_change", "_settings")
+    __slots__ = (
+        "_directory",
+        "_exchanged",
+        "_links",
+        "_members",
+        "_names",
+        "_on_change",
+        "_settings",
+        "_spread",
+        "_stamp",
+        "_tasks",
+    )
 
     def __init__(
         self,
@@ -24,52 +60,86 @@
         links: Links,
         members: Members,
         directory: Directory,
-        on_change: Callable[[], None],
+        on_change: Callable[[list[Announcement]], None],
     ) -> None:
         self._settings = settings
         self._links = links
         self._members = members
         self._directory = directory
         self._on_change = on_change
+        self._exchanged: dict[str, float] = {}
+        self._names: dict[str, str] = {}
+        self._spread = (members.generation, False)
+        self._stamp: tuple[object, ...] = ()
+        self._tasks: set[asyncio.Task[None]] = set()
         links.serve(EXCHANGE, self._on_gossip)
 
+    def tick(self) -> None:
+        """Expire what lapsed and exchange with the entries that are due."""
+        now = asyncio.get_running_loop().time()
+        self._members.expire(now)
+        self._directory.expire(now)
+        state = (self._members.generation, self._directory.own.draining)
+        urgent = state != self._spread
+        self._spread = state
+        for address in self._peers():
+            waited_s = now - self._exchanged.get(address, -GOSSIP_S)
+            if urgent or waited_s >= GOSSIP_S:
+                self._start(address, now)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Report the live endpoints when they have changed."""
+        now = asyncio.get_running_loop().time()
+        stamp = self._members.stamp(now)
+        if stamp == self._stamp:
+            return
+        self._stamp = stamp
+        self._on_change(self._members.live(now))
+
     async def spread(self) -> None:
         """Exchange words with every other entry once."""
-        word = self._word()
+        await asyncio.gather(*map(self._exchange, self._peers()))
+
+    def _peers(self) -> list[str]:
         own = self._settings.grpc_address
-        asks = []
-        for address in self._settings.entries:
-            if address == own:
-                continue
-            asks.append(self._links.ask(address, EXCHANGE, word))
-        for reply in await asyncio.gather(*asks):
-            if reply is None:
-                continue
+        return [one for one in self._settings.entries if one != own]
+
+    def _start(self, address: str, now: float) -> None:
+        self._exchanged[address] = now
+        task = asyncio.create_task(self._exchange(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _exchange(self, address: str) -> None:
+        gossip = self._gossip(self._names.get(address, ""))
+        reply = await self._links.ask(address, EXCHANGE, gossip, TIMEOUT_S)
+        if reply is not None:
             self._hear(reply)
 
     async def _on_gossip(self, gossip: Gossip) -> Gossip:
         self._hear(gossip)
-        return self._word()
+        return self._gossip(gossip.word.name)
 
-    def _word(self) -> Gossip:
-        own = self._directory.own
+    def _gossip(self, peer_name: str) -> Gossip:
         now = asyncio.get_running_loop().time()
         return Gossip(
-            entry=own.name,
-            address=own.address,
-            availability_zone=own.availability_zone,
-            draining=own.draining,
-            vouches=self._members.vouches(now),
+            word=self._directory.own,
+            grpc_address=self._settings.grpc_address,
+            demand=self._directory.demand(now),
+            vouch=self._members.vouch(peer_name, now),
         )
 
     def _hear(self, gossip: Gossip) -> None:
         now = asyncio.get_running_loop().time()
-        word = EntryWord(
-            gossip.entry,
-            gossip.address,
-            gossip.availability_zone,
-            gossip.draining,
-        )
-        self._directory.hear(word, now)
-        if self._members.hear(gossip, now):
-            self._on_change()
+        name = gossip.word.name
+        self._names[gossip.grpc_address] = name
+        dated_at = self._members.hear(name, gossip.vouch, now)
+        if dated_at is None:
+            # The other entry is new to this one, or the other way round:
+            # only the next exchange can be dated, so it comes at once.
+            self._exchanged.pop(gossip.grpc_address, None)
+            return
+        self._exchanged[gossip.grpc_address] = now
+        self._directory.hear(gossip.word, gossip.demand, dated_at)
+        self.refresh()
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -2,7 +2,6 @@
 
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
-from nutmegchute_core.members import Gossip
 from nutmegchute_core.replicas import Message
 
 from .links import Method
@@ -14,11 +13,13 @@
 LOAD_HEADER = "Nutmegchute-Load"
 NOT_RUN_HEADER = "Nutmegchute-Not-Run"
 OPERATOR_HEADER = "Nutmegchute-Operator"
+RAN_STATUS_HEADER = "Nutmegchute-Ran-Status"
+SERVICE_KEY_HEADER = "Nutmegchute-Service-Key"
 OUTCOME_HEADER = "Nutmegchute-Outcome"
 
 NOT_RUN = "not-run"
+RAN = "ran"
 UNKNOWN = "unknown"
 
 DELIVER = Method("Replication", "Deliver", Message, None)
 FOLLOW = Method("Configuration", "Follow", FollowRequest, FollowReply)
-EXCHANGE = Method("Membership", "Exchange", Gossip, Gossip)
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -94,6 +94,10 @@
         """Announce from now on that the endpoint is leaving."""
         self._draining = True
 
+    def outbid(self, incarnation: int) -> None:
+        """Take a number above that of an earlier run by a faster clock."""
+        self._incarnation = max(self._incarnation, incarnation + 1)
+
     def announcement(self) -> dict[str, Any]:
         """Give the endpoint's present announcement."""
         return {
@@ -171,6 +175,9 @@
             )
         except HTTPError:
             return False
+        if answer.status == 409:
+            floor = msgspec.json.decode(answer.data)["incarnation"]
+            self._upstream.outbid(floor)
         return answer.status == 200
 
 
--- /dev/null
+++ b/tests/test_announcements.py
@@ -0,0 +1,129 @@
+"""Refuse announcements that are wrong, each with a clear error."""
+
+import hashlib
+from typing import Any
+
+import msgspec
+import pytest
+from nutmegchute_core.members import Members
+from nutmegchute_core.rules import Service
+from nutmegchute_daemon.announcements import ANNOUNCEMENT_BYTES
+from nutmegchute_daemon.announcements import AnnouncementError
+from nutmegchute_daemon.announcements import Announcements
+from nutmegchute_daemon.announcements import read_announcement
+from support import announcement
+from support import rule
+
+KEY = "the service's key"
+A = "10.0.0.1:80"
+
+
+@pytest.fixture
+def announcements() -> Announcements:
+    """Declare "catalogo" with a key and "prestamos" without."""
+    found = Announcements(Members(1))
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    locked = {"key_sha256": digest, "rules": [rule()]}
+    found.configure(
+        {
+            "catalogo": Service("catalogo", locked),
+            "prestamos": Service("prestamos", {"rules": [rule()]}),
+        }
+    )
+    return found
+
+
+@pytest.mark.parametrize(
+    ("service", "key", "status"),
+    [
+        ("catalogo", "", 401),
+        ("catalogo", "another key", 403),
+        ("catalogo", "kéy", 403),
+        ("nowhere", KEY, 404),
+    ],
+)
+def test_strangers_are_refused(
+    announcements: Announcements, service: str, key: str, status: int
+) -> None:
+    """Let nobody without the service's key take its calls.
+
+    A stranger announces an address of its own; loans would be sent there.
+    """
+    word = announcement(A, service=service)
+    with pytest.raises(AnnouncementError) as raised:
+        announcements.take(word, key, 0.0)
+    assert raised.value.status == status
+    assert service in str(raised.value)
+    assert announcements._members.live(0.0) == []
+
+
+def test_the_key_opens_the_service(announcements: Announcements) -> None:
+    """Take the right key, and none where none is asked for."""
+    lease = announcements.take(announcement(A), KEY, 0.0)
+    assert lease["refresh_s"] < lease["lease_s"]
+    announcements.take(announcement(A, service="prestamos"), "", 0.0)
+    assert len(announcements._members.live(0.0)) == 2
+
+
+def test_an_older_run_is_told_the_floor(announcements: Announcements) -> None:
+    """Name the incarnation that would be taken."""
+    announcements.take(announcement(A, incarnation=9), KEY, 0.0)
+    with pytest.raises(AnnouncementError) as raised:
+        announcements.take(announcement(A, incarnation=3), KEY, 0.1)
+    assert raised.value.status == 409
+    assert raised.value.fields == {"incarnation": 9}
+
+
+def test_without_a_configuration_try_again() -> None:
+    """Ask for another try while no service is known yet."""
+    with pytest.raises(AnnouncementError) as raised:
+        Announcements(Members(1)).take(announcement(A), KEY, 0.0)
+    assert raised.value.status == 503
+    assert raised.value.retry_after_s
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"endpoint": "10.0.0.256:80"},
+        {"endpoint": "10.0.0.1:0"},
+        {"endpoint": "10.0.0.1:65536"},
+        {"endpoint": "upstream.example:80"},
+        {"endpoint": "0.0.0.0:80"},
+        {"endpoint": "10.0.0.1:80/path"},
+        {"slots": 0},
+        {"slots": 10**6},
+        {"slots": "2"},
+        {"incarnation": -1},
+        {"incarnation": 2**63},
+        {"state": "gone"},
+        {"availability_zone": "a\r\nb"},
+        {"service": "x" * 64},
+        {"service": None},
+    ],
+)
+def test_malformed_is_refused(values: dict[str, Any]) -> None:
+    """Name what is wrong with a field."""
+    document = {**msgspec.to_builtins(announcement(A)), **values}
+    with pytest.raises(AnnouncementError) as raised:
+        read_announcement(msgspec.json.encode(document))
+    assert raised.value.status == 400
+    assert str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"", 400),
+        (b"{", 400),
+        (b"[]", 400),
+        (b"\xff\xfe", 400),
+        (b'{"service": "\xff"}', 400),
+        (b" " * (ANNOUNCEMENT_BYTES + 1), 413),
+    ],
+)
+def test_not_an_announcement(body: bytes, status: int) -> None:
+    """Refuse what is no announcement at all."""
+    with pytest.raises(AnnouncementError) as raised:
+        read_announcement(body)
+    assert raised.value.status == status
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,481 @@
+"""Cause the failures that membership must withstand."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.members import CHANGED
+from nutmegchute_core.members import DRAINING
+from nutmegchute_core.members import FLOOR_S
+from nutmegchute_core.members import FULL
+from nutmegchute_core.members import LEASE_S
+from nutmegchute_core.members import MAX_CHANGES
+from nutmegchute_core.members import MAX_ENDPOINTS
+from nutmegchute_core.members import MAX_FLOORS
+from nutmegchute_core.members import MAX_PEERS
+from nutmegchute_core.members import Members
+from nutmegchute_core.members import PAUSED
+from nutmegchute_core.members import QUIET_S
+from nutmegchute_core.members import STALE
+from nutmegchute_core.members import TAKEN
+from nutmegchute_core.members import UP
+from nutmegchute_core.members import Vouch
+from nutmegchute_core.members import VOUCH_S
+from support import announcement
+
+A = "10.0.0.1:80"
+
+
+def exchange(one: Members, other: Members, now: float) -> Vouch:
+    """Let "one" ask "other", both hearing; return the answer."""
+    other.hear("one", one.vouch("other", now), now)
+    answer = other.vouch("one", now)
+    one.hear("other", answer, now)
+    return answer
+
+
+def up_at(members: Members, now: float) -> list[str]:
+    """List the endpoints that new work may go to."""
+    return [one.endpoint for one in members.live(now) if one.state != DRAINING]
+
+
+@pytest.fixture
+def pair() -> tuple[Members, Members]:
+    """Give two entries that know each other."""
+    one, other = Members(1000), Members(2000)
+    for _ in range(3):
+        exchange(one, other, 0.0)
+    return one, other
+
+
+def test_rest_costs_no_announcements(pair: tuple[Members, Members]) -> None:
+    """Send nothing per endpoint while nothing changes."""
+    one, other = pair
+    for number in range(150):
+        other.announce(announcement(f"10.0.0.1:{number + 1}"), 0.1)
+    exchange(one, other, 0.1)
+    assert len(up_at(one, 0.1)) == 150
+    for number in range(150):
+        other.announce(announcement(f"10.0.0.1:{number + 1}"), 0.5)
+    vouch = exchange(one, other, 0.6)
+    assert (vouch.changed, vouch.removed) == ([], [])
+
+
+def test_drain_leaves_no_way_back(pair: tuple[Members, Members]) -> None:
+    """Hold a drained endpoint down when a late "up" arrives.
+
+    An endpoint announces itself to one entry, moves to another and drains
+    there. The first entry still vouches for it, and a copy of its first
+    announcement arrives late. New work would go to a leaving upstream.
+    """
+    one, other = pair
+    one.announce(announcement(A), 0.1)
+    other.announce(announcement(A, state=DRAINING), 0.2)
+    exchange(one, other, 0.3)
+    assert up_at(one, 0.3) == up_at(other, 0.3) == []
+    one.announce(announcement(A), 0.4)
+    exchange(one, other, 0.5)
+    assert up_at(one, 0.5) == up_at(other, 0.5) == []
+    # All that said "draining" has lapsed; only the floor remembers it.
+    for now in (1.4, 2.4, 3.4, 4.4):
+        one.expire(now)
+        exchange(one, other, now)
+    assert one.live(4.4) == []
+    one.expire(4.5)
+    one.announce(announcement(A), 4.9)
+    exchange(one, other, 5.0)
+    assert up_at(one, 5.0) == up_at(other, 5.0) == []
+    one.announce(announcement(A, incarnation=2), 5.1)
+    exchange(one, other, 5.2)
+    assert up_at(one, 5.2) == up_at(other, 5.2) == [A]
+
+
+def test_delayed_word_brings_nothing_back(
+    pair: tuple[Members, Members],
+) -> None:
+    """Ignore a word that was under way while its endpoint left.
+
+    The word says "up"; the lease lapses, a later word removes the
+    endpoint, then the first arrives again. It answers a mark of ours that
+    is older than the last one answered, so it is known to be old.
+    """
+    one, other = pair
+    other.announce(announcement(A), 0.1)
+    late = exchange(one, other, 0.2)
+    assert late.changed
+    exchange(one, other, LEASE_S + 0.3)
+    assert up_at(one, LEASE_S + 0.3) == []
+    one.hear("other", late, LEASE_S + 0.4)
+    assert up_at(one, LEASE_S + 0.4) == []
+
+
+def test_word_of_an_earlier_run_is_ignored(
+    pair: tuple[Members, Members],
+) -> None:
+    """Ignore a word that a restarted entry had sent before its end."""
+    one, other = pair
+    other.announce(announcement(A), 0.1)
+    one.vouch("other", 0.1)
+    late = other.vouch("one", 0.1)
+    again = Members(3000)
+    exchange(one, again, 1.0)
+    exchange(one, again, 1.1)
+    one.hear("other", late, 1.2)
+    assert up_at(one, 1.2) == []
+
+
+def test_silent_cut_ends_in_no_new_work(pair: tuple[Members, Members]) -> None:
+    """Stop using what a cut-off entry vouched for, on both sides.
+
+    No word passes; each side cannot know whether the other's endpoints
+    drained. The caller would be sent to an upstream that has left.
+    """
+    one, other = pair
+    other.announce(announcement(A), 0.1)
+    exchange(one, other, 0.1)
+    assert up_at(one, VOUCH_S) == [A]
+    one.expire(VOUCH_S + 0.2)
+    assert up_at(one, VOUCH_S + 0.2) == []
+
+
+def test_an_entry_that_died_is_replaced_by_the_next(
+    pair: tuple[Members, Members],
+) -> None:
+    """Keep an endpoint that moves on when its entry dies."""
+    one, other = pair
+    other.announce(announcement(A), 0.1)
+    exchange(one, other, 0.1)
+    one.announce(announcement(A), 1.1)
+    for tenth in range(11, 60):
+        now = tenth / 10
+        one.expire(now)
+        if tenth % 10 == 1:
+            one.announce(announcement(A), now)
+        assert up_at(one, now) == [A]
+
+
+def test_restart_on_the_same_address(pair: tuple[Members, Members]) -> None:
+    """Prefer the newer process; refuse the older one's late words."""
+    one, other = pair
+    other.announce(announcement(A, incarnation=7, slots=2), 0.1)
+    exchange(one, other, 0.1)
+    one.announce(announcement(A, incarnation=8, slots=5), 0.2)
+    exchange(one, other, 0.2)
+    for members in pair:
+        assert [u.slots for u in members.live(0.3)] == [5]
+        old = announcement(A, incarnation=7)
+        assert members.announce(old, 0.4) == STALE
+        assert members.floor(old.key) == 8
+
+
+def test_wrong_clock_is_named_and_forgotten() -> None:
+    """Refuse a lower incarnation, name the floor, forget it in time.
+
+    An endpoint numbers its runs by a clock that was set back. The answer
+    names the number to beat; after FLOOR_S it is taken as it is.
+    """
+    members = Members(1)
+    members.announce(announcement(A, incarnation=10**9), 0.0)
+    low = announcement(A, incarnation=5)
+    now = 0.0
+    while now < FLOOR_S:
+        now += 0.5
+        members.expire(now)
+        assert members.announce(low, now) == STALE
+    members.expire(now + 0.5)
+    assert members.announce(low, now + 0.5) == CHANGED
+
+
+def test_a_paused_entry_asks_again() -> None:
+    """Take no announcement that may have waited through a pause.
+
+    The process is stopped, its socket keeps an "up"; the endpoint drains
+    elsewhere and leaves. Woken, the entry would vouch for it afresh.
+    """
+    members = Members(1)
+    members.expire(0.0)
+    assert members.announce(announcement(A), 10.0) == PAUSED
+    assert members.announce(announcement(A), 10.1) == PAUSED
+    assert members.announce(announcement(A), 10.0 + QUIET_S) == CHANGED
+
+
+def test_a_wrong_digest_is_mended(pair: tuple[Members, Members]) -> None:
+    """Fetch the whole set when the digest does not fit."""
+    one, other = pair
+    other.announce(announcement(A), 0.1)
+    exchange(one, other, 0.1)
+    one._peers["other"].digest ^= 1
+    exchange(one, other, 0.2)
+    assert up_at(one, 0.2) == []
+    exchange(one, other, 0.3)
+    assert up_at(one, 0.3) == [A]
+
+
+def test_more_changes_than_are_remembered(
+    pair: tuple[Members, Members],
+) -> None:
+    """Send the whole set when the peer is too far behind."""
+    one, other = pair
+    for number in range(MAX_CHANGES + 5):
+        other.announce(announcement(f"10.0.0.1:{number + 1}"), 0.1)
+    answer = exchange(one, other, 0.2)
+    assert answer.base == 0
+    assert len(up_at(one, 0.2)) == MAX_CHANGES + 5
+
+
+def test_memory_is_bounded() -> None:
+    """Refuse endpoints, peers and floors above the caps."""
+    members = Members(1)
+    for number in range(MAX_ENDPOINTS):
+        address = f"10.0.{number // 1000}.1:{number + 1}"
+        members.announce(announcement(address), 0.0)
+    assert members.announce(announcement("10.9.9.9:1"), 0.0) == FULL
+    first = announcement("10.0.0.1:1")
+    assert members.announce(first, 0.0) == TAKEN
+    for number in range(MAX_PEERS + 5):
+        members.vouch(f"entry-{number}", 0.0)
+    assert len(members._peers) == MAX_PEERS
+    for number in range(MAX_FLOORS + 5):
+        one = announcement(f"10.1.{number // 1000}.1:{number + 1}")
+        members._raise_floor(one, 0.0)
+    assert len(members._floors) == MAX_FLOORS
+
+
+ENTRIES = ("entry-a", "entry-b", "entry-c")
+STEP_S = 0.1
+GOSSIP_STEPS = 5
+RATE = 1.02
+SPREAD_S = 1.0
+LATE_S = 2.0
+BOUND_S = (LEASE_S + VOUCH_S) * RATE**2 + SPREAD_S
+
+
+class Endpoint:
+    """Hold what the oracle knows of one upstream."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.incarnation = 1
+        self.home = ENTRIES[0]
+        self.state = "absent"
+        self.since = 0.0
+        self.announced_at = -1.0
+
+    def announcement(self) -> Announcement:
+        """Build its present announcement."""
+        state = DRAINING if self.state == DRAINING else UP
+        return announcement(
+            self.address, incarnation=self.incarnation, state=state
+        )
+
+
+class Fleet(RuleBasedStateMachine):
+    """Run three entries and four endpoints on virtual time.
+
+    Clocks differ in offset and rate; words are lost, doubled, reordered
+    and delayed; links are cut; entries restart; endpoints move, drain,
+    fall silent and come back. The oracle knows only what each endpoint
+    did and when.
+    """
+
+    @initialize(
+        rates=st.lists(
+            st.sampled_from([1 / RATE, 1.0, RATE]), min_size=3, max_size=3
+        )
+    )
+    def start(self, rates: list[float]) -> None:
+        """Start the entries with clocks of their own."""
+        self.now = 0.0
+        self.step = 0
+        self.epoch = 1
+        self.clocks = {
+            name: (1000.0 * place, rates[place])
+            for place, name in enumerate(ENTRIES)
+        }
+        self.entries = {name: self.fresh() for name in ENTRIES}
+        self.endpoints = [Endpoint(f"10.0.0.{n}:80") for n in range(1, 5)]
+        self.cut: set[frozenset[str]] = set()
+        self.calm_since = 0.0
+        self.late: list[Callable[[], object]] = []
+        self.restarted = dict.fromkeys(ENTRIES, 0.0)
+
+    def fresh(self) -> Members:
+        """Build an entry as after a start."""
+        self.epoch += 1000000
+        return Members(self.epoch)
+
+    def clock(self, name: str) -> float:
+        """Give an entry's own time."""
+        offset, rate = self.clocks[name]
+        return offset + self.now * rate
+
+    def run(self, steps: int, lossy: bool = False) -> None:
+        """Let time pass with announcements and gossip."""
+        for _ in range(steps):
+            self.now += STEP_S
+            self.step += 1
+            for name in ENTRIES:
+                self.entries[name].expire(self.clock(name))
+            if self.step % GOSSIP_STEPS == 0:
+                self.announce_all()
+            if lossy:
+                self.calm_since = self.now
+            else:
+                self.gossip_all()
+            self.check()
+
+    def announce_all(self) -> None:
+        """Let every endpoint that is not silent announce itself."""
+        for endpoint in self.endpoints:
+            if endpoint.state in ("absent", "silent"):
+                continue
+            home = self.entries[endpoint.home]
+            word = endpoint.announcement()
+            outcome = home.announce(word, self.clock(endpoint.home))
+            assert outcome in (TAKEN, CHANGED)
+            endpoint.announced_at = self.now
+            if len(self.late) < 8:
+                self.keep_late(endpoint.home, word)
+
+    def keep_late(self, home: str, word: Announcement) -> None:
+        """Keep a copy of an announcement for up to two seconds."""
+        sent_at = self.now
+
+        def arrive() -> None:
+            if self.now - sent_at <= LATE_S:
+                self.entries[home].announce(word, self.clock(home))
+
+        self.late.append(arrive)
+
+    def gossip_all(self) -> None:
+        """Let every pair that is not cut exchange words."""
+        if self.step % GOSSIP_STEPS:
+            return
+        for place, one in enumerate(ENTRIES):
+            for other in ENTRIES[place + 1 :]:
+                if frozenset((one, other)) not in self.cut:
+                    self.exchange(one, other)
+
+    def exchange(self, one: str, other: str, answered: bool = True) -> None:
+        """Let one entry ask another; keep copies for a late arrival."""
+        asked = self.entries[one].vouch(other, self.clock(one))
+        self.tell(other, one, asked)
+        answer = self.entries[other].vouch(one, self.clock(other))
+        if answered:
+            self.tell(one, other, answer)
+        if len(self.late) < 24:
+            self.late.append(lambda: self.tell(other, one, asked))
+            self.late.append(lambda: self.tell(one, other, answer))
+
+    def tell(self, to: str, source: str, vouch: Vouch) -> None:
+        """Deliver a word."""
+        self.entries[to].hear(source, vouch, self.clock(to))
+
+    @rule(steps=st.integers(1, 40))
+    def pass_time(self, steps: int) -> None:
+        """Let everything run."""
+        self.run(steps)
+
+    @rule(steps=st.integers(1, 40))
+    def lose_words(self, steps: int) -> None:
+        """Lose every word for a while."""
+        self.run(steps, lossy=True)
+
+    @rule(place=st.integers(0, 3), home=st.sampled_from(ENTRIES))
+    def arrive(self, place: int, home: str) -> None:
+        """Start an endpoint, or start it again on its address."""
+        endpoint = self.endpoints[place]
+        endpoint.incarnation += 1
+        endpoint.home = home
+        self.set_state(endpoint, UP)
+
+    @rule(place=st.integers(0, 3), home=st.sampled_from(ENTRIES))
+    def move(self, place: int, home: str) -> None:
+        """Let an endpoint announce to another entry from now on."""
+        self.endpoints[place].home = home
+        self.calm_since = self.now
+
+    @rule(place=st.integers(0, 3), told=st.booleans())
+    def drain(self, place: int, told: bool) -> None:
+        """Let an endpoint announce that it leaves."""
+        endpoint = self.endpoints[place]
+        if endpoint.state != UP:
+            return
+        self.set_state(endpoint, DRAINING)
+        if told:
+            self.announce_all()
+
+    @rule(place=st.integers(0, 3))
+    def fall_silent(self, place: int) -> None:
+        """Kill an endpoint."""
+        endpoint = self.endpoints[place]
+        if endpoint.state != "absent":
+            self.set_state(endpoint, "silent")
+
+    @rule(pair=st.sets(st.sampled_from(ENTRIES), min_size=2, max_size=2))
+    def cut_link(self, pair: set[str]) -> None:
+        """Cut the link of two entries, or mend it."""
+        self.cut ^= {frozenset(pair)}
+        self.calm_since = self.now
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def restart_entry(self, name: str) -> None:
+        """Lose all that an entry knows."""
+        self.entries[name] = self.fresh()
+        self.restarted[name] = self.now
+        self.calm_since = self.now
+
+    @rule(count=st.integers(1, 24), backwards=st.booleans())
+    def deliver_late(self, count: int, backwards: bool) -> None:
+        """Deliver copies of earlier words, in any order."""
+        if backwards:
+            self.late.reverse()
+        for arrive in self.late[:count]:
+            arrive()
+        del self.late[:count]
+
+    @rule(one=st.sampled_from(ENTRIES), other=st.sampled_from(ENTRIES))
+    def half_exchange(self, one: str, other: str) -> None:
+        """Lose the answer of one exchange."""
+        if one != other and frozenset((one, other)) not in self.cut:
+            self.exchange(one, other, answered=False)
+
+    def set_state(self, endpoint: Endpoint, state: str) -> None:
+        """Note what an endpoint does from now on."""
+        endpoint.state = state
+        endpoint.since = self.now
+        self.calm_since = self.now
+
+    @invariant()
+    def check(self) -> None:
+        """Compare every entry's view with the oracle."""
+        for name in ENTRIES:
+            now = self.clock(name)
+            views = {one.endpoint: one for one in self.entries[name].live(now)}
+            for endpoint in self.endpoints:
+                self.check_one(endpoint, views.get(endpoint.address))
+
+    def check_one(self, endpoint: Endpoint, view: Announcement | None) -> None:
+        """Judge what one entry thinks of one endpoint."""
+        usable = view is not None and view.state == UP
+        waited = self.now - endpoint.since
+        calm = self.now - self.calm_since
+        if endpoint.state == DRAINING and calm > SPREAD_S and not self.cut:
+            assert not usable, (endpoint.address, "drains")
+        if endpoint.state == UP:
+            if calm > SPREAD_S + QUIET_S and not self.cut:
+                assert usable, (endpoint.address, "is not known everywhere")
+        elif waited > BOUND_S + LATE_S:
+            assert not usable, (endpoint.address, "gets new work")
+
+
+Fleet.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestFleet = Fleet.TestCase
