--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -2,7 +2,9 @@
 
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
-from nutmegchute_core.replicas import Message
+from nutmegchute_core.fleets import RelayReply
+from nutmegchute_core.formations import Introduction
+from nutmegchute_core.messages import Delivery
 
 from .links import Method
 
@@ -21,5 +23,7 @@
 RAN = "ran"
 UNKNOWN = "unknown"
 
-DELIVER = Method("Replication", "Deliver", Message, None)
+DELIVER = Method("Replication", "Deliver", Delivery, Delivery)
+INTRODUCE = Method("Replication", "Introduce", Introduction, Introduction)
 FOLLOW = Method("Configuration", "Follow", FollowRequest, FollowReply)
+RELAY = Method("Configuration", "Relay", FollowRequest, RelayReply)
