--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -5,8 +5,6 @@
 import secrets
 from typing import Any
 
-import cherrypy
-import msgspec
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import Cancel
@@ -22,11 +20,7 @@
 from nutmegchute_core.members import Members
 from nutmegchute_core.rules import read_services
 
-from .announcements import ANNOUNCEMENT_BYTES
-from .announcements import AnnouncementError
 from .announcements import Announcements
-from .announcements import KEY_BYTES
-from .announcements import read_announcement
 from .callers import CALL_PATH
 from .callers import CallApplication
 from .callers import Ticket
@@ -36,7 +30,7 @@
 from .followers import Follower
 from .gossips import Gossiper
 from .gossips import TICK_S as GOSSIP_TICK_S
-from .protocols import SERVICE_KEY_HEADER
+from .pages import EntryPages
 
 TICK_S = 0.01
 DRAIN_TICK_S = 0.05
@@ -68,7 +62,9 @@
         application = CallApplication(
             self, self._asker, settings.name, settings.request_body_bytes
         )
-        self._http.mount(EntryPages(self))
+        self._http.mount(
+            EntryPages(self, self._asker, settings.entries_keep_s)
+        )
         self._http.graft(application, CALL_PATH)
 
     def begin(self) -> None:
@@ -178,49 +174,3 @@
         self._balancer.configure(services, now)
         self._announcements.configure(services)
         self._update_upstreams(self._members.live(now))
-
-
-class EntryPages:
-    """Answer callers' and upstreams' questions over HTTP."""
-
-    def __init__(self, daemon: EntryDaemon) -> None:
-        self._daemon = daemon
-        self._asker = daemon._asker
-
-    @cherrypy.expose
-    def entries(self, availability_zone: str | None = None) -> bytes:
-        """Name the entries to use and how long to keep the answer."""
-        words = self._asker.ask(self._daemon.usable_entries, availability_zone)
-        return _json(
-            {
-                "entries": words,
-                "keep_s": self._daemon._settings.entries_keep_s,
-            }
-        )
-
-    @cherrypy.expose
-    def announce(self) -> bytes:
-        """Take an upstream's announcement."""
-        key = cherrypy.request.headers.get(SERVICE_KEY_HEADER, "")
-        body = cherrypy.request.body.read(ANNOUNCEMENT_BYTES + 1)
-        try:
-            announcement = read_announcement(body)
-            lease = self._asker.ask(
-                self._daemon.announce, announcement, key[:KEY_BYTES]
-            )
-        except AnnouncementError as error:
-            cherrypy.response.status = error.status
-            if error.retry_after_s is not None:
-                cherrypy.response.headers["Retry-After"] = "1"
-            return _json({"reason": str(error), **error.fields})
-        return _json(lease)
-
-    @cherrypy.expose
-    def status(self) -> bytes:
-        """Describe this entry."""
-        return _json(self._asker.ask(self._daemon.status))
-
-
-def _json(value: Any) -> bytes:
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    return msgspec.json.encode(value)
