Claim keyed requests in the replicated ledger before their send

Cause: a caller that lost its answer and asked again through another entry had its loan run twice; only the single send of one entry was held.

Change: a request whose rule is not idempotent and that carries an Idempotency-Key is claimed in the log by service and key. A resend is told ran (with the first answer's status), unknown, or runs when the first truly did not. A key of another request gets 422. Claims gather while one batch is under way. Without a leader keyed calls are refused "not run" at once; a claim that was given up is released, also when it arrives later. The ledger's time is the sum of its leaders' own clocks between batches.

Ruled out: an owner per key with replicas: a second agreement beside the log. Wall-clock expiry: a wrong clock would forget keys early.

--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -59,6 +59,21 @@
         self.attempt = attempt
 
 
+class Known:
+    """Order the answer that the call's idempotency key was used before.
+
+    ``outcome`` is one of the ledger's; ``status`` is that of the answer
+    to the first request, where it ran.
+    """
+
+    __slots__ = ("call_id", "outcome", "status")
+
+    def __init__(self, call_id: int, outcome: str, status: int) -> None:
+        self.call_id = call_id
+        self.outcome = outcome
+        self.status = status
+
+
 class Cancel:
     """Order that an attempt's connection be closed; it lost or nobody waits.
 
@@ -82,7 +97,7 @@
         self.endpoint = endpoint
 
 
-CallAction = Send | Refuse | Lose | Finish | Cancel
+CallAction = Send | Refuse | Lose | Finish | Known | Cancel
 Action = CallAction | Probe
 
 
--- a/packages/core/nutmegchute_core/commands.py
+++ b/packages/core/nutmegchute_core/commands.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from .claims import ClaimBatch
 from .fleets import Enroll
 from .fleets import Withdraw
 from .memberships import Reconfigure
@@ -13,4 +14,6 @@
     """Open a leader's term, so that entries of earlier terms commit."""
 
 
-Command = Change | Refusal | Reconfigure | Enroll | Withdraw | NoOp
+Command = (
+    Change | Refusal | Reconfigure | Enroll | Withdraw | ClaimBatch | NoOp
+)
--- a/packages/core/nutmegchute_core/machines.py
+++ b/packages/core/nutmegchute_core/machines.py
@@ -4,9 +4,13 @@
 
 import msgspec
 
+from .claims import ClaimAnswers
+from .claims import ClaimBatch
 from .commands import NoOp
 from .fleets import Enroll
 from .fleets import Withdraw
+from .ledgers import Ledger
+from .ledgers import LedgerState
 from .memberships import Reconfigure
 from .messages import LogEntry
 from .trees import Answer
@@ -15,7 +19,7 @@
 from .trees import Tree
 from .trees import TreeState
 
-Outcome = Answer | None
+Outcome = Answer | ClaimAnswers | None
 
 
 class MachineState(msgspec.Struct, frozen=True):
@@ -27,16 +31,18 @@
     applied: int = 0
     tree: TreeState = TreeState()
     entries: list[str] = []
+    ledger: LedgerState = LedgerState()
 
 
 class Machine:
     """Hold the replicated state; equal logs give equal machines."""
 
-    __slots__ = ("_applied", "_entries", "_tree")
+    __slots__ = ("_applied", "_entries", "_ledger", "_tree")
 
     def __init__(self) -> None:
         self._tree = Tree()
         self._entries: set[str] = set()
+        self._ledger = Ledger()
         self._applied = 0
 
     @property
@@ -49,6 +55,11 @@
         """Name the entries that may act on the tree."""
         return self._entries
 
+    @property
+    def ledger(self) -> Ledger:
+        """Give the claims on idempotency keys."""
+        return self._ledger
+
     @property
     def applied(self) -> int:
         """Give the index of the last entry applied."""
@@ -65,6 +76,7 @@
             applied=self._applied,
             tree=self._tree.snapshot(),
             entries=sorted(self._entries),
+            ledger=self._ledger.snapshot(),
         )
 
     def restore(self, state: MachineState) -> None:
@@ -72,6 +84,7 @@
         self._applied = state.applied
         self._tree.restore(state.tree)
         self._entries = set(state.entries)
+        self._ledger.restore(state.ledger)
 
     @singledispatchmethod
     def _apply(self, command: object, index: int) -> Outcome:
@@ -97,6 +110,10 @@
         )
         return None
 
+    @_apply.register
+    def _(self, command: ClaimBatch, index: int) -> Outcome:
+        return self._ledger.apply(command)
+
     @_apply.register
     def _(self, command: Enroll, index: int) -> Outcome:
         self._entries.add(command.entry)
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -11,18 +11,27 @@
 import msgspec
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.claims import Claim
+from nutmegchute_core.claims import MISMATCH
+from nutmegchute_core.claims import OPEN
+from nutmegchute_core.claims import RAN
 from urllib3.exceptions import HTTPError
 
+from .claims import build_claim
+from .claims import KeyFormError
 from .errors import DaemonError
 from .protocols import ATTEMPT_HEADER
 from .protocols import DEADLINE_HEADER
 from .protocols import ENTRY_HEADER
+from .protocols import KEY_HEADER
 from .protocols import NOT_RUN
 from .protocols import OUTCOME_HEADER
+from .protocols import RAN_STATUS_HEADER
 from .protocols import UNKNOWN
 from .senders import HOP_HEADERS
 from .senders import Reply
@@ -42,12 +51,19 @@
 
 
 class Ticket:
-    """Carry the loop's actions for one call to its worker thread."""
+    """Carry the loop's actions for one call to its worker thread.
 
-    __slots__ = ("_actions", "call_id")
+    ``claim`` is the call's idempotency key and ``claimed`` tells whether
+    its rule asks for one; ``status`` is that of the answer read last.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_actions", "call_id", "claim", "claimed", "status")
+
+    def __init__(self, claim: Claim | None = None) -> None:
         self.call_id = 0
+        self.claim = claim
+        self.claimed = False
+        self.status = 0
         self._actions: queue.SimpleQueue[CallAction] = queue.SimpleQueue()
 
     def put(self, action: CallAction) -> None:
@@ -100,9 +116,10 @@
         try:
             service, request = self._read(environ)
             deadline_s = _read_deadline(environ)
+            claim = _read_claim(environ, service, request)
         except BadRequestError as error:
             return self._refuse(start_response, 400, str(error), 0.0)
-        ticket = Ticket()
+        ticket = Ticket(claim)
         path = request.target.partition("?")[0]
         self._asker.tell(
             self._desk.open_call,
@@ -121,22 +138,25 @@
         while True:
             action = ticket.take(MAX_DEADLINE_MS / 1000 + ACTION_GRACE_S)
             if isinstance(action, Send):
-                reply = self._attempt(action, request)
+                reply = self._attempt(ticket, action, request)
                 continue
             if isinstance(action, Refuse):
                 return self._refuse(
                     start_response, 503, action.reason, action.retry_after_s
                 )
+            if isinstance(action, Known):
+                return self._repeat(start_response, action)
             if isinstance(action, Finish) and reply is not None:
                 return self._answer(reply, start_response)
             reason = action.reason if isinstance(action, Lose) else "no word"
             return self._lose(start_response, reason)
 
-    def _attempt(self, send: Send, request: Request) -> Reply:
+    def _attempt(self, ticket: Ticket, send: Send, request: Request) -> Reply:
         request.headers[ATTEMPT_HEADER] = str(send.attempt)
         remaining_ms = max(1, int(send.remaining_s * 1000))
         request.headers[DEADLINE_HEADER] = str(remaining_ms)
         reply = self._sender.send(request, send.endpoint, send.remaining_s)
+        ticket.status = reply.status
         result = Result(
             call_id=send.call_id,
             attempt=send.attempt,
@@ -167,6 +187,28 @@
         ]
         return self._say(start_response, status, headers, reason)
 
+    def _repeat(
+        self, start_response: StartResponse, known: Known
+    ) -> list[bytes]:
+        """Tell a caller that sent a key again what became of the first."""
+        if known.outcome == MISMATCH:
+            reason = f"the {KEY_HEADER} belongs to another request"
+            headers = [(OUTCOME_HEADER, NOT_RUN)]
+            return self._say(start_response, 422, headers, reason)
+        if known.outcome == RAN:
+            reason = f"it ran and was answered with status {known.status}"
+            headers = [
+                (OUTCOME_HEADER, RAN),
+                (RAN_STATUS_HEADER, str(known.status)),
+            ]
+            return self._say(start_response, 409, headers, reason)
+        headers = [(OUTCOME_HEADER, UNKNOWN)]
+        reason = "it may have run"
+        if known.outcome == OPEN:
+            reason = "it is under way, or its entry broke off"
+            headers.append(("Retry-After", "1"))
+        return self._say(start_response, 409, headers, reason)
+
     def _lose(self, start_response: StartResponse, reason: str) -> list[bytes]:
         headers = [(OUTCOME_HEADER, UNKNOWN)]
         return self._say(start_response, 502, headers, reason)
@@ -225,6 +267,20 @@
     return int(text) / 1000
 
 
+def _read_claim(
+    environ: dict[str, Any], service: str, request: Request
+) -> Claim | None:
+    key = environ.get("HTTP_" + KEY_HEADER.upper().replace("-", "_"))
+    if key is None:
+        return None
+    try:
+        return build_claim(
+            service, key, request.method, request.target, request.body
+        )
+    except KeyFormError as error:
+        raise BadRequestError(f"{KEY_HEADER}: {error}") from error
+
+
 def _status_line(status: int) -> str:
     return f"{status} {responses.get(status, 'Unknown')}"
 
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -5,6 +5,10 @@
 import time
 from typing import Any
 
+from nutmegchute_core.claims import ClaimAnswers
+from nutmegchute_core.claims import ClaimBatch
+from nutmegchute_core.claims import ClaimReply
+from nutmegchute_core.claims import ClaimRequest
 from nutmegchute_core.commands import Command
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.errors import ReconfigurationError
@@ -25,6 +29,8 @@
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
 
+from .claims import CLAIM
+from .claims import LedgerClock
 from .daemons import Daemon
 from .errors import StartError
 from .errors import StorageError
@@ -80,6 +86,8 @@
         self._unreachable: set[str] = set()
         self._links.serve(DELIVER, self._on_deliver)
         self._links.serve(FOLLOW, self._on_follow)
+        self._ledger_clock = LedgerClock()
+        self._links.serve(CLAIM, self._on_claim)
         self._http.mount(ControlPages(self, self._asker))
 
     def begin(self) -> None:
@@ -150,6 +158,17 @@
         )
         return membership
 
+    async def _on_claim(self, request: ClaimRequest) -> ClaimReply:
+        try:
+            term = self._lead().replica.term
+            now = self._loop.time()
+            elapsed_s = self._ledger_clock.elapsed_s(term, now)
+            outcome = await self.propose(ClaimBatch(elapsed_s, request))
+        except (NotLeaderError, TimeoutError):
+            return ClaimReply(self._leader_name(), None)
+        assert isinstance(outcome, ClaimAnswers)
+        return ClaimReply(None, outcome.answers)
+
     @property
     def problem(self) -> str | None:
         """Say why the disk refuses, if it does."""
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -8,22 +8,34 @@
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import Cancel
+from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.claims import ClaimAnswer
+from nutmegchute_core.claims import FIRST
+from nutmegchute_core.claims import FULL
+from nutmegchute_core.claims import NOT_RUN
+from nutmegchute_core.claims import RAN
+from nutmegchute_core.claims import Settlement
+from nutmegchute_core.claims import UNKNOWN
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Members
 from nutmegchute_core.rules import read_services
+from nutmegchute_core.rules import Rule
+from nutmegchute_core.rules import Service
 
 from .announcements import Announcements
 from .callers import CALL_PATH
 from .callers import CallApplication
 from .callers import Ticket
+from .claims import Claimer
 from .daemons import Daemon
 from .events import Event
 from .events import log
@@ -35,6 +47,7 @@
 TICK_S = 0.01
 DRAIN_TICK_S = 0.05
 RETRY_S = 0.5
+SETTLE_S = 2.0
 
 
 class EntryDaemon(Daemon):
@@ -51,6 +64,9 @@
         self._announcements = Announcements(self._members)
         self._directory = Directory(own, random.random())
         self._tickets: dict[int, Ticket] = {}
+        self._services: dict[str, Service] = {}
+        self._claimer = Claimer(settings, self._links, self._loop)
+        self._claiming = 0
         self._follower = Follower(settings, self._links, self._apply)
         self._gossiper = Gossiper(
             settings=settings,
@@ -72,6 +88,7 @@
         self.every(TICK_S, self._tick)
         self.every(GOSSIP_TICK_S, self._gossiper.tick)
         self.every(0, self._follower.follow)
+        self.every(0, self._claimer.run)
 
     async def finish(self) -> None:
         """Leave the directory, outlast every answer, end the calls."""
@@ -81,8 +98,9 @@
         # A caller may have been given this address a moment ago and may
         # keep it that long; closing earlier would refuse its connection.
         await asyncio.sleep(self._settings.entries_keep_s)
-        while self._balancer.in_flight:
+        while self._balancer.in_flight or self._claiming:
             await asyncio.sleep(DRAIN_TICK_S)
+        await self._settle_all()
         await self._follower.leave()
 
     def open_call(
@@ -99,6 +117,67 @@
             # entry may know.
             ticket.put(Refuse(0, "configuration not confirmed", RETRY_S))
             return
+        rule = self._claimed_rule(ticket, service, method, path)
+        if rule is None:
+            self._admit(ticket, service, method, path, deadline_s)
+            return
+        started_at = self._loop.time()
+        wait_s = min(rule.deadline_s, deadline_s or rule.deadline_s)
+
+        def answered(answer: ClaimAnswer | None) -> None:
+            self._claiming -= 1
+            if not self._may_send(ticket, answer):
+                return
+            left_s = wait_s - (self._loop.time() - started_at)
+            self._admit(ticket, service, method, path, max(0.0, left_s))
+
+        self._claiming += 1
+        assert ticket.claim is not None
+        self._claimer.claim(ticket.claim, wait_s, answered)
+
+    def _claimed_rule(
+        self, ticket: Ticket, service: str, method: str, path: str
+    ) -> Rule | None:
+        if ticket.claim is None or service not in self._services:
+            return None
+        rule = self._services[service].rule_for(method, path)
+        if rule is None or rule.idempotent:
+            return None
+        ticket.claimed = True
+        return rule
+
+    def _may_send(self, ticket: Ticket, answer: ClaimAnswer | None) -> bool:
+        if answer is None or answer.outcome in (FULL, NOT_RUN):
+            ticket.put(Refuse(0, "ledger takes no claim", RETRY_S))
+            return False
+        if answer.outcome != FIRST:
+            ticket.put(Known(0, answer.outcome, answer.status))
+            return False
+        if self._follower.may_act():
+            return True
+        self._settle(ticket, NOT_RUN)
+        ticket.put(Refuse(0, "configuration not confirmed", RETRY_S))
+        return False
+
+    def _settle(self, ticket: Ticket, outcome: str) -> None:
+        if not ticket.claimed or ticket.claim is None:
+            return
+        status = ticket.status if outcome == RAN else 0
+        self._claimer.settle(Settlement(ticket.claim, outcome, status))
+
+    async def _settle_all(self) -> None:
+        give_up_at = self._loop.time() + SETTLE_S
+        while not self._claimer.idle and self._loop.time() < give_up_at:
+            await asyncio.sleep(DRAIN_TICK_S)
+
+    def _admit(
+        self,
+        ticket: Ticket,
+        service: str,
+        method: str,
+        path: str,
+        deadline_s: float | None,
+    ) -> None:
         now = self._loop.time()
         call_id, actions = self._balancer.arrive(
             service, method, path, now, deadline_s
@@ -154,9 +233,13 @@
             if isinstance(action, (Send, Cancel)):
                 continue
             del self._tickets[action.call_id]
+            if isinstance(action, Finish):
+                self._settle(ticket, RAN)
             if isinstance(action, Refuse):
+                self._settle(ticket, NOT_RUN)
                 self._metrics.count("refused")
             elif isinstance(action, Lose):
+                self._settle(ticket, UNKNOWN)
                 self._metrics.count("unknown")
                 log(Event.CALL_LOST, "warning", reason=action.reason)
 
@@ -170,7 +253,7 @@
     def _apply(self, reply: FollowReply) -> None:
         now = self._loop.time()
         assert reply.documents is not None
-        services = read_services(reply.documents)
+        services = self._services = read_services(reply.documents)
         self._balancer.configure(services, now)
         self._announcements.configure(services)
         self._update_upstreams(self._members.live(now))
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -37,6 +37,7 @@
     CONFIG_APPLIED = ("NC3001", "configuration in force")
     CONFIG_UNREACHABLE = ("NC3002", "no control replica answered")
     UPSTREAM_ANNOUNCED = ("NC3003", "upstream announced")
+    LEDGER_UNREACHABLE = ("NC3020", "ledger not reachable")
     CALL_LOST = ("NC3004", "call ended with unknown outcome")
     DRAINING = ("NC3005", "entry drains")
     CALL_FAILED = ("NC3006", "call handler failed")
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -20,7 +20,6 @@
 OUTCOME_HEADER = "Nutmegchute-Outcome"
 
 NOT_RUN = "not-run"
-RAN = "ran"
 UNKNOWN = "unknown"
 
 DELIVER = Method("Replication", "Deliver", Delivery, Delivery)
--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -81,7 +81,7 @@
     """Start control replicas, entries and fake upstreams."""
 
     def __init__(self, folder: Path, zones: list[str]) -> None:
-        self._folder = folder
+        self.folder = folder
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
         self.controls: list[Process] = []
@@ -105,7 +105,7 @@
         seeds = [free_address() for _ in range(entries)]
         for number, peer in enumerate(peers):
             document = self._settings("control", number, peer, peers)
-            document["data_folder"] = str(self._folder / peer["name"])
+            document["data_folder"] = str(self.folder / peer["name"])
             document["operators"] = [
                 {
                     "name": "operator",
@@ -143,7 +143,7 @@
         ]
         for name, value in options.items():
             command.append(f"--{name.replace('_', '-')}={value}")
-        log = self._folder / f"upstream-{number + 1}.log"
+        log = self.folder / f"upstream-{number + 1}.log"
         process = Process(f"upstream-{number + 1}", command, address, log)
         self.upstreams.append(process)
         return process
@@ -197,7 +197,7 @@
 
     def _last_words(self) -> str:
         lines = []
-        for path in sorted(self._folder.glob("*.log")):
+        for path in sorted(self.folder.glob("*.log")):
             lines.append(f"{path.name}:")
             lines.extend(path.read_text().splitlines()[-LOG_LINES:])
         return "\n".join(lines)
@@ -214,10 +214,10 @@
 
     def _daemon(self, document: dict[str, Any]) -> Process:
         name = document["name"]
-        path = self._folder / f"{name}.json"
+        path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
         command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
-        log = self._folder / f"{name}.log"
+        log = self.folder / f"{name}.log"
         return Process(name, command, document["http_address"], log)
 
 
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -3,7 +3,7 @@
 Usage:
   upstreams --service=NAME --address=ADDRESS
       --zone=NAME --entries=ADDRESSES [--slots=N] [--service-ms=MS]
-      [--key=KEY]
+      [--key=KEY] [--record=PATH]
 
 Options:
   --service=NAME       Service to announce.
@@ -13,6 +13,7 @@
   --slots=N            Calls run at once [default: 3].
   --service-ms=MS      Time one call takes [default: 2].
   --key=KEY            Key the service's announcements must show.
+  --record=PATH        File to append to what ran; it outlives a kill.
 """
 
 import signal
@@ -20,6 +21,7 @@
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -47,6 +49,7 @@
         "_incarnation",
         "_lock",
         "_ran",
+        "_record",
         "_service",
         "_service_s",
         "_slots",
@@ -61,6 +64,7 @@
         zone: str,
         slots: int,
         service_s: float,
+        record: Path | None = None,
     ) -> None:
         self._service = service
         self._address = address
@@ -71,6 +75,7 @@
         self._lock = threading.Lock()
         self._busy = 0
         self._ran: list[str] = []
+        self._record = record.open("a") if record is not None else None
         self._draining = False
         self._incarnation = time.time_ns()
 
@@ -95,6 +100,18 @@
         """Announce from now on that the endpoint is leaving."""
         self._draining = True
 
+    def _note(self, identity: str, environ: dict[str, Any]) -> None:
+        self._ran.append(identity)
+        if self._record is None:
+            return
+        method = environ["REQUEST_METHOD"]
+        at_unix_s = time.time()
+        incarnation = self._incarnation
+        line = f"{at_unix_s:.3f} {incarnation} {method} {identity}\n"
+        # One write: a kill leaves whole lines, and what ran is known.
+        self._record.write(line)
+        self._record.flush()
+
     def outbid(self, incarnation: int) -> None:
         """Take a number above that of an earlier run by a faster clock."""
         self._incarnation = max(self._incarnation, incarnation + 1)
@@ -125,7 +142,7 @@
             time.sleep(self._service_s)
             identity = environ.get("HTTP_X_REQUEST_ID", "")
             with self._lock:
-                self._ran.append(identity)
+                self._note(identity, environ)
                 self._busy -= 1
                 load = self._busy
         answer = {
@@ -208,6 +225,7 @@
         zone=arguments["--zone"],
         slots=slots,
         service_s=float(arguments["--service-ms"]) / 1000,
+        record=Path(arguments["--record"]) if arguments["--record"] else None,
     )
     host, _, port = arguments["--address"].rpartition(":")
     threads = slots * PATIENCE + EXTRA_THREADS
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,147 @@
+"""Lose answers of real processes and count what upstreams ran."""
+
+import signal
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+import urllib3
+from nutmegchute_fakes.clusters import Cluster
+from nutmegchute_fakes.clusters import OPERATOR_KEY
+from nutmegchute_fakes.clusters import Process
+from nutmegchute_fakes.demo import declaration
+from nutmegchute_fakes.demo import declare
+
+ZONES = ["miraflores", "san-isidro", "surco"]
+SLOW_MS = 400
+POOL = urllib3.PoolManager(timeout=10.0, retries=False)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    """Start 3 control replicas, 3 entries and 2 slow upstreams."""
+    folder = tmp_path_factory.mktemp("once")
+    one = Cluster(folder, ZONES)
+    try:
+        one.start(controls=3, entries=3, entries_keep_s=0.5)
+        controls = [process.address for process in one.controls]
+        declare(folder, declaration(3000), controls, OPERATOR_KEY)
+        for number in (1, 2):
+            one.add_upstream(
+                "prestamos",
+                service_ms=SLOW_MS,
+                record=folder / f"ran-{number}",
+            )
+        for entry in one.entries:
+            one.wait_for("upstreams", lambda e=entry: knows(one, e, 2))
+        yield one
+    finally:
+        one.stop()
+
+
+def knows(cluster: Cluster, entry: Process, count: int) -> bool:
+    """Tell whether an entry may act and knows its upstreams."""
+    status = cluster.ask(entry)
+    return status is not None and len(status["upstreams"]) == count
+
+
+def ran(folder: Path, identity: str) -> int:
+    """Count how often upstreams ran a request."""
+    lines: list[str] = []
+    for path in folder.glob("ran-*"):
+        lines.extend(path.read_text().splitlines())
+    return sum(1 for line in lines if line.endswith(f" {identity}"))
+
+
+def loan(
+    entry: Process, key: str, body: bytes = b"atlas", method: str = "POST"
+) -> urllib3.BaseHTTPResponse:
+    """Ask for a loan through one entry."""
+    url = f"http://{entry.address}/call/prestamos/loans"
+    headers = {"X-Request-Id": key, "Idempotency-Key": key}
+    return POOL.request(method, url, body=body, headers=headers)
+
+
+def outcome(answer: urllib3.BaseHTTPResponse) -> str | None:
+    """Give what an answer says of its request."""
+    return answer.headers.get("Nutmegchute-Outcome")
+
+
+def test_a_resend_elsewhere_is_told_that_it_ran(cluster: Cluster) -> None:
+    """Run a loan once when its answer was lost on the way to the caller.
+
+    The member's till sends it again through another entry. The book must
+    not be packed twice, and the till learns the first answer's status.
+    """
+    one, other, _ = cluster.entries
+    assert loan(one, "lost-answer").status == 200
+    time.sleep(0.2)
+    again = loan(other, "lost-answer")
+    assert (again.status, outcome(again)) == (409, "ran")
+    assert again.headers["Nutmegchute-Ran-Status"] == "200"
+    reused = loan(other, "lost-answer", body=b"another book")
+    assert (reused.status, outcome(reused)) == (422, "not-run")
+    assert ran(cluster.folder, "lost-answer") == 1
+
+
+def test_a_resend_during_the_first_is_not_sent(cluster: Cluster) -> None:
+    """Run a loan once when its caller was too impatient to wait."""
+    with ThreadPoolExecutor(2) as pool:
+        first = pool.submit(loan, cluster.entries[0], "impatient")
+        time.sleep(SLOW_MS / 2000)
+        again = loan(cluster.entries[1], "impatient")
+        assert (again.status, outcome(again)) == (409, "unknown")
+        assert first.result().status == 200
+    assert ran(cluster.folder, "impatient") == 1
+
+
+def test_a_killed_entry_leaves_unknown(cluster: Cluster) -> None:
+    """Run a loan once when its entry is killed while it runs.
+
+    The caller's connection breaks. Sent again through another entry, the
+    key is found claimed and unsettled: "unknown" is the only true word.
+    """
+    entry = cluster.entries[2]
+    with ThreadPoolExecutor(2) as pool:
+        first = pool.submit(loan, entry, "killed-entry")
+        time.sleep(SLOW_MS / 2000)
+        entry.kill()
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            first.result()
+    for other in cluster.entries[:2]:
+        again = loan(other, "killed-entry")
+        assert (again.status, outcome(again)) == (409, "unknown")
+    time.sleep(SLOW_MS / 1000)
+    assert ran(cluster.folder, "killed-entry") == 1
+    entry.restart()
+    cluster.wait_for("the entry", lambda: knows(cluster, entry, 2))
+
+
+def test_without_control_lookups_go_on(cluster: Cluster) -> None:
+    """Refuse only what needs the ledger while all of control is down.
+
+    A keyed loan that is not claimed must not be sent; it is refused at
+    once and truly did not run, so the same key runs once control is back.
+    """
+    entry = cluster.entries[0]
+    for control in cluster.controls:
+        control.signal(signal.SIGSTOP)
+    try:
+        refused = loan(entry, "no-quorum")
+        assert (refused.status, outcome(refused)) == (503, "not-run")
+        assert int(refused.headers["Retry-After"]) >= 1
+        started = time.monotonic()
+        assert outcome(loan(entry, "no-quorum")) == "not-run"
+        assert time.monotonic() - started < SLOW_MS / 1000
+        assert loan(entry, "lookup", method="GET").status == 200
+    finally:
+        for control in cluster.controls:
+            control.signal(signal.SIGCONT)
+
+    def runs() -> bool:
+        return loan(entry, "no-quorum").status == 200
+
+    cluster.wait_for("the ledger", runs)
+    assert ran(cluster.folder, "no-quorum") == 1
