--- a/packages/daemon/nutmegchute_daemon/pages.py
+++ b/packages/daemon/nutmegchute_daemon/pages.py
@@ -8,17 +8,24 @@
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.members import Announcement
 
+from .announcements import ANNOUNCEMENT_BYTES
+from .announcements import AnnouncementError
+from .announcements import KEY_BYTES
+from .announcements import read_announcement
+from .protocols import SERVICE_KEY_HEADER
 from .servers import LoopAsker
 
-REFRESH_SHARE = 3
-ANNOUNCEMENT_BYTES = 65536
-
 
 class Answerer(Protocol):
     """Describe what the entry's loop answers to pages."""
 
-    def announce(self, announcement: Announcement) -> float:
-        """Take an endpoint's word; return the lease, in seconds."""
+    def announce(
+        self, announcement: Announcement, key: str
+    ) -> dict[str, float]:
+        """Take an endpoint's word; return its lease.
+
+        :raises AnnouncementError: it was not taken
+        """
 
     def usable_entries(self, zone: str | None) -> list[EntryWord]:
         """Choose the entries that a caller should use."""
@@ -46,15 +53,19 @@
     @cherrypy.expose
     def announce(self) -> bytes:
         """Take an upstream's announcement."""
-        body = cherrypy.request.body.read(ANNOUNCEMENT_BYTES)
+        key = cherrypy.request.headers.get(SERVICE_KEY_HEADER, "")
+        body = cherrypy.request.body.read(ANNOUNCEMENT_BYTES + 1)
         try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except msgspec.DecodeError as error:
-            raise cherrypy.HTTPError(400, str(error)) from error
-        lease_s = self._asker.ask(self._daemon.announce, announcement)
-        return _json(
-            {"lease_s": lease_s, "refresh_s": lease_s / REFRESH_SHARE}
-        )
+            announcement = read_announcement(body)
+            lease = self._asker.ask(
+                self._daemon.announce, announcement, key[:KEY_BYTES]
+            )
+        except AnnouncementError as error:
+            cherrypy.response.status = error.status
+            if error.retry_after_s is not None:
+                cherrypy.response.headers["Retry-After"] = "1"
+            return _json({"reason": str(error), **error.fields})
+        return _json(lease)
 
     @cherrypy.expose
     def status(self) -> bytes:
