Use an environment named by VENV as it is

Cause: make reinstalled the packages into an environment shared by several checkouts when a pyproject.toml was newer, so that all of them pointed at the checkout that ran last. Change: only the checkout's own .venv is set up; another is only used.

--- a/Makefile
+++ b/Makefile
@@ -9,12 +9,19 @@
 
 .PHONY: demo test known-red lint format proto
 
+ifeq ($(VENV),.venv)
 $(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r constraints.txt
 	$(BIN)/pip install -q --no-build-isolation --no-deps \
 	  $(PACKAGES:%=-e packages/%)
 	touch $@
+else
+# An environment named from outside may serve other checkouts as well, so
+# it is used as it is: installing here would point them all at this one.
+$(VENV)/ready:
+	test -x $(BIN)/python
+endif
 
 demo: $(VENV)/ready
 	$(BIN)/python -m nutmegchute_fakes.demo
