Refuse contradictory settings, drain an entry by an operator's key

Cause: settings that can never work (a port of 0, 0.0.0.0 handed out to callers, a replica that the others look for elsewhere) were taken; an address in use ended in gRPC's own error after the line that counts; draining an entry needed a login on its vm. Ruled out: draining by a declaration, since an entry carries every team's calls and no branch owns it; SIGTERM stays and does the same.

--- a/packages/daemon/nutmegchute_daemon/__main__.py
+++ b/packages/daemon/nutmegchute_daemon/__main__.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from docopt import docopt
+from docopt import DocoptExit
 from returns.result import Failure
 
 from .controls import ControlDaemon
@@ -22,6 +23,8 @@
 from .entries import EntryDaemon
 from .errors import StartError
 from .events import configure_logs
+from .events import Event
+from .events import log
 from .settings import read_settings
 from .settings import Settings
 
@@ -35,7 +38,11 @@
 
 def main() -> int:
     """Read the settings and run the role they name."""
-    arguments = docopt(__doc__)
+    try:
+        arguments = docopt(__doc__)
+    except DocoptExit as error:
+        print(error.usage.strip(), file=sys.stderr)
+        return EXIT_USAGE
     path = Path(arguments["SETTINGS"])
     settings = read_settings(path)
     if isinstance(settings, Failure):
@@ -51,6 +58,8 @@
 
 async def _run(settings: Settings) -> None:
     configure_logs(settings.log_level, settings.name)
+    for warning in settings.warnings():
+        log(Event.SETTING_DOUBTFUL, "warning", detail=warning)
     await ROLES[settings.role](settings).run()
 
 
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -37,8 +37,14 @@
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stopping.set)
-        self.prepare()
-        await self._listen()
+        try:
+            self.prepare()
+            await self._listen()
+        except StartError:
+            # Left to the interpreter's end, the gRPC server prints a
+            # second, meaningless error after the line that counts.
+            await self._links.stop(0)
+            raise
         self.begin()
         log(Event.STARTED, role=self._settings.role)
         await self._stopping.wait()
@@ -53,6 +59,10 @@
         self.close()
         log(Event.STOPPED)
 
+    def stop(self) -> None:
+        """Begin to stop, as a signal does; safe to repeat."""
+        self._stopping.set()
+
     def prepare(self) -> None:
         """Build the role's state and mount what it serves."""
         raise NotImplementedError
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/drains.py
@@ -0,0 +1,42 @@
+"""Let operators take an entry out of service without a login on its vm."""
+
+from collections.abc import Callable
+
+import cherrypy
+
+from .events import Event
+from .events import log
+from .pages import as_json
+from .pages import require_operator
+from .pages import require_post
+from .servers import LoopAsker
+from .settings import Settings
+
+ALL_BRANCHES = "*"
+
+
+class DrainPage:
+    """Begin the same stop that SIGTERM begins."""
+
+    exposed = True
+
+    def __init__(
+        self, settings: Settings, asker: LoopAsker, stop: Callable[[], None]
+    ) -> None:
+        self._settings = settings
+        self._asker = asker
+        self._stop = stop
+
+    def __call__(self) -> bytes:
+        """Drain this entry; asking again changes nothing."""
+        require_post()
+        operator = require_operator(self._settings)
+        # An entry carries every team's calls: a key for one branch must
+        # not take the others' capacity away.
+        if not operator.may_change(ALL_BRANCHES):
+            raise cherrypy.HTTPError(
+                403, f"{operator.name} may not drain: needs branch '*'"
+            )
+        log(Event.DRAIN_ASKED, operator=operator.name)
+        self._asker.ask(self._stop)
+        return as_json({"draining": True})
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -26,6 +26,7 @@
 from .callers import CallApplication
 from .callers import Ticket
 from .daemons import Daemon
+from .drains import DrainPage
 from .events import Event
 from .events import log
 from .followers import Follower
@@ -63,7 +64,9 @@
         application = CallApplication(
             self, self._asker, settings.name, settings.request_body_bytes
         )
-        self._http.mount(EntryPages(self))
+        pages = EntryPages(self)
+        pages.drain = DrainPage(settings, self._asker, self.stop)
+        self._http.mount(pages)
         self._http.graft(application, CALL_PATH)
 
     def begin(self) -> None:
@@ -177,6 +180,8 @@
 class EntryPages:
     """Answer callers' and upstreams' questions over HTTP."""
 
+    drain: DrainPage
+
     def __init__(self, daemon: EntryDaemon) -> None:
         self._daemon = daemon
         self._asker = daemon._asker
--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -64,10 +64,11 @@
 class Links:
     """Hold the channels of this daemon and serve its methods."""
 
-    __slots__ = ("_channels", "_server")
+    __slots__ = ("_channels", "_server", "_started")
 
     def __init__(self) -> None:
         self._channels: dict[str, Any] = {}
+        self._started = False
         self._server = grpc.aio.server(
             options=[("grpc.so_reuseport", 0), *CHANNEL_OPTIONS]
         )
@@ -99,6 +100,7 @@
         """Listen; RuntimeError says the address is in use."""
         self._server.add_insecure_port(address)
         await self._server.start()
+        self._started = True
 
     async def ask(
         self,
@@ -128,6 +130,10 @@
 
     async def stop(self, grace_s: float) -> None:
         """Stop serving and close every channel."""
+        if not self._started:
+            # gRPC stops only what was started; a server left as it is
+            # prints an error of its own when the interpreter ends.
+            await self._server.start()
         await self._server.stop(grace_s)
         for channel in self._channels.values():
             await channel.close()
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/pages.py
@@ -0,0 +1,42 @@
+"""Share what the pages of both roles say and ask."""
+
+import html
+from typing import Any
+
+import cherrypy
+import msgspec
+
+from .protocols import OPERATOR_HEADER
+from .settings import Operator
+from .settings import Settings
+
+
+def plain_error(
+    status: str, message: str, traceback: str, version: str
+) -> str:
+    """Say what is wrong in one plain line, without program internals."""
+    cherrypy.response.headers["Content-Type"] = "text/plain;charset=utf-8"
+    return html.unescape(message) + "\n"
+
+
+def require_operator(settings: Settings) -> Operator:
+    """Return the operator who asks, or answer 401."""
+    key = cherrypy.request.headers.get(OPERATOR_HEADER, "")
+    operator = settings.find_operator(key)
+    if operator is None:
+        raise cherrypy.HTTPError(401, "no operator has this key")
+    return operator
+
+
+def require_post() -> None:
+    """Answer 405 to anything but POST; a mere look must change nothing."""
+    if cherrypy.request.method == "POST":
+        return
+    cherrypy.response.headers["Allow"] = "POST"
+    raise cherrypy.HTTPError(405, "use POST")
+
+
+def as_json(value: Any) -> bytes:
+    """Return a page's body as JSON."""
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return msgspec.json.encode(value)
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -9,6 +9,7 @@
 import cherrypy
 from cheroot import wsgi
 
+from .pages import plain_error
 from .settings import split_address
 
 ASK_TIMEOUT_S = 5.0
@@ -54,6 +55,7 @@
                 "environment": "embedded",
                 "log.screen": False,
                 "tools.encode.on": False,
+                "error_page.default": plain_error,
             }
         )
         # CherryPy's own server would listen on its default port as well,
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -1,5 +1,8 @@
 """Read, check and complete the daemon's settings."""
 
+import hashlib
+import hmac
+import ipaddress
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +34,13 @@
 }
 _NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"}
 
+_DIGEST = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
+_PATTERNS = [
+    (_ADDRESS, "an address, IP:PORT"),
+    (_NAME, "a name of small letters, digits and dashes"),
+    (_DIGEST, "a SHA-256 digest of 64 hex digits"),
+]
+
 SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
@@ -71,10 +81,7 @@
                 "required": ["name", "key_sha256", "branches"],
                 "properties": {
                     "name": _NAME,
-                    "key_sha256": {
-                        "type": "string",
-                        "pattern": "^[0-9a-f]{64}$",
-                    },
+                    "key_sha256": _DIGEST,
                     "branches": {
                         "type": "array",
                         "items": {"type": "string"},
@@ -91,6 +98,9 @@
     },
 }
 
+MAX_CONTROL_VMS = 7
+LONG_KEEP_S = 60.0
+
 _VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
 
 
@@ -201,6 +211,14 @@
         """List the operators known from the settings."""
         return self._operators
 
+    def find_operator(self, key: str) -> Operator | None:
+        """Return the operator whose key this is."""
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        for operator in self._operators:
+            if hmac.compare_digest(operator.key_sha256, digest):
+                return operator
+        return None
+
     @property
     def statsd_address(self) -> str:
         """Give the UDP address that metrics go to."""
@@ -231,6 +249,46 @@
         """Give the most entries named to one caller."""
         return int(self._values["entries_answer"])
 
+    def warnings(self) -> list[str]:
+        """List what is allowed and still likely to be a mistake."""
+        found = []
+        voters = len(self._control)
+        if voters and voters % 2 == 0:
+            found.append(
+                f"control: {voters} replicas survive no more losses than "
+                f"{voters - 1}"
+            )
+        if voters == 1:
+            found.append("control: one replica; its loss stops all changes")
+        if voters > MAX_CONTROL_VMS:
+            found.append(
+                f"control: {voters} replicas; at most {MAX_CONTROL_VMS} vms "
+                "are meant to be set aside"
+            )
+        if self.role == "control" and not self._operators:
+            found.append("operators: none, so nobody can change anything")
+        if self.role == "entry":
+            found.extend(self._entry_warnings())
+        return found
+
+    def _entry_warnings(self) -> list[str]:
+        found = []
+        if not self._control:
+            found.append("control: none, so no service will be known")
+        if not self._values["entries"]:
+            found.append(
+                "entries: none, so this entry will know no other entry and "
+                "no upstream that announced itself elsewhere"
+            )
+        if not self._operators:
+            found.append("operators: none, so nutmegchute drain is refused")
+        if self.entries_keep_s > LONG_KEEP_S:
+            found.append(
+                f"entries_keep_s: a drain lasts at least "
+                f"{self.entries_keep_s:g} s"
+            )
+        return found
+
 
 def read_settings(path: Path) -> Result[Settings, SettingsError]:
     """Read a settings file; the failure is one clear line."""
@@ -242,7 +300,7 @@
         return Failure(SettingsError(f"{path}: not JSON: {error}"))
     for fault in _VALIDATOR.iter_errors(document):
         place = "/".join(map(str, fault.absolute_path)) or "(top)"
-        return Failure(SettingsError(f"{path}: {place}: {fault.message}"))
+        return Failure(SettingsError(f"{path}: {place}: {_allowed(fault)}"))
     settings = Settings(document)
     problem = _contradiction(settings)
     if problem is not None:
@@ -256,11 +314,66 @@
     return host, int(port)
 
 
+def _allowed(fault: jsonschema.ValidationError) -> str:
+    """Tell what is wrong and, for patterns, what they stand for."""
+    for schema, text in _PATTERNS:
+        if fault.schema.get("pattern") == schema["pattern"]:
+            return f"{fault.instance!r} is not {text}"
+    return str(fault.message)
+
+
 def _contradiction(settings: Settings) -> str | None:
+    for place, address in _addresses(settings):
+        if not _is_address(address):
+            return f"{place}: {address!r} is not an IP number and a port"
+    for place, one in (
+        ("http_address", settings.http_address),
+        ("grpc_address", settings.grpc_address),
+    ):
+        if ipaddress.IPv4Address(split_address(one)[0]).is_unspecified:
+            return f"{place}: {one!r} cannot be given to others; name an IP"
+    if settings.http_address == settings.grpc_address:
+        return "grpc_address: must differ from http_address"
+    names = [peer.name for peer in settings.control]
+    if len(set(names)) < len(names):
+        return "control: lists a name twice"
     if settings.role != "control":
         return None
+    return _control_contradiction(settings)
+
+
+def _control_contradiction(settings: Settings) -> str | None:
     if settings.data_folder is None:
         return "data_folder: the control role needs a folder"
-    if settings.name not in [peer.name for peer in settings.control]:
-        return f"control: does not list this replica, {settings.name!r}"
-    return None
+    for peer in settings.control:
+        if peer.name != settings.name:
+            continue
+        if peer.grpc_address != settings.grpc_address:
+            return (
+                f"control: lists this replica at {peer.grpc_address}, "
+                f"grpc_address is {settings.grpc_address}"
+            )
+        return None
+    return f"control: does not list this replica, {settings.name!r}"
+
+
+def _addresses(settings: Settings) -> list[tuple[str, str]]:
+    found = [
+        ("http_address", settings.http_address),
+        ("grpc_address", settings.grpc_address),
+        ("statsd_address", settings.statsd_address),
+    ]
+    found.extend(("entries", one) for one in settings.entries)
+    for peer in settings.control:
+        found.append((f"control/{peer.name}", peer.grpc_address))
+        found.append((f"control/{peer.name}", peer.http_address))
+    return found
+
+
+def _is_address(address: str) -> bool:
+    host, port = split_address(address)
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    return 0 < port < 65536
