Split the command line and give operators every listing

Cause: the command line had no listings of entries, upstreams, services or replicas, no way to check without starting, a plan that named only teams, and wrong use ended with the status that means refused. Change: one module per job; plan names each place; apply resends one change id while time is left, tells nothing done from unknown, names a conflict's winner, leaves a branch without a file alone, and reports what is in force when run again. Ruled out: dropping the key from the change id; two operators who send equal content would share one audit record.

--- /dev/null
+++ b/packages/cli/nutmegchute_cli/changes.py
@@ -0,0 +1,173 @@
+"""Plan and apply declarations."""
+
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure
+
+from .clients import ControlClient
+from .declarations import change_id
+from .declarations import read_declarations
+from .differences import compare
+from .differences import Difference
+from .errors import EXIT_DONE
+from .errors import OutcomeUnknownError
+from .errors import RefusedError
+from .options import Options
+from .tables import print_json
+
+POLL_S = 0.05
+ACCEPTED = "accepted"
+CONFLICT = "conflict"
+
+
+class Plan:
+    """Hold what a folder of declarations would change in a tree."""
+
+    __slots__ = ("_bases", "_changed", "_tree", "_unmentioned")
+
+    def __init__(
+        self, tree: dict[str, Any], documents: dict[str, Any], remove: bool
+    ) -> None:
+        self._tree = tree
+        present = tree["documents"]
+        self._unmentioned = sorted(set(present) - set(documents))
+        self._changed: dict[str, Any] = {}
+        for team, document in documents.items():
+            if present.get(team) != document:
+                self._changed[team] = document
+        if remove:
+            self._changed.update(dict.fromkeys(self._unmentioned))
+        self._bases = {
+            team: tree["revisions"].get(team, 0) for team in self._changed
+        }
+
+    @property
+    def bases(self) -> dict[str, int]:
+        """Map each branch to change to the revision it has now."""
+        return self._bases
+
+    @property
+    def changed(self) -> dict[str, Any]:
+        """Map each branch to change to its document, None to remove it."""
+        return self._changed
+
+    @property
+    def left_alone(self) -> list[str]:
+        """List the branches that have no file and stay as they are."""
+        return [one for one in self._unmentioned if one not in self._changed]
+
+    def differences(self, team: str) -> list[Difference]:
+        """List the places that change in one branch."""
+        before = self._tree["documents"].get(team)
+        after = self._changed[team]
+        return compare(before or {}, after or {})
+
+
+def plan(options: Options) -> int:
+    """Print what apply would change."""
+    _print_plan(_read_plan(options, options.control()), options.json)
+    return EXIT_DONE
+
+
+def apply(options: Options) -> int:
+    """Send the declarations and wait until they are in force."""
+    client = options.control()
+    planned = _read_plan(options, client)
+    if not planned.changed:
+        # The same command after a lost answer ends here: its change is
+        # in the tree, and what is left to tell is whether it is in force.
+        print("nothing to change: the tree holds these declarations")
+        tree = client.get_from_leader("/tree")
+        index = tree["index"] if tree is not None else 0
+        return _wait(client, index, options.wait_s)
+    _print_plan(planned, False)
+    body = {
+        "change_id": change_id(planned.bases, planned.changed, options.key),
+        "bases": planned.bases,
+        "documents": planned.changed,
+    }
+    answer = client.post("/changes", body, options.wait_s)
+    if answer["outcome"] != ACCEPTED:
+        raise RefusedError(_explain(client, answer, planned.changed))
+    print(f"accepted: {_revisions(answer['revisions'])}")
+    return _wait(client, answer["index"], options.wait_s)
+
+
+def _read_plan(options: Options, client: ControlClient) -> Plan:
+    declared = read_declarations(Path(options.text("FOLDER")))
+    if isinstance(declared, Failure):
+        raise declared.failure()
+    return Plan(client.get("/tree"), declared.unwrap(), options.remove)
+
+
+def _print_plan(planned: Plan, as_json: bool) -> None:
+    if as_json:
+        print_json(_plan_document(planned))
+        return
+    if not planned.changed:
+        print("nothing to change")
+    for team in sorted(planned.changed):
+        base = planned.bases[team]
+        gone = "" if planned.changed[team] is not None else " (removed)"
+        print(f"{team}: revision {base} -> {base + 1}{gone}")
+        for difference in planned.differences(team):
+            print(f"  {difference}")
+    for team in planned.left_alone:
+        print(f"{team}: no file here, left as it is (--remove removes it)")
+
+
+def _plan_document(planned: Plan) -> dict[str, Any]:
+    changes = {}
+    for team in planned.changed:
+        changes[team] = {
+            "base": planned.bases[team],
+            "removed": planned.changed[team] is None,
+            "differences": [
+                one.as_dict() for one in planned.differences(team)
+            ],
+        }
+    return {"changes": changes, "left_alone": planned.left_alone}
+
+
+def _wait(client: ControlClient, index: int, wait_s: float) -> int:
+    deadline = time.monotonic() + wait_s
+    while True:
+        status = client.get_from_leader("/status")
+        if status and status["index"] >= index and status["in_force"]:
+            print("in force everywhere")
+            return EXIT_DONE
+        if time.monotonic() >= deadline:
+            break
+        time.sleep(POLL_S)
+    raise OutcomeUnknownError(
+        f"accepted, but not yet in force everywhere after {wait_s:g} s; "
+        "see nutmegchute entries, and run the same command again"
+    )
+
+
+def _explain(
+    client: ControlClient, answer: dict[str, Any], teams: Iterable[str]
+) -> str:
+    text = f"{answer['outcome']}: {answer['detail']}"
+    if answer["outcome"] != CONFLICT:
+        return text
+    for record in reversed(client.get("/audit")):
+        if record["outcome"] != ACCEPTED:
+            continue
+        won = sorted(set(record["to_revisions"]) & set(teams))
+        if not won:
+            continue
+        return (
+            f"{text}; {record['operator']} changed {', '.join(won)} first "
+            f"(change {record['change_id']}); take that in, look at "
+            "nutmegchute plan, then apply again"
+        )
+    return f"{text}; look at nutmegchute plan, then apply again"
+
+
+def _revisions(revisions: dict[str, int]) -> str:
+    parts = [f"{team} {number}" for team, number in sorted(revisions.items())]
+    return ", ".join(parts)
--- a/packages/cli/nutmegchute_cli/clients.py
+++ b/packages/cli/nutmegchute_cli/clients.py
@@ -1,5 +1,6 @@
-"""Talk to the control replicas over HTTP."""
+"""Talk to the control replicas and to entries over HTTP."""
 
+import time
 from typing import Any
 
 import msgspec
@@ -9,10 +10,23 @@
 from .errors import OutcomeUnknownError
 from .errors import RefusedError
 from .errors import UnreachableError
+from .errors import UsageError
 
 TIMEOUT_S = 5.0
+TRY_AGAIN_S = 0.2
+REDIRECTS = 3
 OPERATOR_HEADER = "Nutmegchute-Operator"
 
+OK = 200
+REDIRECT = 307
+FINAL = frozenset({400, 401, 403, 404, 405, 409, 413, 422})
+NEXT_STEPS = {
+    401: "set the variable NUTMEGCHUTE_KEY to your operator's key",
+    403: "ask an operator whose settings name that branch",
+    404: "this control replica is older than the command",
+    409: "see nutmegchute replicas and status",
+}
+
 
 class ControlClient:
     """Ask whichever control replica answers."""
@@ -21,81 +35,193 @@
 
     def __init__(self, addresses: list[str], key: str) -> None:
         self._addresses = addresses
-        self._headers = {OPERATOR_HEADER: key}
-        self._pool = urllib3.PoolManager(timeout=TIMEOUT_S, retries=False)
+        self._headers = _headers(key)
+        self._pool = _pool()
 
     def get(self, path: str) -> Any:
-        """Ask the replicas in turn.
+        """Ask the leader; where none leads, any replica that answers.
 
+        :raises RefusedError: the replica refuses this operator
         :raises UnreachableError: none answered
         """
-        for address in self._addresses:
+        leader = self._leader()
+        order = [one for one in self._addresses if one != leader]
+        if leader is not None:
+            order.insert(0, leader)
+        for address in order:
             answer = self._get(address, path)
             if answer is not None:
                 return answer
-        tried = ", ".join(self._addresses)
-        raise UnreachableError(
-            f"no control replica answered (tried {tried}); check --control"
-        )
+        raise self._unreachable()
 
     def get_from_leader(self, path: str) -> Any | None:
         """Ask the replica that leads; None says that none does."""
-        for address in self._addresses:
-            status = self._get(address, "/status")
-            if status is not None and status["state"] == "leader":
-                return self._get(address, path)
-        return None
+        leader = self._leader()
+        return None if leader is None else self._get(leader, path)
+
+    def statuses(self) -> dict[str, Any]:
+        """Map every address to its replica's status, None where silent.
+
+        :raises UnreachableError: none answered
+        """
+        found = {
+            address: self._get(address, "/status")
+            for address in self._addresses
+        }
+        if not any(found.values()):
+            raise self._unreachable()
+        return found
 
-    def change(self, body: dict[str, Any]) -> Any:
-        """Send a change, following the leader.
+    def post(self, path: str, body: Any, wait_s: float) -> Any:
+        """Send what is safe to send again until its outcome is known.
 
         :raises RefusedError: control refused it
         :raises OutcomeUnknownError: it may have been accepted
         :raises UnreachableError: it reached no replica
         """
         data = msgspec.json.encode(body)
-        lost = False
-        for address in self._addresses:
-            try:
-                answer = self._post(f"http://{address}/changes", data)
-            except HTTPError:
-                lost = True
-                continue
-            if answer.status == 200:
-                return msgspec.json.decode(answer.data)
-            if answer.status in (400, 401, 403):
-                raise RefusedError(_reason(answer))
-            lost = True
-        if lost:
+        deadline = time.monotonic() + wait_s
+        reached = False
+        while True:
+            for address in self._addresses:
+                try:
+                    answer = self._post(f"http://{address}{path}", data)
+                except HTTPError as error:
+                    reached = reached or not _never_left(error)
+                    continue
+                if answer.status == OK:
+                    return msgspec.json.decode(answer.data)
+                if answer.status in FINAL:
+                    raise RefusedError(_reason(answer))
+                # 503 says that nothing was proposed; any other status
+                # leaves it open whether the change is in the log.
+                reached = reached or answer.status != 503
+            if time.monotonic() >= deadline:
+                break
+            time.sleep(TRY_AGAIN_S)
+        if reached:
             raise OutcomeUnknownError(
-                "the change may or may not have been accepted; "
-                "run the same command again: it cannot apply twice"
+                "it may or may not have been accepted; run the same "
+                "command again: it cannot apply twice"
             )
-        raise UnreachableError("no control replica answered")
+        raise self._unreachable()
+
+    def _leader(self) -> str | None:
+        for address in self._addresses:
+            status = self._get(address, "/status")
+            if status is not None and status["state"] == "leader":
+                return address
+        return None
 
     def _post(self, url: str, data: bytes) -> urllib3.BaseHTTPResponse:
-        answer = self._pool.request(
-            "POST", url, body=data, headers=self._headers, redirect=False
-        )
-        if answer.status != 307:
-            return answer
-        return self._pool.request(
-            "POST",
-            answer.headers["Location"],
-            body=data,
-            headers=self._headers,
-            redirect=False,
-        )
+        for _ in range(REDIRECTS):
+            answer = self._pool.request(
+                "POST", url, body=data, headers=self._headers, redirect=False
+            )
+            if answer.status != REDIRECT:
+                break
+            url = answer.headers["Location"]
+        return answer
 
     def _get(self, address: str, path: str) -> Any | None:
+        return _get(self._pool, address, path, self._headers)
+
+    def _unreachable(self) -> UnreachableError:
+        tried = ", ".join(self._addresses)
+        return UnreachableError(
+            f"no control replica answered (tried {tried}); nothing was "
+            "done; check --control and that a majority of replicas runs"
+        )
+
+
+class EntryClient:
+    """Ask one entry."""
+
+    __slots__ = ("_address", "_headers", "_pool")
+
+    def __init__(self, address: str, key: str) -> None:
+        self._address = address
+        self._headers = _headers(key)
+        self._pool = _pool()
+
+    @property
+    def address(self) -> str:
+        """Give the entry's HTTP address."""
+        return self._address
+
+    def get(self, path: str) -> Any:
+        """Ask the entry.
+
+        :raises UnreachableError: it did not answer
+        """
+        answer = self.find(path)
+        if answer is None:
+            raise UnreachableError(
+                f"entry {self._address} did not answer; check --entry, or "
+                "ask another entry"
+            )
+        return answer
+
+    def find(self, path: str) -> Any | None:
+        """Ask the entry; None says that it did not answer."""
+        return _get(self._pool, self._address, path, self._headers)
+
+    def post(self, path: str) -> Any:
+        """Tell the entry to do something that is safe to repeat.
+
+        :raises RefusedError: it refused
+        :raises UnreachableError: it did not answer
+        """
         try:
-            answer = self._pool.request("GET", f"http://{address}{path}")
-        except HTTPError:
-            return None
-        if answer.status != 200:
-            return None
+            answer = self._pool.request(
+                "POST", f"http://{self._address}{path}", headers=self._headers
+            )
+        except HTTPError as error:
+            raise UnreachableError(
+                f"entry {self._address} did not answer; it may have "
+                "stopped already"
+            ) from error
+        if answer.status != OK:
+            raise RefusedError(_reason(answer))
         return msgspec.json.decode(answer.data)
 
 
+def _pool() -> urllib3.PoolManager:
+    return urllib3.PoolManager(timeout=TIMEOUT_S, retries=False)
+
+
+def _headers(key: str) -> dict[str, str]:
+    return {OPERATOR_HEADER: key}
+
+
+def _get(
+    pool: urllib3.PoolManager,
+    address: str,
+    path: str,
+    headers: dict[str, str],
+) -> Any | None:
+    try:
+        answer = pool.request(
+            "GET", f"http://{address}{path}", headers=headers
+        )
+    except urllib3.exceptions.LocationValueError as error:
+        raise UsageError(f"{address}: not an address (IP:PORT)") from error
+    except HTTPError:
+        return None
+    if answer.status in (401, 403):
+        raise RefusedError(_reason(answer))
+    if answer.status != OK:
+        return None
+    return msgspec.json.decode(answer.data)
+
+
+def _never_left(error: HTTPError) -> bool:
+    return isinstance(error, urllib3.exceptions.NewConnectionError)
+
+
 def _reason(answer: urllib3.BaseHTTPResponse) -> str:
-    return f"control refused: {answer.status} {answer.reason}"
+    text = answer.data.decode(errors="replace").strip()
+    if not text or text.startswith("<"):
+        text = answer.reason or ""
+    step = NEXT_STEPS.get(answer.status, "see docs/handbook.rst")
+    return f"refused ({answer.status}): {text}; {step}"
--- a/packages/cli/nutmegchute_cli/declarations.py
+++ b/packages/cli/nutmegchute_cli/declarations.py
@@ -12,32 +12,39 @@
 from returns.result import Result
 from returns.result import Success
 
-from .errors import CliError
+from .errors import UsageError
 
 
-def read_declarations(folder: Path) -> Result[dict[str, Any], CliError]:
+def read_declarations(folder: Path) -> Result[dict[str, Any], UsageError]:
     """Read and check every team's file; teams are named by the files."""
     documents: dict[str, Any] = {}
     paths = sorted(folder.glob("*.json"))
     if not paths:
-        return Failure(CliError(f"{folder}: no declarations (*.json) here"))
+        return Failure(UsageError(f"{folder}: no declarations (*.json) here"))
     for path in paths:
         try:
             document = msgspec.json.decode(path.read_bytes())
             check_team(path.stem, document)
         except OSError as error:
-            return Failure(CliError(f"{path}: {error.strerror}"))
+            return Failure(UsageError(f"{path}: {error.strerror}"))
         except (msgspec.DecodeError, DeclarationError) as error:
-            return Failure(CliError(f"{path}: {error}"))
+            return Failure(UsageError(f"{path}: {error}"))
         documents[path.stem] = document
     try:
         check_tree(documents)
     except DeclarationError as error:
-        return Failure(CliError(f"{folder}: {error}"))
+        return Failure(UsageError(f"{folder}: {error}"))
     return Success(documents)
 
 
-def change_id(bases: dict[str, int], documents: dict[str, Any]) -> str:
-    """Name a change by its content, so that a resend is recognised."""
-    data = msgspec.json.encode([bases, documents], order="deterministic")
+def change_id(
+    bases: dict[str, int], documents: dict[str, Any], key: str
+) -> str:
+    """Name a change by its content, so that a resend is recognised.
+
+    The operator's key goes in: two operators who send the same content
+    make two changes, and the audit trail must name each.
+    """
+    content = [bases, documents, hashlib.sha256(key.encode()).hexdigest()]
+    data = msgspec.json.encode(content, order="deterministic")
     return hashlib.sha256(data).hexdigest()[:32]
--- /dev/null
+++ b/packages/cli/nutmegchute_cli/replicas.py
@@ -0,0 +1,42 @@
+"""List the control replicas and change who they are."""
+
+from typing import Any
+
+from .errors import EXIT_DONE
+from .errors import RefusedError
+from .options import Options
+from .tables import print_rows
+
+DONE = "accepted"
+
+
+def run(options: Options) -> int:
+    """Run the replicas command that was given."""
+    if options.given("add"):
+        return _send(options, {"action": "add", **_addresses(options, "NAME")})
+    if options.given("remove"):
+        name = options.text("NAME")
+        return _send(options, {"action": "remove", "name": name})
+    if options.given("replace"):
+        body = {"action": "replace", **_addresses(options, "NEW")}
+        return _send(options, {**body, "replaces": options.text("NAME")})
+    found = options.control().get("/replicas")
+    columns = ["name", "kind", "grpc_address", "http_address", "match_index"]
+    print_rows(found["replicas"], columns, options.json)
+    return EXIT_DONE
+
+
+def _addresses(options: Options, name: str) -> dict[str, str]:
+    return {
+        "name": options.text(name),
+        "grpc_address": options.text("GRPC_ADDRESS"),
+        "http_address": options.text("HTTP_ADDRESS"),
+    }
+
+
+def _send(options: Options, body: dict[str, Any]) -> int:
+    answer = options.control().post("/replicas", body, options.wait_s)
+    if answer["outcome"] != DONE:
+        raise RefusedError(f"{answer['outcome']}: {answer['detail']}")
+    print(answer["detail"] or "done")
+    return EXIT_DONE
--- /dev/null
+++ b/packages/fakes/nutmegchute_fakes/controls.py
@@ -0,0 +1,114 @@
+"""Stand in for a control replica towards the command line."""
+
+import threading
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import Any
+
+import msgspec
+from nutmegchute_core.trees import Change
+from nutmegchute_core.trees import Tree
+
+OPERATOR_HEADER = "Nutmegchute-Operator"
+ANSWER_LOST = "answer lost"
+NEVER_ARRIVED = "never arrived"
+
+POLL_S = 0.01
+
+
+class FakeControl:
+    """Serve the real tree over HTTP; faults and state are set by tests."""
+
+    def __init__(self, operators: dict[str, str]) -> None:
+        self.tree = Tree()
+        self.operators = operators
+        self.faults: list[str] = []
+        self.state = "leader"
+        self.in_force = True
+        self.entries: dict[str, int] = {}
+        self.replicas: list[dict[str, Any]] = []
+        self.posts: list[tuple[str, Any]] = []
+        self._index = 0
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), _handler(self))
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, args=(POLL_S,)
+        )
+        self._thread.start()
+
+    @property
+    def address(self) -> str:
+        """Give the address it serves at."""
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+        self._thread.join()
+
+    def page(self, path: str) -> Any:
+        """Return what a GET shows; None where there is no such page."""
+        pages = {
+            "/tree": {
+                "index": self.tree.index,
+                "revisions": self.tree.revisions,
+                "documents": self.tree.documents,
+            },
+            "/audit": self.tree.audit,
+            "/replicas": {"replicas": self.replicas},
+            "/status": {
+                "name": "control-1",
+                "state": self.state,
+                "leader": "control-1",
+                "term": 1,
+                "commit": self._index,
+                "index": self.tree.index,
+                "entries": self.entries,
+                "in_force": self.in_force,
+            },
+        }
+        return pages.get(path)
+
+    def take(self, path: str, key: str, body: Any) -> tuple[int, Any]:
+        """Take a POST; return the HTTP status and the answer."""
+        operator = self.operators.get(key)
+        if operator is None:
+            return 401, "no operator has this key"
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == NEVER_ARRIVED:
+            return 503, "no leader"
+        self.posts.append((path, body))
+        answer: Any = {"outcome": "accepted", "detail": "done"}
+        if path == "/changes":
+            self._index += 1
+            change = Change(operator=operator, at_unix_s=0.0, **body)
+            answer = self.tree.apply(self._index, change)
+        if fault == ANSWER_LOST:
+            return 504, "outcome not known"
+        return 200, answer
+
+
+def _handler(control: FakeControl) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            page = control.page(self.path)
+            self._answer(404 if page is None else 200, page)
+
+        def do_POST(self) -> None:
+            length = int(self.headers["Content-Length"])
+            body = msgspec.json.decode(self.rfile.read(length))
+            key = self.headers.get(OPERATOR_HEADER, "")
+            self._answer(*control.take(self.path, key, body))
+
+        def log_message(self, format: str, *args: Any) -> None:
+            """Keep the test's output clean."""
+
+        def _answer(self, status: int, value: Any) -> None:
+            data = value if isinstance(value, str) else ""
+            body = data.encode() or msgspec.json.encode(value)
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+    return Handler
