Hold events, metrics and state charts to their pages

Cause: the catalogue of events was not checked against the code, metrics had no page, charts no picture, a failing page left no trace in the log, and nothing reported the cost that each daemon may have. Change: cause and action for every event, a metrics page that says what pages at night, gauges of cost and role every 5 s, charts drawn from their files; tests compare each page with the code in both directions.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(subst $() ,:,$(PACKAGES:%=$(CURDIR)/packages/%))
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test known-red lint format proto
+.PHONY: demo test known-red lint format proto charts
 
 ifeq ($(VENV),.venv)
 $(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
@@ -49,6 +49,9 @@
 	  packages/daemon/nutmegchute_daemon/wire.proto \
 	  --python_out=packages/daemon
 
+charts: $(VENV)/ready
+	$(BIN)/python -m benchmarks.charts
+
 # bench-NAME runs benchmarks/NAME.py.
 bench-%: $(VENV)/ready
 	$(BIN)/python benchmarks/$*.py
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -83,6 +83,16 @@
         """Start the replica's clock."""
         self.every(TICK_S, self._tick)
 
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether changes are taken and in force."""
+        leads = self._replica.state == LEADER
+        found = {"leads": float(leads), "commit": float(self._replica.commit)}
+        if leads:
+            index = self._machine.tree.index
+            applied = self._fleet.applied().values()
+            found["entries_behind"] = sum(one < index for one in applied)
+        return found
+
     def close(self) -> None:
         """Close the disk."""
         self._storage.close()
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -10,6 +10,8 @@
 from .events import log
 from .links import Links
 from .metrics import Metrics
+from .reports import REPORT_S
+from .reports import Reporter
 from .servers import HttpServer
 from .servers import LoopAsker
 from .settings import Settings
@@ -46,6 +48,8 @@
             await self._links.stop(0)
             raise
         self.begin()
+        reporter = Reporter(self._metrics, self.gauges, self._loop.time)
+        self.every(REPORT_S, reporter.report)
         log(Event.STARTED, role=self._settings.role)
         await self._stopping.wait()
         log(Event.STOPPING)
@@ -71,6 +75,10 @@
         """Start the role's periodic work."""
         raise NotImplementedError
 
+    def gauges(self) -> dict[str, float]:
+        """Give the role's gauges by name."""
+        return {}
+
     async def finish(self) -> None:
         """Complete what is in flight before the listeners close."""
 
--- a/packages/daemon/nutmegchute_daemon/drains.py
+++ b/packages/daemon/nutmegchute_daemon/drains.py
@@ -6,9 +6,9 @@
 
 from .events import Event
 from .events import log
-from .pages import as_json
-from .pages import require_operator
-from .pages import require_post
+from .handlers import as_json
+from .handlers import require_operator
+from .handlers import require_post
 from .servers import LoopAsker
 from .settings import Settings
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -76,6 +76,15 @@
         self.every(GOSSIP_S, self._gossiper.spread)
         self.every(0, self._follower.follow)
 
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether this entry can serve."""
+        return {
+            "in_flight": self._balancer.in_flight,
+            "upstreams": len(self._members.live()),
+            "entries": len(self._directory.usable(self._loop.time())),
+            "config_index": self._follower.index,
+        }
+
     async def finish(self) -> None:
         """Leave the directory, outlast every answer, end the calls."""
         self._directory.drain()
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -22,6 +22,7 @@
     STOPPING = ("NC1002", "daemon stopping")
     STOPPED = ("NC1003", "daemon stopped")
     SETTING_DOUBTFUL = ("NC1005", "setting is likely a mistake")
+    DRAIN_ASKED = ("NC1006", "operator asked the entry to drain")
     LED = ("NC2001", "replica leads")
     FOLLOWED = ("NC2002", "replica follows")
     CHANGE_DECIDED = ("NC2003", "change decided")
@@ -32,7 +33,6 @@
     CALL_LOST = ("NC3004", "call ended with unknown outcome")
     DRAINING = ("NC3005", "entry drains")
     CALL_FAILED = ("NC3006", "call handler failed")
-    DRAIN_ASKED = ("NC3007", "operator asked the entry to drain")
 
     @property
     def number(self) -> str:
--- a/packages/daemon/nutmegchute_daemon/pages.py
+++ b/packages/daemon/nutmegchute_daemon/handlers.py
@@ -1,21 +1,30 @@
 """Share what the pages of both roles say and ask."""
 
 import html
+from traceback import format_exc
 from typing import Any
 
 import cherrypy
 import msgspec
 
+from .events import Event
+from .events import log
 from .protocols import OPERATOR_HEADER
 from .settings import Operator
 from .settings import Settings
 
+FAULT = "500"
+
 
 def plain_error(
     status: str, message: str, traceback: str, version: str
 ) -> str:
     """Say what is wrong in one plain line, without program internals."""
     cherrypy.response.headers["Content-Type"] = "text/plain;charset=utf-8"
+    if status.startswith(FAULT):
+        # CherryPy keeps the reason to itself here; without this line the
+        # operator sees a 500 and nothing says why.
+        log(Event.CALL_FAILED, "error", trace=format_exc())
     return html.unescape(message) + "\n"
 
 
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import concurrent.futures
+import logging
 import threading
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 import cherrypy
 from cheroot import wsgi
 
-from .pages import plain_error
+from .events import Event
+from .events import log
+from .handlers import plain_error
 from .settings import split_address
 
 ASK_TIMEOUT_S = 5.0
@@ -44,6 +48,19 @@
         return future.result(ASK_TIMEOUT_S)
 
 
+class LoggedServer(wsgi.Server):
+    """Log what CherryPy's server would write to standard error as text."""
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log a failure of a handler as a numbered event."""
+        if level < logging.WARNING:
+            return
+        trace = format_exc() if traceback else ""
+        log(Event.CALL_FAILED, "error", detail=msg, trace=trace)
+
+
 class HttpServer:
     """Serve CherryPy's tree and grafted WSGI applications."""
 
@@ -61,7 +78,7 @@
         # CherryPy's own server would listen on its default port as well,
         # and a second daemon on the vm would end without a word.
         cherrypy.server.unsubscribe()
-        self._server = wsgi.Server(
+        self._server = LoggedServer(
             split_address(address),
             cherrypy.tree,
             numthreads=threads,
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,104 @@
+"""Hold the metrics' page to the code, and the reports to the clock."""
+
+import ast
+import re
+import socket
+from pathlib import Path
+
+import nutmegchute_daemon
+from nutmegchute_daemon.metrics import CATALOGUE
+from nutmegchute_daemon.metrics import Metrics
+from nutmegchute_daemon.reports import REPORT_S
+from nutmegchute_daemon.reports import Reporter
+
+PAGE = Path(__file__).parent.parent / "docs" / "metrics.rst"
+ENTRY = re.compile(
+    r"^``([\w.]+)`` \((\w+), ([^)]+)\)\n((?:    .+\n)+)", re.MULTILINE
+)
+SENDERS = {"count": "counter", "gauge": "gauge", "time_ms": "timer"}
+
+
+def test_page_and_catalogue_agree() -> None:
+    """Give each metric its type, unit, meaning and alert."""
+    found = {}
+    for name, kind, unit, body in ENTRY.findall(PAGE.read_text()):
+        found[name] = (kind, unit)
+        assert "Alert:" in " ".join(body.split()), name
+    assert found == CATALOGUE
+
+
+def test_code_and_catalogue_agree() -> None:
+    """Send every metric of the catalogue, by its type, and none besides."""
+    assert _sent() == {name: kind for name, (kind, _) in CATALOGUE.items()}
+
+
+def test_report_gives_cost_and_lag() -> None:
+    """Report a loop held for half a second as that much lag."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.settimeout(5)
+        port = listener.getsockname()[1]
+        times = iter([0.0, REPORT_S + 0.5])
+        reporter = Reporter(
+            Metrics(f"127.0.0.1:{port}", "entry-1"),
+            lambda: {"in_flight": 3.0},
+            lambda: next(times),
+        )
+        reporter.report()
+        lines = [listener.recv(256).decode() for _ in range(5)]
+    assert "nutmegchute.entry-1.alive:1|g" in lines
+    assert "nutmegchute.entry-1.loop_lag_ms:500.0|g" in lines
+    assert "nutmegchute.entry-1.in_flight:3.0|g" in lines
+
+
+def _sent() -> dict[str, str]:
+    found: dict[str, str] = {}
+    folder = Path(nutmegchute_daemon.__file__).parent
+    for path in sorted(folder.glob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.FunctionDef) and node.name == "gauges":
+                found.update(dict.fromkeys(_gauges(node), "gauge"))
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            function = node.func
+            if not isinstance(function, ast.Attribute):
+                continue
+            receiver = ast.unparse(function.value)
+            if function.attr in SENDERS and receiver.endswith("metrics"):
+                name = _name(node.args[0])
+                if name:
+                    found[name] = SENDERS[function.attr]
+    return found
+
+
+def _gauges(function: ast.FunctionDef) -> list[str]:
+    names: list[str] = []
+    for node in ast.walk(function):
+        if isinstance(node, ast.Dict):
+            names.extend(
+                ast.literal_eval(key) for key in node.keys if key is not None
+            )
+        if isinstance(node, ast.Assign):
+            target = node.targets[0]
+            if isinstance(target, ast.Subscript):
+                names.append(ast.literal_eval(target.slice))
+    return names
+
+
+def _name(argument: ast.expr) -> str:
+    """Write a metric's name as the catalogue does, {x.outcome} as OUTCOME.
+
+    A plain variable gives nothing: it stands for a role's gauges.
+    """
+    if isinstance(argument, ast.Constant):
+        return str(argument.value)
+    if not isinstance(argument, ast.JoinedStr):
+        return ""
+    parts = []
+    for part in argument.values:
+        if isinstance(part, ast.Constant):
+            parts.append(str(part.value))
+        elif isinstance(part, ast.FormattedValue):
+            word = ast.unparse(part.value).rpartition(".")[2]
+            parts.append(word.upper())
+    return "".join(parts)
