Measure what each role costs as the deployment grows

Cause: no figure said at which number of entries, endpoints, callers or changes a daemon breaks its budget.

--- a/Makefile
+++ b/Makefile
@@ -54,4 +54,4 @@
 
 # bench-NAME runs benchmarks/NAME.py.
 bench-%: $(VENV)/ready
-	$(BIN)/python benchmarks/$*.py
+	$(BIN)/python -m benchmarks.$*
--- /dev/null
+++ b/benchmarks/costs.py
@@ -0,0 +1,107 @@
+"""Read what processes cost: processor, memory and bytes on the wire."""
+
+import os
+import re
+import subprocess
+import time
+from pathlib import Path
+
+from nutmegchute_fakes.clusters import Process
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# IPv4 and TCP headers with timestamps, which every segment carries.
+SEGMENT_BYTES = 52
+MEGABYTE = 1_000_000
+
+_SOCKET = re.compile(r"\S+:(\d+) +\S+:(\d+) .*?pid=(\d+)")
+_FIELD = re.compile(r"(bytes_sent|bytes_received|segs_out|segs_in):(\d+)")
+
+
+class Cost:
+    """Hold what one process cost in a span of time."""
+
+    __slots__ = ("cpu_percent", "memory_mb", "received_bps", "sent_bps")
+
+    def __init__(
+        self,
+        cpu_percent: float,
+        memory_mb: float,
+        sent_bps: float,
+        received_bps: float,
+    ) -> None:
+        self.cpu_percent = cpu_percent
+        self.memory_mb = memory_mb
+        self.sent_bps = sent_bps
+        self.received_bps = received_bps
+
+    @property
+    def wire_bps(self) -> float:
+        """Give bytes a second, both ways together."""
+        return self.sent_bps + self.received_bps
+
+
+def measure(
+    processes: list[Process], ports: set[int], seconds: float
+) -> dict[str, Cost]:
+    """Watch processes for a span; bytes are those on the given ports."""
+    start = time.monotonic()
+    before = {one.name: _cpu_s(one.pid) for one in processes}
+    wire_before = _wire(ports)
+    time.sleep(seconds)
+    elapsed_s = time.monotonic() - start
+    wire_after = _wire(ports)
+    costs = {}
+    for process in processes:
+        cpu_s = _cpu_s(process.pid) - before[process.name]
+        sent, received = wire_after.get(process.pid, (0, 0))
+        sent_0, received_0 = wire_before.get(process.pid, (0, 0))
+        costs[process.name] = Cost(
+            cpu_percent=100 * cpu_s / elapsed_s,
+            memory_mb=_memory_bytes(process.pid) / MEGABYTE,
+            sent_bps=(sent - sent_0) / elapsed_s,
+            received_bps=(received - received_0) / elapsed_s,
+        )
+    return costs
+
+
+def mean(costs: list[Cost]) -> Cost:
+    """Average the costs of like processes."""
+    number = len(costs)
+    return Cost(
+        cpu_percent=sum(one.cpu_percent for one in costs) / number,
+        memory_mb=sum(one.memory_mb for one in costs) / number,
+        sent_bps=sum(one.sent_bps for one in costs) / number,
+        received_bps=sum(one.received_bps for one in costs) / number,
+    )
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def _memory_bytes(pid: int) -> int:
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def _wire(ports: set[int]) -> dict[int, tuple[int, int]]:
+    """Map processes to bytes sent and received, headers included."""
+    command = ["ss", "-tinpHO", "state", "established"]
+    text = subprocess.run(command, capture_output=True, text=True).stdout
+    found: dict[int, tuple[int, int]] = {}
+    for line in text.splitlines():
+        match = _SOCKET.search(line)
+        if match is None:
+            continue
+        near, far, pid = map(int, match.groups())
+        if near not in ports and far not in ports:
+            continue
+        fields = {name: int(value) for name, value in _FIELD.findall(line)}
+        sent, received = found.get(pid, (0, 0))
+        sent += fields.get("bytes_sent", 0)
+        sent += SEGMENT_BYTES * fields.get("segs_out", 0)
+        received += fields.get("bytes_received", 0)
+        received += SEGMENT_BYTES * fields.get("segs_in", 0)
+        found[pid] = (sent, received)
+    return found
--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -84,6 +84,7 @@
         self._folder = folder
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
+        self.grpc_ports: list[int] = []
         self.controls: list[Process] = []
         self.entries: list[Process] = []
         self.upstreams: list[Process] = []
@@ -103,6 +104,8 @@
                 }
             )
         seeds = [free_address() for _ in range(entries)]
+        for address in [*seeds, *(peer["grpc_address"] for peer in peers)]:
+            self.grpc_ports.append(int(address.rpartition(":")[2]))
         for number, peer in enumerate(peers):
             document = self._settings("control", number, peer, peers)
             document["data_folder"] = str(self._folder / peer["name"])
