--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -101,6 +101,19 @@
             self._timer.cancel()
         self._turn_away_all()
 
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether changes are taken and in force."""
+        node = self._node
+        if node is None:
+            return {"leads": 0.0}
+        leads = node.replica.state == LEADER
+        found = {"leads": float(leads), "commit": float(node.replica.commit)}
+        if leads:
+            index = node.machine.tree.index
+            applied = self._followings.fleet.applied().values()
+            found["entries_behind"] = sum(one < index for one in applied)
+        return found
+
     def close(self) -> None:
         """Close the disk."""
         self._storage.close()
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -10,6 +10,8 @@
 from .events import log
 from .links import Links
 from .metrics import Metrics
+from .reports import REPORT_S
+from .reports import Reporter
 from .servers import HttpServer
 from .servers import LoopAsker
 from .settings import Settings
@@ -38,10 +40,18 @@
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stopping.set)
-        self.prepare()
-        await self._listen()
+        try:
+            self.prepare()
+            await self._listen()
+        except StartError:
+            # Left to the interpreter's end, the gRPC server prints a
+            # second, meaningless error after the line that counts.
+            await self._links.stop(0)
+            raise
         self.every(FLUSH_S, self._metrics.flush)
         self.begin()
+        reporter = Reporter(self._metrics, self.gauges, self._loop.time)
+        self.every(REPORT_S, reporter.report)
         log(Event.STARTED, role=self._settings.role)
         await self._stopping.wait()
         log(Event.STOPPING)
@@ -55,6 +65,10 @@
         self.close()
         log(Event.STOPPED)
 
+    def stop(self) -> None:
+        """Begin to stop, as a signal does; safe to repeat."""
+        self._stopping.set()
+
     def prepare(self) -> None:
         """Build the role's state and mount what it serves."""
         raise NotImplementedError
@@ -63,6 +77,10 @@
         """Start the role's periodic work."""
         raise NotImplementedError
 
+    def gauges(self) -> dict[str, float]:
+        """Give the role's gauges by name."""
+        return {}
+
     async def finish(self) -> None:
         """Complete what is in flight before the listeners close."""
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -37,6 +37,7 @@
 from .callers import Ticket
 from .claims import Claimer
 from .daemons import Daemon
+from .drains import DrainPage
 from .events import Event
 from .events import log
 from .followers import Follower
@@ -78,9 +79,9 @@
         application = CallApplication(
             self, self._asker, settings.name, settings.request_body_bytes
         )
-        self._http.mount(
-            EntryPages(self, self._asker, settings.entries_keep_s)
-        )
+        pages = EntryPages(self, self._asker, settings.entries_keep_s)
+        pages.drain = DrainPage(settings, self._asker, self.stop)
+        self._http.mount(pages)
         self._http.graft(application, CALL_PATH)
 
     def begin(self) -> None:
@@ -90,6 +91,16 @@
         self.every(0, self._follower.follow)
         self.every(0, self._claimer.run)
 
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether this entry can serve."""
+        now = self._loop.time()
+        return {
+            "in_flight": self._balancer.in_flight,
+            "upstreams": len(self._members.live(now)),
+            "entries": len(self._directory.usable(now)),
+            "config_index": self._follower.index,
+        }
+
     async def finish(self) -> None:
         """Leave the directory, outlast every answer, end the calls."""
         self._directory.drain()
