--- a/packages/core/nutmegchute_core/commands.py
+++ b/packages/core/nutmegchute_core/commands.py
@@ -2,11 +2,18 @@
 
 import msgspec
 
+from .claims import ClaimBatch
+from .fleets import Enroll
+from .fleets import Withdraw
+from .memberships import Reconfigure
 from .trees import Change
+from .trees import Refusal
 
 
 class NoOp(msgspec.Struct, frozen=True, tag=True):
     """Open a leader's term, so that entries of earlier terms commit."""
 
 
-Command = Change | NoOp
+Command = (
+    Change | Refusal | Reconfigure | Enroll | Withdraw | ClaimBatch | NoOp
+)
