Suspect a zone by two late answers; test each decision

An entry lost a call at each endpoint of a lost zone before it knew. Two late answers from a zone and none in time now put the whole zone behind the others; suspicion fades, since who gets nothing cannot clear itself.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -29,6 +29,7 @@
 from nutmegchute_core.policies import Policy
 from nutmegchute_core.rules import read_services
 
+from . import policy_costs
 from .policy_baselines import BASELINES
 from .policy_baselines import Decider
 from .policy_baselines import Probing
@@ -259,6 +260,7 @@
             for way, values in ratios.items():
                 other = found[way, user, number, ""].percentile_ms(99.0)
                 values.append(own.percentile_ms(99.0) / other)
+    policy_costs.report()
     print(
         f"\npolicy p99 versus power-of-two "
         f"{geometric_mean(ratios['power of two']):.2f}, versus oracle "
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -19,13 +19,27 @@
 # Spread of the load estimate: even below its slots an endpoint may queue.
 SPREAD = 1.0
 OTHER_ZONE_S = 0.002
+# A suspect is passed over while others will do. Suspicion fades, for an
+# endpoint that gets nothing cannot answer and so clear itself.
 SUSPECT_FACTOR = 1.0
 ZONE_STALLS = 2
 STALL_S = 1.0
-LATENCY_BAND = 1.5
+# Latency counts only beyond this multiple of the mean: below, it tells of
+# the calls and of the queue that the load reports tell of already.
+LATENCY_BAND = 1.25
 EJECTED_MOST_SHARE = 0.5
 
 
+class ZoneStalls:
+    """Hold where answers are late since a zone's last answer."""
+
+    __slots__ = ("addresses", "at")
+
+    def __init__(self) -> None:
+        self.addresses: set[str] = set()
+        self.at = 0.0
+
+
 class Chooser:
     """Score a bounded set of candidates, the best one wins."""
 
@@ -51,7 +65,7 @@
         # A dict for its order: the endpoint heard last comes last.
         self._recent: dict[Endpoint, None] = {}
         self._ejected: set[Endpoint] = set()
-        self._stalls: dict[str, set[str]] = {}
+        self._stalls: dict[str, ZoneStalls] = {}
         self._latency = Mean(FIRST_S)
         self._others = Mean(0.0)
 
@@ -112,16 +126,23 @@
         if slowness > 1.0:
             score *= slowness
         if self._policy.suspicion:
-            stalled = endpoint.stalled * endpoint.freshness(STALL_S, now)
-            if len(self._stalls.get(endpoint.zone, ())) >= ZONE_STALLS:
-                stalled += 1
-            score *= 1.0 + SUSPECT_FACTOR * stalled
+            score *= 1.0 + SUSPECT_FACTOR * self._suspicion(endpoint, now)
         if self._policy.warm_up:
             score *= endpoint.coldness(now)
         if self._policy.zones and not endpoint.local:
             score += OTHER_ZONE_S
         return score
 
+    def _suspicion(self, endpoint: Endpoint, now: float) -> float:
+        suspicion = 0.0
+        if endpoint.stalled:
+            age_s = now - endpoint.stalled_at
+            suspicion = endpoint.stalled * STALL_S / (STALL_S + age_s)
+        zone = self._stalls.get(endpoint.zone)
+        if zone is not None and len(zone.addresses) >= ZONE_STALLS:
+            suspicion += STALL_S / (STALL_S + now - zone.at)
+        return suspicion
+
     def hear_load(self, endpoint: Endpoint, load: int, now: float) -> None:
         """Take an endpoint's load report."""
         self._others.learn(endpoint.hear_load(load, now))
@@ -156,7 +177,9 @@
         endpoint.stalled += 1
         endpoint.stalled_at = now
         endpoint.hear_late(elapsed_s, now)
-        self._stalls.setdefault(endpoint.zone, set()).add(endpoint.address)
+        zone = self._stalls.setdefault(endpoint.zone, ZoneStalls())
+        zone.addresses.add(endpoint.address)
+        zone.at = now
 
     def hear_failure(self, endpoint: Endpoint, now: float) -> None:
         """Take word that an attempt failed at an endpoint."""
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -113,10 +113,6 @@
         weight = LATENCY_KEPT_S / (LATENCY_KEPT_S + age_s)
         return mean_s + (self._latency_s - mean_s) * weight
 
-    def freshness(self, keep_s: float, now: float) -> float:
-        """Give what its last stall still weighs, half after ``keep_s``."""
-        return keep_s / (keep_s + now - self.stalled_at)
-
     def coldness(self, now: float) -> float:
         """Give by how much a newcomer is held to be slower."""
         if self.joined_at is None:
--- /dev/null
+++ b/tests/test_balancers_policy.py
@@ -0,0 +1,189 @@
+"""Test hedges, retries in layers and early refusals on virtual time."""
+
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.budgets import EXTRA_BURST
+from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import Cancel
+from nutmegchute_core.calls import CANCELLED
+from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Lose
+from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import Probe
+from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Result
+from nutmegchute_core.calls import Send
+from nutmegchute_core.rules import read_services
+from support import announcement
+from support import rule
+
+ANSWER_S = 0.02
+LOAN = rule(name="loan", method="POST", idempotent=False, priority="action")
+SYNC = rule(
+    name="sync", method="PUT", priority="background", deadline_ms=60000
+)
+LOOKUP = rule(hedge=True, deadline_ms=1000)
+
+
+def build(endpoints: int, probes_per_s: float = 0.0) -> Balancer:
+    """Build a balancer that has seen a hundred answers."""
+    balancer = Balancer(seed=1)
+    service = {
+        "rules": [LOAN, SYNC, LOOKUP],
+        "queue": 256,
+        "most_entries": 1,
+        "probes_per_s": probes_per_s,
+    }
+    documents = {"lending": {"services": {"catalogo": service}}}
+    balancer.configure(read_services(documents), 0.0)
+    found = [announcement(f"{number}:1") for number in range(endpoints)]
+    balancer.update_upstreams(found, 0.0)
+    for step in range(300):
+        now = step * ANSWER_S / 10 - 1.0
+        send = arrive(balancer, "GET", now)
+        result = Result(send.call_id, send.attempt, ANSWERED, ANSWER_S, 1)
+        balancer.finish(result, now)
+    return balancer
+
+
+def arrive(balancer: Balancer, method: str, now: float = 0.0) -> Send:
+    """Let one call arrive that is sent at once."""
+    _, actions = balancer.arrive("catalogo", method, "/", now)
+    assert isinstance(actions[0], Send)
+    return actions[0]
+
+
+def wake(balancer: Balancer, until: float) -> list[Send]:
+    """Tick as asked for until a time; return the sends."""
+    sends: list[Send] = []
+    while True:
+        at = balancer.next_wakeup()
+        if at is None or at > until:
+            return sends
+        for action in balancer.tick(at):
+            assert isinstance(action, (Send, Lose, Refuse))
+            if isinstance(action, Send):
+                sends.append(action)
+
+
+def test_late_lookup_is_hedged_and_the_loser_cancelled() -> None:
+    """A lookup stuck at a slow endpoint is answered by another.
+
+    The first endpoint says nothing; after the measured delay the lookup
+    goes to a second one, whose answer ends the call. The first attempt is
+    cancelled, its late result changes nothing and its slot is free.
+    """
+    balancer = build(2)
+    first = arrive(balancer, "GET")
+    (hedge,) = wake(balancer, 0.5)
+    assert hedge.call_id == first.call_id
+    assert hedge.endpoint != first.endpoint
+    won = Result(hedge.call_id, hedge.attempt, ANSWERED, ANSWER_S, 0)
+    end, cancel = balancer.finish(won, 0.6)
+    assert isinstance(end, Finish) and end.attempt == hedge.attempt
+    assert isinstance(cancel, Cancel) and cancel.attempt == first.attempt
+    late = Result(first.call_id, first.attempt, CANCELLED, 0.6)
+    assert balancer.finish(late, 0.61) == []
+    assert balancer.in_flight == 0
+
+
+def test_late_loan_is_never_hedged() -> None:
+    """A loan that takes long may still run; a second one would double it."""
+    balancer = build(3)
+    arrive(balancer, "POST")
+    assert wake(balancer, 0.9) == []
+
+
+def test_hedged_lookup_survives_the_loss_of_one_attempt() -> None:
+    """One attempt lost, the other answers: the caller sees the answer."""
+    balancer = build(2)
+    first = arrive(balancer, "GET")
+    (hedge,) = wake(balancer, 0.5)
+    lost = Result(first.call_id, first.attempt, LOST, 0.5)
+    assert balancer.finish(lost, 0.5) == []
+    won = Result(hedge.call_id, hedge.attempt, ANSWERED, 0.1, 0)
+    (end,) = balancer.finish(won, 0.6)
+    assert isinstance(end, Finish)
+
+
+def test_failed_answer_is_retried_only_where_it_may_repeat() -> None:
+    """A 500 for a lookup is tried elsewhere; for a loan it is passed on.
+
+    The endpoint may have recorded the loan before it failed.
+    """
+    balancer = build(2)
+    lookup = arrive(balancer, "GET")
+    result = Result(lookup.call_id, 1, ANSWERED, 0.001, 0, failed=True)
+    (again,) = balancer.finish(result, 0.001)
+    assert isinstance(again, Send)
+    assert again.endpoint != lookup.endpoint
+    loan = arrive(balancer, "POST")
+    result = Result(loan.call_id, 1, ANSWERED, 0.001, 0, failed=True)
+    (end,) = balancer.finish(result, 0.001)
+    assert isinstance(end, Finish)
+
+
+def test_call_that_is_a_retry_gets_no_other() -> None:
+    """Sixteen layers that each retry a retry would send 65,536 calls."""
+    balancer = build(3)
+    call_id, actions = balancer.arrive("catalogo", "GET", "/", 0.0, attempt=2)
+    assert isinstance(actions[0], Send)
+    result = Result(call_id, actions[0].attempt, LOST, 0.001)
+    (end,) = balancer.finish(result, 0.001)
+    assert isinstance(end, Lose)
+
+
+def test_retries_stop_when_everything_fails() -> None:
+    """With all endpoints failing, extra sends end with the budget."""
+    balancer = build(3)
+    sends = 0
+    for step in range(200):
+        now = step / 100
+        _, actions = balancer.arrive("catalogo", "GET", "/", now)
+        while actions and isinstance(actions[0], Send):
+            sends += 1
+            result = Result(
+                actions[0].call_id, actions[0].attempt, LOST, 0.001
+            )
+            actions = balancer.finish(result, now)
+    assert sends <= 200 * 1.08 + EXTRA_BURST
+
+
+def test_hopeless_call_is_refused_at_once() -> None:
+    """What cannot be answered in time is told so while it can go on.
+
+    One endpoint with two slots is busy and calls queue up. A lookup that
+    would wait past half its deadline gets "not run" with the time to come
+    back on arrival, not after waiting in vain; a sync can wait and does.
+    """
+    balancer = build(1)
+    refused = None
+    for _ in range(200):
+        _, actions = balancer.arrive("catalogo", "GET", "/", 0.0)
+        if actions and isinstance(actions[0], Refuse):
+            refused = actions[0]
+            break
+    assert refused is not None
+    assert refused.retry_after_s > 0.2
+    _, actions = balancer.arrive("catalogo", "PUT", "/", 0.0)
+    assert actions == []
+
+
+def test_retry_that_waits_does_not_hold_up_the_next_call() -> None:
+    """A call behind a stuck retry goes to the endpoint the retry avoids."""
+    balancer = build(1)
+    first = arrive(balancer, "GET")
+    result = Result(first.call_id, first.attempt, LOST, 0.001)
+    assert balancer.finish(result, 0.001) == []
+    assert isinstance(arrive(balancer, "GET", 0.002), Send)
+
+
+def test_silent_endpoint_is_probed_and_no_other() -> None:
+    """Probes ask suspects alone, so a healthy pool costs nothing."""
+    balancer = build(3, probes_per_s=10.0)
+    assert balancer.tick(1.0) == []
+    stalled = arrive(balancer, "POST", 1.0)
+    actions = balancer.tick(1.5)
+    (probe,) = [one for one in actions if isinstance(one, Probe)]
+    assert probe.endpoint == stalled.endpoint
+    assert balancer.take_probe("catalogo", probe.endpoint, 1, 0.005, 1.5) == []
+    assert balancer.tick(2.0) == []
--- /dev/null
+++ b/tests/test_choosers.py
@@ -0,0 +1,174 @@
+"""Test the choice of endpoint on virtual time."""
+
+from collections import Counter
+from random import Random
+
+from nutmegchute_core.choosers import Chooser
+from nutmegchute_core.endpoints import EJECT_AFTER
+from nutmegchute_core.endpoints import EJECT_FIRST_S
+from nutmegchute_core.endpoints import Endpoint
+from nutmegchute_core.endpoints import STUCK_AFTER
+from nutmegchute_core.endpoints import WARM_UP_S
+from nutmegchute_core.policies import Policy
+from support import announcement
+
+MEAN_S = 0.02
+
+
+def build(
+    count: int, probed: bool = False, zone: str = "surco"
+) -> tuple[Chooser, list[Endpoint]]:
+    """Build a chooser whose endpoints have all answered alike."""
+    chooser = Chooser(Random(5), Policy(), probed)
+    endpoints = [
+        Endpoint(
+            announcement(f"{number}:1", availability_zone=zone), True, None
+        )
+        for number in range(count)
+    ]
+    chooser.update(endpoints)
+    for endpoint in endpoints:
+        chooser.hear_load(endpoint, 1, 0.0)
+        chooser.hear_answer(endpoint, MEAN_S, 0.0)
+    return chooser, endpoints
+
+
+def spread(chooser: Chooser, now: float, trial: bool = True) -> Counter[str]:
+    """Count where 200 calls would go."""
+    found: Counter[str] = Counter()
+    for _ in range(200):
+        endpoint = chooser.choose([], trial, now)
+        assert endpoint is not None
+        found[endpoint.address] += 1
+    return found
+
+
+def test_failing_fast_is_no_magnet() -> None:
+    """An endpoint that fails at once looks idle, and gets nothing.
+
+    Its answers come in half a millisecond and report no load; chosen by
+    load or latency it would draw every call. After a few failures it is
+    out, then each further trial that fails doubles the pause.
+    """
+    chooser, endpoints = build(6)
+    bad = endpoints[0]
+    for _ in range(EJECT_AFTER):
+        chooser.hear_load(bad, 0, 0.1)
+        chooser.hear_failure(bad, 0.1)
+    assert bad.address not in spread(chooser, 0.2)
+    later = 0.11 + EJECT_FIRST_S
+    assert bad.address in spread(chooser, later)
+    assert bad.address not in spread(chooser, later, trial=False)
+    chooser.hear_failure(bad, later)
+    assert bad.address not in spread(chooser, later + EJECT_FIRST_S * 1.5)
+
+
+def test_trial_waits_for_a_probe_where_there_is_a_budget() -> None:
+    """No caller's request finds out what a probe could."""
+    chooser, endpoints = build(6, probed=True)
+    bad = endpoints[0]
+    for _ in range(EJECT_AFTER):
+        chooser.hear_failure(bad, 0.1)
+    assert chooser.suspect(0.2) is None
+    later = 0.11 + EJECT_FIRST_S
+    assert bad.address not in spread(chooser, later)
+    assert chooser.suspect(later) is bad
+    chooser.hear_sign_of_life(bad, later)
+    assert bad.address in spread(chooser, later)
+
+
+def test_ejection_stops_at_half_the_pool() -> None:
+    """When nearly all fail, all stay in use.
+
+    A bad release of a caller makes every endpoint answer 500. Ejecting
+    them one by one would send all calls to the last one.
+    """
+    chooser, endpoints = build(6)
+    for endpoint in endpoints[:4]:
+        for _ in range(EJECT_AFTER):
+            chooser.hear_failure(endpoint, 0.1)
+    for endpoint in endpoints[4:]:
+        endpoint.in_flight = endpoint.slots
+    assert len(spread(chooser, 0.2)) == 4
+
+
+def test_fresh_reports_count_and_old_ones_fade() -> None:
+    """A busy endpoint is avoided now, and not an hour later."""
+    chooser, endpoints = build(4)
+    busy = endpoints[0]
+    for endpoint in endpoints:
+        load = 9 if endpoint is busy else 1
+        chooser.hear_load(endpoint, load, 1.0)
+    mean = sum((9, 1, 1, 1)) / 4
+    assert abs(busy.others(mean, MEAN_S, 1.0) - 9) < 1e-9
+    assert abs(busy.others(mean, MEAN_S, 3600.0) - mean) < 0.01
+    assert busy.address not in spread(chooser, 1.0)
+
+
+def test_a_report_that_never_changes_is_not_believed() -> None:
+    """An endpoint stuck at "idle" loses the credit of its reports."""
+    chooser, endpoints = build(4)
+    for step in range(STUCK_AFTER):
+        chooser.hear_load(endpoints[0], 1, float(step))
+    assert endpoints[0].stuck
+    chooser.hear_load(endpoints[0], 2, 10.0)
+    assert not endpoints[0].stuck
+
+
+def test_two_stalls_tell_of_a_zone() -> None:
+    """A lost zone costs an entry two calls, not one at each endpoint.
+
+    Nothing there answers and no connection is refused, so each endpoint
+    alone looks idle. Two late answers from one zone and none in time put
+    all of it behind the others, until one answers again.
+    """
+    chooser, endpoints = build(6)
+    far = [
+        Endpoint(announcement(f"far-{number}:1"), True, None)
+        for number in range(4)
+    ]
+    for endpoint in endpoints[:3]:
+        endpoint.announcement = announcement(
+            endpoint.address, availability_zone="miraflores"
+        )
+    chooser.update([*endpoints[:3], *far])
+    for endpoint in far:
+        chooser.hear_load(endpoint, 1, 1.0)
+    for endpoint in far[:2]:
+        chooser.hear_stall(endpoint, 0.06, 1.0)
+    used = spread(chooser, 1.0)
+    assert set(used) == {one.address for one in endpoints[:3]}
+    chooser.hear_answer(far[3], MEAN_S, 1.1)
+    assert far[3].address in spread(chooser, 1.1)
+
+
+def test_a_newcomer_warms_up() -> None:
+    """A cold process that reports no load is not flooded by 16 entries."""
+    chooser, endpoints = build(3)
+    cold = Endpoint(announcement("cold:1"), True, 10.0)
+    chooser.update([*endpoints, cold])
+    assert "cold:1" not in spread(chooser, 10.0)
+    assert "cold:1" in spread(chooser, 10.1 + WARM_UP_S)
+
+
+def test_own_zone_goes_first_and_yields_under_load() -> None:
+    """Calls stay in their zone until its endpoints are busier."""
+    chooser, endpoints = build(4)
+    for endpoint in endpoints[2:]:
+        endpoint.local = False
+    near = {one.address for one in endpoints[:2]}
+    assert set(spread(chooser, 0.0)) == near
+    for endpoint in endpoints[:2]:
+        chooser.hear_load(endpoint, 6, 1.0)
+    for endpoint in endpoints[2:]:
+        chooser.hear_load(endpoint, 1, 1.0)
+    assert not set(spread(chooser, 1.0)) & near
+
+
+def test_large_pool_forgets_who_left() -> None:
+    """One heard of lately is a candidate; not once it drains."""
+    chooser, endpoints = build(100)
+    leaving = endpoints[-1]
+    chooser.update(endpoints[:-1])
+    chooser.hear_load(leaving, 0, 1.0)
+    assert leaving.address not in spread(chooser, 1.0)
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,51 @@
+"""Test who waits for whom."""
+
+from nutmegchute_core.queues import HEAD_START_S
+from nutmegchute_core.queues import WaitQueue
+
+
+def drain(queue: WaitQueue) -> list[int]:
+    """Take every call in turn."""
+    found: list[int] = []
+    while True:
+        call_id = queue.first()
+        if call_id is None:
+            return found
+        queue.remove(call_id)
+        found.append(call_id)
+
+
+def test_background_yields_but_ages() -> None:
+    """Under steady pressure a nightly sync still arrives.
+
+    It yields to every lookup that comes within its head start and goes
+    before those that come later; strict priority would starve it for as
+    long as patrons keep asking.
+    """
+    queue = WaitQueue()
+    queue.push(1, "background", 0.0)
+    queue.push(2, "interactive", HEAD_START_S["background"] - 0.1)
+    queue.push(3, "interactive", HEAD_START_S["background"] + 0.1)
+    assert drain(queue) == [2, 1, 3]
+
+
+def test_a_retry_keeps_its_place() -> None:
+    """A call that comes back counts from its arrival, not from now."""
+    queue = WaitQueue()
+    queue.push(1, "interactive", 1.0)
+    queue.push(2, "interactive", 0.5)
+    assert drain(queue) == [2, 1]
+
+
+def test_counts_ahead_leave_out_lower_priorities() -> None:
+    """A lookup is not refused on account of waiting syncs."""
+    queue = WaitQueue()
+    queue.push(1, "background", 0.0)
+    queue.push(2, "action", 0.0)
+    queue.push(3, "interactive", 0.0)
+    assert queue.ahead_of("interactive") == 1
+    assert queue.ahead_of("background") == 3
+    assert queue.remove(3)
+    assert not queue.remove(3)
+    assert queue.ahead_of("interactive") == 0
+    assert len(queue) == 2
