--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -23,8 +23,6 @@
 # endpoint that gets nothing cannot answer and so clear itself.
 SUSPECT_FACTOR = 1.0
 ZONE_STALLS = 2
-PROBE_CLEARS = 1
-PROBE_STALLED = 1
 STALL_S = 1.0
 # Latency counts only beyond this multiple of the mean: below, it tells of
 # the calls and of the queue that the load reports tell of already.
@@ -76,6 +74,13 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
+    def load_share(self) -> float:
+        """Give the mean load that others put on an endpoint, per slot."""
+        slots = sum(one.slots for one in self._order)
+        if not slots:
+            return 0.0
+        return self._others.value * len(self._order) / slots
+
     def update(self, endpoints: list[Endpoint]) -> None:
         """Take the endpoints that may be chosen."""
         self._order = endpoints
@@ -193,23 +198,19 @@
             self._ejected.add(endpoint)
 
     def suspect(self, now: float) -> Endpoint | None:
-        """Return the endpoint whose recovery is most worth asking for."""
+        """Return the ejected endpoint that was not asked for longest."""
         best = None
         for endpoint in self._order:
-            ejected = endpoint in self._ejected
-            if not ejected and not (PROBE_STALLED and endpoint.stalled):
+            if endpoint not in self._ejected or endpoint.alive:
                 continue
-            if ejected and now < endpoint.ejected_until:
+            if now < endpoint.ejected_until:
                 continue
             if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
         return best
 
-    def hear_sign_of_life(self, endpoint: Endpoint, now: float) -> None:
-        """Take a probe's answer: a trial may follow, a stall is over."""
-        if PROBE_CLEARS:
-            endpoint.stalled = 0
-            self._stalls.pop(endpoint.zone, None)
+    def hear_sign_of_life(self, endpoint: Endpoint) -> None:
+        """Take a probe's answer: a trial may follow."""
         endpoint.alive = True
 
     def _open(self, endpoint: Endpoint, trial: bool, now: float) -> bool:
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -20,6 +20,7 @@
 from .rules import Service
 
 HEDGE_QUANTILE = 0.92
+HEDGE_MOST_LOAD = 99.0
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
 RETRY_AFTER_LEAST_S = 0.2
@@ -188,6 +189,8 @@
             return None
         if self.too_late(call, now) or not self.has_room():
             return None
+        if self._chooser.load_share() > HEDGE_MOST_LOAD:
+            return None
         found = self.choose(call, now)
         if found is None or not self._extra.spend_hedge():
             return None
@@ -240,7 +243,7 @@
             self._chooser.hear_failure(endpoint, now)
             return
         self._chooser.hear_load(endpoint, load, now)
-        self._chooser.hear_sign_of_life(endpoint, now)
+        self._chooser.hear_sign_of_life(endpoint)
 
     def next_probe(self, now: float) -> str | None:
         """Return the endpoint to probe now, if budget and need allow."""
