--- a/benchmarks/policy_scenarios.py
+++ b/benchmarks/policy_scenarios.py
@@ -9,7 +9,7 @@
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
 
-from .policy_upstreams import Arrival
+from .policy_arrivals import Arrival
 from .policy_upstreams import Endpoint
 from .policy_upstreams import MEAN_WORK_S
 from .policy_upstreams import OLD
--- a/benchmarks/policy_upstreams.py
+++ b/benchmarks/policy_upstreams.py
@@ -24,6 +24,7 @@
 from nutmegchute_core.calls import Send
 from nutmegchute_core.members import Announcement
 
+from .policy_arrivals import Arrival
 from .policy_baselines import Decider
 
 SAME_ZONE_S = 0.00025
@@ -46,28 +47,6 @@
 STUCK_LOAD = 5
 
 
-class Arrival:
-    """Describe one call, the same for every policy compared."""
-
-    __slots__ = ("at", "deadline_s", "entry", "method", "noises", "work_s")
-
-    def __init__(
-        self,
-        at: float,
-        entry: int,
-        method: str,
-        work_s: float,
-        deadline_s: float,
-        noises: tuple[float, float, float],
-    ) -> None:
-        self.at = at
-        self.entry = entry
-        self.method = method
-        self.work_s = work_s
-        self.deadline_s = deadline_s
-        self.noises = noises
-
-
 class Job:
     """Follow one attempt through an endpoint."""
 
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -28,6 +28,7 @@
 # the calls and of the queue that the load reports tell of already.
 LATENCY_BAND = 1.25
 EJECTED_MOST_SHARE = 0.5
+UNPROBED_S = 16.0
 
 
 class ZoneStalls:
@@ -50,14 +51,14 @@
         "_order",
         "_others",
         "_policy",
-        "_probed",
         "_random",
         "_recent",
         "_stalls",
+        "probed",
     )
 
     def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
-        self._probed = probed and policy.probing
+        self.probed = probed
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
@@ -216,12 +217,14 @@
     def _open(self, endpoint: Endpoint, trial: bool, now: float) -> bool:
         if endpoint not in self._ejected:
             return True
-        if now < endpoint.ejected_until or not trial:
+        if now < endpoint.ejected_until or not trial or endpoint.in_flight:
             return False
-        if self._probed and not endpoint.alive:
-            # A trial that fails costs a caller time, a probe does not.
-            return False
-        return endpoint.in_flight == 0
+        if not self.probed or endpoint.alive:
+            return True
+        # A trial that fails costs a caller time, a probe does not. An
+        # endpoint that answers no probe, say for a wrong path in the
+        # declaration, still gets its trial in the end.
+        return now >= endpoint.ejected_until + UNPROBED_S
 
     def _below_floor(self) -> bool:
         # When most of the pool fails, the cause is rarely the endpoints;
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -56,7 +56,7 @@
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._chooser = Chooser(random, policy, service.probes_per_s > 0)
+        self._chooser = Chooser(random, policy, self._may_probe(service))
         self._extra = ExtraBudget()
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
         self._window = Window()
@@ -103,6 +103,7 @@
         probes = ProbeBudget(service.probes_per_s, service.most_entries)
         probes.follow(self._probes)
         self._probes = probes
+        self._chooser.probed = self._may_probe(service)
 
     def update(self, announcements: list[Announcement], now: float) -> None:
         """Take the live endpoints; what is known of the staying ones stays.
@@ -240,7 +241,6 @@
         if endpoint is None:
             return
         if load is None:
-            self._chooser.hear_failure(endpoint, now)
             return
         self._chooser.hear_load(endpoint, load, now)
         self._chooser.hear_sign_of_life(endpoint)
@@ -274,6 +274,9 @@
             self._half.value_s,
         )
 
+    def _may_probe(self, service: Service) -> bool:
+        return service.probes_per_s > 0 and self._policy.probing
+
     def _is_to_blame(self, call: Call, result: Result) -> bool:
         """Tell whether a failed attempt says anything of the endpoint."""
         if result.outcome == CANCELLED:
--- a/tests/test_balancers_policy.py
+++ b/tests/test_balancers_policy.py
@@ -14,6 +14,7 @@
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.choosers import UNPROBED_S
 from nutmegchute_core.endpoints import EJECT_AFTER
 from nutmegchute_core.endpoints import EJECT_FIRST_S
 from nutmegchute_core.rules import read_services
@@ -208,6 +209,27 @@
     assert arrive(balancer, "GET", later).endpoint == bad
 
 
+def test_endpoint_without_probe_path_still_comes_back() -> None:
+    """A wrong probe path keeps no endpoint out for ever.
+
+    Every probe fails although the endpoint is well again. After a longer
+    pause it gets one call as its trial, and with the answer all others.
+    """
+    balancer = build(2, probes_per_s=10.0)
+    bad = arrive(balancer, "POST", 1.0)
+    balancer.finish(Result(bad.call_id, 1, LOST, 0.001), 1.0)
+    for _ in range(20):
+        send = arrive(balancer, "POST", 1.0)
+        outcome = LOST if send.endpoint == bad.endpoint else ANSWERED
+        result = Result(send.call_id, 1, outcome, ANSWER_S, 1)
+        balancer.finish(result, 1.0)
+    balancer.take_probe("catalogo", bad.endpoint, None, 0.005, 2.0)
+    soon = {arrive(balancer, "GET", 2.0).endpoint for _ in range(2)}
+    assert bad.endpoint not in soon
+    later = 1.1 + EJECT_FIRST_S + UNPROBED_S
+    assert arrive(balancer, "GET", later).endpoint == bad.endpoint
+
+
 def test_impatient_caller_ejects_no_endpoint() -> None:
     """Calls given no time are lost, and tell nothing of the endpoints.
 
