--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -2,18 +2,24 @@
 
 import asyncio
 import concurrent.futures
+import logging
 import threading
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 import cherrypy
 from cheroot import wsgi
 
+from .events import Event
+from .events import log
+from .handlers import plain_error
 from .settings import split_address
 
 ASK_TIMEOUT_S = 5.0
 KEEP_ALIVE_S = 75
 ACCEPT_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4096
 SERVER_NAME = "nutmegchute"
 
 
@@ -43,6 +49,19 @@
         return future.result(ASK_TIMEOUT_S)
 
 
+class LoggedServer(wsgi.Server):
+    """Log what CherryPy's server would write to standard error as text."""
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log a failure of a handler as a numbered event."""
+        if level < logging.WARNING:
+            return
+        trace = format_exc() if traceback else ""
+        log(Event.CALL_FAILED, "error", detail=msg, trace=trace)
+
+
 class HttpServer:
     """Serve CherryPy's tree and grafted WSGI applications."""
 
@@ -54,12 +73,13 @@
                 "environment": "embedded",
                 "log.screen": False,
                 "tools.encode.on": False,
+                "error_page.default": plain_error,
             }
         )
         # CherryPy's own server would listen on its default port as well,
         # and a second daemon on the vm would end without a word.
         cherrypy.server.unsubscribe()
-        self._server = wsgi.Server(
+        self._server = LoggedServer(
             split_address(address),
             cherrypy.tree,
             numthreads=threads,
@@ -67,6 +87,9 @@
             request_queue_size=ACCEPT_BACKLOG,
             timeout=KEEP_ALIVE_S,
         )
+        # The default of ten closes every further connection after an
+        # answer, and its caller pays for a new one.
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self._thread = threading.Thread(
             target=self._server.serve, name="http", daemon=True
         )
