--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -292,7 +292,7 @@
     no entry with a lease ever acted on less than what was in force.
     """
     shrink(monkeypatch)
-    run_state_machine_as_test(  # type: ignore[no-untyped-call]
+    run_state_machine_as_test(
         group,
         settings=settings(
             max_examples=examples,
