--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -18,14 +18,15 @@
 from pathlib import Path
 
 from docopt import docopt
-from loads import build_request
-from loads import Side
 from nutmegchute_fakes.clusters import Cluster
 from nutmegchute_fakes.clusters import OPERATOR_KEY
 from nutmegchute_fakes.clusters import Process
 from nutmegchute_fakes.demo import declaration
 from nutmegchute_fakes.demo import declare
 
+from .loads import build_request
+from .loads import Side
+
 GOAL_RATE = 300
 TURN_S = 0.5
 WARM_S = 1.0
--- a/packages/core/nutmegchute_core/machines.py
+++ b/packages/core/nutmegchute_core/machines.py
@@ -2,22 +2,47 @@
 
 from functools import singledispatchmethod
 
+import msgspec
+
+from .claims import ClaimAnswers
+from .claims import ClaimBatch
 from .commands import NoOp
-from .replicas import LogEntry
+from .fleets import Enroll
+from .fleets import Withdraw
+from .ledgers import Ledger
+from .ledgers import LedgerState
+from .memberships import Reconfigure
+from .messages import LogEntry
 from .trees import Answer
 from .trees import Change
+from .trees import Refusal
 from .trees import Tree
+from .trees import TreeState
+
+Outcome = Answer | ClaimAnswers | None
+
+
+class MachineState(msgspec.Struct, frozen=True):
+    """Hold the whole replicated state in the form that snapshots keep.
 
-Outcome = Answer | None
+    A field added later needs a default, so that older snapshots load.
+    """
+
+    applied: int = 0
+    tree: TreeState = TreeState()
+    entries: list[str] = []
+    ledger: LedgerState = LedgerState()
 
 
 class Machine:
     """Hold the replicated state; equal logs give equal machines."""
 
-    __slots__ = ("_applied", "_tree")
+    __slots__ = ("_applied", "_entries", "_ledger", "_tree")
 
     def __init__(self) -> None:
         self._tree = Tree()
+        self._entries: set[str] = set()
+        self._ledger = Ledger()
         self._applied = 0
 
     @property
@@ -25,6 +50,16 @@
         """Give the configuration tree."""
         return self._tree
 
+    @property
+    def entries(self) -> set[str]:
+        """Name the entries that may act on the tree."""
+        return self._entries
+
+    @property
+    def ledger(self) -> Ledger:
+        """Give the claims on idempotency keys."""
+        return self._ledger
+
     @property
     def applied(self) -> int:
         """Give the index of the last entry applied."""
@@ -35,6 +70,22 @@
         self._applied = entry.index
         return self._apply(entry.command, entry.index)
 
+    def snapshot(self) -> MachineState:
+        """Give the state after the last entry applied."""
+        return MachineState(
+            applied=self._applied,
+            tree=self._tree.snapshot(),
+            entries=sorted(self._entries),
+            ledger=self._ledger.snapshot(),
+        )
+
+    def restore(self, state: MachineState) -> None:
+        """Take a snapshot's state in place of the present one."""
+        self._applied = state.applied
+        self._tree.restore(state.tree)
+        self._entries = set(state.entries)
+        self._ledger.restore(state.ledger)
+
     @singledispatchmethod
     def _apply(self, command: object, index: int) -> Outcome:
         raise TypeError(f"no such command: {command!r}")
@@ -46,3 +97,29 @@
     @_apply.register
     def _(self, command: Change, index: int) -> Outcome:
         return self._tree.apply(index, command)
+
+    @_apply.register
+    def _(self, command: Refusal, index: int) -> Outcome:
+        self._tree.refuse(index, command)
+        return None
+
+    @_apply.register
+    def _(self, command: Reconfigure, index: int) -> Outcome:
+        self._tree.note(
+            index, command.operator, command.detail, command.at_unix_s
+        )
+        return None
+
+    @_apply.register
+    def _(self, command: ClaimBatch, index: int) -> Outcome:
+        return self._ledger.apply(command)
+
+    @_apply.register
+    def _(self, command: Enroll, index: int) -> Outcome:
+        self._entries.add(command.entry)
+        return None
+
+    @_apply.register
+    def _(self, command: Withdraw, index: int) -> Outcome:
+        self._entries.discard(command.entry)
+        return None
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -5,20 +5,26 @@
 import threading
 import time
 from collections.abc import Iterable
-from http.client import responses
 from typing import Protocol
 
 import msgspec
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import NOT_RUN as NOT_RUN_OUTCOME
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.claims import Claim
+from nutmegchute_core.claims import MISMATCH
+from nutmegchute_core.claims import OPEN
+from nutmegchute_core.claims import RAN
 from urllib3 import HTTPHeaderDict
 
+from .claims import build_claim
+from .claims import KeyFormError
 from .connections import Exchange
 from .errors import DaemonError
 from .exchanges import BadBodyError
@@ -27,8 +33,10 @@
 from .protocols import ATTEMPT_HEADER
 from .protocols import DEADLINE_HEADER
 from .protocols import ENTRY_HEADER
+from .protocols import KEY_HEADER
 from .protocols import NOT_RUN
 from .protocols import OUTCOME_HEADER
+from .protocols import RAN_STATUS_HEADER
 from .protocols import UNKNOWN
 from .senders import BUFFER_BYTES
 from .senders import CutAnswerError
@@ -63,7 +71,11 @@
 
 
 class Ticket:
-    """Carry the loop's actions for one call to its worker thread."""
+    """Carry the loop's actions for one call to its worker thread.
+
+    ``claim`` is the call's idempotency key and ``claimed`` tells whether
+    its rule asks for one; ``status`` is that of the answer read last.
+    """
 
     __slots__ = (
         "_actions",
@@ -71,13 +83,24 @@
         "_lock",
         "_replies",
         "call_id",
+        "claim",
+        "claimed",
         "exchanges",
         "request",
         "socket_number",
+        "status",
         "worker_attempt",
     )
 
-    def __init__(self, request: Request, socket_number: int) -> None:
+    def __init__(
+        self,
+        request: Request,
+        socket_number: int,
+        claim: Claim | None = None,
+    ) -> None:
+        self.claim = claim
+        self.claimed = False
+        self.status = 0
         self.request = request
         self.socket_number = socket_number
         self.call_id = 0
@@ -212,6 +235,7 @@
         reply = self._sender.send(
             copy, send.endpoint, send.remaining_s, exchange
         )
+        ticket.status = reply.status
         ticket.deposit(send.attempt, reply)
         self._tell_end(ticket, send, reply)
         return reply
@@ -238,12 +262,13 @@
             service, request = self._read(http)
             deadline_s = _read_deadline(http)
             attempt = _read_attempt(http)
+            claim = _read_claim(http, service, request)
         except (BadRequestError, BadBodyError) as error:
             # What is left of the body would be read as the next request.
             http.close_connection = True
             self._refuse(http, error.status, str(error), 0.0)
             return
-        ticket = Ticket(request, http.conn.socket.fileno())
+        ticket = Ticket(request, http.conn.socket.fileno(), claim)
         path = request.target.partition("?")[0]
         http.opened = True
         self._asker.tell(
@@ -279,6 +304,9 @@
             if isinstance(action, Refuse):
                 self._refuse(http, 503, action.reason, action.retry_after_s)
                 return
+            if isinstance(action, Known):
+                self._repeat(http, action)
+                return
             if isinstance(action, Finish):
                 self._answer(http, ticket, action.attempt)
                 return
@@ -323,7 +351,7 @@
             http.close_connection = True
             http.response_protocol = "HTTP/1.0"
             headers.append(("Connection", "close"))
-        _start(http, reply.status, headers)
+        http.begin(reply.status, headers)
         try:
             for piece in reply.body():
                 http.write(piece)
@@ -347,6 +375,28 @@
         ]
         self._say(http, status, headers, reason)
 
+    def _repeat(self, http: StrictRequest, known: Known) -> None:
+        """Tell a caller that sent a key again what became of the first."""
+        if known.outcome == MISMATCH:
+            reason = f"the {KEY_HEADER} belongs to another request"
+            headers = [(OUTCOME_HEADER, NOT_RUN)]
+            self._say(http, 422, headers, reason)
+            return
+        if known.outcome == RAN:
+            reason = f"it ran and was answered with status {known.status}"
+            headers = [
+                (OUTCOME_HEADER, RAN),
+                (RAN_STATUS_HEADER, str(known.status)),
+            ]
+            self._say(http, 409, headers, reason)
+            return
+        headers = [(OUTCOME_HEADER, UNKNOWN)]
+        reason = "it may have run"
+        if known.outcome == OPEN:
+            reason = "it is under way, or its entry broke off"
+            headers.append(("Retry-After", "1"))
+        self._say(http, 409, headers, reason)
+
     def _lose(self, http: StrictRequest, reason: str) -> None:
         self._say(http, 502, [(OUTCOME_HEADER, UNKNOWN)], reason)
 
@@ -361,7 +411,7 @@
         headers.append(("Content-Type", "application/json"))
         headers.append(("Content-Length", str(len(body))))
         headers.append((ENTRY_HEADER, self._name))
-        _start(http, status, headers)
+        http.begin(status, headers)
         http.write(body)
 
     def _read(self, http: StrictRequest) -> tuple[str, Request]:
@@ -378,7 +428,11 @@
             rest = f"?{query}{slash}{rest}"
         headers = _end_to_end(http.fields)
         body = Body(http, self._body_bytes)
-        start = self._read_start(body)
+        # The ledger compares whole requests, so that a key is never taken
+        # for that of another request.
+        keyed = http.inheaders.get(KEY_HEADER.encode()) is not None
+        size = self._body_bytes + 1 if keyed else BUFFER_BYTES
+        start = _read_start(body, size)
         request = Request(http.method.decode(), "/" + rest, headers, start)
         if not body.whole:
             request.rest = Rest(body.read)
@@ -386,18 +440,15 @@
             del headers["Content-Length"]
         return service, request
 
-    def _read_start(self, body: Body) -> bytes:
-        pieces = []
-        length = 0
-        while length < BUFFER_BYTES:
-            piece = body.read(BUFFER_BYTES - length)
-            if not piece:
-                break
-            pieces.append(piece)
-            length += len(piece)
-            if body.whole:
-                break
-        return b"".join(pieces)
+
+def _read_start(body: Body, size: int) -> bytes:
+    pieces = []
+    length = 0
+    while length < size and not body.whole:
+        piece = body.read(min(BUFFER_BYTES, size - length))
+        pieces.append(piece)
+        length += len(piece)
+    return b"".join(pieces)
 
 
 def _end_to_end(fields: Iterable[tuple[str, str]]) -> HTTPHeaderDict:
@@ -432,7 +483,7 @@
     if deadline_ms is None:
         return None
     # The time this request waited for a worker thread is gone as well.
-    waited_s = time.monotonic() - http.conn.ready_at
+    waited_s: float = time.monotonic() - http.conn.ready_at
     return max(0.0, deadline_ms / 1000 - waited_s)
 
 
@@ -440,11 +491,19 @@
     return _read_number(http, ATTEMPT_HEADER, MAX_ATTEMPT, "") or 1
 
 
-def _start(
-    http: StrictRequest, status: int, headers: list[tuple[str, str]]
-) -> None:
-    reason = responses.get(status, "Unknown")
-    http.status = f"{status} {reason}".encode("latin-1")
-    for name, value in headers:
-        http.outheaders.append((name.encode(), value.encode("latin-1")))
-    http.ensure_headers_sent()
+def _read_claim(
+    http: StrictRequest, service: str, request: Request
+) -> Claim | None:
+    key = http.inheaders.get(KEY_HEADER.encode())
+    if key is None:
+        return None
+    try:
+        return build_claim(
+            service,
+            key.decode("latin-1"),
+            request.method,
+            request.target,
+            request.body,
+        )
+    except KeyFormError as error:
+        raise BadRequestError(400, f"{KEY_HEADER}: {error}") from error
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -93,7 +93,9 @@
             return False
         return not self.answer.over_read
 
-    def response_class(self, *args: Any, **values: Any) -> Answer:
+    def response_class(  # type: ignore[override]
+        self, *args: Any, **values: Any
+    ) -> Answer:
         """Build the answer that is read next, and remember it."""
         self.answer = Answer(*args, **values)
         return self.answer
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -9,12 +9,16 @@
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import Cancel
+from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.claims import NOT_RUN as NEVER_RAN
+from nutmegchute_core.claims import RAN
+from nutmegchute_core.claims import UNKNOWN
 
 from .callers import Ticket
 from .connections import Exchange
@@ -29,6 +33,7 @@
 
 Hedge = Callable[[Ticket, Send, Exchange], None]
 AskLoad = Callable[[Probe], None]
+Settle = Callable[[Ticket, str], None]
 
 
 class CallDesk:
@@ -44,21 +49,25 @@
         "_loop",
         "_metrics",
         "_opened",
+        "_settle",
         "_tickets",
         "_timer",
     )
 
     def __init__(
         self,
+        *,
         balancer: Balancer,
         metrics: Metrics,
         hedge: Hedge,
         ask_load: AskLoad,
+        settle: Settle,
     ) -> None:
         self._balancer = balancer
         self._metrics = metrics
         self._hedge = hedge
         self._ask_load = ask_load
+        self._settle = settle
         self._loop = asyncio.get_running_loop()
         self._tickets: dict[int, Ticket] = {}
         # Tickets whose call has no outcome yet, and all whose worker has
@@ -69,7 +78,7 @@
         self._hedging = 0
         self._hedges = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
-    def open_call(
+    def admit(
         self,
         ticket: Ticket,
         service: str,
@@ -122,9 +131,13 @@
                 continue
             del self._tickets[action.call_id]
             ticket.put(action)
-            if isinstance(action, Refuse):
+            if isinstance(action, Finish):
+                self._settle(ticket, RAN)
+            elif isinstance(action, Refuse):
+                self._settle(ticket, NEVER_RAN)
                 self._metrics.count("refused")
             elif isinstance(action, Lose):
+                self._settle(ticket, UNKNOWN)
                 self._metrics.count("unknown")
                 log(Event.CALL_LOST, "warning", reason=action.reason)
         self._arm()
@@ -140,7 +153,11 @@
                 until = exchange.wait_until
                 if until is not None and now > until:
                     exchange.end()
-            if call_id in self._tickets and _has_gone(ticket.socket_number):
+            if call_id not in self._tickets or ticket.claimed:
+                # A claimed call goes on without its caller: its outcome
+                # is recorded and told when the key comes again.
+                continue
+            if _has_gone(ticket.socket_number):
                 self._metrics.count("abandoned")
                 self._abandon(call_id)
 
@@ -180,6 +197,7 @@
         self.perform(actions)
         ticket = self._tickets.pop(call_id, None)
         if ticket is not None:
+            self._settle(ticket, UNKNOWN)
             ticket.put(Lose(call_id, "caller has gone"))
 
     def _arm(self) -> None:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -1,36 +1,52 @@
 """Run the entry role: calls, announcements, gossip, configuration."""
 
 import asyncio
+import random
 import secrets
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Probe
+from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Result
+from nutmegchute_core.claims import ClaimAnswer
+from nutmegchute_core.claims import FIRST
+from nutmegchute_core.claims import FULL
+from nutmegchute_core.claims import NOT_RUN
+from nutmegchute_core.claims import RAN
+from nutmegchute_core.claims import Settlement
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import LEASE_S
 from nutmegchute_core.members import Members
 from nutmegchute_core.rules import read_services
+from nutmegchute_core.rules import Rule
+from nutmegchute_core.rules import Service
 
+from .announcements import Announcements
 from .callers import CALL_PATH
 from .callers import CallHandler
+from .callers import Ticket
+from .claims import Claimer
 from .connections import Connections
 from .daemons import Daemon
 from .desks import CallDesk
 from .desks import SWEEP_S
+from .drains import DrainPage
 from .events import Event
 from .events import log
 from .followers import Follower
 from .gossips import Gossiper
+from .gossips import TICK_S as GOSSIP_TICK_S
 from .pages import EntryPages
 from .probes import Prober
 from .senders import Sender
 
-GOSSIP_S = 0.25
-EXPIRE_S = 0.1
 DRAIN_TICK_S = 0.05
+RETRY_S = 0.5
+SETTLE_S = 2.0
 
 
 class EntryDaemon(Daemon):
@@ -45,9 +61,12 @@
         self._balancer = Balancer(
             secrets.randbits(32), settings.availability_zone
         )
-        self._members = Members()
-        self._directory = Directory(own)
-        self._turn = 0
+        self._members = Members(secrets.randbits(48))
+        self._announcements = Announcements(self._members)
+        self._directory = Directory(own, random.random())
+        self._services: dict[str, Service] = {}
+        self._claimer = Claimer(settings, self._links, self._loop)
+        self._claiming = 0
         self._follower = Follower(settings, self._links, self._apply)
         self._gossiper = Gossiper(
             settings=settings,
@@ -66,23 +85,34 @@
         )
         self._prober = Prober(self._tell_probe)
         self._desk = CallDesk(
-            self._balancer,
-            self._metrics,
-            self._handler.hedge,
-            self._prober.ask,
-        )
-        self._handler.desk = self._desk
-        self._http.mount(
-            EntryPages(self, self._asker, settings.entries_keep_s)
+            balancer=self._balancer,
+            metrics=self._metrics,
+            hedge=self._handler.hedge,
+            ask_load=self._prober.ask,
+            settle=self._settle,
         )
+        self._handler.desk = self
+        pages = EntryPages(self, self._asker, settings.entries_keep_s)
+        pages.drain = DrainPage(settings, self._asker, self.stop)
+        self._http.mount(pages)
         self._http.handle(CALL_PATH, self._handler)
 
     def begin(self) -> None:
-        """Start the periodic work: gossip, configuration, sweeps."""
+        """Start the periodic work: sweeps, gossip, configuration."""
         self.every(SWEEP_S, self._sweep)
-        self.every(EXPIRE_S, self._expire)
-        self.every(GOSSIP_S, self._gossiper.spread)
+        self.every(GOSSIP_TICK_S, self._gossiper.tick)
         self.every(0, self._follower.follow)
+        self.every(0, self._claimer.run)
+
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether this entry can serve."""
+        now = self._loop.time()
+        return {
+            "in_flight": self._balancer.in_flight,
+            "upstreams": len(self._members.live(now)),
+            "entries": len(self._directory.usable(now)),
+            "config_index": self._follower.index,
+        }
 
     async def finish(self) -> None:
         """Leave the directory, outlast every answer, end the calls."""
@@ -96,31 +126,112 @@
         # run", and each connection ends with the answer it waits for.
         self._http.close_politely()
         self._handler.refusal = "entry is leaving"
-        while self._handler.active:
+        while self._handler.active or self._claiming:
             await asyncio.sleep(DRAIN_TICK_S)
+        await self._settle_all()
+        await self._follower.leave()
 
     def close(self) -> None:
         """Let go of the helping threads."""
         self._desk.stop()
         self._prober.stop()
 
-    def announce(self, announcement: Announcement) -> float:
-        """Take an endpoint's word; return the lease, in seconds."""
-        if self._members.announce(announcement, self._loop.time()):
-            log(
-                Event.UPSTREAM_ANNOUNCED,
-                service=announcement.service,
-                endpoint=announcement.endpoint,
-                state=announcement.state,
+    def open_call(
+        self,
+        ticket: Ticket,
+        service: str,
+        method: str,
+        path: str,
+        deadline_s: float | None,
+        attempt: int,
+    ) -> None:
+        """Admit a call; its actions go to the ticket."""
+        if not self._follower.may_act():
+            # The tree at hand may have been replaced elsewhere; another
+            # entry may know.
+            ticket.put(Refuse(0, "configuration not confirmed", RETRY_S))
+            return
+        rule = self._claimed_rule(ticket, service, method, path)
+        if rule is None:
+            self._desk.admit(
+                ticket, service, method, path, deadline_s, attempt
+            )
+            return
+        started_at = self._loop.time()
+        wait_s = min(rule.deadline_s, deadline_s or rule.deadline_s)
+
+        def answered(answer: ClaimAnswer | None) -> None:
+            self._claiming -= 1
+            if not self._may_send(ticket, answer):
+                return
+            left_s = wait_s - (self._loop.time() - started_at)
+            self._desk.admit(
+                ticket, service, method, path, max(0.0, left_s), attempt
             )
-            self._update_upstreams()
-        return LEASE_S
+
+        self._claiming += 1
+        assert ticket.claim is not None
+        self._claimer.claim(ticket.claim, wait_s, answered)
+
+    def _claimed_rule(
+        self, ticket: Ticket, service: str, method: str, path: str
+    ) -> Rule | None:
+        if ticket.claim is None or service not in self._services:
+            return None
+        rule = self._services[service].rule_for(method, path)
+        if rule is None or rule.idempotent:
+            return None
+        ticket.claimed = True
+        return rule
+
+    def _may_send(self, ticket: Ticket, answer: ClaimAnswer | None) -> bool:
+        if answer is None or answer.outcome in (FULL, NOT_RUN):
+            ticket.put(Refuse(0, "ledger takes no claim", RETRY_S))
+            return False
+        if answer.outcome != FIRST:
+            ticket.put(Known(0, answer.outcome, answer.status))
+            return False
+        if self._follower.may_act():
+            return True
+        self._settle(ticket, NOT_RUN)
+        ticket.put(Refuse(0, "configuration not confirmed", RETRY_S))
+        return False
+
+    def _settle(self, ticket: Ticket, outcome: str) -> None:
+        if not ticket.claimed or ticket.claim is None:
+            return
+        status = ticket.status if outcome == RAN else 0
+        self._claimer.settle(Settlement(ticket.claim, outcome, status))
+
+    async def _settle_all(self) -> None:
+        give_up_at = self._loop.time() + SETTLE_S
+        while not self._claimer.idle and self._loop.time() < give_up_at:
+            await asyncio.sleep(DRAIN_TICK_S)
+
+    def end_attempt(self, ticket: Ticket, result: Result) -> None:
+        """Take the end of an attempt."""
+        self._desk.end_attempt(ticket, result)
+
+    def close_call(self, ticket: Ticket) -> None:
+        """Forget a ticket whose worker has written its answer."""
+        self._desk.close_call(ticket)
+
+    def announce(
+        self, announcement: Announcement, key: str
+    ) -> dict[str, float]:
+        """Take an endpoint's word; return its lease.
+
+        :raises AnnouncementError: it was not taken
+        """
+        now = self._loop.time()
+        lease = self._announcements.take(announcement, key, now)
+        self._gossiper.refresh()
+        return lease
 
     def usable_entries(self, zone: str | None) -> list[EntryWord]:
         """Choose the entries that a caller should use."""
-        self._turn += 1
         return self._directory.answer(
-            zone, self._settings.entries_answer, self._turn, self._loop.time()
+            zone, self._settings.entries_answer, self._loop.time()
         )
 
     def status(self) -> dict[str, Any]:
@@ -131,7 +242,7 @@
             "index": self._follower.index,
             "revisions": self._follower.revisions,
             "in_flight": self._balancer.in_flight,
-            "upstreams": self._members.live(),
+            "upstreams": self._members.live(self._loop.time()),
         }
 
     def _sweep(self) -> None:
@@ -152,17 +263,14 @@
         )
         self._desk.perform(actions)
 
-    def _expire(self) -> None:
-        if self._members.expire(self._loop.time()):
-            self._update_upstreams()
-
-    def _update_upstreams(self) -> None:
+    def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
-        live = self._members.live()
         self._desk.perform(self._balancer.update_upstreams(live, now))
 
     def _apply(self, reply: FollowReply) -> None:
         now = self._loop.time()
         assert reply.documents is not None
-        self._balancer.configure(read_services(reply.documents), now)
-        self._update_upstreams()
+        services = self._services = read_services(reply.documents)
+        self._balancer.configure(services, now)
+        self._announcements.configure(services)
+        self._update_upstreams(self._members.live(now))
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import time
+from http.client import responses
 from typing import Any
 
 import msgspec
@@ -77,14 +78,19 @@
         return line
 
 
-class HeaderReader(server.HeaderReader):  # type: ignore[misc]
+class HeaderReader(server.HeaderReader):
     """Read headers by the server's reader, each line checked first."""
 
-    def __call__(self, rfile: Any, hdict: dict[bytes, bytes]) -> Any:
-        """Read the headers into the dictionary; return the checked lines."""
+    def __init__(self, request: "StrictRequest") -> None:
+        self._request = request
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        """Read the headers into the dictionary and keep every line."""
         lines = HeaderLines(rfile)
-        super().__call__(lines, hdict)
-        return lines.fields
+        headers = super().__call__(lines, hdict)
+        _check_framing(headers, self._request.response_protocol)
+        self._request.fields = lines.fields
+        return headers
 
 
 class ChunkLines:
@@ -163,13 +169,12 @@
                 raise ValueError(f"More than {TRAILERS} trailers.")
 
 
-class StrictRequest(server.HTTPRequest):  # type: ignore[misc]
+class StrictRequest(server.HTTPRequest):
     """Refuse requests that another server could read differently."""
 
-    header_reader = HeaderReader()
-
     def __init__(self, *args: Any, **values: Any) -> None:
         super().__init__(*args, **values)
+        self.header_reader = HeaderReader(self)
         self.fields: list[tuple[str, str]] = []
         self._aborted = False
         # Set once the call was told to the loop: from then on a failure
@@ -178,14 +183,8 @@
 
     def read_request_headers(self) -> bool:
         """Read the headers; False says that a refusal was written."""
-        reader = self.header_reader
-
-        def read(rfile: Any, hdict: dict[bytes, bytes]) -> None:
-            self.fields = reader(rfile, hdict)
-            _check_framing(hdict, self.response_protocol)
-
-        self.header_reader = read
-        if not super().read_request_headers():
+        read = super().read_request_headers
+        if not read():  # type: ignore[no-untyped-call]
             return False
         connection = self.inheaders.get(b"Connection", b"").lower()
         if b"close" in [word.strip() for word in connection.split(b",")]:
@@ -212,6 +211,15 @@
             # The rest of an unread body would be taken for a request.
             self.close_connection = True
 
+    def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Write the head of an answer."""
+        reason = responses.get(status, "Unknown")
+        line = f"{status} {reason}"
+        self.status = line.encode("latin-1")  # type: ignore[assignment]
+        for name, value in headers:
+            self.outheaders.append((name.encode(), value.encode("latin-1")))
+        self.ensure_headers_sent()
+
     def send_headers(self) -> None:
         """Write the head; it leaves with the first piece of the body."""
         self.conn.wfile.hold()
@@ -319,7 +327,7 @@
     return RequestReader(sock) if "r" in mode else AnswerWriter(sock)
 
 
-class CallerConnection(server.HTTPConnection):  # type: ignore[misc]
+class CallerConnection(server.HTTPConnection):
     """Serve one caller's connection with the classes above."""
 
     RequestHandlerClass = StrictRequest
@@ -341,7 +349,7 @@
 
     def _close_kernel_socket(self) -> None:
         if not self._reset:
-            super()._close_kernel_socket()
+            super()._close_kernel_socket()  # type: ignore[misc]
 
 
 def _check_framing(headers: dict[bytes, bytes], protocol: str) -> None:
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -10,6 +10,34 @@
 PREFIX = "nutmegchute"
 TIMINGS = 200
 
+COUNTER = "counter"
+GAUGE = "gauge"
+TIMER = "timer"
+
+# Name, kind and unit of everything sent; docs/metrics.rst gives meaning
+# and alert. A part in capitals stands for one of several words.
+CATALOGUE: dict[str, tuple[str, str]] = {
+    "alive": (GAUGE, "1"),
+    "cpu_percent": (GAUGE, "percent of a core"),
+    "memory_bytes": (GAUGE, "bytes"),
+    "loop_lag_ms": (GAUGE, "milliseconds"),
+    "calls": (COUNTER, "calls"),
+    "attempts.OUTCOME": (COUNTER, "attempts"),
+    "attempt": (TIMER, "milliseconds"),
+    "refused": (COUNTER, "calls"),
+    "unknown": (COUNTER, "calls"),
+    "abandoned": (COUNTER, "calls"),
+    "hedges": (COUNTER, "attempts"),
+    "probes": (COUNTER, "probes"),
+    "in_flight": (GAUGE, "calls"),
+    "upstreams": (GAUGE, "endpoints"),
+    "entries": (GAUGE, "entries"),
+    "config_index": (GAUGE, "log index"),
+    "leads": (GAUGE, "0 or 1"),
+    "commit": (GAUGE, "log index"),
+    "entries_behind": (GAUGE, "entries"),
+}
+
 
 class Metrics:
     """Gather counters and timings; a dead listener harms nothing.
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -2,8 +2,9 @@
 
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
-from nutmegchute_core.members import Gossip
-from nutmegchute_core.replicas import Message
+from nutmegchute_core.fleets import RelayReply
+from nutmegchute_core.formations import Introduction
+from nutmegchute_core.messages import Delivery
 
 from .links import Method
 
@@ -14,11 +15,14 @@
 LOAD_HEADER = "Nutmegchute-Load"
 NOT_RUN_HEADER = "Nutmegchute-Not-Run"
 OPERATOR_HEADER = "Nutmegchute-Operator"
+RAN_STATUS_HEADER = "Nutmegchute-Ran-Status"
+SERVICE_KEY_HEADER = "Nutmegchute-Service-Key"
 OUTCOME_HEADER = "Nutmegchute-Outcome"
 
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-DELIVER = Method("Replication", "Deliver", Message, None)
+DELIVER = Method("Replication", "Deliver", Delivery, Delivery)
+INTRODUCE = Method("Replication", "Introduce", Introduction, Introduction)
 FOLLOW = Method("Configuration", "Follow", FollowRequest, FollowReply)
-EXCHANGE = Method("Membership", "Exchange", Gossip, Gossip)
+RELAY = Method("Configuration", "Relay", FollowRequest, RelayReply)
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -10,6 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 import cherrypy
@@ -19,6 +20,7 @@
 from .events import log
 from .exchanges import CallerConnection
 from .exchanges import StrictRequest
+from .handlers import plain_error
 from .settings import split_address
 
 ASK_TIMEOUT_S = 5.0
@@ -68,7 +70,7 @@
         return future.result(ASK_TIMEOUT_S)
 
 
-class Gateway(wsgi.Gateway_10):  # type: ignore[misc]
+class Gateway(wsgi.Gateway_10):
     """Give calls to their handler, everything else to CherryPy.
 
     A call needs its raw target and its headers as they came, which the
@@ -88,7 +90,7 @@
         super().respond()
 
 
-class Listener(wsgi.Server):  # type: ignore[misc]
+class Listener(wsgi.Server):
     """Accept callers, bounded in what waits for a worker thread."""
 
     ConnectionClass = CallerConnection
@@ -147,9 +149,11 @@
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
-        """Log what the server reports; callers that go away are usual."""
-        if level >= logging.ERROR:
-            log(Event.CALL_FAILED, "error", reason=msg)
+        """Log a failure of a handler; callers that go away are usual."""
+        if level < logging.WARNING:
+            return
+        trace = format_exc() if traceback else ""
+        log(Event.CALL_FAILED, "error", detail=msg, trace=trace)
 
     def _refuse(self, conn: CallerConnection) -> None:
         # Closing with bytes unread would reset the connection, and the
@@ -176,6 +180,7 @@
                 "environment": "embedded",
                 "log.screen": False,
                 "tools.encode.on": False,
+                "error_page.default": plain_error,
             }
         )
         # CherryPy's own server would listen on its default port as well,
