--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -57,9 +57,13 @@
             return not self._ended
 
     def end(self) -> None:
-        """Shut the socket; a thread waiting for it wakes up."""
+        """End the exchange from outside; a waiting thread wakes up."""
+        self._ended = True
+        self.shut()
+
+    def shut(self) -> None:
+        """Shut the socket, so that the endpoint sees the end."""
         with self._lock:
-            self._ended = True
             if self._socket is None:
                 return
             with contextlib.suppress(OSError):
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -19,8 +19,11 @@
 from .connections import Connections
 from .connections import Exchange
 from .errors import DaemonError
+from .protocols import ENTRY_HEADER
 from .protocols import LOAD_HEADER
 from .protocols import NOT_RUN_HEADER
+from .protocols import OUTCOME_HEADER
+from .protocols import RAN_STATUS_HEADER
 
 CONNECT_TIMEOUT_S = 0.25
 BUFFER_BYTES = 65536
@@ -48,6 +51,18 @@
     }
 )
 
+# Only the entry says these to a caller; an upstream that says them would
+# be believed about something it does not know.
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        ENTRY_HEADER,
+        NOT_RUN_HEADER,
+        OUTCOME_HEADER,
+        RAN_STATUS_HEADER,
+    )
+)
+
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FOLD = re.compile(r"[\r\n]+[ \t]*")
 
@@ -201,6 +216,8 @@
             lower = name.lower()
             if lower in HOP_HEADERS or lower in dropped:
                 continue
+            if lower in OWN_HEADERS:
+                continue
             if lower == "content-length":
                 if length_seen:
                     continue
@@ -252,7 +269,7 @@
             return
         self._whole = True
         # An upstream sees the end of its connection and can stop working.
-        self._exchange.end()
+        self._exchange.shut()
         self._exchange.detach()
         self._response.close()
         self._connection.close()
--- /dev/null
+++ b/packages/fakes/nutmegchute_fakes/edges.py
@@ -0,0 +1,176 @@
+"""Run the callers' edge of an entry in this process, without control."""
+
+import asyncio
+import socket
+import threading
+from typing import Any
+
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.rules import read_services
+from nutmegchute_daemon.callers import CALL_PATH
+from nutmegchute_daemon.callers import CallHandler
+from nutmegchute_daemon.callers import Ticket
+from nutmegchute_daemon.connections import Connections
+from nutmegchute_daemon.desks import CallDesk
+from nutmegchute_daemon.desks import SWEEP_S
+from nutmegchute_daemon.metrics import Metrics
+from nutmegchute_daemon.senders import Sender
+from nutmegchute_daemon.servers import HttpServer
+from nutmegchute_daemon.servers import LoopAsker
+
+from .clusters import free_address
+
+SERVICE = "catalogo"
+SEED = 7
+ZONE = "surco"
+DEADLINE_MS = 1000
+BODY_BYTES = 1048576
+
+
+class Edge:
+    """Serve one service's calls with the entry's own classes."""
+
+    def __init__(
+        self,
+        endpoints: list[str],
+        *,
+        threads: int = 8,
+        slots: int = 4,
+        deadline_ms: int = DEADLINE_MS,
+        hedge: bool = False,
+    ) -> None:
+        self.address = free_address()
+        self.settled: list[str] = []
+        self._http = HttpServer(self.address, threads)
+        self._http.limit_body(BODY_BYTES)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self._asker = LoopAsker(self._loop)
+        self.handler = CallHandler(
+            asker=self._asker,
+            sender=Sender(Connections()),
+            name="entry-1",
+            body_bytes=BODY_BYTES,
+            threads=threads,
+        )
+        document = _declare(slots, deadline_ms, hedge)
+        live = [
+            Announcement(SERVICE, endpoint, ZONE, slots, 1)
+            for endpoint in endpoints
+        ]
+        self._asker.ask(self._build, document, live)
+        self._http.handle(CALL_PATH, self.handler)
+        self._http.start()
+
+    def in_flight(self) -> int:
+        """Count the calls without an outcome."""
+        return int(self._asker.ask(lambda: self._balancer.in_flight))
+
+    def update(self, endpoints: list[Announcement]) -> None:
+        """Change the live endpoints."""
+        self._asker.ask(
+            lambda: self.desk.perform(
+                self._balancer.update_upstreams(endpoints, self._loop.time())
+            )
+        )
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection."""
+        host, _, port = self.address.rpartition(":")
+        return socket.create_connection((host, int(port)), timeout=10.0)
+
+    def say(self, data: bytes) -> bytes:
+        """Send bytes on a connection of their own; return all that comes."""
+        with self.connect() as sock:
+            sock.sendall(data)
+            return drain(sock)
+
+    def call(
+        self, path: str, method: str = "GET", body: bytes = b"", more: str = ""
+    ) -> bytes:
+        """Call the service; return the answer's bytes."""
+        head = (
+            f"{method} /call/{SERVICE}{path} HTTP/1.1\r\nHost: x\r\n"
+            f"Connection: close\r\n{more}"
+        )
+        if body:
+            head += f"Content-Length: {len(body)}\r\n"
+        return self.say(head.encode() + b"\r\n" + body)
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._http.stop()
+        self.desk.stop()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _build(self, document: Any, live: list[Announcement]) -> None:
+        self._balancer = Balancer(SEED)
+        self.desk = CallDesk(
+            balancer=self._balancer,
+            metrics=Metrics("127.0.0.1:9", "entry-1"),
+            hedge=self.handler.hedge,
+            ask_load=lambda probe: None,
+            settle=self._settle,
+        )
+        self.handler.desk = _Desk(self.desk)
+        now = self._loop.time()
+        self._balancer.configure(read_services(document), now)
+        self.desk.perform(self._balancer.update_upstreams(live, now))
+        self._sweep()
+
+    def _settle(self, ticket: Ticket, outcome: str) -> None:
+        self.settled.append(outcome)
+
+    def _sweep(self) -> None:
+        self.desk.sweep()
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+
+class _Desk:
+    """Admit every call; an entry asks its ledger first."""
+
+    def __init__(self, desk: CallDesk) -> None:
+        self.open_call = desk.admit
+        self.end_attempt = desk.end_attempt
+        self.close_call = desk.close_call
+
+
+def drain(sock: socket.socket) -> bytes:
+    """Return all bytes until the end, or until a reset."""
+    data = b""
+    try:
+        while piece := sock.recv(65536):
+            data += piece
+    except ConnectionResetError:
+        return data + RESET
+    return data
+
+
+RESET = b"<reset>"
+
+
+def _declare(slots: int, deadline_ms: int, hedge: bool) -> dict[str, Any]:
+    rules = [
+        {
+            "name": "loan",
+            "method": "POST",
+            "idempotent": False,
+            "deadline_ms": deadline_ms,
+            "attempts": 3,
+            "reason": "a loan runs once",
+        },
+        {
+            "name": "lookup",
+            "idempotent": True,
+            "deadline_ms": deadline_ms,
+            "hedge": hedge,
+            "attempts": 2,
+            "reason": "a lookup may run twice",
+        },
+    ]
+    services = {SERVICE: {"slots": slots, "rules": rules}}
+    return {"lending": {"services": services}}
--- /dev/null
+++ b/packages/fakes/nutmegchute_fakes/misfits.py
@@ -0,0 +1,290 @@
+"""Be an upstream that misbehaves on the wire, in a way that is chosen."""
+
+import contextlib
+import socket
+import struct
+import threading
+from collections.abc import Callable
+
+CRLF = b"\r\n"
+BACKLOG = 64
+READ_BYTES = 65536
+LINGER_NOW = struct.pack("ii", 1, 0)
+
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+class Exchange:
+    """Hold one connection of a misfit and read requests from it."""
+
+    __slots__ = ("_buffer", "_misfit", "_socket")
+
+    def __init__(self, misfit: "Misfit", sock: socket.socket) -> None:
+        self._misfit = misfit
+        self._socket = sock
+        self._buffer = b""
+
+    @property
+    def misfit(self) -> "Misfit":
+        """Give the upstream this connection belongs to."""
+        return self._misfit
+
+    def read(self) -> bytes | None:
+        """Return the next whole request; none says the peer has closed."""
+        head = self._read_until(CRLF + CRLF)
+        if head is None:
+            return None
+        body: bytes | None = b""
+        fields = head.lower()
+        if b"transfer-encoding: chunked" in fields:
+            body = self._read_until(b"0\r\n\r\n")
+        elif b"content-length:" in fields:
+            length = int(fields.split(b"content-length:")[1].split(CRLF)[0])
+            body = self._read_exactly(length)
+        if body is None:
+            return None
+        self._misfit.note(head + body)
+        return head + body
+
+    def write(self, data: bytes) -> None:
+        """Write bytes as they are."""
+        self._socket.sendall(data)
+
+    def reset(self) -> None:
+        """Close with a reset in place of an end."""
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOW
+        )
+        self._socket.close()
+
+    def wait_for_close(self) -> None:
+        """Wait until the other side has closed the connection."""
+        with contextlib.suppress(OSError):
+            while self._socket.recv(READ_BYTES):
+                pass
+        self._misfit.closed.set()
+
+    def _read_until(self, mark: bytes) -> bytes | None:
+        while mark not in self._buffer:
+            if not self._fill():
+                return None
+        found, _, self._buffer = self._buffer.partition(mark)
+        return found + mark
+
+    def _read_exactly(self, length: int) -> bytes | None:
+        while len(self._buffer) < length:
+            if not self._fill():
+                return None
+        found = self._buffer[:length]
+        self._buffer = self._buffer[length:]
+        return found
+
+    def _fill(self) -> bool:
+        data = self._socket.recv(READ_BYTES)
+        self._buffer += data
+        return bool(data)
+
+
+Behaviour = Callable[[Exchange], None]
+
+
+class Misfit:
+    """Listen and treat each connection by a behaviour."""
+
+    def __init__(self, behaviour: Behaviour) -> None:
+        self._behaviour = behaviour
+        self._requests: list[bytes] = []
+        self._connections = 0
+        # The other side has closed a connection; this side has.
+        self.closed = threading.Event()
+        self.left = threading.Event()
+        self.release = threading.Event()
+        self._listener = socket.create_server(
+            ("127.0.0.1", 0), backlog=BACKLOG
+        )
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Give the address to send to."""
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    @property
+    def requests(self) -> list[bytes]:
+        """List the whole requests that came."""
+        return self._requests
+
+    @property
+    def connections(self) -> int:
+        """Count the connections that came."""
+        return self._connections
+
+    def note(self, request: bytes) -> None:
+        """Remember a request."""
+        self._requests.append(request)
+
+    def stop(self) -> None:
+        """Listen no more and let waiting behaviours go on."""
+        self.release.set()
+        self._listener.close()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections += 1
+            threading.Thread(
+                target=self._treat, args=(sock,), daemon=True
+            ).start()
+
+    def _treat(self, sock: socket.socket) -> None:
+        with sock, contextlib.suppress(OSError):
+            self._behaviour(Exchange(self, sock))
+        self.left.set()
+
+
+def whole(body: bytes, *headers: bytes) -> bytes:
+    """Build a whole answer of known length."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    more = b"".join(header + CRLF for header in headers)
+    return OK + length + more + CRLF + body
+
+
+def answer(exchange: Exchange) -> None:
+    """Answer every request with its own target."""
+    while (request := exchange.read()) is not None:
+        exchange.write(whole(request.split(b" ")[1]))
+
+
+def shed(exchange: Exchange) -> None:
+    """Say "not run" before running anything."""
+    while exchange.read() is not None:
+        exchange.write(
+            b"HTTP/1.1 503 Shed\r\nNutmegchute-Not-Run: shed\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+
+def lie_about_not_run(exchange: Exchange) -> None:
+    """Say "not run" beside an answer that shows that it ran."""
+    while exchange.read() is not None:
+        exchange.write(whole(b"lent", b"Nutmegchute-Not-Run: shed"))
+
+
+def reset_after_head(exchange: Exchange) -> None:
+    """Reset the connection once the head is out."""
+    exchange.read()
+    exchange.write(OK + b"Content-Length: 10\r\n\r\n")
+    exchange.reset()
+
+
+def reset_at_once(exchange: Exchange) -> None:
+    """Reset the connection once the request is in."""
+    exchange.read()
+    exchange.reset()
+
+
+def half_a_body(exchange: Exchange) -> None:
+    """Close after half of the announced length."""
+    exchange.read()
+    exchange.write(OK + b"Content-Length: 10\r\n\r\nhalf!")
+
+
+def half_a_long_body(exchange: Exchange) -> None:
+    """Close after the first part of a body too long to be held."""
+    exchange.read()
+    exchange.write(OK + b"Content-Length: 400000\r\n\r\n" + b"x" * 200000)
+
+
+def half_the_chunks(exchange: Exchange) -> None:
+    """Close after the first chunk, without the last one."""
+    exchange.read()
+    exchange.write(OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhalf!\r\n")
+
+
+def chunks(exchange: Exchange) -> None:
+    """Answer in two whole chunks."""
+    while exchange.read() is not None:
+        exchange.write(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"5\r\nwhole\r\n1\r\n!\r\n0\r\n\r\n"
+        )
+
+
+def unframed(exchange: Exchange) -> None:
+    """Answer without a length and close."""
+    exchange.read()
+    exchange.write(OK + CRLF + b"until the end")
+
+
+def two_answers(exchange: Exchange) -> None:
+    """Send a second answer that nobody asked for."""
+    while (request := exchange.read()) is not None:
+        own = whole(request.split(b" ")[1])
+        exchange.write(own + whole(b"/another-patron"))
+
+
+def early_hint(exchange: Exchange) -> None:
+    """Send an interim answer before the true one."""
+    while (request := exchange.read()) is not None:
+        exchange.write(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+        exchange.write(whole(request.split(b" ")[1]))
+
+
+def close_when_idle(exchange: Exchange) -> None:
+    """Answer once, promise to go on, and close."""
+    exchange.read()
+    exchange.write(whole(b"once"))
+
+
+def close_as_written(exchange: Exchange) -> None:
+    """Answer once; close as soon as the second request arrives."""
+    exchange.read()
+    exchange.write(whole(b"once"))
+    exchange.read()
+    exchange.reset()
+
+
+def stay_silent(exchange: Exchange) -> None:
+    """Take the request and say nothing until the other side closes."""
+    exchange.read()
+    exchange.wait_for_close()
+
+
+def answer_late(exchange: Exchange) -> None:
+    """Answer when released; the entry has given up by then."""
+    while (request := exchange.read()) is not None:
+        exchange.misfit.release.wait()
+        exchange.write(whole(request.split(b" ")[1]))
+
+
+def trickle_head(exchange: Exchange) -> None:
+    """Send the head one byte at a time, without end."""
+    exchange.read()
+    exchange.write(OK + b"X-Slow: ")
+    while not exchange.misfit.release.wait(0.02):
+        exchange.write(b"x")
+
+
+def trickle_body(exchange: Exchange) -> None:
+    """Send a long body one byte at a time."""
+    exchange.read()
+    exchange.write(OK + b"Content-Length: 400000\r\n\r\n")
+    while not exchange.misfit.release.wait(0.02):
+        exchange.write(b"x")
+
+
+def contradict_lengths(exchange: Exchange) -> None:
+    """Announce two different lengths."""
+    exchange.read()
+    exchange.write(
+        OK + b"Content-Length: 3\r\nContent-Length: 9\r\n\r\nabcdefghi"
+    )
+
+
+def split_header(exchange: Exchange) -> None:
+    """Fold a header so that a careless copy starts a second header."""
+    while exchange.read() is not None:
+        exchange.write(whole(b"ok", b"X-Note: a\r\n Set-Cookie: b"))
