--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -6,22 +6,16 @@
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
-from nutmegchute_core.calls import Action
-from nutmegchute_core.calls import Cancel
-from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Known
-from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
-from nutmegchute_core.calls import Send
 from nutmegchute_core.claims import ClaimAnswer
 from nutmegchute_core.claims import FIRST
 from nutmegchute_core.claims import FULL
 from nutmegchute_core.claims import NOT_RUN
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import Settlement
-from nutmegchute_core.claims import UNKNOWN
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
@@ -33,10 +27,13 @@
 
 from .announcements import Announcements
 from .callers import CALL_PATH
-from .callers import CallApplication
+from .callers import CallHandler
 from .callers import Ticket
 from .claims import Claimer
+from .connections import Connections
 from .daemons import Daemon
+from .desks import CallDesk
+from .desks import SWEEP_S
 from .drains import DrainPage
 from .events import Event
 from .events import log
@@ -44,8 +41,9 @@
 from .gossips import Gossiper
 from .gossips import TICK_S as GOSSIP_TICK_S
 from .pages import EntryPages
+from .probes import Prober
+from .senders import Sender
 
-TICK_S = 0.01
 DRAIN_TICK_S = 0.05
 RETRY_S = 0.5
 SETTLE_S = 2.0
@@ -60,11 +58,12 @@
         own = EntryWord(
             settings.name, settings.http_address, settings.availability_zone
         )
-        self._balancer = Balancer(secrets.randbits(32))
+        self._balancer = Balancer(
+            secrets.randbits(32), settings.availability_zone
+        )
         self._members = Members(secrets.randbits(48))
         self._announcements = Announcements(self._members)
         self._directory = Directory(own, random.random())
-        self._tickets: dict[int, Ticket] = {}
         self._services: dict[str, Service] = {}
         self._claimer = Claimer(settings, self._links, self._loop)
         self._claiming = 0
@@ -76,17 +75,31 @@
             directory=self._directory,
             on_change=self._update_upstreams,
         )
-        application = CallApplication(
-            self, self._asker, settings.name, settings.request_body_bytes
+        self._connections = Connections()
+        self._handler = CallHandler(
+            asker=self._asker,
+            sender=Sender(self._connections),
+            name=settings.name,
+            body_bytes=settings.request_body_bytes,
+            threads=settings.http_threads,
+        )
+        self._prober = Prober(self._tell_probe)
+        self._desk = CallDesk(
+            balancer=self._balancer,
+            metrics=self._metrics,
+            hedge=self._handler.hedge,
+            ask_load=self._prober.ask,
+            settle=self._settle,
         )
+        self._handler.desk = self
         pages = EntryPages(self, self._asker, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._asker, self.stop)
         self._http.mount(pages)
-        self._http.graft(application, CALL_PATH)
+        self._http.handle(CALL_PATH, self._handler)
 
     def begin(self) -> None:
-        """Start ticking, gossiping and following the configuration."""
-        self.every(TICK_S, self._tick)
+        """Start the periodic work: sweeps, gossip, configuration."""
+        self.every(SWEEP_S, self._sweep)
         self.every(GOSSIP_TICK_S, self._gossiper.tick)
         self.every(0, self._follower.follow)
         self.every(0, self._claimer.run)
@@ -109,11 +122,20 @@
         # A caller may have been given this address a moment ago and may
         # keep it that long; closing earlier would refuse its connection.
         await asyncio.sleep(self._settings.entries_keep_s)
-        while self._balancer.in_flight or self._claiming:
+        # Nobody should come any more. Who does is sent away with "not
+        # run", and each connection ends with the answer it waits for.
+        self._http.close_politely()
+        self._handler.refusal = "entry is leaving"
+        while self._handler.active or self._claiming:
             await asyncio.sleep(DRAIN_TICK_S)
         await self._settle_all()
         await self._follower.leave()
 
+    def close(self) -> None:
+        """Let go of the helping threads."""
+        self._desk.stop()
+        self._prober.stop()
+
     def open_call(
         self,
         ticket: Ticket,
@@ -121,6 +143,7 @@
         method: str,
         path: str,
         deadline_s: float | None,
+        attempt: int,
     ) -> None:
         """Admit a call; its actions go to the ticket."""
         if not self._follower.may_act():
@@ -130,7 +153,9 @@
             return
         rule = self._claimed_rule(ticket, service, method, path)
         if rule is None:
-            self._admit(ticket, service, method, path, deadline_s)
+            self._desk.admit(
+                ticket, service, method, path, deadline_s, attempt
+            )
             return
         started_at = self._loop.time()
         wait_s = min(rule.deadline_s, deadline_s or rule.deadline_s)
@@ -140,7 +165,9 @@
             if not self._may_send(ticket, answer):
                 return
             left_s = wait_s - (self._loop.time() - started_at)
-            self._admit(ticket, service, method, path, max(0.0, left_s))
+            self._desk.admit(
+                ticket, service, method, path, max(0.0, left_s), attempt
+            )
 
         self._claiming += 1
         assert ticket.claim is not None
@@ -181,28 +208,13 @@
         while not self._claimer.idle and self._loop.time() < give_up_at:
             await asyncio.sleep(DRAIN_TICK_S)
 
-    def _admit(
-        self,
-        ticket: Ticket,
-        service: str,
-        method: str,
-        path: str,
-        deadline_s: float | None,
-    ) -> None:
-        now = self._loop.time()
-        call_id, actions = self._balancer.arrive(
-            service, method, path, now, deadline_s
-        )
-        ticket.call_id = call_id
-        self._tickets[call_id] = ticket
-        self._metrics.count("calls")
-        self._perform(actions)
-
-    def end_attempt(self, result: Result) -> None:
+    def end_attempt(self, ticket: Ticket, result: Result) -> None:
         """Take the end of an attempt."""
-        self._metrics.count(f"attempts.{result.outcome}")
-        self._metrics.time_ms("attempt", result.latency_s * 1000)
-        self._perform(self._balancer.finish(result, self._loop.time()))
+        self._desk.end_attempt(ticket, result)
+
+    def close_call(self, ticket: Ticket) -> None:
+        """Forget a ticket whose worker has written its answer."""
+        self._desk.close_call(ticket)
 
     def announce(
         self, announcement: Announcement, key: str
@@ -233,33 +245,27 @@
             "upstreams": self._members.live(self._loop.time()),
         }
 
-    def _perform(self, actions: list[Action]) -> None:
-        for action in actions:
-            if isinstance(action, Probe):
-                continue
-            ticket = self._tickets.get(action.call_id)
-            if ticket is None:
-                continue
-            ticket.put(action)
-            if isinstance(action, (Send, Cancel)):
-                continue
-            del self._tickets[action.call_id]
-            if isinstance(action, Finish):
-                self._settle(ticket, RAN)
-            if isinstance(action, Refuse):
-                self._settle(ticket, NOT_RUN)
-                self._metrics.count("refused")
-            elif isinstance(action, Lose):
-                self._settle(ticket, UNKNOWN)
-                self._metrics.count("unknown")
-                log(Event.CALL_LOST, "warning", reason=action.reason)
+    def _sweep(self) -> None:
+        self._desk.sweep()
+        self._connections.sweep()
 
-    def _tick(self) -> None:
-        self._perform(self._balancer.tick(self._loop.time()))
+    def _tell_probe(
+        self, probe: Probe, load: int | None, latency_s: float
+    ) -> None:
+        self._asker.tell(self._take_probe, probe, load, latency_s)
+
+    def _take_probe(
+        self, probe: Probe, load: int | None, latency_s: float
+    ) -> None:
+        self._metrics.count("probes")
+        actions = self._balancer.take_probe(
+            probe.service, probe.endpoint, load, latency_s, self._loop.time()
+        )
+        self._desk.perform(actions)
 
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
-        self._perform(self._balancer.update_upstreams(live, now))
+        self._desk.perform(self._balancer.update_upstreams(live, now))
 
     def _apply(self, reply: FollowReply) -> None:
         now = self._loop.time()
