--- a/packages/core/nutmegchute_core/directories.py
+++ b/packages/core/nutmegchute_core/directories.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-ENTRY_LEASE_S = 1.5
+ENTRY_LEASE_S = 2.5
 DEMAND_HALF_LIFE_S = 20.0
 PRIOR_ASKS = 0.5
 MAX_ENTRIES = 64
@@ -71,6 +71,10 @@
             return
         self._heard[word.name] = (word, demand, dated_at)
 
+    def lose(self, name: str) -> None:
+        """Forget an entry that did not answer, until it is heard again."""
+        self._heard.pop(name, None)
+
     def expire(self, now: float) -> None:
         """Forget entries that vanished."""
         for name, (_, _, dated_at) in list(self._heard.items()):
--- a/packages/core/nutmegchute_core/ledgers.py
+++ b/packages/core/nutmegchute_core/ledgers.py
@@ -19,8 +19,10 @@
 from .claims import OPEN
 from .claims import Settlement
 
-KEPT_S = 3600.0
-MAX_RECORDS = 400_000
+# A key is kept KEPT_S at least, and as much longer as there is room.
+KEPT_S = 900.0
+MOST_KEPT_S = 86_400.0
+MAX_RECORDS = 200_000
 
 _FIRST = ClaimAnswer(FIRST)
 _FULL = ClaimAnswer(FULL)
@@ -82,14 +84,23 @@
     def _expire(self) -> None:
         while self._records:
             digest, record = next(iter(self._records.items()))
-            if self._time_s - record.claimed_at <= KEPT_S:
+            if self._time_s - record.claimed_at <= MOST_KEPT_S:
                 return
             del self._records[digest]
 
+    def _has_room(self) -> bool:
+        if len(self._records) < self._most:
+            return True
+        digest, record = next(iter(self._records.items()))
+        if self._time_s - record.claimed_at <= KEPT_S:
+            return False
+        del self._records[digest]
+        return True
+
     def _claim(self, claim: Claim) -> ClaimAnswer:
         record = self._records.get(claim.digest)
         if record is None:
-            if len(self._records) >= self._most:
+            if not self._has_room():
                 # Forgetting a key early would let its request run twice;
                 # refusing a new one before it is sent costs only time.
                 return _FULL
@@ -123,9 +134,6 @@
         record.outcome = settlement.outcome
         record.status = settlement.status
 
-    def _has_room(self) -> bool:
-        return len(self._records) < self._most
-
     def _put(self, claim: Claim, outcome: str) -> None:
         self._records[claim.digest] = Record(
             digest=claim.digest,
--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -14,7 +14,7 @@
 from .links import Method
 from .settings import Settings
 
-GOSSIP_S = 0.5
+GOSSIP_S = 1.0
 TICK_S = 0.05
 TIMEOUT_S = 0.5
 
@@ -116,6 +116,10 @@
         reply = await self._links.ask(address, EXCHANGE, gossip, TIMEOUT_S)
         if reply is not None:
             self._hear(reply)
+            return
+        # Callers must not be sent to a vm that is gone; should only the
+        # link be cut, the next exchange takes the entry in again.
+        self._directory.lose(self._names.get(address, ""))
 
     async def _on_gossip(self, gossip: Gossip) -> Gossip:
         self._hear(gossip)
--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -22,6 +22,8 @@
     ("grpc.keepalive_time_ms", 4000),
     ("grpc.keepalive_timeout_ms", 2000),
     ("grpc.http2.max_pings_without_data", 0),
+    # The probes for the bandwidth would be most of what gossip sends.
+    ("grpc.http2.bdp_probe", 0),
 ]
 SERVER_OPTIONS = [
     ("grpc.so_reuseport", 0),
--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -26,7 +26,14 @@
 class Process:
     """Hold one process of the deployment and its addresses."""
 
-    __slots__ = ("_command", "_log", "_name", "_process", "address")
+    __slots__ = (
+        "_command",
+        "_log",
+        "_name",
+        "_process",
+        "address",
+        "grpc_address",
+    )
 
     def __init__(
         self, name: str, command: list[str], address: str, log: Path
@@ -35,6 +42,7 @@
         self._command = command
         self._log = log
         self.address = address
+        self.grpc_address = ""
         self._process = self._start()
 
     @property
@@ -218,7 +226,9 @@
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
         command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
         log = self.folder / f"{name}.log"
-        return Process(name, command, document["http_address"], log)
+        process = Process(name, command, document["http_address"], log)
+        process.grpc_address = document["grpc_address"]
+        return process
 
 
 def digest(key: str) -> str:
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -23,6 +23,7 @@
 from nutmegchute_core.ledgers import KEPT_S
 from nutmegchute_core.ledgers import Ledger
 from nutmegchute_core.ledgers import LedgerState
+from nutmegchute_core.ledgers import MOST_KEPT_S
 
 
 def claim(token: int, key: str = "atlas", request: str = "loan") -> Claim:
@@ -114,6 +115,16 @@
     assert ask(ledger, claim(6, "b")).outcome == OPEN
 
 
+def test_keys_are_kept_while_there_is_room() -> None:
+    """Hold a key for long after KEPT_S, but not for ever."""
+    ledger = Ledger(most=2)
+    ask(ledger, claim(1, "a"))
+    assert ask(ledger, claim(2, "a"), elapsed_s=KEPT_S * 4).outcome == OPEN
+    late = MOST_KEPT_S + 1
+    assert ask(ledger, claim(3, "a"), elapsed_s=late).outcome == FIRST
+    assert len(ledger) == 1
+
+
 def test_no_clock_makes_the_ledger_forget() -> None:
     """Count no time backwards."""
     ledger = Ledger()
