--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,21 @@
 export PYTHONPATH := $(subst $() ,:,$(PACKAGES:%=$(CURDIR)/packages/%))
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test known-red lint format proto
+.PHONY: demo test known-red lint format proto charts
 
+ifeq ($(VENV),.venv)
 $(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r constraints.txt
 	$(BIN)/pip install -q --no-build-isolation --no-deps \
 	  $(PACKAGES:%=-e packages/%)
 	touch $@
+else
+# An environment named from outside may serve other checkouts as well, so
+# it is used as it is: installing here would point them all at this one.
+$(VENV)/ready:
+	test -x $(BIN)/python
+endif
 
 demo: $(VENV)/ready
 	$(BIN)/python -m nutmegchute_fakes.demo
@@ -42,6 +49,9 @@
 	  packages/daemon/nutmegchute_daemon/wire.proto \
 	  --python_out=packages/daemon
 
+charts: $(VENV)/ready
+	$(BIN)/python -m benchmarks.charts
+
 # bench-NAME runs benchmarks/NAME.py.
 bench-%: $(VENV)/ready
 	$(BIN)/python -m benchmarks.$*
--- a/packages/daemon/nutmegchute_daemon/pages.py
+++ b/packages/daemon/nutmegchute_daemon/pages.py
@@ -12,6 +12,7 @@
 from .announcements import AnnouncementError
 from .announcements import KEY_BYTES
 from .announcements import read_announcement
+from .drains import DrainPage
 from .protocols import SERVICE_KEY_HEADER
 from .servers import LoopAsker
 
@@ -37,6 +38,8 @@
 class EntryPages:
     """Answer callers' and upstreams' questions over HTTP."""
 
+    drain: DrainPage
+
     def __init__(
         self, daemon: Answerer, asker: LoopAsker, keep_s: float
     ) -> None:
