Soak real processes under random faults, and count proofs

Cause: nothing broke whole processes at random and compared what callers were told with what upstreams ran.

Change: make soak plays a seeded schedule of kills, freezes, drains and operator races on 3 control replicas, 4 entries and 6 upstreams under load; upstreams append what ran to a file that outlives them. make proofs runs the tests that docs/proofs.rst names and counts the points that hold. Test ports lie below the kernel's own and are given once: two daemons had got the same one.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(subst $() ,:,$(PACKAGES:%=$(CURDIR)/packages/%))
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test known-red lint format proto charts
+.PHONY: demo test known-red lint format proto charts soak proofs
 
 ifeq ($(VENV),.venv)
 $(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
@@ -55,3 +55,10 @@
 # bench-NAME runs benchmarks/NAME.py.
 bench-%: $(VENV)/ready
 	$(BIN)/python -m benchmarks.$*
+
+# make soak SOAK="--seconds=120 --seed=7"
+soak: $(VENV)/ready
+	$(BIN)/python -m nutmegchute_fakes.soak $(SOAK)
+
+proofs: $(VENV)/ready
+	$(BIN)/python -m nutmegchute_fakes.proofs docs/proofs.rst
--- a/packages/fakes/nutmegchute_fakes/callers.py
+++ b/packages/fakes/nutmegchute_fakes/callers.py
@@ -10,6 +10,7 @@
 
 ANSWERED = "answered"
 REFUSED = "refused-not-run"
+RAN = "ran"
 UNKNOWN = "unknown"
 WRONG = "wrong"
 
@@ -113,6 +114,8 @@
         said = answer.headers.get(OUTCOME_HEADER)
         if said == "not-run":
             return REFUSED
+        if said == "ran":
+            return RAN
         if said is not None or answer.status != 200:
             return UNKNOWN
         document = msgspec.json.decode(answer.data)
--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import msgspec
@@ -17,6 +18,11 @@
 STOP_S = 20.0
 LOG_LINES = 12
 OPERATOR_KEY = "loopback-operator-key"
+PORTS = (10000, 32000)
+PORT_TRIES = 1000
+
+_RANDOM = SystemRandom()
+_GIVEN: set[int] = set()
 
 
 class ClusterError(Exception):
@@ -240,7 +246,27 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
+    """Return a loopback address that nothing listens on.
+
+    Each is given once in a process. The ports lie below those that the
+    kernel gives to outgoing connections, so that a daemon which is down
+    for a moment finds its port free when it starts again.
+
+    :raises ClusterError: none was free
+    """
+    for _ in range(PORT_TRIES):
+        port = _RANDOM.randrange(*PORTS)
+        if port in _GIVEN or not _is_free(port):
+            continue
+        _GIVEN.add(port)
+        return f"127.0.0.1:{port}"
+    raise ClusterError("no free port on loopback")
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -16,6 +16,8 @@
 
 ZONES = ["miraflores", "san-isidro", "surco"]
 SLOW_MS = 400
+FEW_S = 2.0
+CALLERS = 12
 POOL = urllib3.PoolManager(timeout=10.0, retries=False)
 
 
@@ -64,6 +66,11 @@
     return POOL.request(method, url, body=body, headers=headers)
 
 
+def lookup(entry: Process) -> urllib3.BaseHTTPResponse:
+    """Look up a shelf through one entry."""
+    return loan(entry, "lookup", method="GET")
+
+
 def outcome(answer: urllib3.BaseHTTPResponse) -> str | None:
     """Give what an answer says of its request."""
     return answer.headers.get("Nutmegchute-Outcome")
@@ -145,3 +152,56 @@
 
     cluster.wait_for("the ledger", runs)
     assert ran(cluster.folder, "no-quorum") == 1
+
+
+def test_a_stopping_entry_ends_what_it_began(cluster: Cluster) -> None:
+    """Cut off no request when an entry is told to stop.
+
+    A loan is under way and another caller has just been given the address:
+    both get their answers. Only then does the process end, with status 0.
+    """
+    entry = cluster.entries[1]
+    with ThreadPoolExecutor(2) as pool:
+        first = pool.submit(loan, entry, "under-way")
+        time.sleep(SLOW_MS / 4000)
+        entry.signal(signal.SIGTERM)
+        late = pool.submit(loan, entry, "kept-address")
+        assert first.result().status == 200
+        assert late.result().status == 200
+    assert entry.wait() == 0
+    again = loan(cluster.entries[0], "under-way")
+    assert (again.status, outcome(again)) == (409, "ran")
+    for key in ("under-way", "kept-address"):
+        assert ran(cluster.folder, key) == 1
+    entry.restart()
+    cluster.wait_for("the entry", lambda: knows(cluster, entry, 2))
+
+
+def test_a_leaving_upstream_gets_no_new_work(cluster: Cluster) -> None:
+    """Send nothing to an upstream that has announced that it leaves.
+
+    It goes on serving, so nothing but the word of its drain keeps calls
+    away from it, at the entry that heard it and at all others.
+    """
+    record = cluster.folder / "ran-3"
+    upstream = cluster.add_upstream("prestamos", record=record)
+    for entry in cluster.entries:
+        cluster.wait_for("it", lambda e=entry: knows(cluster, e, 3))
+    with ThreadPoolExecutor(CALLERS) as pool:
+
+        def lookups() -> bool:
+            for answer in pool.map(lookup, cluster.entries * 4):
+                assert answer.status == 200
+            return bool(record.read_text())
+
+        cluster.wait_for("its first call", lookups)
+        POOL.request("GET", f"http://{upstream.address}/_drain")
+        drained_at = time.time()
+        while time.time() < drained_at + 2 * FEW_S:
+            lookups()
+    lines = record.read_text().splitlines()
+    newest = max(float(line.split()[0]) for line in lines)
+    assert newest < drained_at + FEW_S
+    upstream.kill()
+    for entry in cluster.entries:
+        cluster.wait_for("its end", lambda e=entry: knows(cluster, e, 2))
--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,78 @@
+"""Make sure that the count of proofs can fail."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from nutmegchute_fakes.proofs import judge
+from nutmegchute_fakes.proofs import Outcomes
+from nutmegchute_fakes.proofs import POINTS
+from nutmegchute_fakes.proofs import read_points
+
+PAGE = """
+What must always hold
+=====================
+
+1. Measuring stays cheap
+------------------------
+
+``tests/test_a.py::test_one`` and ``tests/test_a.py::TestFleet::runTest``
+
+2. No answer is another's
+-------------------------
+
+Nothing yet.
+"""
+
+
+def outcomes(*reports: tuple[str, str]) -> Outcomes:
+    """Build outcomes as pytest reports them."""
+    found = Outcomes()
+    for node, outcome in reports:
+        report: Any = SimpleNamespace(nodeid=node, outcome=outcome)
+        found.pytest_runtest_logreport(report)
+    return found
+
+
+def test_points_are_read() -> None:
+    """Find each point's tests on the page."""
+    assert read_points(PAGE) == {
+        1: [
+            "tests/test_a.py::test_one",
+            "tests/test_a.py::TestFleet::runTest",
+        ],
+        2: [],
+    }
+
+
+@pytest.mark.parametrize(
+    ("reports", "holds"),
+    [
+        ([("t::a", "passed"), ("t::b", "passed")], True),
+        (
+            [("t::a[x]", "passed"), ("t::a[y]", "passed"), ("t::b", "passed")],
+            True,
+        ),
+        (
+            [("t::a[x]", "passed"), ("t::a[y]", "failed"), ("t::b", "passed")],
+            False,
+        ),
+        ([("t::a", "passed")], False),
+        ([("t::a", "passed"), ("t::b", "skipped")], False),
+        ([("t::a", "passed"), ("t::b", "passed"), ("t::b", "failed")], False),
+        ([("t::a", "passed"), ("t::b", "failed"), ("t::b", "passed")], False),
+        ([("t::a", "passed"), ("t::bc", "passed")], False),
+        ([], False),
+    ],
+)
+def test_a_point_holds_when_all_its_tests_passed(
+    reports: list[tuple[str, str]], holds: bool
+) -> None:
+    """Count no point whose tests failed, were skipped or did not run."""
+    points = {1: ["t::a", "t::b"]}
+    assert judge(points, outcomes(*reports)) == ([1] if holds else [])
+
+
+def test_a_point_without_a_test_does_not_hold() -> None:
+    """Count no promise without a proof."""
+    assert judge(dict.fromkeys(range(1, POINTS + 1), []), outcomes()) == []
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,57 @@
+"""Make sure that the soak's oracle can find what it looks for."""
+
+from random import Random
+
+import pytest
+from nutmegchute_fakes.callers import ANSWERED
+from nutmegchute_fakes.callers import RAN
+from nutmegchute_fakes.callers import REFUSED
+from nutmegchute_fakes.callers import UNKNOWN
+from nutmegchute_fakes.callers import WRONG
+from nutmegchute_fakes.faults import schedule
+from nutmegchute_fakes.soak import KEYED
+from nutmegchute_fakes.soak import LOOKUP
+from nutmegchute_fakes.soak import Told
+from nutmegchute_fakes.soak import Verdict
+
+SIZES = {"entry": 4, "control": 3, "upstream": 6}
+
+
+@pytest.mark.parametrize(
+    ("kind", "said", "ran", "fault"),
+    [
+        (KEYED, [UNKNOWN, RAN], ["a.0"], None),
+        (KEYED, [REFUSED, ANSWERED], ["a.1"], None),
+        (KEYED, [UNKNOWN, ANSWERED], ["a.0", "a.1"], "ran_twice"),
+        (KEYED, [UNKNOWN], ["a.0", "a.0"], "ran_twice"),
+        (KEYED, [ANSWERED], [], "lost"),
+        (KEYED, [RAN], [], "lost"),
+        (KEYED, [REFUSED], ["a.0"], "false_not_run"),
+        (KEYED, [REFUSED, UNKNOWN], ["a.0"], "false_not_run"),
+        (LOOKUP, [REFUSED, UNKNOWN], [], "lost"),
+        (LOOKUP, [UNKNOWN, ANSWERED], ["a.0", "a.1"], None),
+        (LOOKUP, [WRONG, ANSWERED], ["a.0", "a.1"], "crossed"),
+    ],
+)
+def test_the_oracle_finds(
+    kind: str, said: list[str], ran: list[str], fault: str | None
+) -> None:
+    """Find each fault where it is, and none where it is not."""
+    told = Told("a", kind)
+    for place, outcome in enumerate(said):
+        told.attempts.append((f"a.{place}", outcome))
+    verdict = Verdict([told], ran)
+    for name in ("ran_twice", "lost", "crossed", "false_not_run"):
+        found = getattr(verdict, name)()
+        assert bool(found) == (name == fault), name
+
+
+def test_a_seed_gives_one_schedule() -> None:
+    """Play the same faults again for the same seed."""
+    one, again, other = (
+        [str(fault) for fault in schedule(Random(seed), 60.0, SIZES)]
+        for seed in (7, 7, 8)
+    )
+    assert one == again
+    assert one != other
+    assert len(one) > 20
