--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -25,22 +25,26 @@
         "_failures",
         "_heard_at",
         "_latency_at",
-        "_latency_s",
         "_others",
         "_repeats",
         "_report",
+        "alive",
         "ejected_until",
         "in_flight",
         "joined_at",
+        "latency_s",
         "local",
+        "probed_at",
+        "slots",
         "stalled",
+        "stalled_at",
     )
 
     def __init__(
         self, announcement: Announcement, local: bool, joined_at: float | None
     ) -> None:
         self._announcement = announcement
-        self._latency_s: float | None = None
+        self.latency_s = 0.0
         self._latency_at = 0.0
         self._others = 0.0
         self._heard_at: float | None = None
@@ -52,7 +56,11 @@
         self.in_flight = 0
         self.joined_at = joined_at
         self.local = local
+        self.slots = announcement.slots
         self.stalled = 0
+        self.stalled_at = 0.0
+        self.probed_at = 0.0
+        self.alive = False
 
     @property
     def announcement(self) -> Announcement:
@@ -62,6 +70,7 @@
     @announcement.setter
     def announcement(self, announcement: Announcement) -> None:
         self._announcement = announcement
+        self.slots = announcement.slots
 
     @property
     def address(self) -> str:
@@ -69,25 +78,15 @@
         return self._announcement.endpoint
 
     @property
-    def slots(self) -> int:
-        """Give the calls the endpoint runs at once."""
-        return self._announcement.slots
+    def zone(self) -> str:
+        """Name the endpoint's availability zone."""
+        return self._announcement.availability_zone
 
     @property
     def draining(self) -> bool:
         """Tell whether the endpoint is leaving."""
         return self._announcement.state == DRAINING
 
-    @property
-    def suspect(self) -> bool:
-        """Tell whether it was ejected and has not answered since."""
-        return self._ejections > 0
-
-    @property
-    def heard_at(self) -> float | None:
-        """Give when its load was last heard, in seconds, if ever."""
-        return self._heard_at
-
     @property
     def stuck(self) -> bool:
         """Tell whether its reports repeat too long to be believed."""
@@ -106,11 +105,9 @@
 
     def latency(self, mean_s: float, now: float) -> float:
         """Estimate an answer's time, in seconds; old news fade."""
-        if self._latency_s is None:
-            return mean_s
         age_s = now - self._latency_at
         weight = LATENCY_KEPT_S / (LATENCY_KEPT_S + age_s)
-        return mean_s + (self._latency_s - mean_s) * weight
+        return mean_s + (self.latency_s - mean_s) * weight
 
     def coldness(self, now: float) -> float:
         """Give by how much a newcomer is held to be slower."""
@@ -122,8 +119,17 @@
             return 1.0
         return 1.0 + (COLD_FACTOR - 1.0) * (1.0 - age_s / WARM_UP_S)
 
-    def hear_load(self, load: int, now: float) -> float:
-        """Take a load report; return the share of other entries."""
+    @property
+    def reported_others(self) -> float:
+        """Give the calls of other entries in the last report."""
+        return self._others
+
+    def forget_load(self) -> None:
+        """Believe no report; the mean stands in for it."""
+        self._heard_at = None
+
+    def hear_load(self, load: int, now: float) -> None:
+        """Take a load report."""
         if load == self._report:
             self._repeats += 1
         else:
@@ -131,19 +137,18 @@
         self._report = load
         self._others = float(max(0, load - self.in_flight))
         self._heard_at = now
-        return self._others
 
     def hear_latency(self, latency_s: float, now: float) -> None:
         """Take the time an answer took, in seconds."""
         self._latency_at = now
-        if self._latency_s is None:
-            self._latency_s = latency_s
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
             return
-        self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
 
     def hear_late(self, elapsed_s: float, now: float) -> None:
         """Take word of an answer that is still out after so long."""
-        if self._latency_s is None or elapsed_s > self._latency_s:
+        if elapsed_s > self.latency_s:
             self.hear_latency(elapsed_s, now)
 
     def succeed(self) -> None:
@@ -156,6 +161,7 @@
     def fail(self, now: float) -> bool:
         """Count a failure; return whether it ejects the endpoint."""
         self._failures += 1
+        self.alive = False
         if self._failures < EJECT_AFTER and not self._ejections:
             return False
         # A trial that fails ejects again at once, for twice as long.
