--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -17,6 +17,7 @@
 from .settings import Settings
 
 GRPC_GRACE_S = 0.2
+FLUSH_S = 1.0
 
 
 class Daemon:
@@ -47,6 +48,7 @@
             # second, meaningless error after the line that counts.
             await self._links.stop(0)
             raise
+        self.every(FLUSH_S, self._metrics.flush)
         self.begin()
         reporter = Reporter(self._metrics, self.gauges, self._loop.time)
         self.every(REPORT_S, reporter.report)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -39,13 +39,16 @@
         listener.settimeout(5)
         port = listener.getsockname()[1]
         times = iter([0.0, REPORT_S + 0.5])
+        metrics = Metrics(f"127.0.0.1:{port}", "entry-1")
         reporter = Reporter(
-            Metrics(f"127.0.0.1:{port}", "entry-1"),
+            metrics,
             lambda: {"in_flight": 3.0},
             lambda: next(times),
         )
         reporter.report()
-        lines = [listener.recv(256).decode() for _ in range(5)]
+        metrics.flush()
+        lines = listener.recv(4096).decode().split("\n")
+    assert len(lines) == 5
     assert "nutmegchute.entry-1.alive:1|g" in lines
     assert "nutmegchute.entry-1.loop_lag_ms:500.0|g" in lines
     assert "nutmegchute.entry-1.in_flight:3.0|g" in lines
