--- a/packages/cli/nutmegchute_cli/listings.py
+++ b/packages/cli/nutmegchute_cli/listings.py
@@ -11,6 +11,8 @@
 from .tables import print_rows
 
 CHANGE_ID_CHARACTERS = 8
+# Filtered by team here, so all that the replicas keep is asked for.
+AUDIT_PATH = "/audit?limit=100000"
 
 
 def status(options: Options) -> int:
@@ -88,7 +90,7 @@
     """List who changed what, newest last."""
     wanted = options.text("TEAM")
     rows = []
-    for record in options.control().get("/audit"):
+    for record in options.control().get(AUDIT_PATH):
         if not wanted or wanted in record.get("to_revisions", {}):
             rows.append(record)
     rows = rows[-options.limit :] if options.limit else rows
--- a/packages/cli/nutmegchute_cli/replicas.py
+++ b/packages/cli/nutmegchute_cli/replicas.py
@@ -8,6 +8,7 @@
 from .tables import print_rows
 
 DONE = "accepted"
+WAITING = "waiting"
 
 
 def run(options: Options) -> int:
@@ -21,8 +22,12 @@
         body = {"action": "replace", **_addresses(options, "NEW")}
         return _send(options, {**body, "replaces": options.text("NAME")})
     found = options.control().get("/replicas")
+    rows = list(found["replicas"])
+    for member in found["waiting"]:
+        rows.append({**member, "kind": WAITING})
     columns = ["name", "kind", "grpc_address", "http_address", "match_index"]
-    print_rows(found["replicas"], columns, options.json)
+    columns.append("silent_s")
+    print_rows(rows, columns, options.json)
     return EXIT_DONE
 
 
@@ -35,7 +40,9 @@
 
 
 def _send(options: Options, body: dict[str, Any]) -> int:
-    answer = options.control().post("/replicas", body, options.wait_s)
+    # Sent once: unlike a change it has no id, and a resend after a lost
+    # answer would be refused although the first one was done.
+    answer = options.control().post("/replicas", body, 0.0)
     if answer["outcome"] != DONE:
         raise RefusedError(f"{answer['outcome']}: {answer['detail']}")
     print(answer["detail"] or "done")
--- a/packages/cli/nutmegchute_cli/tables.py
+++ b/packages/cli/nutmegchute_cli/tables.py
@@ -36,4 +36,6 @@
         return "-"
     if isinstance(value, bool):
         return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3g}"
     return str(value)
--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -85,6 +85,7 @@
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
         self.grpc_ports: list[int] = []
+        self._peers: list[dict[str, str]] = []
         self.controls: list[Process] = []
         self.entries: list[Process] = []
         self.upstreams: list[Process] = []
@@ -107,16 +108,7 @@
         for address in [*seeds, *(peer["grpc_address"] for peer in peers)]:
             self.grpc_ports.append(int(address.rpartition(":")[2]))
         for number, peer in enumerate(peers):
-            document = self._settings("control", number, peer, peers)
-            document["data_folder"] = str(self.folder / peer["name"])
-            document["operators"] = [
-                {
-                    "name": "operator",
-                    "key_sha256": digest(OPERATOR_KEY),
-                    "branches": ["*"],
-                }
-            ]
-            self.controls.append(self._daemon(document))
+            self._start_control(number, peer, peers)
         for number, address in enumerate(seeds):
             own = {
                 "name": f"entry-{number + 1}",
@@ -131,6 +123,16 @@
         for entry in self.entries:
             self.wait_for(entry.name, lambda one=entry: self.ask(one))
 
+    def add_control(self, name: str) -> dict[str, str]:
+        """Start a control replica with an empty folder; return its line."""
+        own = {
+            "name": name,
+            "grpc_address": free_address(),
+            "http_address": free_address(),
+        }
+        self._start_control(len(self.controls), own, [*self._peers, own])
+        return own
+
     def add_upstream(self, service: str, **options: Any) -> Process:
         """Start a fake upstream; options become command-line options."""
         address = free_address()
@@ -205,6 +207,21 @@
             lines.extend(path.read_text().splitlines()[-LOG_LINES:])
         return "\n".join(lines)
 
+    def _start_control(
+        self, number: int, own: dict[str, str], peers: list[dict[str, str]]
+    ) -> None:
+        self._peers = peers
+        document = self._settings("control", number, own, peers)
+        document["data_folder"] = str(self.folder / own["name"])
+        document["operators"] = [
+            {
+                "name": "operator",
+                "key_sha256": digest(OPERATOR_KEY),
+                "branches": ["*"],
+            }
+        ]
+        self.controls.append(self._daemon(document))
+
     def _settings(
         self, role: str, number: int, own: dict[str, str], peers: list[Any]
     ) -> dict[str, Any]:
--- a/packages/fakes/nutmegchute_fakes/controls.py
+++ b/packages/fakes/nutmegchute_fakes/controls.py
@@ -29,6 +29,7 @@
         self.state = "leader"
         self.in_force = True
         self.entries: dict[str, int] = {}
+        self.waiting: list[dict[str, Any]] = []
         self.replicas: list[dict[str, Any]] = []
         self.posts: list[tuple[str, Any]] = []
         self.intrude: Callable[[], object] = lambda: None
@@ -72,7 +73,10 @@
                 "documents": self.tree.documents,
             },
             "/audit": self.tree.audit,
-            "/replicas": {"replicas": self.replicas},
+            "/replicas": {
+                "replicas": self.replicas,
+                "waiting": self.waiting,
+            },
             "/status": {
                 "name": "control-1",
                 "state": self.state,
@@ -110,7 +114,7 @@
 def _handler(control: FakeControl) -> type[BaseHTTPRequestHandler]:
     class Handler(BaseHTTPRequestHandler):
         def do_GET(self) -> None:
-            page = control.page(self.path)
+            page = control.page(self.path.partition("?")[0])
             self._answer(404 if page is None else 200, page)
 
         def do_POST(self) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -275,6 +275,17 @@
     assert run("status")[0] == 4
 
 
+def test_replicas_that_wait_are_listed(run: Run, control: FakeControl) -> None:
+    """Show a newcomer, so that the operator can take it in."""
+    control.replicas = [{"name": "control-1", "kind": "voter"}]
+    control.waiting = [{"name": "control-4"}]
+    rows = msgspec.json.decode(run("replicas", "--json")[1])
+    assert [(row["name"], row["kind"]) for row in rows] == [
+        ("control-1", "voter"),
+        ("control-4", "waiting"),
+    ]
+
+
 def test_replicas_are_replaced(run: Run, control: FakeControl) -> None:
     """Send the lost name, the new name and its addresses."""
     words = ("replace", "control-1", "control-4")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,6 +3,7 @@
 import re
 from pathlib import Path
 
+import nutmegchute_daemon
 from nutmegchute_daemon.events import Event
 
 PAGE = Path(__file__).parent.parent / "docs" / "events.rst"
@@ -30,5 +31,20 @@
     assert len(set(numbers)) == len(numbers)
 
 
+def test_each_event_is_logged_somewhere() -> None:
+    """Keep no event in the catalogue that no code logs."""
+    folder = Path(nutmegchute_daemon.__file__).parent
+    code = ""
+    for path in folder.glob("*.py"):
+        if path.name != "events.py":
+            code += path.read_text()
+    unused = [
+        event.name
+        for event in Event
+        if not re.search(rf"\bEvent\.{event.name}\b", code)
+    ]
+    assert unused == []
+
+
 def _entries() -> list[tuple[str, str, str]]:
     return ENTRY.findall(PAGE.read_text())
