--- a/benchmarks/policy_scenarios.py
+++ b/benchmarks/policy_scenarios.py
@@ -267,7 +267,12 @@
 
 
 def _fail_fast(world: World) -> None:
-    world.some(0.0 + 1.01 / world.site.count)[0].failing = True
+    world.some(1.01 / world.site.count)[0].failing = True
+
+
+def _hang(world: World) -> None:
+    names = [one.name for one in world.some(1.01 / world.site.count)]
+    world.simulation.at(LOST_AT_S, world.simulation.kill, names)
 
 
 def _lie(kind: str) -> Callable[[World], None]:
@@ -308,6 +313,7 @@
     Scenario("noisy third, 5-50 ms", 0.7, act=_short_bursts),
     Scenario("noisy third, 2 s", 0.5, 4.0, _long_bursts),
     Scenario("one fails fast", 0.7, act=_fail_fast),
+    Scenario("one hangs", 0.7, 5.0, act=_hang),
     Scenario("reports stuck", 0.7, act=_lie(STUCK)),
     Scenario("reports zero", 0.7, act=_lie(ZERO)),
     Scenario("reports 2 s old", 0.7, act=_lie(OLD)),
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -53,6 +53,7 @@
         "_policy",
         "_random",
         "_recent",
+        "_slots",
         "_stalls",
         "probed",
     )
@@ -62,6 +63,7 @@
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
+        self._slots = 1.0
         self._members: set[Endpoint] = set()
         # A dict for its order: the endpoint heard last comes last.
         self._recent: dict[Endpoint, None] = {}
@@ -75,16 +77,16 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
-    def load_share(self) -> float:
-        """Give the mean load that others put on an endpoint, per slot."""
-        slots = sum(one.slots for one in self._order)
-        if not slots:
-            return 0.0
-        return self._others.value * len(self._order) / slots
+    @property
+    def load_per_slot(self) -> float:
+        """Give the mean load that other entries put on a slot."""
+        return self._others.value / self._slots
 
     def update(self, endpoints: list[Endpoint]) -> None:
         """Take the endpoints that may be chosen."""
         self._order = endpoints
+        slots = sum(endpoint.slots for endpoint in endpoints)
+        self._slots = slots / max(1, len(endpoints)) or 1.0
         self._members = set(endpoints)
         self._ejected &= self._members
         for endpoint in list(self._recent):
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -20,7 +20,8 @@
 from .rules import Service
 
 HEDGE_QUANTILE = 0.92
-HEDGE_MOST_LOAD = 99.0
+# Calls of others per slot beyond which a hedge only lengthens queues.
+HEDGE_MOST_LOAD = 1.0
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
 RETRY_AFTER_LEAST_S = 0.2
@@ -190,7 +191,7 @@
             return None
         if self.too_late(call, now) or not self.has_room():
             return None
-        if self._chooser.load_share() > HEDGE_MOST_LOAD:
+        if self._chooser.load_per_slot > HEDGE_MOST_LOAD:
             return None
         found = self.choose(call, now)
         if found is None or not self._extra.spend_hedge():
