Prove each safeguard of control, also with real processes

Cause: the storms reach some states too rarely, and virtual time does not show that the daemon does what the fakes do. Change: focused tests for what storms seldom meet, followers against scripted answers, and real replicas that are killed, stopped and robbed of a disk.

--- /dev/null
+++ b/tests/test_controls.py
@@ -0,0 +1,293 @@
+"""Kill, stop and rob real control replicas on loopback."""
+
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import urllib3
+from nutmegchute_fakes.clusters import Cluster
+from nutmegchute_fakes.clusters import OPERATOR_KEY
+from nutmegchute_fakes.clusters import Process
+from support import rule
+from support import team
+from urllib3.exceptions import HTTPError
+
+POOL = urllib3.PoolManager(timeout=5.0, retries=False)
+HEADERS = {"Nutmegchute-Operator": OPERATOR_KEY}
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    """Start 3 control replicas and 2 entries."""
+    one = Cluster(tmp_path_factory.mktemp("controls"), ["a", "b", "c"])
+    try:
+        one.start(controls=3, entries=2, entries_keep_s=0.1)
+        yield one
+    finally:
+        one.stop()
+
+
+def post(process: Process, path: str, body: Any) -> tuple[int, Any]:
+    """Post to a replica; return the status and the answer."""
+    answer = POOL.request(
+        "POST",
+        f"http://{process.address}{path}",
+        headers=HEADERS,
+        body=msgspec.json.encode(body),
+        redirect=False,
+    )
+    if answer.status != 200:
+        return answer.status, answer.data
+    return 200, msgspec.json.decode(answer.data)
+
+
+def body(change_id: str, base: int) -> Any:
+    """Build a change of the branch "lending"."""
+    document = team(catalogo=[rule(deadline_ms=base + 1)])
+    return {
+        "change_id": change_id,
+        "bases": {"lending": base},
+        "documents": {"lending": document},
+    }
+
+
+def change(cluster: Cluster, change_id: str, base: int) -> Any:
+    """Send a change, again and again, until its outcome is known."""
+
+    def sent() -> Any:
+        leader = cluster.leader()
+        if leader is None:
+            return None
+        try:
+            status, answer = post(leader, "/changes", body(change_id, base))
+        except HTTPError:
+            return None
+        return answer if status == 200 else None
+
+    return cluster.wait_for(f"the outcome of {change_id}", sent)
+
+
+def revision(cluster: Cluster) -> int:
+    """Read the branch's revision from the leader."""
+    leader = cluster.wait_for("a leader", cluster.leader)
+    tree = cluster.ask(leader, "/tree") or {"revisions": {}}
+    return int(tree["revisions"].get("lending", 0))
+
+
+def wait_in_force(cluster: Cluster, index: int) -> None:
+    """Wait until a leader says that an index is in force everywhere."""
+
+    def told() -> bool:
+        leader = cluster.leader()
+        status = cluster.ask(leader) if leader is not None else None
+        if status is None:
+            return False
+        return bool(status["index"] >= index and status["in_force"])
+
+    cluster.wait_for("in force", told)
+
+
+def replicas(cluster: Cluster) -> Any:
+    """Ask the leader for the replicas."""
+    leader = cluster.wait_for("a leader", cluster.leader)
+    return cluster.ask(leader, "/replicas")
+
+
+def test_a_killed_leader_loses_no_accepted_change(cluster: Cluster) -> None:
+    """The leader is killed between changes; its accepted ones stay.
+
+    The operator resends a change whose answer came from the dead leader
+    and gets that same answer from the new one.
+    """
+    base = revision(cluster)
+    first = change(cluster, "killed-1", base)
+    assert first["outcome"] == "accepted"
+    old = cluster.wait_for("a leader", cluster.leader)
+    old.signal(signal.SIGKILL)
+    old.wait()
+    assert change(cluster, "killed-1", base) == first
+    second = change(cluster, "killed-2", base + 1)
+    assert second["outcome"] == "accepted"
+    old.restart()
+    wait_in_force(cluster, second["index"])
+
+
+def test_all_killed_at_once_remember_everything(cluster: Cluster) -> None:
+    """Every replica is killed right after an answer.
+
+    Answers were synced by a majority before they were given, so after the
+    restart the tree, the audit trail and the answer to a resend are there.
+    """
+    base = revision(cluster)
+    answers = [
+        change(cluster, f"all-{number}", base + number) for number in range(20)
+    ]
+    for process in cluster.controls:
+        process.signal(signal.SIGKILL)
+    for process in cluster.controls:
+        process.wait()
+        process.restart()
+    assert revision(cluster) == base + 20
+    assert change(cluster, "all-19", base + 19) == answers[-1]
+    leader = cluster.wait_for("a leader", cluster.leader)
+    audit = cluster.ask(leader, "/audit?limit=20") or []
+    assert [one["change_id"] for one in audit] == [
+        f"all-{number}" for number in range(20)
+    ]
+    since = audit[-2]["index"]
+    after = cluster.ask(leader, f"/audit?since={since}") or []
+    assert [one["change_id"] for one in after] == ["all-19"]
+
+
+def test_a_stopped_leader_answers_nothing_old(cluster: Cluster) -> None:
+    """The leader freezes, the others go on, and it wakes up again.
+
+    It still believes to lead for a moment. No entry goes back to its
+    older tree, and a change sent to it is not accepted twice.
+    """
+    base = revision(cluster)
+    index = change(cluster, "stopped-1", base)["index"]
+    wait_in_force(cluster, index)
+    old = cluster.wait_for("a leader", cluster.leader)
+    old.signal(signal.SIGSTOP)
+    try:
+        others = [one for one in cluster.controls if one is not old]
+        accepted = cluster.wait_for(
+            "a change without the frozen leader",
+            lambda: first_accepted(others, body("stopped-2", base + 1)),
+        )
+    finally:
+        old.signal(signal.SIGCONT)
+    wait_in_force(cluster, accepted["index"])
+    for entry in cluster.entries:
+        status = cluster.ask(entry)
+        assert status is not None
+        assert status["index"] >= accepted["index"]
+    assert change(cluster, "stopped-2", base + 1) == accepted
+    assert revision(cluster) == base + 2
+
+
+def first_accepted(processes: list[Process], request: Any) -> Any:
+    """Send a change to each; return the first answer."""
+    for process in processes:
+        try:
+            status, answer = post(process, "/changes", request)
+        except HTTPError:
+            continue
+        if status == 200:
+            return answer
+    return None
+
+
+def test_restarted_entry_acts_on_nothing_old(cluster: Cluster) -> None:
+    """An entry restarts while only one replica, without a quorum, runs.
+
+    That replica may lack the newest change. The entry gets no tree from
+    it and refuses calls as "not run" until a leader is confirmed.
+    """
+    index = change(cluster, "entry-1", revision(cluster))["index"]
+    wait_in_force(cluster, index)
+    stopped = cluster.controls[1:]
+    entry = cluster.entries[0]
+    for process in stopped:
+        process.signal(signal.SIGSTOP)
+    try:
+        entry.signal(signal.SIGKILL)
+        entry.wait()
+        entry.restart()
+        cluster.wait_for("the entry", lambda: cluster.ask(entry))
+        answer = POOL.request(
+            "GET", f"http://{entry.address}/call/catalogo/shelf"
+        )
+        assert answer.status == 503
+        assert answer.headers["Nutmegchute-Outcome"] == "not-run"
+    finally:
+        for process in stopped:
+            process.signal(signal.SIGCONT)
+    wait_in_force(cluster, index)
+    cluster.wait_for(
+        "the entry's tree",
+        lambda: (cluster.ask(entry) or {}).get("index", 0) >= index,
+    )
+
+
+def test_lost_disk_returns_as_another_replica(cluster: Cluster) -> None:
+    """A disk is lost, the replica repaired, and then a second one lost.
+
+    Under its old identity the replica would vote against what it forgot.
+    It introduces itself under a new one, is taken in as a learner, votes
+    once it has caught up, and carries the group when the next one dies.
+    """
+    base = revision(cluster)
+    before = change(cluster, "disk-1", base)
+    leader = cluster.wait_for("a leader", cluster.leader)
+    lost, other = [one for one in cluster.controls if one is not leader]
+    old = identity_of(cluster, lost)
+    lost.signal(signal.SIGKILL)
+    lost.wait()
+    shutil.rmtree(cluster.folder / lost.name)
+    lost.restart()
+    wish = {"action": "replace", "name": lost.name}
+    cluster.wait_for(
+        "the replacement",
+        lambda: post(leader, "/replicas", wish)[0] == 200,
+    )
+
+    def votes() -> bool:
+        found = replicas(cluster)["replicas"]
+        return [one["kind"] for one in found].count("learner") == 0
+
+    cluster.wait_for("the vote", votes)
+    assert identity_of(cluster, lost) != old
+    other.signal(signal.SIGKILL)
+    other.wait()
+    after = change(cluster, "disk-2", base + 1)
+    assert after["outcome"] == "accepted"
+    assert change(cluster, "disk-1", base) == before
+    other.restart()
+    wait_in_force(cluster, after["index"])
+
+
+def identity_of(cluster: Cluster, process: Process) -> Any:
+    """Read a replica's identity from the leader."""
+    for row in replicas(cluster)["replicas"]:
+        if row["name"] == process.name:
+            return row["identity"]
+    return None
+
+
+def test_impossible_changes_of_replicas_are_refused(cluster: Cluster) -> None:
+    """Nothing is changed when the replica is unknown or not there."""
+    leader = cluster.wait_for("a leader", cluster.leader)
+    for wish, text in (
+        ({"action": "add", "name": "control-9"}, b"not introduced"),
+        ({"action": "remove", "name": "control-9"}, b"no replica is named"),
+    ):
+        status, reason = post(leader, "/replicas", wish)
+        assert status == 409
+        assert text in reason
+    status, _ = post(leader, "/replicas", {"action": "x", "name": "y"})
+    assert status == 400
+
+
+def test_second_daemon_on_a_folder_is_refused(cluster: Cluster) -> None:
+    """Its exit status and one line name the folder that is in use."""
+    settings = cluster.folder / "control-1.json"
+    document = msgspec.json.decode(settings.read_bytes())
+    copy = Path(cluster.folder) / "second.json"
+    copy.write_bytes(msgspec.json.encode(document))
+    ended = subprocess.run(
+        [sys.executable, "-m", "nutmegchute_daemon", str(copy)],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert "in use by another daemon" in ended.stderr
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,8 +1,30 @@
 """Test agreement on virtual time, with lost, late and doubled messages."""
 
 import pytest
+from nutmegchute_core.commands import NoOp
+from nutmegchute_core.errors import ReconfigurationError
+from nutmegchute_core.fleets import Enroll
+from nutmegchute_core.fleets import FollowReply
+from nutmegchute_core.fleets import FollowRequest
+from nutmegchute_core.followings import Followings
+from nutmegchute_core.logs import Log
+from nutmegchute_core.memberships import Member
+from nutmegchute_core.memberships import Membership
+from nutmegchute_core.memberships import Reconfigure
+from nutmegchute_core.messages import AppendReply
+from nutmegchute_core.messages import HardState
+from nutmegchute_core.messages import InstallRequest
+from nutmegchute_core.messages import LogEntry
+from nutmegchute_core.messages import Snapshot
+from nutmegchute_core.messages import VoteReply
+from nutmegchute_core.messages import VoteRequest
+from nutmegchute_core.nodes import Node
+from nutmegchute_core.nodes import Stored
+from nutmegchute_core.replicas import LEADER
+from nutmegchute_core.replicas import Replica
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Change
+from nutmegchute_fakes.replicas import FakeEntry
 from nutmegchute_fakes.replicas import World
 from support import rule
 from support import team
@@ -68,3 +90,255 @@
     world.run(3.0)
     assert old.node is not None
     assert old.node.machine.tree.revisions == {"lending": 1}
+
+
+def test_returning_replica_does_not_depose_the_leader() -> None:
+    """A replica that heard nobody for long asks before it raises the term.
+
+    Without the question its higher term would end the reign of a leader
+    that all others hear, and every operator would wait for an election.
+    """
+    world = World(3, entries=0, seed=2)
+    world.loss = 0.0
+    settle(world)
+    leader = world.leader()
+    assert leader is not None
+    assert leader.node is not None
+    term = leader.node.replica.term
+    away = next(one for one in world.names if one != leader.name)
+    for other in world.names:
+        world.cuts |= {(away, other), (other, away)}
+    world.run(10.0)
+    world.cuts = set()
+    world.run(5.0)
+    assert world.leader() is leader
+    assert leader.node.replica.term == term
+
+
+def test_half_cut_replica_does_not_depose_the_leader() -> None:
+    """A replica hears the others, but not the leader, for long.
+
+    The others hear the leader all the while and give it no vote.
+    """
+    world = World(3, entries=0, seed=3)
+    world.loss = 0.0
+    settle(world)
+    leader = world.leader()
+    assert leader is not None
+    assert leader.node is not None
+    term = leader.node.replica.term
+    deaf = next(one for one in world.names if one != leader.name)
+    world.cuts = {(leader.name, deaf)}
+    world.run(10.0)
+    assert world.leader() is leader
+    assert leader.node.replica.term == term
+
+
+def test_woken_leader_gives_no_current_answer() -> None:
+    """A leader freezes, is replaced, wakes, and is asked at once.
+
+    It believes to lead until it hears otherwise. A restarted entry that
+    took its answer would act on a tree older than the one in force.
+    """
+    world = World(3, entries=1, seed=4)
+    settle(world)
+    accept(world, "a", 0)
+    assert world.run_until(lambda: world.entries[0].index > 0, 5.0)
+    old = world.leader()
+    assert old is not None
+    old.frozen_until = world.now + 60.0
+    world.run(4.0)
+    accept(world, "b", 1)
+    answers: list[FollowReply] = []
+    old.frozen_until = world.now
+    old.ask(FollowRequest("entry-0", 0), answers.append)
+    world.run(5.0)
+    assert [one.current for one in answers] == [False]
+
+
+@pytest.mark.parametrize("leader_dies", [False, True])
+def test_silent_entry_delays_in_force_until_its_lease_ends(
+    leader_dies: bool,
+) -> None:
+    """An entry with a lease falls silent; a change is accepted.
+
+    "In force" may not be said before the lease has ended, also not by a
+    new leader, which has never heard of that entry but through the log.
+    """
+    world = World(3, entries=2, seed=5)
+    settle(world)
+    accept(world, "a", 0)
+    assert world.run_until(lambda: world.in_force_index > 0, 5.0)
+    silent = world.entries[0]
+    for name in world.names:
+        world.cuts |= {(silent.name, name), (name, silent.name)}
+    if leader_dies:
+        old = world.leader()
+        assert old is not None
+        old.kill()
+        settle(world)
+    before = world.in_force_index
+    accept(world, "b", 1)
+    assert silent.standing.has_lease(world.now)
+    assert world.in_force_index == before
+    assert world.run_until(lambda: world.in_force_index > before, 12.0)
+    assert not silent.standing.has_lease(world.now)
+
+
+def test_new_entry_is_known_before_its_first_tree() -> None:
+    """A new entry reaches only a leader that was just cut off.
+
+    Given a tree and a lease there, it would act on them while a leader
+    that has never heard of it says that a newer tree is in force.
+    """
+    world = World(3, entries=1, seed=6)
+    settle(world)
+    accept(world, "a", 0)
+    old = world.leader()
+    assert old is not None
+    for name in world.names:
+        if name == old.name:
+            continue
+        world.cuts |= {(old.name, name), (name, old.name)}
+        world.cuts |= {("entry-new", name), (name, "entry-new")}
+    world.entries.append(FakeEntry(world, "entry-new", 2))
+    world.run(4.0)
+    accept(world, "b", 1)
+    assert world.run_until(lambda: world.in_force_index > 0, 15.0)
+    assert world.entries[-1].index == 0
+
+
+MEMBERS = Membership([Member(name, name) for name in ("r1", "r2", "r3")])
+
+
+def elect(entries: list[LogEntry]) -> Replica:
+    """Make "r1" the leader of term 4 by the votes of "r2"."""
+    log = Log(Snapshot(membership=MEMBERS), entries)
+    replica = Replica("r1", HardState(3, None), log, 0.0, 1)
+    replica.tick(5.0)
+    replica.receive(VoteReply("r2", "r1", 4, True, True), 5.0)
+    replica.receive(VoteReply("r2", "r1", 4, True, False), 5.0)
+    replica.drain()
+    assert replica.state == LEADER
+    return replica
+
+
+def match(replica: Replica, index: int) -> None:
+    """Let "r2" say that its log agrees up to an index."""
+    reply = AppendReply("r2", "r1", replica.term, 1, True, index)
+    replica.receive(reply, 5.0)
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_count() -> None:
+    """A majority holds an entry of term 2, and it may still be lost.
+
+    A third replica with an entry of term 3 could win the next election
+    and overwrite it. Only once one of this term stands on it is it safe.
+    """
+    replica = elect([LogEntry(2, 1, NoOp())])
+    match(replica, 1)
+    assert replica.commit == 0
+    match(replica, 2)
+    assert replica.commit == 2
+
+
+class NoStore:
+    """Keep nothing."""
+
+    def save(
+        self, hard_state: HardState | None, entries: list[LogEntry]
+    ) -> None:
+        """Keep nothing."""
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Keep nothing."""
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Keep nothing."""
+
+
+def test_new_leader_answers_nothing_before_its_term_commits() -> None:
+    """A new leader holds a committed change that it cannot know to be so.
+
+    Its predecessor said that the change is in force and died. A quorum
+    confirms the new leader, and its machine still lacks the change: an
+    answer now would give a restarted entry the older tree.
+    """
+    entries = [LogEntry(1, 1, Enroll("e")), LogEntry(2, 2, change("a", 0))]
+    stored = Stored(HardState(3, None), Snapshot(membership=MEMBERS), entries)
+    node = Node("r1", stored, NoStore(), 0.0, 1)
+    replica = node.replica
+    replica.tick(5.0)
+    replica.receive(VoteReply("r2", "r1", 4, True, True), 5.0)
+    replica.receive(VoteReply("r2", "r1", 4, True, False), 5.0)
+    node.flush()
+    followings = Followings()
+    for ticket in (1, 2):
+        node.machine.entries.add("e")
+        followings.ask(ticket, FollowRequest("e", 0, hold=False), node, 5.0)
+    replica.tick(5.5)
+    node.flush()
+    replica.receive(AppendReply("r2", "r1", 4, 9, False, 0), 5.5)
+    node.flush()
+    assert replica.confirmed >= 2
+    assert followings.advance(node, 5.5) == {}
+    match(replica, 3)
+    node.flush()
+    answers = followings.advance(node, 5.5)
+    assert {one.index for one in answers.values()} == {2}
+
+
+def test_message_for_a_lost_identity_is_ignored() -> None:
+    """A vote asked of the identity that forgot is not given by the new."""
+    log = Log(Snapshot(membership=MEMBERS), [])
+    replica = Replica("r1", HardState(), log, 0.0, 1)
+    replica.receive(VoteRequest("r2", "r1.lost", 1, 0, 0, False), 9.0)
+    assert replica.drain().messages == []
+    replica.receive(VoteRequest("r2", "r1", 1, 0, 0, False), 9.0)
+    assert len(replica.drain().messages) == 1
+
+
+def test_one_voter_changes_at_a_time() -> None:
+    """Two changes at once could leave two majorities without a common one.
+
+    Refused are: any change before the leader's term has committed, a
+    second one before the first has, and one of two voters at once.
+    """
+    replica = elect([])
+    smaller = Reconfigure(MEMBERS.without("r3"), "ana", "")
+    with pytest.raises(ReconfigurationError, match="under way"):
+        replica.reconfigure(smaller, 5.0)
+    match(replica, 1)
+    two = MEMBERS.without("r3").without("r2")
+    with pytest.raises(ReconfigurationError, match="one voter"):
+        replica.reconfigure(Reconfigure(two, "ana", ""), 5.0)
+    replica.reconfigure(smaller, 5.0)
+    with pytest.raises(ReconfigurationError, match="under way"):
+        replica.reconfigure(smaller, 5.0)
+
+
+def test_doubled_piece_of_a_snapshot_changes_nothing() -> None:
+    """The network doubles a piece; the snapshot must come out whole."""
+    state = b"0123456789"
+    log = Log(Snapshot(membership=MEMBERS), [])
+    replica = Replica("r1", HardState(), log, 0.0, 1)
+    for offset in (0, 4, 4, 0, 8):
+        replica.receive(
+            InstallRequest(
+                source="r2",
+                target="r1",
+                term=1,
+                round=1,
+                index=7,
+                snapshot_term=1,
+                membership=MEMBERS,
+                offset=offset,
+                total=len(state),
+                piece=state[offset : offset + 4],
+            ),
+            1.0,
+        )
+    snapshot = replica.drain().snapshot
+    assert snapshot is not None
+    assert snapshot.state == state
+    assert replica.commit == 7
--- a/tests/test_trees.py
+++ b/tests/test_trees.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+from nutmegchute_core import trees
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Change
 from nutmegchute_core.trees import CONFLICT
@@ -45,6 +47,56 @@
     assert tree.revisions == {"lending": 1}
 
 
+def test_change_id_used_again_for_another_change_is_refused() -> None:
+    """Two changes bear one id; the second must not read as accepted.
+
+    Given the first one's answer, the operator would believe that a change
+    is in the tree which nobody has looked at.
+    """
+    tree = Tree()
+    tree.apply(1, change("a", 0, team(catalogo=[rule()])))
+    second = tree.apply(2, change("a", 1, team(prestamos=[rule()])))
+    assert second.outcome == INVALID
+    assert "used for another change" in second.detail
+    assert tree.revisions == {"lending": 1}
+
+
+def test_forgotten_change_id_cannot_apply_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A change is resent after its answer was forgotten.
+
+    The revisions that it names rose when it was accepted, so the resend
+    ends as a conflict and overwrites nothing.
+    """
+    monkeypatch.setattr(trees, "ANSWERS_KEPT", 1)
+    tree = Tree()
+    first = change("a", 0, team(catalogo=[rule()]))
+    tree.apply(1, first)
+    tree.apply(2, change("b", 1, team(prestamos=[rule()])))
+    assert tree.apply(3, first).outcome == CONFLICT
+    assert "prestamos" in tree.documents["lending"]["services"]
+
+
+def test_several_branches_change_together_or_not_at_all() -> None:
+    """One of two branches was changed by another operator meanwhile."""
+    tree = Tree()
+    tree.apply(1, change("a", 0, team(catalogo=[rule()])))
+    both = Change(
+        change_id="b",
+        operator="ana",
+        bases={"lending": 0, "syncing": 0},
+        documents={
+            "lending": team(catalogo=[rule()]),
+            "syncing": team(nightly=[rule()]),
+        },
+        at_unix_s=0.0,
+    )
+    assert tree.apply(2, both).outcome == CONFLICT
+    assert tree.revisions == {"lending": 1}
+    assert sorted(tree.documents) == ["lending"]
+
+
 def test_wrong_document_names_the_place() -> None:
     """A wrong declaration is refused and its place named."""
     document = team(catalogo=[rule(deadline_ms=0)])
