--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import msgspec
@@ -17,6 +18,11 @@
 STOP_S = 20.0
 LOG_LINES = 12
 OPERATOR_KEY = "loopback-operator-key"
+PORTS = (10000, 32000)
+PORT_TRIES = 1000
+
+_RANDOM = SystemRandom()
+_GIVEN: set[int] = set()
 
 
 class ClusterError(Exception):
@@ -26,7 +32,14 @@
 class Process:
     """Hold one process of the deployment and its addresses."""
 
-    __slots__ = ("_command", "_log", "_name", "_process", "address")
+    __slots__ = (
+        "_command",
+        "_log",
+        "_name",
+        "_process",
+        "address",
+        "grpc_address",
+    )
 
     def __init__(
         self, name: str, command: list[str], address: str, log: Path
@@ -35,6 +48,7 @@
         self._command = command
         self._log = log
         self.address = address
+        self.grpc_address = ""
         self._process = self._start()
 
     @property
@@ -109,16 +123,7 @@
         for address in [*seeds, *(peer["grpc_address"] for peer in peers)]:
             self.grpc_ports.append(int(address.rpartition(":")[2]))
         for number, peer in enumerate(peers):
-            document = self._settings("control", number, peer, peers)
-            document["data_folder"] = str(self.folder / peer["name"])
-            document["operators"] = [
-                {
-                    "name": "operator",
-                    "key_sha256": digest(OPERATOR_KEY),
-                    "branches": ["*"],
-                }
-            ]
-            self.controls.append(self._daemon(document))
+            self._start_control(number, peer, peers)
         for number, address in enumerate(seeds):
             own = {
                 "name": f"entry-{number + 1}",
@@ -133,6 +138,16 @@
         for entry in self.entries:
             self.wait_for(entry.name, lambda one=entry: self.ask(one))
 
+    def add_control(self, name: str) -> dict[str, str]:
+        """Start a control replica with an empty folder; return its line."""
+        own = {
+            "name": name,
+            "grpc_address": free_address(),
+            "http_address": free_address(),
+        }
+        self._start_control(len(self.controls), own, [*self.peers, own])
+        return own
+
     def add_upstream(self, service: str, **options: Any) -> Process:
         """Start a fake upstream; options become command-line options."""
         address = free_address()
@@ -207,6 +222,21 @@
             lines.extend(path.read_text().splitlines()[-LOG_LINES:])
         return "\n".join(lines)
 
+    def _start_control(
+        self, number: int, own: dict[str, str], peers: list[dict[str, str]]
+    ) -> None:
+        self.peers = peers
+        document = self._settings("control", number, own, peers)
+        document["data_folder"] = str(self.folder / own["name"])
+        document["operators"] = [
+            {
+                "name": "operator",
+                "key_sha256": digest(OPERATOR_KEY),
+                "branches": ["*"],
+            }
+        ]
+        self.controls.append(self._daemon(document))
+
     def _settings(
         self, role: str, number: int, own: dict[str, str], peers: list[Any]
     ) -> dict[str, Any]:
@@ -223,7 +253,9 @@
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
         command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
         log = self.folder / f"{name}.log"
-        return Process(name, command, document["http_address"], log)
+        process = Process(name, command, document["http_address"], log)
+        process.grpc_address = document["grpc_address"]
+        return process
 
 
 def digest(key: str) -> str:
@@ -232,7 +264,27 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
+    """Return a loopback address that nothing listens on.
+
+    Each is given once in a process. The ports lie below those that the
+    kernel gives to outgoing connections, so that a daemon which is down
+    for a moment finds its port free when it starts again.
+
+    :raises ClusterError: none was free
+    """
+    for _ in range(PORT_TRIES):
+        port = _RANDOM.randrange(*PORTS)
+        if port in _GIVEN or not _is_free(port):
+            continue
+        _GIVEN.add(port)
+        return f"127.0.0.1:{port}"
+    raise ClusterError("no free port on loopback")
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
