--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -118,7 +118,10 @@
         now = asyncio.get_running_loop().time()
         member = introduction.member
         self._formation.hear(introduction)
-        self._outsiders[member.name] = (member, now)
+        # Founders introduce themselves as well, but before they belong to
+        # the group; once removed they would seem to ask to come back.
+        if introduction.group is not None:
+            self._outsiders[member.name] = (member, now)
         return self._word()
 
     def _word(self) -> Introduction:
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -1,5 +1,6 @@
 """Kill, stop and rob real control replicas on loopback."""
 
+import resource
 import shutil
 import signal
 import subprocess
@@ -24,10 +25,16 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
-    """Start 3 control replicas and 2 entries."""
+    """Start 3 control replicas and 2 entries that follow a first tree."""
     one = Cluster(tmp_path_factory.mktemp("controls"), ["a", "b", "c"])
     try:
         one.start(controls=3, entries=2, entries_keep_s=0.1)
+        change(one, "first", 0)
+        for entry in one.entries:
+            one.wait_for(
+                f"{entry.name} to follow",
+                lambda e=entry: (one.ask(e) or {}).get("index"),
+            )
         yield one
     finally:
         one.stop()
@@ -291,3 +298,72 @@
     )
     assert ended.returncode == 2
     assert "in use by another daemon" in ended.stderr
+
+
+def test_full_disk_stands_still_and_recovers(cluster: Cluster) -> None:
+    """The leader's disk takes no more bytes; later there is room again.
+
+    It must not acknowledge what it could not sync: it stands still and
+    says why, the others go on, and it catches up by itself once it can
+    write. Changes sent meanwhile are accepted once or not at all.
+    """
+    base = revision(cluster)
+    leader = cluster.wait_for("a leader", cluster.leader)
+    log_bytes = (cluster.folder / f"{leader.name}.log").stat().st_size
+    limit = log_bytes + 8_000
+    endless = resource.RLIM_INFINITY
+    resource.prlimit(leader.pid, resource.RLIMIT_FSIZE, (limit, endless))
+    sent = 0
+    try:
+        while (cluster.ask(leader) or {}).get("state") != "storage-failed":
+            assert sent < 200
+            answer = change(cluster, f"full-{sent}", base + sent)
+            assert answer["outcome"] == "accepted"
+            sent += 1
+        status = cluster.ask(leader)
+        assert status is not None
+        assert "File too large" in status["problem"]
+        assert change(cluster, "full-x", base + sent)["outcome"] == "accepted"
+    finally:
+        resource.prlimit(leader.pid, resource.RLIMIT_FSIZE, (endless, endless))
+    assert revision(cluster) == base + sent + 1
+
+    def whole() -> bool:
+        found = cluster.ask(leader, "/tree") or {"revisions": {}}
+        return bool(found["revisions"].get("lending") == base + sent + 1)
+
+    cluster.wait_for("the replica to catch up", whole)
+    assert (cluster.ask(leader) or {})["problem"] is None
+
+
+def test_forbidden_change_is_on_the_audit_trail(tmp_path: Path) -> None:
+    """A key opens one branch; an attempt on another leaves a record.
+
+    Whoever looks next morning sees who tried, though nothing was changed.
+    An unknown key gets 401 and no record.
+    """
+    cluster = Cluster(tmp_path, ["a"])
+    try:
+        cluster.start(controls=1, entries=0)
+        process = cluster.controls[0]
+        settings = tmp_path / f"{process.name}.json"
+        document = msgspec.json.decode(settings.read_bytes())
+        document["operators"][0]["branches"] = ["sync"]
+        settings.write_bytes(msgspec.json.encode(document))
+        process.signal(signal.SIGTERM)
+        process.wait()
+        process.restart()
+        cluster.wait_for("a leader", cluster.leader)
+        assert post(process, "/changes", body("no", 0))[0] == 403
+        wish = {"action": "remove", "name": process.name}
+        assert post(process, "/replicas", wish)[0] == 403
+        wrong = POOL.request(
+            "POST", f"http://{process.address}/changes", body=b"{}"
+        )
+        assert wrong.status == 401
+        (record,) = cluster.ask(process, "/audit") or []
+        assert record["outcome"] == "forbidden"
+        assert record["change_id"] == "no"
+        assert record["to_revisions"] == {"lending": 0}
+    finally:
+        cluster.stop()
