--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -19,29 +19,55 @@
 # Spread of the load estimate: even below its slots an endpoint may queue.
 SPREAD = 1.0
 OTHER_ZONE_S = 0.002
+# A suspect is passed over while others will do. Suspicion fades, for an
+# endpoint that gets nothing cannot answer and so clear itself.
 SUSPECT_FACTOR = 1.0
+ZONE_STALLS = 2
+PROBE_CLEARS = 1
+PROBE_STALLED = 1
+STALL_S = 1.0
+# Latency counts only beyond this multiple of the mean: below, it tells of
+# the calls and of the queue that the load reports tell of already.
+LATENCY_BAND = 1.25
 EJECTED_MOST_SHARE = 0.5
 
 
+class ZoneStalls:
+    """Hold where answers are late since a zone's last answer."""
+
+    __slots__ = ("addresses", "at")
+
+    def __init__(self) -> None:
+        self.addresses: set[str] = set()
+        self.at = 0.0
+
+
 class Chooser:
     """Score a bounded set of candidates, the best one wins."""
 
     __slots__ = (
         "_ejected",
         "_latency",
+        "_members",
         "_order",
         "_others",
         "_policy",
+        "_probed",
         "_random",
         "_recent",
+        "_stalls",
     )
 
-    def __init__(self, random: Random, policy: Policy) -> None:
+    def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
+        self._probed = probed and policy.probing
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
-        self._recent: dict[str, Endpoint] = {}
-        self._ejected: set[str] = set()
+        self._members: set[Endpoint] = set()
+        # A dict for its order: the endpoint heard last comes last.
+        self._recent: dict[Endpoint, None] = {}
+        self._ejected: set[Endpoint] = set()
+        self._stalls: dict[str, ZoneStalls] = {}
         self._latency = Mean(FIRST_S)
         self._others = Mean(0.0)
 
@@ -50,19 +76,14 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
-    @property
-    def ejected(self) -> set[str]:
-        """Name the endpoints that are ejected or on trial."""
-        return self._ejected
-
     def update(self, endpoints: list[Endpoint]) -> None:
         """Take the endpoints that may be chosen."""
         self._order = endpoints
-        known = {endpoint.address for endpoint in endpoints}
-        self._ejected &= known
-        for address in list(self._recent):
-            if address not in known:
-                del self._recent[address]
+        self._members = set(endpoints)
+        self._ejected &= self._members
+        for endpoint in list(self._recent):
+            if endpoint not in self._members:
+                del self._recent[endpoint]
 
     def choose(
         self, avoid: list[str], trial: bool, now: float
@@ -74,7 +95,7 @@
         for endpoint in self._candidates():
             if endpoint.in_flight >= endpoint.slots:
                 continue
-            if endpoint.address in avoid:
+            if avoid and endpoint.address in avoid:
                 continue
             if not floor and not self._open(endpoint, trial, now):
                 continue
@@ -89,34 +110,48 @@
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Estimate when a call sent now would be answered, in seconds."""
         mean_s = self._latency.value
-        latency_s = mean_s
-        if self._policy.latency:
-            latency_s = endpoint.latency(mean_s, now)
-        load = float(endpoint.in_flight)
-        mean = self._others.value
-        if self._policy.reports and not (
-            self._policy.trust and endpoint.stuck
-        ):
-            load += endpoint.others(mean, REPORT_KEPT * mean_s, now)
-        else:
-            load += mean
+        kept_s = REPORT_KEPT * mean_s
+        load = endpoint.in_flight + endpoint.others(
+            self._others.value, kept_s, now
+        )
         slots = endpoint.slots
         over = load + 1.0 - slots
         waiting = (over + sqrt(over * over + SPREAD)) / 2.0
-        score = latency_s * (1.0 + waiting / slots)
-        if self._policy.suspicion:
-            score *= 1.0 + SUSPECT_FACTOR * endpoint.stalled
-        if self._policy.warm_up:
-            score *= endpoint.coldness(now)
-        if self._policy.zones and not endpoint.local:
+        score = mean_s * (1.0 + waiting / slots)
+        if not endpoint.local:
             score += OTHER_ZONE_S
+        band_s = LATENCY_BAND * mean_s
+        if endpoint.latency_s > band_s:
+            score *= max(1.0, endpoint.latency(mean_s, now) / band_s)
+        if endpoint.stalled or self._stalls:
+            score *= 1.0 + SUSPECT_FACTOR * self._suspicion(endpoint, now)
+        if endpoint.joined_at is not None:
+            score *= endpoint.coldness(now)
         return score
 
+    def _suspicion(self, endpoint: Endpoint, now: float) -> float:
+        suspicion = 0.0
+        if endpoint.stalled:
+            age_s = now - endpoint.stalled_at
+            suspicion = endpoint.stalled * STALL_S / (STALL_S + age_s)
+        zone = self._stalls.get(endpoint.zone)
+        if zone is not None and len(zone.addresses) >= ZONE_STALLS:
+            suspicion += STALL_S / (STALL_S + now - zone.at)
+        return suspicion
+
     def hear_load(self, endpoint: Endpoint, load: int, now: float) -> None:
         """Take an endpoint's load report."""
-        self._others.learn(endpoint.hear_load(load, now))
-        self._recent.pop(endpoint.address, None)
-        self._recent[endpoint.address] = endpoint
+        endpoint.hear_load(load, now)
+        if endpoint.stuck and self._policy.trust:
+            endpoint.forget_load()
+        else:
+            self._others.learn(endpoint.reported_others)
+        if endpoint not in self._members:
+            # Its last answers still come in while it drains; as a recent
+            # one it would be a candidate again.
+            return
+        self._recent.pop(endpoint, None)
+        self._recent[endpoint] = None
         if len(self._recent) > RECENT:
             del self._recent[next(iter(self._recent))]
 
@@ -124,34 +159,67 @@
         self, endpoint: Endpoint, latency_s: float, now: float
     ) -> None:
         """Take the time of an answer, in seconds."""
-        endpoint.hear_latency(latency_s, now)
+        if self._policy.latency:
+            endpoint.hear_latency(latency_s, now)
         self._latency.learn(latency_s)
         endpoint.succeed()
-        self._ejected.discard(endpoint.address)
+        self._stalls.pop(endpoint.zone, None)
+        self._ejected.discard(endpoint)
+
+    def hear_stall(
+        self, endpoint: Endpoint, elapsed_s: float, now: float
+    ) -> None:
+        """Take word that an answer is late, before it is known to be lost.
+
+        Several endpoints of one availability zone stalled, with no answer
+        from any other there since, tell of the zone: were each endpoint
+        to be tried first, every entry would lose a call at each of them.
+        """
+        if not self._policy.suspicion:
+            return
+        endpoint.stalled += 1
+        endpoint.stalled_at = now
+        if self._policy.latency:
+            endpoint.hear_late(elapsed_s, now)
+        zone = self._stalls.setdefault(endpoint.zone, ZoneStalls())
+        zone.addresses.add(endpoint.address)
+        zone.at = now
 
     def hear_failure(self, endpoint: Endpoint, now: float) -> None:
         """Take word that an attempt failed at an endpoint."""
-        if self._policy.ejection and endpoint.fail(now):
-            self._ejected.add(endpoint.address)
+        if endpoint not in self._members or not self._policy.ejection:
+            return
+        if endpoint.fail(now):
+            self._ejected.add(endpoint)
 
-    def stalest(self, before: float) -> Endpoint | None:
-        """Return the endpoint unheard for longest, if before a time."""
+    def suspect(self, now: float) -> Endpoint | None:
+        """Return the endpoint whose recovery is most worth asking for."""
         best = None
-        best_at = before
         for endpoint in self._order:
-            heard_at = endpoint.heard_at
-            if heard_at is None:
-                return endpoint
-            if heard_at < best_at:
+            ejected = endpoint in self._ejected
+            if not ejected and not (PROBE_STALLED and endpoint.stalled):
+                continue
+            if ejected and now < endpoint.ejected_until:
+                continue
+            if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
-                best_at = heard_at
         return best
 
+    def hear_sign_of_life(self, endpoint: Endpoint, now: float) -> None:
+        """Take a probe's answer: a trial may follow, a stall is over."""
+        if PROBE_CLEARS:
+            endpoint.stalled = 0
+            self._stalls.pop(endpoint.zone, None)
+        endpoint.alive = True
+
     def _open(self, endpoint: Endpoint, trial: bool, now: float) -> bool:
-        if endpoint.address not in self._ejected:
+        if endpoint not in self._ejected:
             return True
         if now < endpoint.ejected_until or not trial:
             return False
+        if self._probed and not endpoint.alive:
+            # A trial that fails costs a caller time, a probe does not.
+            return False
         return endpoint.in_flight == 0
 
     def _below_floor(self) -> bool:
@@ -165,7 +233,7 @@
         if len(order) <= RECENT + SAMPLE:
             found = order
         else:
-            found = list(self._recent.values())
+            found = list(self._recent)
             for _ in range(SAMPLE):
                 found.append(order[int(self._random.random() * len(order))])
         start = int(self._random.random() * len(found)) if found else 0
