End a stop in time, and tell what was in flight the truth

Cause: an upstream that hung with a call held the entry until the rule's deadline, and the server's own stop then cut connections after 5 s.

Change: the entry outlasts every answer that named it by half a second, closes each connection with its answer, and waits for answers still being written. A second SIGTERM or shutdown_limit_s ends what is in flight as unknown, or as not run where nothing was sent.

Ruled out: callers that keep an address longer than they may can meet the closing listener; a reset there is theirs to call unknown.

--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -19,6 +19,7 @@
 GRPC_GRACE_S = 0.2
 FLUSH_S = 1.0
 HTTP_SWEEP_S = 0.25
+CUT_S = 0.5
 
 
 class Daemon:
@@ -32,6 +33,8 @@
         self._metrics = Metrics(settings.statsd_address, settings.name)
         self._http = HttpServer(settings.http_address, settings.http_threads)
         self._stopping = asyncio.Event()
+        self._hurry = asyncio.Event()
+        self._signals = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -40,7 +43,7 @@
         :raises StartError: an address or the data folder cannot be used
         """
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._stopping.set)
+            self._loop.add_signal_handler(number, self._on_signal)
         try:
             self.prepare()
             await self._listen()
@@ -58,7 +61,7 @@
         log(Event.STARTED, role=self._settings.role)
         await self._stopping.wait()
         log(Event.STOPPING)
-        await self.finish()
+        await self._finish_in_time()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -72,6 +75,10 @@
         """Begin to stop, as a signal does; safe to repeat."""
         self._stopping.set()
 
+    def cut(self) -> int:
+        """End what is in flight; return how much that was."""
+        return 0
+
     def prepare(self) -> None:
         """Build the role's state and mount what it serves."""
         raise NotImplementedError
@@ -95,6 +102,31 @@
         task = self._loop.create_task(self._repeat(period_s, function))
         self._tasks.append(task)
 
+    def _on_signal(self) -> None:
+        # An operator's drain followed by the service manager's signal is
+        # one graceful stop; only a second signal asks for haste.
+        self._signals += 1
+        self._stopping.set()
+        if self._signals > 1:
+            self._hurry.set()
+
+    async def _finish_in_time(self) -> None:
+        finishing = asyncio.ensure_future(self.finish())
+        hurrying = asyncio.ensure_future(self._hurry.wait())
+        await asyncio.wait(
+            [finishing, hurrying],
+            timeout=self._settings.shutdown_limit_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        hurrying.cancel()
+        if finishing.done():
+            await finishing
+            return
+        finishing.cancel()
+        log(Event.WORK_CUT, "warning", calls=self.cut())
+        # Time for the last answers to be written.
+        await asyncio.sleep(CUT_S)
+
     async def _repeat(self, period_s: float, function: object) -> None:
         assert callable(function)
         while True:
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -30,6 +30,7 @@
 SWEEP_S = 0.1
 # A caller that is still there after so long is looked for at each sweep.
 LOOK_AFTER_S = 0.1
+CUT_RETRY_S = 1.0
 
 Hedge = Callable[[Ticket, Send, Exchange], None]
 AskLoad = Callable[[Probe], None]
@@ -43,6 +44,7 @@
         "_armed_at",
         "_ask_load",
         "_balancer",
+        "_cutting",
         "_hedge",
         "_hedges",
         "_hedging",
@@ -76,6 +78,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._armed_at = 0.0
         self._hedging = 0
+        self._cutting = False
         self._hedges = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
     def admit(
@@ -161,6 +164,22 @@
                 self._metrics.count("abandoned")
                 self._abandon(call_id)
 
+    def cut(self) -> None:
+        """End every call now: what was sent is lost, the rest not run."""
+        self._cutting = True
+        for call_id, (_, ticket) in list(self._opened.items()):
+            for exchange in ticket.exchanges.values():
+                exchange.end()
+            if self._tickets.pop(call_id, None) is None:
+                continue
+            self._balancer.abandon(call_id, self._loop.time())
+            if ticket.exchanges:
+                self._settle(ticket, UNKNOWN)
+                ticket.put(Lose(call_id, "entry is stopping"))
+                continue
+            self._settle(ticket, NEVER_RAN)
+            ticket.put(Refuse(call_id, "entry is stopping", CUT_RETRY_S))
+
     def stop(self) -> None:
         """Let go of the hedging threads."""
         self._hedges.shutdown(wait=False, cancel_futures=True)
@@ -168,6 +187,8 @@
     def _send(self, ticket: Ticket, send: Send) -> None:
         exchange = Exchange()
         ticket.exchanges[send.attempt] = exchange
+        if self._cutting:
+            exchange.end()
         if ticket.worker_attempt is None:
             ticket.worker_attempt = send.attempt
             ticket.put(send, exchange)
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -45,6 +45,8 @@
 from .senders import Sender
 
 DRAIN_TICK_S = 0.05
+# What an answer and the last request it allows may take on the way.
+KEEP_MARGIN_S = 0.5
 RETRY_S = 0.5
 SETTLE_S = 2.0
 
@@ -121,7 +123,7 @@
         await self._gossiper.spread()
         # A caller may have been given this address a moment ago and may
         # keep it that long; closing earlier would refuse its connection.
-        await asyncio.sleep(self._settings.entries_keep_s)
+        await asyncio.sleep(self._settings.entries_keep_s + KEEP_MARGIN_S)
         # Nobody should come any more. Who does is sent away with "not
         # run", and each connection ends with the answer it waits for.
         self._http.close_politely()
@@ -131,6 +133,13 @@
         await self._settle_all()
         await self._follower.leave()
 
+    def cut(self) -> int:
+        """End the calls in flight; return how many there were."""
+        self._handler.refusal = "entry is stopping"
+        self._http.close_politely()
+        self._desk.cut()
+        return self._handler.active
+
     def close(self) -> None:
         """Let go of the helping threads."""
         self._desk.stop()
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -22,6 +22,7 @@
     STOPPING = ("NC1002", "daemon stopping")
     STOPPED = ("NC1003", "daemon stopped")
     SETTING_DOUBTFUL = ("NC1005", "setting is likely a mistake")
+    WORK_CUT = ("NC1007", "daemon stops with work in flight")
     DRAIN_ASKED = ("NC1006", "operator asked the entry to drain")
     LED = ("NC2001", "replica leads")
     FOLLOWED = ("NC2002", "replica follows")
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -25,6 +25,7 @@
     "log_level": "info",
     "request_body_bytes": 1048576,
     "entries_keep_s": 5.0,
+    "shutdown_limit_s": 60.0,
     "entries_answer": 4,
 }
 
@@ -94,6 +95,7 @@
         "log_level": {"enum": ["debug", "info", "warning", "error"]},
         "request_body_bytes": {"type": "integer", "minimum": 0},
         "entries_keep_s": {"type": "number", "exclusiveMinimum": 0},
+        "shutdown_limit_s": {"type": "number", "exclusiveMinimum": 0},
         "entries_answer": {"type": "integer", "minimum": 1},
     },
 }
@@ -244,6 +246,11 @@
         """Give how long callers may keep an answer, in seconds."""
         return float(self._values["entries_keep_s"])
 
+    @property
+    def shutdown_limit_s(self) -> float:
+        """Give the most that a graceful shutdown may take, in seconds."""
+        return float(self._values["shutdown_limit_s"])
+
     @property
     def entries_answer(self) -> int:
         """Give the most entries named to one caller."""
