--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -84,8 +84,8 @@
 
 
 def play(scenario: Coroutine[Any, Any, None]) -> None:
-    """Run a scenario on a loop."""
-    asyncio.run(scenario)
+    """Run a scenario on a loop; one that hangs fails."""
+    asyncio.run(asyncio.wait_for(scenario, 10.0))
 
 
 def test_claims_share_a_request() -> None:
