--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -18,6 +18,7 @@
 
 GRPC_GRACE_S = 0.2
 FLUSH_S = 1.0
+HTTP_SWEEP_S = 0.25
 
 
 class Daemon:
@@ -48,6 +49,8 @@
             # second, meaningless error after the line that counts.
             await self._links.stop(0)
             raise
+        self._http.limit_body(self._settings.request_body_bytes)
+        self.every(HTTP_SWEEP_S, self._http.sweep)
         self.every(FLUSH_S, self._metrics.flush)
         self.begin()
         reporter = Reporter(self._metrics, self.gauges, self._loop.time)
