--- a/packages/daemon/nutmegchute_daemon/announcements.py
+++ b/packages/daemon/nutmegchute_daemon/announcements.py
@@ -7,13 +7,13 @@
 
 import msgspec
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import CHANGED
-from nutmegchute_core.members import FULL
 from nutmegchute_core.members import LEASE_S
-from nutmegchute_core.members import Members
-from nutmegchute_core.members import PAUSED
-from nutmegchute_core.members import QUIET_S
-from nutmegchute_core.members import STALE
+from nutmegchute_core.rosters import CHANGED
+from nutmegchute_core.rosters import FULL
+from nutmegchute_core.rosters import PAUSED
+from nutmegchute_core.rosters import QUIET_S
+from nutmegchute_core.rosters import Roster
+from nutmegchute_core.rosters import STALE
 from nutmegchute_core.rules import Service
 
 from .errors import DaemonError
@@ -68,7 +68,7 @@
 
     __slots__ = ("_members", "_services")
 
-    def __init__(self, members: Members) -> None:
+    def __init__(self, members: Roster) -> None:
         self._members = members
         self._services: dict[str, Service] | None = None
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -20,7 +20,7 @@
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import Members
+from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
@@ -62,7 +62,7 @@
         self._balancer = Balancer(
             secrets.randbits(32), settings.availability_zone
         )
-        self._members = Members(secrets.randbits(48))
+        self._members = Roster(secrets.randbits(48))
         self._announcements = Announcements(self._members)
         self._directory = Directory(own, random.random())
         self._services: dict[str, Service] = {}
--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -7,8 +7,8 @@
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import Members
 from nutmegchute_core.members import Vouch
+from nutmegchute_core.rosters import Roster
 
 from .clocks import boot_time
 from .links import Links
@@ -59,7 +59,7 @@
         self,
         settings: Settings,
         links: Links,
-        members: Members,
+        members: Roster,
         directory: Directory,
         on_change: Callable[[list[Announcement]], None],
     ) -> None:
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from nutmegchute_core.members import Members
+from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import Service
 from nutmegchute_daemon.announcements import ANNOUNCEMENT_BYTES
 from nutmegchute_daemon.announcements import AnnouncementError
@@ -21,7 +21,7 @@
 @pytest.fixture
 def announcements() -> Announcements:
     """Declare "catalogo" with a key and "prestamos" without."""
-    found = Announcements(Members(1))
+    found = Announcements(Roster(1))
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     locked = {"key_sha256": digest, "rules": [rule()]}
     found.configure(
@@ -77,7 +77,7 @@
 def test_without_a_configuration_try_again() -> None:
     """Ask for another try while no service is known yet."""
     with pytest.raises(AnnouncementError) as raised:
-        Announcements(Members(1)).take(announcement(A), KEY, 0.0)
+        Announcements(Roster(1)).take(announcement(A), KEY, 0.0)
     assert raised.value.status == 503
     assert raised.value.retry_after_s
 
--- a/tests/test_members.py
+++ b/tests/test_rosters.py
@@ -10,29 +10,29 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import CHANGED
 from nutmegchute_core.members import DRAINING
-from nutmegchute_core.members import FLOOR_S
-from nutmegchute_core.members import FULL
 from nutmegchute_core.members import LEASE_S
 from nutmegchute_core.members import MAX_CHANGES
-from nutmegchute_core.members import MAX_ENDPOINTS
-from nutmegchute_core.members import MAX_FLOORS
-from nutmegchute_core.members import MAX_PEERS
-from nutmegchute_core.members import Members
-from nutmegchute_core.members import PAUSED
-from nutmegchute_core.members import QUIET_S
-from nutmegchute_core.members import STALE
-from nutmegchute_core.members import TAKEN
 from nutmegchute_core.members import UP
 from nutmegchute_core.members import Vouch
 from nutmegchute_core.members import VOUCH_S
+from nutmegchute_core.rosters import CHANGED
+from nutmegchute_core.rosters import FLOOR_S
+from nutmegchute_core.rosters import FULL
+from nutmegchute_core.rosters import MAX_ENDPOINTS
+from nutmegchute_core.rosters import MAX_FLOORS
+from nutmegchute_core.rosters import MAX_PEERS
+from nutmegchute_core.rosters import PAUSED
+from nutmegchute_core.rosters import QUIET_S
+from nutmegchute_core.rosters import Roster
+from nutmegchute_core.rosters import STALE
+from nutmegchute_core.rosters import TAKEN
 from support import announcement
 
 A = "10.0.0.1:80"
 
 
-def exchange(one: Members, other: Members, now: float) -> Vouch:
+def exchange(one: Roster, other: Roster, now: float) -> Vouch:
     """Let "one" ask "other", both hearing; return the answer."""
     other.hear("one", one.vouch("other", now), now)
     answer = other.vouch("one", now)
@@ -40,21 +40,21 @@
     return answer
 
 
-def up_at(members: Members, now: float) -> list[str]:
+def up_at(members: Roster, now: float) -> list[str]:
     """List the endpoints that new work may go to."""
     return [one.endpoint for one in members.live(now) if one.state != DRAINING]
 
 
 @pytest.fixture
-def pair() -> tuple[Members, Members]:
+def pair() -> tuple[Roster, Roster]:
     """Give two entries that know each other."""
-    one, other = Members(1000), Members(2000)
+    one, other = Roster(1000), Roster(2000)
     for _ in range(3):
         exchange(one, other, 0.0)
     return one, other
 
 
-def test_rest_costs_no_announcements(pair: tuple[Members, Members]) -> None:
+def test_rest_costs_no_announcements(pair: tuple[Roster, Roster]) -> None:
     """Send nothing per endpoint while nothing changes."""
     one, other = pair
     for number in range(150):
@@ -67,7 +67,7 @@
     assert (vouch.changed, vouch.removed) == ([], [])
 
 
-def test_drain_leaves_no_way_back(pair: tuple[Members, Members]) -> None:
+def test_drain_leaves_no_way_back(pair: tuple[Roster, Roster]) -> None:
     """Hold a drained endpoint down when a late "up" arrives.
 
     An endpoint announces itself to one entry, moves to another and drains
@@ -97,7 +97,7 @@
 
 
 def test_delayed_word_brings_nothing_back(
-    pair: tuple[Members, Members],
+    pair: tuple[Roster, Roster],
 ) -> None:
     """Ignore a word that was under way while its endpoint left.
 
@@ -116,21 +116,21 @@
 
 
 def test_word_of_an_earlier_run_is_ignored(
-    pair: tuple[Members, Members],
+    pair: tuple[Roster, Roster],
 ) -> None:
     """Ignore a word that a restarted entry had sent before its end."""
     one, other = pair
     other.announce(announcement(A), 0.1)
     one.vouch("other", 0.1)
     late = other.vouch("one", 0.1)
-    again = Members(3000)
+    again = Roster(3000)
     exchange(one, again, 1.0)
     exchange(one, again, 1.1)
     one.hear("other", late, 1.2)
     assert up_at(one, 1.2) == []
 
 
-def test_silent_cut_ends_in_no_new_work(pair: tuple[Members, Members]) -> None:
+def test_silent_cut_ends_in_no_new_work(pair: tuple[Roster, Roster]) -> None:
     """Stop using what a cut-off entry vouched for, on both sides.
 
     No word passes; each side cannot know whether the other's endpoints
@@ -145,7 +145,7 @@
 
 
 def test_an_entry_that_died_is_replaced_by_the_next(
-    pair: tuple[Members, Members],
+    pair: tuple[Roster, Roster],
 ) -> None:
     """Keep an endpoint that moves on when its entry dies."""
     one, other = pair
@@ -160,7 +160,7 @@
         assert up_at(one, now) == [A]
 
 
-def test_restart_on_the_same_address(pair: tuple[Members, Members]) -> None:
+def test_restart_on_the_same_address(pair: tuple[Roster, Roster]) -> None:
     """Prefer the newer process; refuse the older one's late words."""
     one, other = pair
     other.announce(announcement(A, incarnation=7, slots=2), 0.1)
@@ -180,7 +180,7 @@
     An endpoint numbers its runs by a clock that was set back. The answer
     names the number to beat; after FLOOR_S it is taken as it is.
     """
-    members = Members(1)
+    members = Roster(1)
     members.announce(announcement(A, incarnation=10**9), 0.0)
     low = announcement(A, incarnation=5)
     now = 0.0
@@ -198,14 +198,14 @@
     The process is stopped, its socket keeps an "up"; the endpoint drains
     elsewhere and leaves. Woken, the entry would vouch for it afresh.
     """
-    members = Members(1)
+    members = Roster(1)
     members.expire(0.0)
     assert members.announce(announcement(A), 10.0) == PAUSED
     assert members.announce(announcement(A), 10.1) == PAUSED
     assert members.announce(announcement(A), 10.0 + QUIET_S) == CHANGED
 
 
-def test_a_wrong_digest_is_mended(pair: tuple[Members, Members]) -> None:
+def test_a_wrong_digest_is_mended(pair: tuple[Roster, Roster]) -> None:
     """Fetch the whole set when the digest does not fit."""
     one, other = pair
     other.announce(announcement(A), 0.1)
@@ -218,7 +218,7 @@
 
 
 def test_more_changes_than_are_remembered(
-    pair: tuple[Members, Members],
+    pair: tuple[Roster, Roster],
 ) -> None:
     """Send the whole set when the peer is too far behind."""
     one, other = pair
@@ -231,7 +231,7 @@
 
 def test_memory_is_bounded() -> None:
     """Refuse endpoints, peers and floors above the caps."""
-    members = Members(1)
+    members = Roster(1)
     for number in range(MAX_ENDPOINTS):
         address = f"10.0.{number // 1000}.1:{number + 1}"
         members.announce(announcement(address), 0.0)
@@ -305,10 +305,10 @@
         self.late: list[Callable[[], object]] = []
         self.restarted = dict.fromkeys(ENTRIES, 0.0)
 
-    def fresh(self) -> Members:
+    def fresh(self) -> Roster:
         """Build an entry as after a start."""
         self.epoch += 1000000
-        return Members(self.epoch)
+        return Roster(self.epoch)
 
     def clock(self, name: str) -> float:
         """Give an entry's own time."""
