--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -8,7 +8,7 @@
 
 from nutmegchute_fakes.clusters import Process
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+NANOSECONDS = 1_000_000_000
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # IPv4 and TCP headers with timestamps, which every segment carries.
 SEGMENT_BYTES = 52
@@ -77,8 +77,11 @@
 
 
 def _cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    """Sum what the threads ran; finer than the ticks of /proc/PID/stat."""
+    run_ns = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        run_ns += int((task / "schedstat").read_text().split()[0])
+    return run_ns / NANOSECONDS
 
 
 def _memory_bytes(pid: int) -> int:
