--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -99,7 +99,7 @@
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
         self.grpc_ports: list[int] = []
-        self._peers: list[dict[str, str]] = []
+        self.peers: list[dict[str, str]] = []
         self.controls: list[Process] = []
         self.entries: list[Process] = []
         self.upstreams: list[Process] = []
@@ -118,6 +118,7 @@
                     "http_address": free_address(),
                 }
             )
+        self.peers = peers
         seeds = [free_address() for _ in range(entries)]
         for address in [*seeds, *(peer["grpc_address"] for peer in peers)]:
             self.grpc_ports.append(int(address.rpartition(":")[2]))
@@ -144,7 +145,7 @@
             "grpc_address": free_address(),
             "http_address": free_address(),
         }
-        self._start_control(len(self.controls), own, [*self._peers, own])
+        self._start_control(len(self.controls), own, [*self.peers, own])
         return own
 
     def add_upstream(self, service: str, **options: Any) -> Process:
@@ -224,7 +225,7 @@
     def _start_control(
         self, number: int, own: dict[str, str], peers: list[dict[str, str]]
     ) -> None:
-        self._peers = peers
+        self.peers = peers
         document = self._settings("control", number, own, peers)
         document["data_folder"] = str(self.folder / own["name"])
         document["operators"] = [
