Split what a leader does from the replica

Change: leaderships.Leadership tracks the others during one term and decides what they are sent; it goes when the term's lead ends, so no state of an earlier lead can be left over. Effects have a module of their own.

--- /dev/null
+++ b/packages/core/nutmegchute_core/leaderships.py
@@ -0,0 +1,217 @@
+"""Replicate the log to the others, as long as this replica leads."""
+
+from .installs import PIECE_BYTES
+from .logs import Log
+from .memberships import Member
+from .messages import AppendReply
+from .messages import AppendRequest
+from .messages import InstallReply
+from .messages import InstallRequest
+from .messages import Message
+from .progress import Progress
+
+# A replica silent for this long counts as lost; also the least time after
+# which a follower that hears no leader asks for votes.
+ELECTION_S = 0.8
+# A learner that is closer than this to the end of the log may vote.
+CAUGHT_UP = 64
+
+
+class Leadership:
+    """Track the others during one term and decide what they are sent."""
+
+    __slots__ = (
+        "_confirmed",
+        "_identity",
+        "_log",
+        "_peers",
+        "_round",
+        "_term",
+    )
+
+    def __init__(self, identity: str, term: int, log: Log, now: float) -> None:
+        self._identity = identity
+        self._term = term
+        self._log = log
+        self._peers: dict[str, Progress] = {}
+        self._round = 0
+        self._confirmed = 0
+        self.track(now)
+
+    @property
+    def next_round(self) -> int:
+        """Give the number of the next round of messages."""
+        return self._round + 1
+
+    @property
+    def confirmed(self) -> int:
+        """Give the last round that a quorum answered."""
+        return self._confirmed
+
+    def heard_at(self, identity: str) -> float | None:
+        """Tell when a replica was last heard from."""
+        progress = self._peers.get(identity)
+        return progress.heard_at if progress is not None else None
+
+    def match_index(self, identity: str) -> int | None:
+        """Tell how far a replica's log is known to agree."""
+        progress = self._peers.get(identity)
+        return progress.match if progress is not None else None
+
+    def track(self, now: float) -> None:
+        """Begin to track the members that are new."""
+        for member in self._log.membership.members:
+            identity = member.identity
+            if identity == self._identity or identity in self._peers:
+                continue
+            self._peers[identity] = Progress(self._log.last_index + 1, now)
+
+    def has_quorum(self, now: float) -> bool:
+        """Tell whether a quorum was heard from lately."""
+        recent = 0
+        for voter in self._log.membership.voters:
+            if voter == self._identity or self._is_recent(voter, now):
+                recent += 1
+        return recent >= self._log.membership.quorum
+
+    def agreed_index(self) -> int:
+        """Give the last index that a quorum holds."""
+        matches = {one: peer.match for one, peer in self._peers.items()}
+        return self._majority(matches, self._log.last_index)
+
+    def learner_to_promote(self, now: float) -> Member | None:
+        """Return a learner that has caught up, if any."""
+        for member in self._log.membership.members:
+            match = self.match_index(member.identity)
+            if member.voter or not match:
+                continue
+            if match + CAUGHT_UP < self._log.last_index:
+                continue
+            if self._is_recent(member.identity, now):
+                return member
+        return None
+
+    def successor(self, commit: int, now: float) -> str | None:
+        """Return the voter that has come furthest and has all accepted."""
+        best: str | None = None
+        furthest = commit
+        for voter in self._log.membership.voters:
+            match = self.match_index(voter)
+            if match is None or match < furthest:
+                continue
+            if not self._is_recent(voter, now):
+                continue
+            best = voter
+            furthest = match
+        return best
+
+    def broadcast(self, commit: int) -> list[Message]:
+        """Begin a round: give each member's message."""
+        self._round += 1
+        messages = []
+        members = {one.identity for one in self._log.membership.members}
+        for peer in list(self._peers):
+            if peer in members:
+                messages.append(self.message_for(peer, commit))
+            else:
+                del self._peers[peer]
+        self._confirm()
+        return messages
+
+    def message_for(self, peer: str, commit: int) -> Message:
+        """Give the entries, or the piece of a snapshot, that come next."""
+        progress = self._peers[peer]
+        previous_term = self._log.term_at(progress.next - 1)
+        if previous_term is None or progress.install_offset is not None:
+            return self._piece_for(peer, progress)
+        entries = self._log.batch(progress.next)
+        request = AppendRequest(
+            source=self._identity,
+            target=peer,
+            term=self._term,
+            round=self._round,
+            previous_index=progress.next - 1,
+            previous_term=previous_term,
+            entries=entries,
+            commit=commit,
+        )
+        progress.next += len(entries)
+        return request
+
+    def take_append(self, reply: AppendReply, now: float) -> bool:
+        """Take a reply; tell whether the peer should be sent more."""
+        progress = self._hear(reply, now)
+        if progress is None:
+            return False
+        if not reply.agreed:
+            progress.next = max(progress.match, reply.match_index) + 1
+            return True
+        progress.install_offset = None
+        progress.match = max(progress.match, reply.match_index)
+        progress.next = max(progress.next, progress.match + 1)
+        return progress.next <= self._log.last_index
+
+    def take_install(self, reply: InstallReply, now: float) -> bool:
+        """Take a reply; tell whether the peer should be sent more."""
+        progress = self._hear(reply, now)
+        if progress is None:
+            return False
+        if reply.done:
+            progress.install_offset = None
+            progress.match = max(progress.match, reply.index)
+            progress.next = progress.match + 1
+            return True
+        if reply.index != self._log.snapshot.index:
+            progress.install_offset = 0
+            return True
+        if progress.install_offset is None:
+            return False
+        # A reply to a piece that was sent twice must not start a second
+        # chain of pieces; the next heartbeat repeats the piece.
+        moved = reply.received > progress.install_offset
+        progress.install_offset = reply.received
+        return moved
+
+    def _piece_for(self, peer: str, progress: Progress) -> Message:
+        snapshot = self._log.snapshot
+        offset = min(progress.install_offset or 0, len(snapshot.state))
+        progress.install_offset = offset
+        return InstallRequest(
+            source=self._identity,
+            target=peer,
+            term=self._term,
+            round=self._round,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            membership=snapshot.membership,
+            offset=offset,
+            total=len(snapshot.state),
+            piece=snapshot.state[offset : offset + PIECE_BYTES],
+        )
+
+    def _hear(
+        self, reply: AppendReply | InstallReply, now: float
+    ) -> Progress | None:
+        progress = self._peers.get(reply.source)
+        if progress is None or reply.term != self._term:
+            return None
+        progress.heard_at = now
+        progress.round = max(progress.round, reply.round)
+        self._confirm()
+        return progress
+
+    def _confirm(self) -> None:
+        rounds = {one: peer.round for one, peer in self._peers.items()}
+        self._confirmed = self._majority(rounds, self._round)
+
+    def _majority(self, values: dict[str, int], own: int) -> int:
+        voters = self._log.membership.voters
+        found = [
+            own if voter == self._identity else values.get(voter, 0)
+            for voter in voters
+        ]
+        return sorted(found)[len(voters) - self._log.membership.quorum]
+
+    def _is_recent(self, identity: str, now: float) -> bool:
+        heard_at = self.heard_at(identity)
+        return heard_at is not None and now - heard_at <= ELECTION_S
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -5,10 +5,12 @@
 from .charts import load_chart
 from .commands import Command
 from .commands import NoOp
+from .effects import Effects
 from .errors import NotLeaderError
 from .errors import ReconfigurationError
 from .installs import Install
-from .installs import PIECE_BYTES
+from .leaderships import ELECTION_S
+from .leaderships import Leadership
 from .logs import Log
 from .memberships import Membership
 from .memberships import Reconfigure
@@ -23,13 +25,9 @@
 from .messages import Snapshot
 from .messages import VoteReply
 from .messages import VoteRequest
-from .progress import Progress
 
-ELECTION_S = 0.8
 ELECTION_SPREAD_S = 0.5
 HEARTBEAT_S = 0.2
-# A learner that is closer than this to the end of the log may vote.
-CAUGHT_UP = 64
 
 FOLLOWER = "follower"
 PRECANDIDATE = "precandidate"
@@ -39,32 +37,6 @@
 REPLICA_CHART = load_chart("replica")
 
 
-class Effects:
-    """List what the driver must do, in this order.
-
-    First make ``hard_state``, ``snapshot`` and ``entries`` durable
-    (``entries`` replace all that the log held from the first one's index
-    on; an installed ``snapshot`` replaces the whole log), then send
-    ``messages``, then restore ``snapshot`` and apply ``committed``.
-    """
-
-    __slots__ = ("committed", "entries", "hard_state", "messages", "snapshot")
-
-    def __init__(
-        self,
-        hard_state: HardState | None,
-        snapshot: Snapshot | None,
-        entries: list[LogEntry],
-        messages: list[Message],
-        committed: list[LogEntry],
-    ) -> None:
-        self.hard_state = hard_state
-        self.snapshot = snapshot
-        self.entries = entries
-        self.messages = messages
-        self.committed = committed
-
-
 class Replica:
     """Take messages, proposals and time; give effects."""
 
@@ -72,7 +44,6 @@
         "_applied",
         "_append_due",
         "_commit",
-        "_confirmed",
         "_election_at",
         "_hard_state",
         "_heard_leader_at",
@@ -81,11 +52,10 @@
         "_install",
         "_installed",
         "_leader",
+        "_leadership",
         "_log",
         "_messages",
-        "_peers",
         "_random",
-        "_round",
         "_state",
         "_state_dirty",
         "_term_start",
@@ -110,15 +80,13 @@
         self._commit = log.snapshot.index
         self._applied = log.snapshot.index
         self._votes: set[str] = set()
-        self._peers: dict[str, Progress] = {}
+        self._leadership: Leadership | None = None
         self._messages: list[Message] = []
         self._install: Install | None = None
         self._installed: Snapshot | None = None
         self._unsaved_from: int | None = None
         self._state_dirty = False
         self._append_due = False
-        self._round = 0
-        self._confirmed = 0
         self._term_start = 0
         self._heartbeat_at = now
         self._heard_leader_at = now - ELECTION_S
@@ -173,7 +141,7 @@
     @property
     def confirmed(self) -> int:
         """Give the last round that a quorum answered."""
-        return self._confirmed
+        return self._leadership.confirmed if self._leadership else 0
 
     @property
     def wake_at(self) -> float:
@@ -184,15 +152,17 @@
 
     def heard_at(self, identity: str) -> float | None:
         """Tell when this leader last heard from a replica."""
-        progress = self._peers.get(identity)
-        return progress.heard_at if progress is not None else None
+        if self._leadership is None:
+            return None
+        return self._leadership.heard_at(identity)
 
     def match_index(self, identity: str) -> int | None:
         """Tell how far a replica's log is known to agree with this one."""
         if identity == self._identity:
             return self.last_index
-        progress = self._peers.get(identity)
-        return progress.match if progress is not None else None
+        if self._leadership is None:
+            return None
+        return self._leadership.match_index(identity)
 
     def propose(self, command: Command) -> int:
         """Append a command and return its index.
@@ -222,7 +192,8 @@
         if not change.membership.voters:
             raise ReconfigurationError("the last voter has to stay")
         index = self.propose(change)
-        self._track_peers(now)
+        if self._leadership is not None:
+            self._leadership.track(now)
         return index
 
     def begin_read(self) -> int:
@@ -233,9 +204,9 @@
 
         :raises NotLeaderError: another replica, or none, leads
         """
-        if self._state != LEADER:
+        if self._leadership is None:
             raise NotLeaderError(self._leader)
-        return self._round + 1
+        return self._leadership.next_round
 
     def hand_over(self, now: float) -> None:
         """Let the follower that has come furthest lead; this one stops.
@@ -243,17 +214,9 @@
         Otherwise each planned restart of a leader would cost as long as a
         crash: an election's silence.
         """
-        if self._state != LEADER:
+        if self._leadership is None:
             return
-        best: str | None = None
-        for voter in self.membership.voters:
-            progress = self._peers.get(voter)
-            if progress is None or progress.match < self._commit:
-                continue
-            if now - progress.heard_at > ELECTION_S:
-                continue
-            if best is None or progress.match > self._peers[best].match:
-                best = voter
+        best = self._leadership.successor(self._commit, now)
         if best is not None:
             self._messages.append(HandOver(self._identity, best, self.term))
 
@@ -272,8 +235,8 @@
 
     def tick(self, now: float) -> None:
         """Act on time: heartbeats, elections, a lost quorum."""
-        if self._state == LEADER:
-            self._tick_leader(now)
+        if self._leadership is not None:
+            self._tick_leader(self._leadership, now)
             return
         if now < self._election_at:
             return
@@ -308,11 +271,11 @@
 
     def drain(self) -> Effects:
         """Take the effects gathered since the last call."""
-        if self._state == LEADER and self._append_due:
+        if self._leadership is not None and self._append_due:
             # Proposals gathered since the last call share one message and
             # one sync.
-            self._send_appends()
-            self._advance_commit()
+            self._broadcast(self._leadership)
+            self._advance_commit(self._leadership)
         entries: list[LogEntry] = []
         if self._unsaved_from is not None:
             entries = self._log.between(self._unsaved_from, self.last_index)
@@ -330,15 +293,8 @@
         self._applied = self._commit
         return effects
 
-    def _tick_leader(self, now: float) -> None:
-        voters = set(self.membership.voters)
-        recent = 1 if self._identity in voters else 0
-        for identity, progress in self._peers.items():
-            if identity not in voters:
-                continue
-            if now - progress.heard_at <= ELECTION_S:
-                recent += 1
-        if recent < self.membership.quorum:
+    def _tick_leader(self, leadership: Leadership, now: float) -> None:
+        if not leadership.has_quorum(now):
             # Cut off silently, this replica would go on taking proposals
             # that cannot commit while the others elect: without a
             # quorum's recent replies it steps down and refuses.
@@ -346,29 +302,21 @@
             return
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_S
-            self._promote(now)
-            self._send_appends()
+            self._promote(leadership, now)
+            self._broadcast(leadership)
 
-    def _promote(self, now: float) -> None:
+    def _promote(self, leadership: Leadership, now: float) -> None:
         if self._log.membership_index > self._commit or not self.ready:
             return
-        for member in self.membership.members:
-            progress = self._peers.get(member.identity)
-            if member.voter or progress is None:
-                continue
-            if now - progress.heard_at > ELECTION_S:
-                continue
-            if progress.match + CAUGHT_UP < self.last_index:
-                continue
-            if not progress.match:
-                continue
-            change = Reconfigure(
-                membership=self.membership.promoted(member.identity),
-                operator="control",
-                detail=f"{member.name} has caught up and votes",
-            )
-            self.reconfigure(change, now)
+        member = leadership.learner_to_promote(now)
+        if member is None:
             return
+        change = Reconfigure(
+            membership=self.membership.promoted(member.identity),
+            operator="control",
+            detail=f"{member.name} has caught up and votes",
+        )
+        self.reconfigure(change, now)
 
     def _campaign(self, now: float) -> None:
         # Asking first, without a new term, keeps a replica that was cut
@@ -425,8 +373,9 @@
     def _lead(self, now: float) -> None:
         self._step("win")
         self._leader = self._identity
-        self._peers = {}
-        self._track_peers(now)
+        self._leadership = Leadership(
+            self._identity, self.term, self._log, now
+        )
         self._heartbeat_at = now + HEARTBEAT_S
         self._term_start = self._append(NoOp())
         self._append_due = True
@@ -499,19 +448,12 @@
         self._reply_append(request, True, match)
 
     def _on_append_reply(self, reply: AppendReply, now: float) -> None:
-        progress = self._hear_peer(reply, now)
-        if progress is None:
-            return
-        if not reply.agreed:
-            progress.next = max(progress.match, reply.match_index) + 1
-            self._send_append(reply.source)
+        leadership = self._leadership
+        if leadership is None:
             return
-        progress.install_offset = None
-        progress.match = max(progress.match, reply.match_index)
-        progress.next = max(progress.next, progress.match + 1)
-        self._advance_commit()
-        if self._state == LEADER and progress.next <= self.last_index:
-            self._send_append(reply.source)
+        more = leadership.take_append(reply, now)
+        self._advance_commit(leadership)
+        self._send_more(reply.source, more)
 
     def _on_install_request(self, request: InstallRequest, now: float) -> None:
         if request.term < self.term:
@@ -538,26 +480,12 @@
         self._reply_install(request, request.total, True)
 
     def _on_install_reply(self, reply: InstallReply, now: float) -> None:
-        progress = self._hear_peer(reply, now)
-        if progress is None:
-            return
-        if reply.done:
-            progress.install_offset = None
-            progress.match = max(progress.match, reply.index)
-            progress.next = progress.match + 1
-            self._advance_commit()
-        elif reply.index != self._log.snapshot.index:
-            progress.install_offset = 0
-        elif progress.install_offset is None:
+        leadership = self._leadership
+        if leadership is None:
             return
-        else:
-            # A reply to a piece that was sent twice must not start a
-            # second chain of pieces; the next heartbeat repeats the piece.
-            moved = reply.received > progress.install_offset
-            progress.install_offset = reply.received
-            if not moved:
-                return
-        self._send_append(reply.source)
+        more = leadership.take_install(reply, now)
+        self._advance_commit(leadership)
+        self._send_more(reply.source, more)
 
     def _hear_leader(self, leader: str, now: float) -> None:
         if self._state in (PRECANDIDATE, CANDIDATE):
@@ -566,20 +494,6 @@
         self._heard_leader_at = now
         self._reset_election(now)
 
-    def _hear_peer(
-        self, reply: AppendReply | InstallReply, now: float
-    ) -> Progress | None:
-        if self._state != LEADER or reply.term != self.term:
-            return None
-        progress = self._peers.get(reply.source)
-        if progress is None:
-            return None
-        progress.heard_at = now
-        progress.round = max(progress.round, reply.round)
-        rounds = {one: peer.round for one, peer in self._peers.items()}
-        self._confirmed = self._majority(rounds, self._round)
-        return progress
-
     def _merge(self, entries: list[LogEntry]) -> None:
         for entry in entries:
             known = self._log.term_at(entry.index)
@@ -591,9 +505,8 @@
             self._log.append(entry)
             self._mark_unsaved(entry.index)
 
-    def _advance_commit(self) -> None:
-        matches = {one: peer.match for one, peer in self._peers.items()}
-        index = self._majority(matches, self.last_index)
+    def _advance_commit(self, leadership: Leadership) -> None:
+        index = leadership.agreed_index()
         # An entry of an earlier term may still be overwritten although a
         # majority holds it; only one of the own term commits by count.
         if index <= self._commit or self._log.term_at(index) != self.term:
@@ -601,82 +514,25 @@
         self._commit = index
         left = self._identity not in self.membership.voters
         if left and self._log.membership_index <= index:
-            self._send_appends()
+            self._broadcast(leadership)
             self._step("removed")
             self._leader = None
 
-    def _majority(self, values: dict[str, int], own: int) -> int:
-        voters = self.membership.voters
-        found = [
-            own if voter == self._identity else values.get(voter, 0)
-            for voter in voters
-        ]
-        return sorted(found)[len(voters) - self.membership.quorum]
-
     def _append(self, command: Command) -> int:
         entry = LogEntry(self.term, self.last_index + 1, command)
         self._log.append(entry)
         self._mark_unsaved(entry.index)
         return entry.index
 
-    def _track_peers(self, now: float) -> None:
-        for member in self.membership.members:
-            identity = member.identity
-            if identity == self._identity or identity in self._peers:
-                continue
-            self._peers[identity] = Progress(self.last_index + 1, now)
-
-    def _send_appends(self) -> None:
+    def _broadcast(self, leadership: Leadership) -> None:
         self._append_due = False
-        self._round += 1
-        members = {one.identity for one in self.membership.members}
-        for peer in list(self._peers):
-            if peer in members:
-                self._send_append(peer)
-            else:
-                del self._peers[peer]
-        rounds = {one: peer.round for one, peer in self._peers.items()}
-        self._confirmed = self._majority(rounds, self._round)
-
-    def _send_append(self, peer: str) -> None:
-        progress = self._peers[peer]
-        previous_term = self._log.term_at(progress.next - 1)
-        if previous_term is None or progress.install_offset is not None:
-            self._send_install(peer, progress)
-            return
-        entries = self._log.batch(progress.next)
-        self._messages.append(
-            AppendRequest(
-                source=self._identity,
-                target=peer,
-                term=self.term,
-                round=self._round,
-                previous_index=progress.next - 1,
-                previous_term=previous_term,
-                entries=entries,
-                commit=self._commit,
-            )
-        )
-        progress.next += len(entries)
+        self._messages.extend(leadership.broadcast(self._commit))
 
-    def _send_install(self, peer: str, progress: Progress) -> None:
-        snapshot = self._log.snapshot
-        offset = min(progress.install_offset or 0, len(snapshot.state))
-        progress.install_offset = offset
-        self._messages.append(
-            InstallRequest(
-                source=self._identity,
-                target=peer,
-                term=self.term,
-                round=self._round,
-                index=snapshot.index,
-                snapshot_term=snapshot.term,
-                membership=snapshot.membership,
-                offset=offset,
-                total=len(snapshot.state),
-                piece=snapshot.state[offset : offset + PIECE_BYTES],
+    def _send_more(self, peer: str, more: bool) -> None:
+        if more and self._leadership is not None:
+            self._messages.append(
+                self._leadership.message_for(peer, self._commit)
             )
-        )
 
     def _reply_append(
         self, request: AppendRequest, agreed: bool, match: int
@@ -733,3 +589,5 @@
 
     def _step(self, event: str) -> None:
         self._state = REPLICA_CHART.step(self._state, event)
+        if self._state != LEADER:
+            self._leadership = None
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -12,8 +12,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import run_state_machine_as_test
+from nutmegchute_core import leaderships
 from nutmegchute_core import nodes
-from nutmegchute_core import replicas
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.trees import Change
 from nutmegchute_fakes.replicas import FakeReplica
@@ -338,8 +338,8 @@
     values: list[tuple[Any, str, int]] = [
         (nodes, "SNAPSHOT_ENTRIES", 30),
         (nodes, "TRAIL", 8),
-        (replicas, "PIECE_BYTES", 3000),
-        (replicas, "CAUGHT_UP", 8),
+        (leaderships, "PIECE_BYTES", 3000),
+        (leaderships, "CAUGHT_UP", 8),
     ]
     for module, name, value in values:
         monkeypatch.setattr(module, name, value)
