--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -23,13 +23,12 @@
 # endpoint that gets nothing cannot answer and so clear itself.
 SUSPECT_FACTOR = 1.0
 ZONE_STALLS = 2
-PROBE_CLEARS = 1
-PROBE_STALLED = 1
 STALL_S = 1.0
 # Latency counts only beyond this multiple of the mean: below, it tells of
 # the calls and of the queue that the load reports tell of already.
 LATENCY_BAND = 1.25
 EJECTED_MOST_SHARE = 0.5
+UNPROBED_S = 16.0
 
 
 class ZoneStalls:
@@ -52,17 +51,19 @@
         "_order",
         "_others",
         "_policy",
-        "_probed",
         "_random",
         "_recent",
+        "_slots",
         "_stalls",
+        "probed",
     )
 
     def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
-        self._probed = probed and policy.probing
+        self.probed = probed
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
+        self._slots = 1.0
         self._members: set[Endpoint] = set()
         # A dict for its order: the endpoint heard last comes last.
         self._recent: dict[Endpoint, None] = {}
@@ -76,9 +77,16 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
+    @property
+    def load_per_slot(self) -> float:
+        """Give the mean load that other entries put on a slot."""
+        return self._others.value / self._slots
+
     def update(self, endpoints: list[Endpoint]) -> None:
         """Take the endpoints that may be chosen."""
         self._order = endpoints
+        slots = sum(endpoint.slots for endpoint in endpoints)
+        self._slots = slots / max(1, len(endpoints)) or 1.0
         self._members = set(endpoints)
         self._ejected &= self._members
         for endpoint in list(self._recent):
@@ -193,34 +201,32 @@
             self._ejected.add(endpoint)
 
     def suspect(self, now: float) -> Endpoint | None:
-        """Return the endpoint whose recovery is most worth asking for."""
+        """Return the ejected endpoint that was not asked for longest."""
         best = None
         for endpoint in self._order:
-            ejected = endpoint in self._ejected
-            if not ejected and not (PROBE_STALLED and endpoint.stalled):
+            if endpoint not in self._ejected or endpoint.alive:
                 continue
-            if ejected and now < endpoint.ejected_until:
+            if now < endpoint.ejected_until:
                 continue
             if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
         return best
 
-    def hear_sign_of_life(self, endpoint: Endpoint, now: float) -> None:
-        """Take a probe's answer: a trial may follow, a stall is over."""
-        if PROBE_CLEARS:
-            endpoint.stalled = 0
-            self._stalls.pop(endpoint.zone, None)
+    def hear_sign_of_life(self, endpoint: Endpoint) -> None:
+        """Take a probe's answer: a trial may follow."""
         endpoint.alive = True
 
     def _open(self, endpoint: Endpoint, trial: bool, now: float) -> bool:
         if endpoint not in self._ejected:
             return True
-        if now < endpoint.ejected_until or not trial:
+        if now < endpoint.ejected_until or not trial or endpoint.in_flight:
             return False
-        if self._probed and not endpoint.alive:
-            # A trial that fails costs a caller time, a probe does not.
-            return False
-        return endpoint.in_flight == 0
+        if not self.probed or endpoint.alive:
+            return True
+        # A trial that fails costs a caller time, a probe does not. An
+        # endpoint that answers no probe, say for a wrong path in the
+        # declaration, still gets its trial in the end.
+        return now >= endpoint.ejected_until + UNPROBED_S
 
     def _below_floor(self) -> bool:
         # When most of the pool fails, the cause is rarely the endpoints;
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -20,6 +20,8 @@
 from .rules import Service
 
 HEDGE_QUANTILE = 0.92
+# Calls of others per slot beyond which a hedge only lengthens queues.
+HEDGE_MOST_LOAD = 1.0
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
 RETRY_AFTER_LEAST_S = 0.2
@@ -55,7 +57,7 @@
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._chooser = Chooser(random, policy, service.probes_per_s > 0)
+        self._chooser = Chooser(random, policy, self._may_probe(service))
         self._extra = ExtraBudget()
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
         self._window = Window()
@@ -102,6 +104,7 @@
         probes = ProbeBudget(service.probes_per_s, service.most_entries)
         probes.follow(self._probes)
         self._probes = probes
+        self._chooser.probed = self._may_probe(service)
 
     def update(self, announcements: list[Announcement], now: float) -> None:
         """Take the live endpoints; what is known of the staying ones stays.
@@ -188,6 +191,8 @@
             return None
         if self.too_late(call, now) or not self.has_room():
             return None
+        if self._chooser.load_per_slot > HEDGE_MOST_LOAD:
+            return None
         found = self.choose(call, now)
         if found is None or not self._extra.spend_hedge():
             return None
@@ -237,10 +242,9 @@
         if endpoint is None:
             return
         if load is None:
-            self._chooser.hear_failure(endpoint, now)
             return
         self._chooser.hear_load(endpoint, load, now)
-        self._chooser.hear_sign_of_life(endpoint, now)
+        self._chooser.hear_sign_of_life(endpoint)
 
     def next_probe(self, now: float) -> str | None:
         """Return the endpoint to probe now, if budget and need allow."""
@@ -271,6 +275,9 @@
             self._half.value_s,
         )
 
+    def _may_probe(self, service: Service) -> bool:
+        return service.probes_per_s > 0 and self._policy.probing
+
     def _is_to_blame(self, call: Call, result: Result) -> bool:
         """Tell whether a failed attempt says anything of the endpoint."""
         if result.outcome == CANCELLED:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -20,7 +20,7 @@
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
-from nutmegchute_core.members import Members
+from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
@@ -30,6 +30,7 @@
 from .callers import CallHandler
 from .callers import Ticket
 from .claims import Claimer
+from .clocks import boot_time
 from .connections import Connections
 from .daemons import Daemon
 from .desks import CallDesk
@@ -63,7 +64,7 @@
         self._balancer = Balancer(
             secrets.randbits(32), settings.availability_zone
         )
-        self._members = Members(secrets.randbits(48))
+        self._members = Roster(secrets.randbits(48))
         self._announcements = Announcements(self._members)
         self._directory = Directory(own, random.random())
         self._services: dict[str, Service] = {}
@@ -108,7 +109,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Give what tells whether this entry can serve."""
-        now = self._loop.time()
+        now = boot_time()
         return {
             "in_flight": self._balancer.in_flight,
             "upstreams": len(self._members.live(now)),
@@ -232,7 +233,7 @@
 
         :raises AnnouncementError: it was not taken
         """
-        now = self._loop.time()
+        now = boot_time()
         lease = self._announcements.take(announcement, key, now)
         self._gossiper.refresh()
         return lease
@@ -240,18 +241,18 @@
     def usable_entries(self, zone: str | None) -> list[EntryWord]:
         """Choose the entries that a caller should use."""
         return self._directory.answer(
-            zone, self._settings.entries_answer, self._loop.time()
+            zone, self._settings.entries_answer, boot_time()
         )
 
     def status(self) -> dict[str, Any]:
         """Describe this entry to an operator."""
         return {
             "entry": self._directory.own,
-            "entries": self._directory.usable(self._loop.time()),
+            "entries": self._directory.usable(boot_time()),
             "index": self._follower.index,
             "revisions": self._follower.revisions,
             "in_flight": self._balancer.in_flight,
-            "upstreams": self._members.live(self._loop.time()),
+            "upstreams": self._members.live(boot_time()),
         }
 
     def _sweep(self) -> None:
@@ -283,4 +284,4 @@
         services = self._services = read_services(reply.documents)
         self._balancer.configure(services, now)
         self._announcements.configure(services)
-        self._update_upstreams(self._members.live(now))
+        self._update_upstreams(self._members.live(boot_time()))
