--- a/benchmarks/announcers.py
+++ b/benchmarks/announcers.py
@@ -10,6 +10,7 @@
 
 import signal
 import sys
+import threading
 import time
 from types import FrameType
 
@@ -18,6 +19,7 @@
 from docopt import docopt
 
 TIMEOUT_S = 5.0
+THREADS = 8
 ZONES = ["zone-a", "zone-b", "zone-c", "zone-d", "zone-e"]
 
 
@@ -32,7 +34,10 @@
         self._late_s = 0.0
         self._running = True
         self._pool = urllib3.PoolManager(
-            num_pools=len(addresses), timeout=TIMEOUT_S, retries=False
+            num_pools=len(addresses),
+            maxsize=THREADS,
+            timeout=TIMEOUT_S,
+            retries=False,
         )
 
     @property
@@ -45,7 +50,23 @@
         self._running = False
 
     def run(self, numbers: range) -> None:
-        """Announce, spread evenly over each round."""
+        """Announce on several threads.
+
+        Upstreams wait for their own answers only; one thread would hold
+        all back behind the slowest, and leases would run out for that.
+        """
+        threads = []
+        for first in range(THREADS):
+            share = numbers[first::THREADS]
+            if not share:
+                continue
+            threads.append(threading.Thread(target=self._run, args=(share,)))
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _run(self, numbers: range) -> None:
         due = time.monotonic()
         while True:
             for number in numbers:
