Let one of a pair yield when both are due to gossip

Cause: on virtual time two entries that were due at the same moment stayed so and asked each other every period: twice the words.

Change: the one with the higher address waits two ticks longer.

--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -17,6 +17,7 @@
 
 GOSSIP_S = 1.0
 TICK_S = 0.05
+YIELD_S = 2 * TICK_S
 TIMEOUT_S = 0.5
 
 
@@ -84,8 +85,12 @@
         urgent = state != self._spread
         self._spread = state
         for address in self._peers():
-            waited_s = now - self._exchanged.get(address, -GOSSIP_S)
-            if urgent or waited_s >= GOSSIP_S:
+            due_at = self._exchanged.get(address, 0.0) + GOSSIP_S
+            if self._settings.grpc_address > address:
+                # Both are due at the same moment, time after time; without
+                # this each would ask the other.
+                due_at += YIELD_S
+            if urgent or now >= due_at:
                 self._start(address, now)
         self.refresh()
 
