--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -150,10 +150,7 @@
     def hear_load(self, endpoint: Endpoint, load: int, now: float) -> None:
         """Take an endpoint's load report."""
         endpoint.hear_load(load, now)
-        if endpoint.stuck and self._policy.trust and not self._full(endpoint):
-            endpoint.forget_load()
-        else:
-            self._others.learn(endpoint.reported_others)
+        self._others.learn(endpoint.reported_others)
         if endpoint not in self._members:
             # Its last answers still come in while it drains; as a recent
             # one it would be a candidate again.
@@ -163,13 +160,6 @@
         if len(self._recent) > RECENT:
             del self._recent[next(iter(self._recent))]
 
-    def _full(self, endpoint: Endpoint) -> bool:
-        # A queue that stays full repeats its report and is slow as well;
-        # disbelieved, it would draw calls as if it had the mean load.
-        high = endpoint.reported_others > self._others.value
-        slow_s = LATENCY_BAND * self._latency.value
-        return high and endpoint.latency_s > slow_s
-
     def hear_answer(
         self, endpoint: Endpoint, latency_s: float, now: float
     ) -> None:
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -11,7 +11,6 @@
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 8.0
 
-STUCK_AFTER = 4
 WARM_UP_S = 2.0
 COLD_FACTOR = 3.0
 
@@ -26,8 +25,6 @@
         "_heard_at",
         "_latency_at",
         "_others",
-        "_repeats",
-        "_report",
         "alive",
         "ejected_until",
         "in_flight",
@@ -48,8 +45,6 @@
         self._latency_at = 0.0
         self._others = 0.0
         self._heard_at: float | None = None
-        self._report: int | None = None
-        self._repeats = 0
         self._failures = 0
         self._ejections = 0
         self.ejected_until = 0.0
@@ -87,11 +82,6 @@
         """Tell whether the endpoint is leaving."""
         return self._announcement.state == DRAINING
 
-    @property
-    def stuck(self) -> bool:
-        """Tell whether its reports repeat too long to be believed."""
-        return self._repeats >= STUCK_AFTER
-
     def others(self, mean: float, keep_s: float, now: float) -> float:
         """Estimate the calls that other entries have there.
 
@@ -124,17 +114,8 @@
         """Give the calls of other entries in the last report."""
         return self._others
 
-    def forget_load(self) -> None:
-        """Believe no report; the mean stands in for it."""
-        self._heard_at = None
-
     def hear_load(self, load: int, now: float) -> None:
         """Take a load report."""
-        if load == self._report:
-            self._repeats += 1
-        else:
-            self._repeats = 0
-        self._report = load
         self._others = float(max(0, load - self.in_flight))
         self._heard_at = now
 
--- a/packages/core/nutmegchute_core/policies.py
+++ b/packages/core/nutmegchute_core/policies.py
@@ -17,7 +17,6 @@
         "probing",
         "reports",
         "suspicion",
-        "trust",
         "warm_up",
         "zones",
     )
@@ -37,6 +36,5 @@
     probing: bool
     reports: bool
     suspicion: bool
-    trust: bool
     warm_up: bool
     zones: bool
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -265,7 +265,7 @@
         self._chooser.hear_answer(endpoint, result.latency_s, now)
         self._half.learn(result.latency_s)
         self._slow.learn(result.latency_s)
-        if result.load is None or endpoint.stuck and self._policy.trust:
+        if result.load is None:
             return
         self._window.learn(
             result.load,
