Log refused keys, and name the daemon in every line

Cause: a refused operator's key raised a TypeError on the loop in place of NC2012 (the address was passed by place); lines logged for worker threads lacked the daemon's name, since a context variable does not follow them. Change: one require_operator and one as_json for both roles, the name by a processor; the drain test reads the log.

--- a/packages/daemon/nutmegchute_daemon/drains.py
+++ b/packages/daemon/nutmegchute_daemon/drains.py
@@ -30,13 +30,16 @@
     def __call__(self) -> bytes:
         """Drain this entry; asking again changes nothing."""
         require_post()
-        operator = require_operator(self._settings)
+        operator = require_operator(self._settings, self._asker)
         # An entry carries every team's calls: a key for one branch must
         # not take the others' capacity away.
         if not operator.may_change(ALL_BRANCHES):
             raise cherrypy.HTTPError(
                 403, f"{operator.name} may not drain: needs branch '*'"
             )
-        log(Event.DRAIN_ASKED, operator=operator.name)
-        self._asker.ask(self._stop)
+        self._asker.ask(self._begin, operator.name)
         return as_json({"draining": True})
+
+    def _begin(self, operator: str) -> None:
+        log(Event.DRAIN_ASKED, operator=operator)
+        self._stop()
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -59,9 +59,17 @@
 
 def configure_logs(level: str, name: str) -> None:
     """Send JSON lines of the level and above to standard error."""
+
+    def add_name(logger: Any, method: str, fields: Any) -> Any:
+        # Not by a context variable: worker threads and what they put on
+        # the loop have contexts of their own, and their lines would not
+        # tell whose they are.
+        fields["daemon"] = name
+        return fields
+
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            add_name,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(),
@@ -69,7 +77,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
     )
-    structlog.contextvars.bind_contextvars(daemon=name)
 
 
 def log(event: Event, level: str = "info", **fields: Any) -> None:
--- a/packages/daemon/nutmegchute_daemon/handlers.py
+++ b/packages/daemon/nutmegchute_daemon/handlers.py
@@ -1,8 +1,10 @@
 """Share what the pages of both roles say and ask."""
 
 import html
+from collections.abc import Callable
 from traceback import format_exc
 from typing import Any
+from typing import Protocol
 
 import cherrypy
 import msgspec
@@ -16,6 +18,13 @@
 FAULT = "500"
 
 
+class Asker(Protocol):
+    """Describe how a page reaches the loop."""
+
+    def tell(self, function: Callable[..., Any], *args: Any) -> None:
+        """Run a function on the loop without waiting for it."""
+
+
 def plain_error(
     status: str, message: str, traceback: str, version: str
 ) -> str:
@@ -28,11 +37,13 @@
     return html.unescape(message) + "\n"
 
 
-def require_operator(settings: Settings) -> Operator:
+def require_operator(settings: Settings, asker: Asker) -> Operator:
     """Return the operator who asks, or answer 401."""
     key = cherrypy.request.headers.get(OPERATOR_HEADER, "")
     operator = settings.find_operator(key)
     if operator is None:
+        # Not on the audit trail: anybody could fill the disks with it.
+        asker.tell(_log_refusal, cherrypy.request.remote.ip)
         raise cherrypy.HTTPError(401, "no operator has this key")
     return operator
 
@@ -49,3 +60,7 @@
     """Return a page's body as JSON."""
     cherrypy.response.headers["Content-Type"] = "application/json"
     return msgspec.json.encode(value)
+
+
+def _log_refusal(remote: str) -> None:
+    log(Event.KEY_REFUSED, "warning", remote=remote)
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -1,8 +1,6 @@
 """Answer operators over HTTP."""
 
 import asyncio
-import hashlib
-import hmac
 import time
 from collections.abc import Coroutine
 from typing import Any
@@ -26,9 +24,8 @@
 from nutmegchute_core.trees import passes_schema
 from nutmegchute_core.trees import Refusal
 
-from .events import Event
-from .events import log
-from .protocols import OPERATOR_HEADER
+from .handlers import as_json
+from .handlers import require_operator
 from .servers import LoopAsker
 from .settings import Operator
 from .settings import Settings
@@ -129,13 +126,13 @@
             checked=passes_schema(request.documents),
         )
         answer = self._run(self._daemon.change(change), "/changes")
-        return _json(answer)
+        return as_json(answer)
 
     @cherrypy.expose
     def replicas(self) -> bytes:
         """Show the control replicas, or change them one at a time."""
         if cherrypy.request.method != "POST":
-            return _json(self._asker.ask(self._daemon.replicas))
+            return as_json(self._asker.ask(self._daemon.replicas))
         operator = self._operator()
         request = _decode(ReplicaRequest)
         if request.action not in ACTIONS:
@@ -152,12 +149,12 @@
         detail = f"{wish.describe()}: done"
         if request.action != "remove":
             detail += "; it votes once it has caught up"
-        return _json(ReplicaAnswer(ACCEPTED, detail, membership.members))
+        return as_json(ReplicaAnswer(ACCEPTED, detail, membership.members))
 
     @cherrypy.expose
     def tree(self) -> bytes:
         """Show the configuration tree as this replica has it."""
-        return _json(self._asker.ask(self._tree))
+        return as_json(self._asker.ask(self._tree))
 
     @cherrypy.expose
     def audit(self, since: str = "", limit: str = "") -> bytes:
@@ -171,12 +168,12 @@
             ) from error
         if most < 1:
             raise cherrypy.HTTPError(400, "limit is at least 1")
-        return _json(self._asker.ask(self._audit, after, most))
+        return as_json(self._asker.ask(self._audit, after, most))
 
     @cherrypy.expose
     def status(self) -> bytes:
         """Describe this replica."""
-        return _json(self._asker.ask(self._daemon.status))
+        return as_json(self._asker.ask(self._daemon.status))
 
     def _tree(self) -> dict[str, Any]:
         tree = self._daemon.machine.tree
@@ -193,15 +190,7 @@
         return [one for one in records if one.index > after][:most]
 
     def _operator(self) -> Operator:
-        key = cherrypy.request.headers.get(OPERATOR_HEADER, "")
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for operator in self._daemon._settings.operators:
-            if hmac.compare_digest(operator.key_sha256, digest):
-                return operator
-        # Not on the audit trail: anybody could fill the disks with it.
-        remote = cherrypy.request.remote.ip
-        self._asker.tell(log, Event.KEY_REFUSED, "warning", remote)
-        raise cherrypy.HTTPError(401, "no operator has this key")
+        return require_operator(self._daemon._settings, self._asker)
 
     def _check_branches(
         self, operator: Operator, request: ChangeRequest
@@ -253,8 +242,3 @@
         )
     except msgspec.DecodeError as error:
         raise cherrypy.HTTPError(400, str(error)) from error
-
-
-def _json(value: Any) -> bytes:
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    return msgspec.json.encode(value)
--- a/packages/daemon/nutmegchute_daemon/pages.py
+++ b/packages/daemon/nutmegchute_daemon/pages.py
@@ -4,10 +4,10 @@
 from typing import Protocol
 
 import cherrypy
-import msgspec
 from nutmegchute_core.directories import EntryWord
 
 from .drains import DrainPage
+from .handlers import as_json
 from .servers import LoopAsker
 
 
@@ -37,14 +37,9 @@
     def entries(self, availability_zone: str | None = None) -> bytes:
         """Name the entries to use and how long to keep the answer."""
         words = self._asker.ask(self._daemon.usable_entries, availability_zone)
-        return _json({"entries": words, "keep_s": self._keep_s})
+        return as_json({"entries": words, "keep_s": self._keep_s})
 
     @cherrypy.expose
     def status(self) -> bytes:
         """Describe this entry."""
-        return _json(self._asker.ask(self._daemon.status))
-
-
-def _json(value: Any) -> bytes:
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    return msgspec.json.encode(value)
+        return as_json(self._asker.ask(self._daemon.status))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -235,4 +235,9 @@
     finally:
         if process.poll() is None:
             os.kill(process.pid, signal.SIGKILL)
-        process.communicate()
+        _, err = process.communicate()
+    events = [msgspec.json.decode(line) for line in err.splitlines()]
+    told = {one["number"]: one for one in events}
+    assert told["NC2012"]["remote"] == "127.0.0.1"
+    assert told["NC1006"]["operator"] == "ana"
+    assert told["NC1006"]["daemon"] == "entry-1"
