--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -77,6 +77,14 @@
         assert f"``{path.relative_to(DOCS)}``" in index, path.name
 
 
+def test_every_page_named_is_there() -> None:
+    """Lead a reader to no page that does not exist."""
+    for path in PAGES:
+        for name in re.findall(r"`([\w/]+\.(?:rst|md))`", path.read_text()):
+            places = [DOCS / name, path.parent / name, ROOT / name]
+            assert any(one.exists() for one in places), f"{path.name}: {name}"
+
+
 @pytest.mark.parametrize(
     ("title", "schema"),
     [("A service", SERVICE_SCHEMA), ("A rule", RULE_SCHEMA)],
