Compare what a leaving upstream ran with what it had run, not with time

Cause: the test compared clock times of real processes and failed once on a loaded machine.

Change: wait until every entry shows the drain, then send five rounds and find the upstream's record unchanged. It fails just as before when a drain is not heeded.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -16,7 +16,7 @@
 
 ZONES = ["miraflores", "san-isidro", "surco"]
 SLOW_MS = 400
-FEW_S = 2.0
+ROUNDS = 5
 KEEP_S = 1.0
 STRANGER = (
     b'{"service": "nowhere", "endpoint": "127.0.0.1:1", "slots": 1,'
@@ -54,6 +54,15 @@
     return status is not None and len(status["upstreams"]) == count
 
 
+def drains(cluster: Cluster, entry: Process, upstream: Process) -> bool:
+    """Tell whether an entry has heard that an upstream leaves."""
+    status = cluster.ask(entry) or {"upstreams": []}
+    for one in status["upstreams"]:
+        if one["endpoint"] == upstream.address:
+            return bool(one["state"] == "draining")
+    return False
+
+
 def ran(folder: Path, identity: str) -> int:
     """Count how often upstreams ran a request."""
     lines: list[str] = []
@@ -201,7 +210,9 @@
     """Send nothing to an upstream that has announced that it leaves.
 
     It goes on serving, so nothing but the word of its drain keeps calls
-    away from it, at the entry that heard it and at all others.
+    away from it, at the entry that heard it and at all others. How long
+    the word takes is bounded on virtual time by ``test_gossips.py``; here
+    a loaded machine would only measure itself.
     """
     record = cluster.folder / "ran-3"
     upstream = cluster.add_upstream("prestamos", record=record)
@@ -216,12 +227,14 @@
 
         cluster.wait_for("its first call", lookups)
         POOL.request("GET", f"http://{upstream.address}/_drain")
-        drained_at = time.time()
-        while time.time() < drained_at + 2 * FEW_S:
+        for entry in cluster.entries:
+            cluster.wait_for(
+                "its drain", lambda e=entry: drains(cluster, e, upstream)
+            )
+        before = record.read_text()
+        for _ in range(ROUNDS):
             lookups()
-    lines = record.read_text().splitlines()
-    newest = max(float(line.split()[0]) for line in lines)
-    assert newest < drained_at + FEW_S
+    assert record.read_text() == before
     upstream.kill()
     for entry in cluster.entries:
         cluster.wait_for("its end", lambda e=entry: knows(cluster, e, 2))
