Test that cut chunks get no last chunk

A trial without the abort of a cut answer passed all tests: each looked at a known length. With this test it fails.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -258,6 +258,19 @@
     assert len(answer) < 400000
 
 
+def test_cut_chunks_get_no_last_chunk(build: Any) -> None:
+    """The last chunk is the only mark of a whole answer.
+
+    The upstream breaks off between two chunks. Written all the same, the
+    mark would make half a catalogue a whole one on a connection that
+    goes on to serve.
+    """
+    scene = build(misfits.half_the_chunks)
+    answer = scene.edge.say(HEAD + b"\r\n")
+    assert b"5\r\nhalf!\r\n" in answer
+    assert b"\r\n0\r\n" not in answer
+
+
 def test_lost_loan_is_unknown_and_sent_once(build: Any) -> None:
     """The loan's answer breaks; a second upstream is there and unused."""
     scene = build(misfits.reset_after_head, misfits.reset_after_head)
