Keep the retry mark through an entry, and end at once what cannot go on

Cause: an entry wrote its own attempt number over the one a call arrived with, so a retry through 16 entries lost its mark at each. And a call lost or shed at the only endpoint left waited in the queue for another one until its deadline, although nothing could come of it but by chance.

Ruled out: sending again to the same endpoint, which has just failed.

Change: the greater of both marks goes on; a retry needs an endpoint that the call was not sent to. The fake upstream tells its load when it sheds. Two tests of waiting retries now fill a second endpoint. The clock in test_once's refusal without a quorum is gone: test_claims tests that it comes at once, on the loop.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -242,7 +242,9 @@
             # The other attempt of a hedged call is the retry.
             return True
         may_repeat = result.outcome == NOT_RUN or call.rule.idempotent
-        if pool is None or not may_repeat or not pool.may_retry(call):
+        if pool is None or not may_repeat or not pool.has_other(call):
+            return False
+        if not pool.may_retry(call):
             return False
         call.step("retry")
         self._enqueue(pool, call)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -172,6 +172,18 @@
             return True
         return self.in_flight < self._window.size
 
+    def has_other(self, call: Call) -> bool:
+        """Tell whether an endpoint is left that the call was not sent to.
+
+        Without one a retry would wait in the queue for nothing, and its
+        caller would learn only at the deadline what is known now.
+        """
+        tried = call.attempts.values()
+        for address, endpoint in self._endpoints.items():
+            if address not in tried and not endpoint.draining:
+                return True
+        return False
+
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
         avoid = list(call.attempts.values())
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -74,7 +74,9 @@
     """Carry the loop's actions for one call to its worker thread.
 
     ``claim`` is the call's idempotency key and ``claimed`` tells whether
-    its rule asks for one; ``status`` is that of the answer read last.
+    its rule asks for one; ``status`` is that of the answer read last;
+    ``mark`` is the attempt that the call arrived as, over 1 where a layer
+    before this entry has sent it again.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         "claim",
         "claimed",
         "exchanges",
+        "mark",
         "request",
         "socket_number",
         "status",
@@ -97,8 +100,10 @@
         request: Request,
         socket_number: int,
         claim: Claim | None = None,
+        mark: int = 1,
     ) -> None:
         self.claim = claim
+        self.mark = mark
         self.claimed = False
         self.status = 0
         self.request = request
@@ -226,7 +231,9 @@
         """Make one attempt, keep its reply and tell the loop its end."""
         request = ticket.request
         headers = request.headers.copy()
-        headers[ATTEMPT_HEADER] = str(send.attempt)
+        # A mark that ended here would let each of 16 layers retry anew:
+        # one failing service at the bottom, 2 to the 16th calls to it.
+        headers[ATTEMPT_HEADER] = str(max(ticket.mark, send.attempt))
         remaining_ms = max(1, int(send.remaining_s * 1000))
         headers[DEADLINE_HEADER] = str(remaining_ms)
         copy = Request(
@@ -268,7 +275,8 @@
             http.close_connection = True
             self._refuse(http, error.status, str(error), 0.0)
             return
-        ticket = Ticket(request, http.conn.socket.fileno(), claim)
+        number = http.conn.socket.fileno()
+        ticket = Ticket(request, number, claim, attempt)
         path = request.target.partition("?")[0]
         http.opened = True
         self._asker.tell(
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -139,7 +139,10 @@
             if not shed:
                 self._busy += 1
         if shed:
-            headers = [("Nutmegchute-Not-Run", "shed")]
+            headers = [
+                ("Nutmegchute-Not-Run", "shed"),
+                ("Nutmegchute-Load", str(self._busy)),
+            ]
             return _answer(start_response, {}, headers, "503 Shed")
         with self._slots_free:
             time.sleep(self._service_s)
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -1,6 +1,8 @@
 """Test the decisions about calls on virtual time."""
 
+import pytest
 from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import Cancel
 from nutmegchute_core.calls import Finish
@@ -22,8 +24,10 @@
 def build(*endpoints: str) -> Balancer:
     """Build a balancer with one service and the endpoints given."""
     balancer = Balancer(seed=1)
-    documents = {"lending": team(catalogo=[LOAN, rule()])}
-    balancer.configure(read_services(documents), now=0.0)
+    document = team(catalogo=[LOAN, rule()])
+    # The only entry may fill every slot.
+    document["services"]["catalogo"]["most_entries"] = 1
+    balancer.configure(read_services({"lending": document}), now=0.0)
     live = [announcement(endpoint) for endpoint in endpoints]
     balancer.update_upstreams(live, now=0.0)
     return balancer
@@ -74,16 +78,35 @@
     """A lookup lost once may have run, so it ends as unknown.
 
     The caller sees "unknown", not "not run": the first attempt was lost,
-    the retry waited in the queue until the deadline passed.
+    the retry waited for the other, full endpoint until the deadline.
     """
-    balancer = build("a:1")
-    send = arrive(balancer, "GET")
+    balancer = build("a:1", "b:1")
+    send, *_ = [arrive(balancer, "GET") for _ in range(4)]
     result = Result(send.call_id, send.attempt, LOST, 0.001)
     assert balancer.finish(result, 0.001) == []
     actions = balancer.tick(10.0)
     assert [type(action) for action in actions] == [Lose]
 
 
+@pytest.mark.parametrize(("outcome", "end"), [(LOST, Lose), (NOT_RUN, Refuse)])
+def test_lookup_with_nowhere_else_to_go_ends_at_once(
+    outcome: str, end: type[Action]
+) -> None:
+    """A lookup that failed at the only endpoint that stays ends at once.
+
+    The caller learns it when the attempt ends, and not at its deadline:
+    the other endpoint leaves, so a retry could only wait in the queue.
+    """
+    balancer = build("a:1", "b:1")
+    leaving = announcement("b:1", state=DRAINING)
+    balancer.update_upstreams([announcement("a:1"), leaving], 0.0)
+    send = arrive(balancer, "GET")
+    result = Result(send.call_id, send.attempt, outcome, 0.001)
+    actions = balancer.finish(result, 0.001)
+    assert [type(action) for action in actions] == [end]
+    assert balancer.in_flight == 0
+
+
 def test_draining_endpoint_gets_nothing() -> None:
     """Work for a service whose only endpoint leaves waits, then refuses."""
     balancer = build("a:1")
--- a/tests/test_balancers_policy.py
+++ b/tests/test_balancers_policy.py
@@ -175,11 +175,11 @@
 
 def test_retry_that_waits_does_not_hold_up_the_next_call() -> None:
     """A call behind a stuck retry goes to the endpoint the retry avoids."""
-    balancer = build(1)
-    first = arrive(balancer, "GET")
+    balancer = build(2)
+    first, *_ = [arrive(balancer, "GET") for _ in range(4)]
     result = Result(first.call_id, first.attempt, LOST, 0.001)
     assert balancer.finish(result, 0.001) == []
-    assert isinstance(arrive(balancer, "GET", 0.002), Send)
+    assert arrive(balancer, "GET", 0.002).endpoint == first.endpoint
 
 
 def test_only_an_ejected_endpoint_is_probed() -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -200,6 +200,18 @@
     assert b"Nutmegchute-Attempt: 1\r\n" in sent
 
 
+@pytest.mark.parametrize("mark", [1, 3])
+def test_retry_mark_goes_on(answering: Scene, mark: int) -> None:
+    """A call that another layer sent again arrives so at the next one.
+
+    Sixteen layers that each retry once and forget the mark would send a
+    failing service 65,536 calls for one.
+    """
+    line = f"Nutmegchute-Attempt: {mark}\r\n"
+    answering.edge.call("/deep", more=line)
+    assert line.encode() in answering.misfits[0].requests[-1]
+
+
 def test_head_has_no_body(answering: Scene) -> None:
     """The length is told, the body is not sent."""
     answer = answering.edge.call("/x", method="HEAD")
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -153,9 +153,7 @@
         refused = loan(entry, "no-quorum")
         assert (refused.status, outcome(refused)) == (503, "not-run")
         assert int(refused.headers["Retry-After"]) >= 1
-        started = time.monotonic()
         assert outcome(loan(entry, "no-quorum")) == "not-run"
-        assert time.monotonic() - started < SLOW_MS / 1000
         assert loan(entry, "lookup", method="GET").status == 200
     finally:
         for control in cluster.controls:
