Let the path benchmark hold the entry to a few cores

Cause: a trial blamed the interpreter lock's way from core to core; the benchmark could not repeat it.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,18 +1,20 @@
 """Measure the time that one entry adds to a call.
 
 Usage:
-  path [--seconds=S] [--callers=N] [--rates=LIST]
+  path [--seconds=S] [--callers=N] [--rates=LIST] [--cores=N]
 
 Options:
   --seconds=S  Seconds per rate [default: 6].
   --callers=N  Caller connections [default: 32].
   --rates=LIST  Calls a second, by commas [default: 100,300,600].
+  --cores=N     Hold the entry to the first N cores; 0 for all [default: 0].
 
 The fake upstream alone and the path through the entry are measured turn
 by turn, half a second each, so that a noisy neighbour hits both alike.
 """
 
 import asyncio
+import os
 import sys
 import tempfile
 from pathlib import Path
@@ -88,6 +90,14 @@
     return entry
 
 
+def hold(process: Process, cores: int) -> None:
+    """Hold every thread of a process to the first cores; 0 for all."""
+    if not cores:
+        return
+    for task in Path(f"/proc/{process.pid}/task").iterdir():
+        os.sched_setaffinity(int(task.name), range(cores))
+
+
 def main() -> int:
     """Measure every rate and print the closing line."""
     arguments = docopt(__doc__)
@@ -98,7 +108,9 @@
         folder = Path(name)
         cluster = Cluster(folder, ["surco"])
         try:
-            entry = prepare(cluster, folder).address
+            process = prepare(cluster, folder)
+            hold(process, int(arguments["--cores"]))
+            entry = process.address
             upstreams = [one.address for one in cluster.upstreams]
             p99 = {}
             for rate in rates:
