Split reading, tickets and deliveries from what uses them; stay on a cpu

Reading it showed a fault: a keyed call whose own deadline had run out while it waited for a worker (0.0 s left) got the rule's whole deadline, since 0.0 counted as none. And half of a call's time is the interpreter lock's way from processor to processor.

Change: readers, tickets (with a typed Arrival) and deliveries are modules of their own; no deadline and none left are told apart. A daemon may stay on the processors that the new setting cpus names; one that the vm lacks ends the start with one line.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,20 +1,19 @@
 """Measure the time that one entry adds to a call.
 
 Usage:
-  path [--seconds=S] [--callers=N] [--rates=LIST] [--cores=N]
+  path [--seconds=S] [--callers=N] [--rates=LIST] [--cpus=LIST]
 
 Options:
   --seconds=S  Seconds per rate [default: 6].
   --callers=N  Caller connections [default: 32].
   --rates=LIST  Calls a second, by commas [default: 100,300,600].
-  --cores=N     Hold the entry to the first N cores; 0 for all [default: 0].
+  --cpus=LIST   Processors that the entry stays on, by commas; else all.
 
 The fake upstream alone and the path through the entry are measured turn
 by turn, half a second each, so that a noisy neighbour hits both alike.
 """
 
 import asyncio
-import os
 import sys
 import tempfile
 from pathlib import Path
@@ -73,9 +72,9 @@
     return rate
 
 
-def prepare(cluster: Cluster, folder: Path) -> Process:
+def prepare(cluster: Cluster, folder: Path, cpus: list[int]) -> Process:
     """Start one entry, one replica and the upstreams; return the entry."""
-    cluster.start(controls=1, entries=1)
+    cluster.start(controls=1, entries=1, cpus=cpus)
     entry = cluster.entries[0]
     controls = [one.address for one in cluster.controls]
     declare(folder, declaration(2000), controls, OPERATOR_KEY)
@@ -90,27 +89,18 @@
     return entry
 
 
-def hold(process: Process, cores: int) -> None:
-    """Hold every thread of a process to the first cores; 0 for all."""
-    if not cores:
-        return
-    for task in Path(f"/proc/{process.pid}/task").iterdir():
-        os.sched_setaffinity(int(task.name), range(cores))
-
-
 def main() -> int:
     """Measure every rate and print the closing line."""
     arguments = docopt(__doc__)
     seconds = float(arguments["--seconds"])
     callers = int(arguments["--callers"])
+    cpus = [int(cpu) for cpu in (arguments["--cpus"] or "").split(",") if cpu]
     rates = [int(rate) for rate in arguments["--rates"].split(",")]
     with tempfile.TemporaryDirectory(prefix="nutmegchute-") as name:
         folder = Path(name)
         cluster = Cluster(folder, ["surco"])
         try:
-            process = prepare(cluster, folder)
-            hold(process, int(arguments["--cores"]))
-            entry = process.address
+            entry = prepare(cluster, folder, cpus).address
             upstreams = [one.address for one in cluster.upstreams]
             p99 = {}
             for rate in rates:
--- a/packages/daemon/nutmegchute_daemon/__main__.py
+++ b/packages/daemon/nutmegchute_daemon/__main__.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -56,10 +57,28 @@
     return 0
 
 
+def _stay_on(cpus: list[int]) -> None:
+    """Hold the process to some of the vm's processors.
+
+    Threads take turns at the interpreter; where each turn is on another
+    processor, handing over costs half of a call's time.
+
+    :raises StartError: the vm lacks one of them
+    """
+    if not cpus:
+        return
+    there = os.sched_getaffinity(0)
+    missing = sorted(set(cpus) - there)
+    if missing:
+        raise StartError(f"cpus: {missing} not among {sorted(there)}")
+    os.sched_setaffinity(0, cpus)
+
+
 async def _run(settings: Settings) -> None:
     configure_logs(settings.log_level, settings.name)
     for warning in settings.warnings():
         log(Event.SETTING_DOUBTFUL, "warning", detail=warning)
+    _stay_on(settings.cpus)
     await ROLES[settings.role](settings).run()
 
 
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -32,6 +32,7 @@
 from .claims import CLAIM
 from .claims import LedgerClock
 from .daemons import Daemon
+from .deliveries import Deliveries
 from .errors import StartError
 from .errors import StorageError
 from .events import Event
@@ -44,7 +45,6 @@
 from .storages import open_storage
 from .waits import Waits
 
-DELIVER_TIMEOUT_S = 0.5
 PROPOSE_TIMEOUT_S = 3.0
 TEND_S = 1.0
 HAND_OVER_S = 0.3
@@ -85,8 +85,9 @@
         self._led_term: int | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._flush_due = False
-        self._unreachable: set[str] = set()
-        self._deliveries: set[asyncio.Task[None]] = set()
+        self._deliveries = Deliveries(
+            self._links, self._find_member, self._take_replies
+        )
         self._links.serve(DELIVER, self._on_deliver)
         self._links.serve(FOLLOW, self._on_follow)
         self._ledger_clock = LedgerClock()
@@ -376,39 +377,18 @@
     def _send(self, messages: list[Message]) -> None:
         if not messages:
             return
-        for target, batch in _by_target(messages).items():
-            member = self._find_member(target)
-            if member is None:
-                continue
-            task = self._loop.create_task(self._deliver(member, batch))
-            # The loop itself holds tasks weakly only.
-            self._deliveries.add(task)
-            task.add_done_callback(self._deliveries.discard)
+        group = self._group.group
+        assert group is not None
+        self._deliveries.send(group, messages)
 
     def _find_member(self, identity: str) -> Member | None:
         if self._node is None:
             return None
         return self._node.replica.membership.find(identity)
 
-    async def _deliver(self, member: Member, batch: list[Message]) -> None:
-        group = self._group.group
-        assert group is not None
-        reply = await self._links.ask(
-            member.grpc_address,
-            DELIVER,
-            Delivery(group, batch),
-            DELIVER_TIMEOUT_S,
-        )
-        if reply is None:
-            if member.name not in self._unreachable:
-                self._unreachable.add(member.name)
-                log(Event.PEER_UNREACHABLE, "warning", replica=member.name)
-            return
-        if member.name in self._unreachable:
-            self._unreachable.discard(member.name)
-            log(Event.PEER_REACHED, replica=member.name)
-        self._receive(reply.messages)
-        if reply.messages:
+    def _take_replies(self, messages: list[Message]) -> None:
+        self._receive(messages)
+        if messages:
             self._flush()
 
     async def _on_deliver(self, delivery: Delivery) -> Delivery:
@@ -521,10 +501,3 @@
     def _turn_away_all(self) -> None:
         away = FollowReply(None, None, False)
         self._answer(dict.fromkeys(self._questions, away))
-
-
-def _by_target(messages: list[Message]) -> dict[str, list[Message]]:
-    batches: dict[str, list[Message]] = {}
-    for message in messages:
-        batches.setdefault(message.target, []).append(message)
-    return batches
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/deliveries.py
@@ -0,0 +1,72 @@
+"""Deliver replicas' messages, a batch per replica and turn."""
+
+import asyncio
+from collections.abc import Callable
+
+from nutmegchute_core.memberships import Member
+from nutmegchute_core.messages import Delivery
+from nutmegchute_core.messages import Message
+
+from .events import Event
+from .events import log
+from .links import Links
+from .protocols import DELIVER
+
+TIMEOUT_S = 0.5
+
+FindMember = Callable[[str], Member | None]
+Receive = Callable[[list[Message]], None]
+
+
+class Deliveries:
+    """Send batches and hand the replies back; note who is unreachable."""
+
+    __slots__ = (
+        "_find_member",
+        "_links",
+        "_receive",
+        "_tasks",
+        "_unreachable",
+    )
+
+    def __init__(
+        self, links: Links, find_member: FindMember, receive: Receive
+    ) -> None:
+        self._links = links
+        self._find_member = find_member
+        self._receive = receive
+        self._unreachable: set[str] = set()
+        # The loop itself holds tasks weakly only.
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, group: str, messages: list[Message]) -> None:
+        """Send messages to the replicas that they are for."""
+        for target, batch in _by_target(messages).items():
+            member = self._find_member(target)
+            if member is None:
+                continue
+            delivery = Delivery(group, batch)
+            task = asyncio.create_task(self._deliver(member, delivery))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _deliver(self, member: Member, delivery: Delivery) -> None:
+        reply = await self._links.ask(
+            member.grpc_address, DELIVER, delivery, TIMEOUT_S
+        )
+        if reply is None:
+            if member.name not in self._unreachable:
+                self._unreachable.add(member.name)
+                log(Event.PEER_UNREACHABLE, "warning", replica=member.name)
+            return
+        if member.name in self._unreachable:
+            self._unreachable.discard(member.name)
+            log(Event.PEER_REACHED, replica=member.name)
+        self._receive(reply.messages)
+
+
+def _by_target(messages: list[Message]) -> dict[str, list[Message]]:
+    batches: dict[str, list[Message]] = {}
+    for message in messages:
+        batches.setdefault(message.target, []).append(message)
+    return batches
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -20,11 +20,11 @@
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
 
-from .callers import Ticket
 from .connections import Exchange
 from .events import Event
 from .events import log
 from .metrics import Metrics
+from .tickets import Ticket
 
 HEDGE_THREADS = 8
 SWEEP_S = 0.1
@@ -81,19 +81,17 @@
         self._cutting = False
         self._hedges = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
-    def admit(
-        self,
-        ticket: Ticket,
-        service: str,
-        method: str,
-        path: str,
-        deadline_s: float | None,
-        attempt: int,
-    ) -> None:
+    def admit(self, ticket: Ticket, deadline_s: float | None) -> None:
         """Admit a call; its actions go to the ticket."""
         now = self._loop.time()
+        arrival = ticket.arrival
         call_id, actions = self._balancer.arrive(
-            service, method, path, now, deadline_s, attempt
+            arrival.service,
+            arrival.method,
+            arrival.path,
+            now,
+            deadline_s,
+            arrival.attempt,
         )
         ticket.call_id = call_id
         self._tickets[call_id] = ticket
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -28,9 +28,7 @@
 from .announcements import ANNOUNCE_PATH
 from .announcements import AnnouncementHandler
 from .announcements import Announcements
-from .callers import CALL_PATH
 from .callers import CallHandler
-from .callers import Ticket
 from .claims import Claimer
 from .clocks import boot_time
 from .connections import Connections
@@ -45,7 +43,9 @@
 from .gossips import TICK_S as GOSSIP_TICK_S
 from .pages import EntryPages
 from .probes import Prober
+from .readers import CALL_PATH
 from .senders import Sender
+from .tickets import Ticket
 
 DRAIN_TICK_S = 0.05
 # What an answer and the last request it allows may take on the way.
@@ -150,49 +150,39 @@
         self._desk.stop()
         self._prober.stop()
 
-    def open_call(
-        self,
-        ticket: Ticket,
-        service: str,
-        method: str,
-        path: str,
-        deadline_s: float | None,
-        attempt: int,
-    ) -> None:
+    def open_call(self, ticket: Ticket) -> None:
         """Admit a call; its actions go to the ticket."""
         if not self._follower.may_act():
             # The tree at hand may have been replaced elsewhere; another
             # entry may know.
             ticket.put(Refuse(0, "configuration not confirmed", RETRY_S))
             return
-        rule = self._claimed_rule(ticket, service, method, path)
+        rule = self._claimed_rule(ticket)
         if rule is None:
-            self._desk.admit(
-                ticket, service, method, path, deadline_s, attempt
-            )
+            self._desk.admit(ticket, ticket.arrival.deadline_s)
             return
         started_at = self._loop.time()
-        wait_s = min(rule.deadline_s, deadline_s or rule.deadline_s)
+        wait_s = rule.deadline_s
+        if ticket.arrival.deadline_s is not None:
+            wait_s = min(wait_s, ticket.arrival.deadline_s)
 
         def answered(answer: ClaimAnswer | None) -> None:
             self._claiming -= 1
             if not self._may_send(ticket, answer):
                 return
             left_s = wait_s - (self._loop.time() - started_at)
-            self._desk.admit(
-                ticket, service, method, path, max(0.0, left_s), attempt
-            )
+            self._desk.admit(ticket, max(0.0, left_s))
 
         self._claiming += 1
         assert ticket.claim is not None
         self._claimer.claim(ticket.claim, wait_s, answered)
 
-    def _claimed_rule(
-        self, ticket: Ticket, service: str, method: str, path: str
-    ) -> Rule | None:
-        if ticket.claim is None or service not in self._services:
+    def _claimed_rule(self, ticket: Ticket) -> Rule | None:
+        arrival = ticket.arrival
+        if ticket.claim is None or arrival.service not in self._services:
             return None
-        rule = self._services[service].rule_for(method, path)
+        service = self._services[arrival.service]
+        rule = service.rule_for(arrival.method, arrival.path)
         if rule is None or rule.idempotent:
             return None
         ticket.claimed = True
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -0,0 +1,153 @@
+"""Read a call out of a caller's request, or say why it is refused."""
+
+import re
+import time
+from collections.abc import Iterable
+
+from nutmegchute_core.claims import Claim
+from urllib3 import HTTPHeaderDict
+
+from .claims import build_claim
+from .claims import KeyFormError
+from .errors import DaemonError
+from .exchanges import Body
+from .exchanges import StrictRequest
+from .protocols import ATTEMPT_HEADER
+from .protocols import DEADLINE_HEADER
+from .protocols import KEY_HEADER
+from .senders import BUFFER_BYTES
+from .senders import HOP_HEADERS
+from .senders import named_by_connection
+from .senders import Request
+from .senders import Rest
+from .senders import skip_user_agent
+from .tickets import Arrival
+from .tickets import Ticket
+
+CALL_PATH = b"/call/"
+MAX_DEADLINE_MS = 600000
+MAX_ATTEMPT = 1000
+
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_METHOD = re.compile(rb"[A-Z]{1,32}")
+
+
+class BadRequestError(DaemonError):
+    """Say what a caller sent that cannot be taken; nothing ran."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+def read_call(http: StrictRequest, body_bytes: int) -> Ticket:
+    """Read a call and open its ticket.
+
+    :raises BadRequestError: it cannot be taken as it is
+    :raises BadBodyError: its body cannot be read
+    """
+    service, request = _read_request(http, body_bytes)
+    arrival = Arrival(
+        service=service,
+        method=request.method,
+        path=request.target.partition("?")[0],
+        deadline_s=_read_deadline(http),
+        attempt=_read_attempt(http),
+    )
+    claim = _read_claim(http, service, request)
+    return Ticket(arrival, request, http.conn.socket.fileno(), claim)
+
+
+def _read_request(http: StrictRequest, body_bytes: int) -> tuple[str, Request]:
+    if not _METHOD.fullmatch(http.method):
+        raise BadRequestError(400, "method is not a word of letters")
+    if not _TARGET.fullmatch(http.uri):
+        raise BadRequestError(400, "path has bytes that must be escaped")
+    # The raw target goes on as it came: decoding it would turn an
+    # escaped slash or question mark into another path.
+    raw = http.uri[len(CALL_PATH) :].decode("ascii")
+    service, slash, rest = raw.partition("/")
+    if "?" in service:
+        service, _, query = service.partition("?")
+        rest = f"?{query}{slash}{rest}"
+    headers = _end_to_end(http.fields)
+    body = Body(http, body_bytes)
+    # The ledger compares whole requests, so that a key is never taken
+    # for that of another request.
+    keyed = http.inheaders.get(KEY_HEADER.encode()) is not None
+    size = body_bytes + 1 if keyed else BUFFER_BYTES
+    start = _read_start(body, size)
+    request = Request(http.method.decode(), "/" + rest, headers, start)
+    if not body.whole:
+        request.rest = Rest(body.read)
+    elif "content-length" in headers:
+        del headers["Content-Length"]
+    return service, request
+
+
+def _read_start(body: Body, size: int) -> bytes:
+    pieces = []
+    length = 0
+    while length < size and not body.whole:
+        piece = body.read(min(BUFFER_BYTES, size - length))
+        pieces.append(piece)
+        length += len(piece)
+    return b"".join(pieces)
+
+
+def _end_to_end(fields: Iterable[tuple[str, str]]) -> HTTPHeaderDict:
+    named: set[str] = set()
+    for name, value in fields:
+        if name.lower() == "connection":
+            named |= named_by_connection(value)
+    headers = HTTPHeaderDict()
+    for name, value in fields:
+        if name.lower() in HOP_HEADERS or name.lower() in named:
+            continue
+        headers.add(name, value)
+    skip_user_agent(headers)
+    return headers
+
+
+def _read_number(
+    http: StrictRequest, name: str, most: int, unit: str
+) -> int | None:
+    text = http.inheaders.get(name.encode().title())
+    if text is None:
+        return None
+    if not text.isdigit() or len(text) > 9 or not 0 < int(text) <= most:
+        raise BadRequestError(400, f"{name} must be 1 to {most}{unit}")
+    return int(text)
+
+
+def _read_deadline(http: StrictRequest) -> float | None:
+    deadline_ms = _read_number(
+        http, DEADLINE_HEADER, MAX_DEADLINE_MS, " milliseconds"
+    )
+    if deadline_ms is None:
+        return None
+    # The time this request waited for a worker thread is gone as well.
+    waited_s: float = time.monotonic() - http.conn.ready_at
+    return max(0.0, deadline_ms / 1000 - waited_s)
+
+
+def _read_attempt(http: StrictRequest) -> int:
+    return _read_number(http, ATTEMPT_HEADER, MAX_ATTEMPT, "") or 1
+
+
+def _read_claim(
+    http: StrictRequest, service: str, request: Request
+) -> Claim | None:
+    key = http.inheaders.get(KEY_HEADER.encode())
+    if key is None:
+        return None
+    try:
+        return build_claim(
+            service,
+            key.decode("latin-1"),
+            request.method,
+            request.target,
+            request.body,
+        )
+    except KeyFormError as error:
+        raise BadRequestError(400, f"{KEY_HEADER}: {error}") from error
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -22,6 +22,7 @@
     "operators": [],
     "statsd_address": "127.0.0.1:8125",
     "http_threads": 48,
+    "cpus": [],
     "log_level": "info",
     "request_body_bytes": 1048576,
     "entries_keep_s": 5.0,
@@ -92,6 +93,10 @@
         },
         "statsd_address": _ADDRESS,
         "http_threads": {"type": "integer", "minimum": 2, "maximum": 512},
+        "cpus": {
+            "type": "array",
+            "items": {"type": "integer", "minimum": 0},
+        },
         "log_level": {"enum": ["debug", "info", "warning", "error"]},
         "request_body_bytes": {"type": "integer", "minimum": 0},
         "entries_keep_s": {"type": "number", "exclusiveMinimum": 0},
@@ -226,6 +231,11 @@
         """Give the UDP address that metrics go to."""
         return str(self._values["statsd_address"])
 
+    @property
+    def cpus(self) -> list[int]:
+        """List the processors to stay on; none for all."""
+        return list(self._values["cpus"])
+
     @property
     def http_threads(self) -> int:
         """Give the number of HTTP worker threads."""
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/tickets.py
@@ -0,0 +1,118 @@
+"""Carry one call between its worker thread and the loop."""
+
+import queue
+import threading
+
+from nutmegchute_core.calls import CallAction
+from nutmegchute_core.claims import Claim
+
+from .connections import Exchange
+from .senders import Reply
+from .senders import Request
+
+
+class Arrival:
+    """Hold what decisions need of a call: where to, and until when.
+
+    ``deadline_s`` is the caller's own, if any; ``attempt`` is over 1 where
+    a layer before this entry has sent the call again.
+    """
+
+    __slots__ = ("attempt", "deadline_s", "method", "path", "service")
+
+    def __init__(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        deadline_s: float | None,
+        attempt: int,
+    ) -> None:
+        self.service = service
+        self.method = method
+        self.path = path
+        self.deadline_s = deadline_s
+        self.attempt = attempt
+
+
+class Ticket:
+    """Carry the loop's actions for one call to its worker thread.
+
+    ``claim`` is the call's idempotency key and ``claimed`` tells whether
+    its rule asks for one; ``status`` is that of the answer read last.
+    """
+
+    __slots__ = (
+        "_actions",
+        "_closed",
+        "_lock",
+        "_replies",
+        "arrival",
+        "call_id",
+        "claim",
+        "claimed",
+        "exchanges",
+        "request",
+        "socket_number",
+        "status",
+        "worker_attempt",
+    )
+
+    def __init__(
+        self,
+        arrival: Arrival,
+        request: Request,
+        socket_number: int,
+        claim: Claim | None = None,
+    ) -> None:
+        self.arrival = arrival
+        self.claim = claim
+        self.claimed = False
+        self.status = 0
+        self.request = request
+        self.socket_number = socket_number
+        self.call_id = 0
+        # Written and read by the loop alone.
+        self.exchanges: dict[int, Exchange] = {}
+        self.worker_attempt: int | None = None
+        self._lock = threading.Lock()
+        self._closed = False
+        self._replies: dict[int, Reply] = {}
+        self._actions: queue.SimpleQueue[tuple[CallAction, Exchange | None]]
+        self._actions = queue.SimpleQueue()
+
+    def put(
+        self, action: CallAction, exchange: Exchange | None = None
+    ) -> None:
+        """Hand over an action; the loop calls this."""
+        self._actions.put((action, exchange))
+
+    def take(
+        self, timeout_s: float
+    ) -> tuple[CallAction | None, Exchange | None]:
+        """Wait for the next action; None says that none came."""
+        try:
+            return self._actions.get(timeout=timeout_s)
+        except queue.Empty:
+            return None, None
+
+    def deposit(self, attempt: int, reply: Reply) -> None:
+        """Keep an attempt's reply until the loop has chosen one."""
+        with self._lock:
+            if not self._closed:
+                self._replies[attempt] = reply
+                return
+        reply.close()
+
+    def close(self, attempt: int | None = None) -> Reply | None:
+        """Take the chosen attempt's reply and close all others."""
+        with self._lock:
+            self._closed = True
+            chosen = None
+            if attempt is not None:
+                chosen = self._replies.pop(attempt, None)
+            others = list(self._replies.values())
+            self._replies.clear()
+        for reply in others:
+            reply.close()
+        return chosen
--- a/packages/fakes/nutmegchute_fakes/edges.py
+++ b/packages/fakes/nutmegchute_fakes/edges.py
@@ -8,16 +8,16 @@
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rules import read_services
-from nutmegchute_daemon.callers import CALL_PATH
 from nutmegchute_daemon.callers import CallHandler
-from nutmegchute_daemon.callers import Ticket
 from nutmegchute_daemon.connections import Connections
 from nutmegchute_daemon.desks import CallDesk
 from nutmegchute_daemon.desks import SWEEP_S
 from nutmegchute_daemon.metrics import Metrics
+from nutmegchute_daemon.readers import CALL_PATH
 from nutmegchute_daemon.senders import Sender
 from nutmegchute_daemon.servers import HttpServer
 from nutmegchute_daemon.servers import LoopAsker
+from nutmegchute_daemon.tickets import Ticket
 
 from .clusters import free_address
 
@@ -135,10 +135,14 @@
     """Admit every call; an entry asks its ledger first."""
 
     def __init__(self, desk: CallDesk) -> None:
-        self.open_call = desk.admit
+        self._desk = desk
         self.end_attempt = desk.end_attempt
         self.close_call = desk.close_call
 
+    def open_call(self, ticket: Ticket) -> None:
+        """Admit a call."""
+        self._desk.admit(ticket, ticket.arrival.deadline_s)
+
 
 def drain(sock: socket.socket) -> bytes:
     """Return all bytes until the end, or until a reset."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -194,6 +194,41 @@
     assert "Traceback" not in err
 
 
+def test_processor_that_is_not_there(tmp_path: Path) -> None:
+    """End with one line that names the vm's processors."""
+    addresses = {
+        "http_address": free_address(),
+        "grpc_address": free_address(),
+    }
+    path = write(tmp_path, cpus=[99999], **addresses)
+    process = start(path)
+    _, err = process.communicate(timeout=RUN_S)
+    assert process.returncode == 2
+    line = err.splitlines()[-1]
+    assert line.startswith(f"{path}: cpus: [99999] not among [")
+
+
+def test_daemon_stays_on_its_processors(tmp_path: Path) -> None:
+    """Hold every thread to the processors that the settings name."""
+    cpu = min(os.sched_getaffinity(0))
+    addresses = {
+        "http_address": free_address(),
+        "grpc_address": free_address(),
+    }
+    process = start(write(tmp_path, cpus=[cpu], **addresses))
+    try:
+        assert process.stderr is not None
+        while "daemon started" not in process.stderr.readline():
+            assert process.poll() is None
+        threads = list(Path(f"/proc/{process.pid}/task").iterdir())
+        assert len(threads) > 1
+        for thread in threads:
+            assert os.sched_getaffinity(int(thread.name)) == {cpu}
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_wrong_command_line_of_the_daemon() -> None:
     """End with the usage and status 2."""
     command = [sys.executable, "-m", "nutmegchute_daemon"]
