--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -162,9 +162,7 @@
             self._desk.admit(ticket, ticket.arrival.deadline_s)
             return
         started_at = self._loop.time()
-        wait_s = rule.deadline_s
-        if ticket.arrival.deadline_s is not None:
-            wait_s = min(wait_s, ticket.arrival.deadline_s)
+        wait_s = ticket.arrival.bound_s(rule.deadline_s)
 
         def answered(answer: ClaimAnswer | None) -> None:
             self._claiming -= 1
--- a/packages/daemon/nutmegchute_daemon/tickets.py
+++ b/packages/daemon/nutmegchute_daemon/tickets.py
@@ -34,6 +34,14 @@
         self.deadline_s = deadline_s
         self.attempt = attempt
 
+    def bound_s(self, most_s: float) -> float:
+        """Give the shorter of the caller's deadline and another."""
+        # Nothing left (0.0) is not "no deadline" (None): taken for it, a
+        # call that is too late already would be claimed and sent.
+        if self.deadline_s is None:
+            return most_s
+        return min(most_s, self.deadline_s)
+
 
 class Ticket:
     """Carry the loop's actions for one call to its worker thread.
