Take out a property that nothing reads

Cause: Pool.extra_tokens had no reader left, in code or tests. Ruled out: the other names with one mention each override a library's.

--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -77,11 +77,6 @@
         """Map addresses to the endpoints known."""
         return self._endpoints
 
-    @property
-    def extra_tokens(self) -> float:
-        """Give the retries and hedges allowed now."""
-        return self._extra.tokens
-
     @property
     def in_flight(self) -> int:
         """Count the attempts under way."""
