--- /dev/null
+++ b/packages/core/nutmegchute_core/attendances.py
@@ -0,0 +1,130 @@
+"""Know, on a control replica, which entries ask it and what they know."""
+
+import msgspec
+
+from .directories import EntryWord
+from .fleets import FollowReply
+from .registries import Delta
+
+# How long a question is held when there is nothing new. Shorter finds a
+# silent connection sooner, longer sends fewer bytes between availability
+# zones: an entry and a replica at rest exchange one pair a HOLD_S.
+WATCH_HOLD_S = 1.0
+# An entry asks again within HOLD_S and the way there and back; one silent
+# for longer is gone, frozen or cut off.
+ATTENDANCE_S = 1.5
+# How long an entry counts among those that share the extra sends. Too high
+# a count only leaves a part of the budget unused.
+COUNTED_S = 60.0
+# Fewer entries of a caller's availability zone than this are not named
+# alone: all its callers would depend on one process.
+LEAST_OF_ZONE = 2
+
+
+class WatchRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a control replica for what an entry does not know yet.
+
+    ``epoch`` and ``generation`` are those held of the replica's registry,
+    ``index`` that of the tree in force here, ``members`` that of the
+    membership known.
+    """
+
+    entry: EntryWord
+    epoch: int
+    generation: int
+    index: int
+    members: int
+    hold: bool
+
+
+class WatchReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tell an entry what is new.
+
+    ``tree`` is None where nothing is newer, or where this replica has no
+    contact with a majority and may know an old tree only. ``replicas``
+    lists the gRPC addresses of all replicas, None where nothing changed.
+    """
+
+    delta: Delta | None
+    entries: int
+    tree: FollowReply | None = None
+    members: int = 0
+    replicas: list[str] | None = None
+
+
+class Attendant:
+    """Hold what one entry said last."""
+
+    __slots__ = ("closed", "generation", "heard_at", "word")
+
+    def __init__(self, word: EntryWord) -> None:
+        self.word = word
+        self.generation = 0
+        self.heard_at = 0.0
+        self.closed = False
+
+
+class Attendance:
+    """Record the entries that ask and which generation each has seen."""
+
+    __slots__ = ("_attendants",)
+
+    def __init__(self) -> None:
+        self._attendants: dict[str, Attendant] = {}
+
+    def hear(self, word: EntryWord, generation: int, now: float) -> None:
+        """Take an entry's word; ``generation`` is 0 for another epoch."""
+        attendant = self._attendants.get(word.name)
+        if attendant is None:
+            attendant = self._attendants[word.name] = Attendant(word)
+        attendant.word = word
+        attendant.generation = generation
+        attendant.heard_at = now
+        attendant.closed = False
+
+    def close(self, name: str) -> None:
+        """Take word that an entry's connection ended."""
+        attendant = self._attendants.get(name)
+        if attendant is not None:
+            attendant.closed = True
+
+    def behind(self, generation: int, now: float) -> list[str]:
+        """Name the entries in touch that have not seen a generation."""
+        found = []
+        for name, attendant in self._attendants.items():
+            if attendant.closed or now - attendant.heard_at > ATTENDANCE_S:
+                continue
+            if attendant.generation < generation:
+                found.append(name)
+        return found
+
+    def count(self, now: float) -> int:
+        """Count the entries heard of lately, rather too many than too few."""
+        for name, attendant in list(self._attendants.items()):
+            if now - attendant.heard_at > COUNTED_S:
+                del self._attendants[name]
+        return len(self._attendants)
+
+    def attended(self, now: float) -> bool:
+        """Tell whether any entry is in touch."""
+        for attendant in self._attendants.values():
+            if now - attendant.heard_at <= ATTENDANCE_S:
+                return True
+        return False
+
+    def usable(self, zone: str | None, most: int, now: float) -> list[str]:
+        """Return the addresses that a caller in a zone should use."""
+        near: list[str] = []
+        others: list[str] = []
+        for attendant in self._attendants.values():
+            word = attendant.word
+            if word.draining or attendant.closed:
+                continue
+            if now - attendant.heard_at > ATTENDANCE_S:
+                continue
+            (near if word.availability_zone == zone else others).append(
+                word.address
+            )
+        if len(near) >= LEAST_OF_ZONE:
+            return near[:most]
+        return (near + others)[:most]
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -18,6 +18,7 @@
 from .members import Announcement
 from .policies import Policy
 from .pools import Pool
+from .rules import Rule
 from .rules import Service
 from .timers import EXPIRY
 from .timers import HEDGE
@@ -33,6 +34,7 @@
     __slots__ = (
         "_availability_zone",
         "_calls",
+        "_extra",
         "_next_id",
         "_policy",
         "_pools",
@@ -53,6 +55,7 @@
         self._calls: dict[int, Call] = {}
         self._timers = Timers()
         self._next_id = 1
+        self._extra: tuple[float, float] | None = None
 
     @property
     def in_flight(self) -> int:
@@ -71,11 +74,19 @@
                     self._availability_zone,
                     self._policy,
                 )
+                if self._extra is not None:
+                    pool.limit_extra(*self._extra)
             else:
                 pool.reconfigure(service)
             pools[name] = pool
         self._pools = pools
 
+    def limit_extra(self, share: float, burst: float) -> None:
+        """Take this entry's part of each service's extra sends."""
+        self._extra = (share, burst)
+        for pool in self._pools.values():
+            pool.limit_extra(share, burst)
+
     def update_upstreams(
         self, announcements: list[Announcement], now: float
     ) -> list[Action]:
@@ -106,12 +117,26 @@
         above is retrying already and the call earns no retry here: each
         of 16 layers sending twice would make 65,536 calls of one.
         """
+        pool = self._pools.get(service)
+        rule = None if pool is None else pool.service.rule_for(method, path)
+        return self.arrive_under(
+            service, rule, now, caller_deadline_s, attempt
+        )
+
+    def arrive_under(
+        self,
+        service: str,
+        rule: Rule | None,
+        now: float,
+        caller_deadline_s: float | None = None,
+        attempt: int = 1,
+    ) -> tuple[int, list[Action]]:
+        """Admit a call whose rule is known, as ``arrive`` does."""
         call_id = self._next_id
         self._next_id += 1
         pool = self._pools.get(service)
         if pool is None:
             return call_id, [Refuse(call_id, "unknown service", 0.0)]
-        rule = pool.service.rule_for(method, path)
         if rule is None:
             return call_id, [Refuse(call_id, "no rule", 0.0)]
         deadline_s = rule.deadline_s
@@ -296,7 +321,13 @@
     def _send(self, pool: Pool, call: Call, address: str, now: float) -> Send:
         attempt = call.record_send(address, now)
         pool.take_send(call, attempt)
-        return Send(call.call_id, attempt, address, call.deadline_at - now)
+        return Send(
+            call_id=call.call_id,
+            attempt=attempt,
+            endpoint=address,
+            remaining_s=call.deadline_at - now,
+            instance=pool.instance_at(address),
+        )
 
     def _hedge(self, call: Call, now: float, actions: list[Action]) -> None:
         pool = self._pools.get(call.service)
--- a/packages/core/nutmegchute_core/budgets.py
+++ b/packages/core/nutmegchute_core/budgets.py
@@ -5,6 +5,10 @@
 EXTRA_START = 3.0
 HEDGE_RESERVE = 2.0
 
+# Of the extra sends that a service allows beside the share, this much is
+# divided among the entries; the rest covers entries that have just started.
+SAVED_SHARE = 0.8
+
 # Float sums of gaps must not let one probe more into a window.
 GAP_SLACK = 1e-6
 
@@ -16,9 +20,11 @@
     hedge only one that may be late.
     """
 
-    __slots__ = ("_tokens",)
+    __slots__ = ("_burst", "_share", "_tokens")
 
     def __init__(self) -> None:
+        self._share = EXTRA_SHARE
+        self._burst = EXTRA_BURST
         self._tokens = EXTRA_START
 
     @property
@@ -26,9 +32,15 @@
         """Give the extra sends allowed now."""
         return self._tokens
 
+    def limit(self, share: float, burst: float) -> None:
+        """Take what a call earns and the most that may be saved up."""
+        self._share = share
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def earn(self) -> None:
         """Add the share that one arriving call earns."""
-        self._tokens = min(EXTRA_BURST, self._tokens + EXTRA_SHARE)
+        self._tokens = min(self._burst, self._tokens + self._share)
 
     def spend_retry(self) -> bool:
         """Take one retry, if there is one."""
@@ -45,6 +57,31 @@
         return True
 
 
+class ExtraLimit:
+    """Divide a service's extra sends among the entries.
+
+    ``ratio`` of the calls and ``fixed`` sends are allowed in any window of
+    ``window_s`` over all entries together. What an entry earns by its own
+    calls needs no division. What it saves up does: all entries may spend
+    it in the same window. ``entries`` must never be too low.
+    """
+
+    __slots__ = ("_fixed", "_ratio")
+
+    def __init__(self, ratio: float, fixed: float) -> None:
+        self._ratio = ratio
+        self._fixed = fixed
+
+    @property
+    def share(self) -> float:
+        """Give what one arriving call earns."""
+        return self._ratio
+
+    def burst(self, entries: int) -> float:
+        """Give the most that one of so many entries may save up."""
+        return max(1.0, SAVED_SHARE * self._fixed / max(1, entries))
+
+
 class ProbeBudget:
     """Space one entry's probes so that the service's budget holds.
 
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -15,15 +15,27 @@
 class Send:
     """Order one send of a call to an endpoint."""
 
-    __slots__ = ("attempt", "call_id", "endpoint", "remaining_s")
+    __slots__ = (
+        "attempt",
+        "call_id",
+        "endpoint",
+        "instance",
+        "remaining_s",
+    )
 
     def __init__(
-        self, call_id: int, attempt: int, endpoint: str, remaining_s: float
+        self,
+        call_id: int,
+        attempt: int,
+        endpoint: str,
+        remaining_s: float,
+        instance: str = "",
     ) -> None:
         self.call_id = call_id
         self.attempt = attempt
         self.endpoint = endpoint
         self.remaining_s = remaining_s
+        self.instance = instance
 
 
 class Refuse:
@@ -39,6 +51,16 @@
         self.retry_after_s = retry_after_s
 
 
+class Reject:
+    """Order the final answer that no route covers the request."""
+
+    __slots__ = ("call_id", "reason")
+
+    def __init__(self, call_id: int, reason: str) -> None:
+        self.call_id = call_id
+        self.reason = reason
+
+
 class Lose:
     """Order the final answer "unknown": the call may have run."""
 
@@ -97,7 +119,7 @@
         self.endpoint = endpoint
 
 
-CallAction = Send | Refuse | Lose | Finish | Known | Cancel
+CallAction = Send | Refuse | Reject | Lose | Finish | Known | Cancel
 Action = CallAction | Probe
 
 
--- a/packages/core/nutmegchute_core/followings.py
+++ b/packages/core/nutmegchute_core/followings.py
@@ -1,5 +1,7 @@
 """Answer, on the leader, the entries that follow the tree."""
 
+import msgspec
+
 from .fleets import Enroll
 from .fleets import Fleet
 from .fleets import FollowReply
@@ -124,18 +126,26 @@
     return FollowReply(leader.name, leader.grpc_address, False)
 
 
-def _tell(node: Node, known: int) -> FollowReply:
-    leader = node.replica.membership.find(node.replica.identity)
-    name = leader.name if leader is not None else None
+def news_since(node: Node, known: int) -> FollowReply | None:
+    """Give what changed in the tree since an index; None: nothing."""
     tree = node.machine.tree
     if tree.index <= known:
-        return FollowReply(name, None, True, tree.index)
+        return None
     changed = tree.changed_since(known)
     return FollowReply(
-        leader=name,
+        leader=None,
         leader_address=None,
         current=True,
         index=tree.index,
         revisions={team: one.revision for team, one in changed.items()},
         documents={team: one.document for team, one in changed.items()},
     )
+
+
+def _tell(node: Node, known: int) -> FollowReply:
+    leader = node.replica.membership.find(node.replica.identity)
+    name = leader.name if leader is not None else None
+    news = news_since(node, known)
+    if news is None:
+        return FollowReply(name, None, True, node.machine.tree.index)
+    return msgspec.structs.replace(news, leader=name)
--- a/packages/core/nutmegchute_core/formations.py
+++ b/packages/core/nutmegchute_core/formations.py
@@ -18,31 +18,36 @@
 class Formation:
     """Decide, on an empty disk, between forming and joining a group.
 
-    A group is formed only when every listed replica is there with an
-    empty disk. A replica whose disk was lost can therefore not take part
-    in forming a second group beside the first: some other replica holds
-    the first and says so.
+    A group is formed only by the listed replicas, when every one of them
+    is there with an empty disk; others wait until they are taken in. A
+    replica whose disk was lost can therefore not take part in forming a
+    second group beside the first: some other replica holds the first and
+    says so.
     """
 
-    __slots__ = ("_heard", "_names", "_own")
+    __slots__ = ("_founders", "_heard", "_own")
 
-    def __init__(self, own: Member, names: list[str]) -> None:
+    def __init__(self, own: Member, founders: list[str]) -> None:
         self._own = own
-        self._names = names
-        self._heard: dict[str, Introduction] = {own.name: Introduction(own)}
+        self._founders = founders
+        self._heard: dict[str, Introduction] = {
+            own.grpc_address: Introduction(own)
+        }
 
     def hear(self, introduction: Introduction) -> None:
         """Take another replica's introduction."""
-        self._heard[introduction.member.name] = introduction
+        self._heard[introduction.member.grpc_address] = introduction
 
     def result(self) -> Introduction | None:
         """Return the group to form or join, or None while it is open."""
         for introduction in self._heard.values():
             if introduction.group is not None:
                 return introduction
+        if self._own.grpc_address not in self._founders:
+            return None
         members = []
-        for name in sorted(self._names):
-            heard = self._heard.get(name)
+        for address in sorted(self._founders):
+            heard = self._heard.get(address)
             if heard is None:
                 return None
             members.append(heard.member)
--- a/packages/core/nutmegchute_core/members.py
+++ b/packages/core/nutmegchute_core/members.py
@@ -28,6 +28,8 @@
 
     ``incarnation`` rises at every start of the endpoint, so that words
     about an earlier process at the same address lose against newer ones.
+    ``instance`` names the process where names cannot be compared;
+    ``cold_s`` tells for how many seconds more it is slow after its start.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=_NAME, max_length=63)]
@@ -38,6 +40,8 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=1024)]
     incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
     state: Annotated[str, msgspec.Meta(pattern="^(up|draining)$")] = UP
+    instance: Annotated[str, msgspec.Meta(max_length=128)] = ""
+    cold_s: float = 0.0
 
     @property
     def key(self) -> Key:
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -101,6 +101,10 @@
         self._probes = probes
         self._chooser.probed = self._may_probe(service)
 
+    def limit_extra(self, share: float, burst: float) -> None:
+        """Take this entry's part of the extra sends."""
+        self._extra.limit(share, burst)
+
     def update(self, announcements: list[Announcement], now: float) -> None:
         """Take the live endpoints; what is known of the staying ones stays.
 
@@ -185,6 +189,11 @@
         endpoint = self._chooser.choose(avoid, call.rule.idempotent, now)
         return None if endpoint is None else endpoint.address
 
+    def instance_at(self, address: str) -> str:
+        """Name the instance known at an address; empty where unnamed."""
+        endpoint = self._endpoints.get(address)
+        return "" if endpoint is None else endpoint.announcement.instance
+
     def choose_hedge(self, call: Call, now: float) -> str | None:
         """Note that an answer is late; return where to send besides."""
         address = next(iter(call.attempts.values()))
--- /dev/null
+++ b/packages/core/nutmegchute_core/registries.py
@@ -0,0 +1,213 @@
+"""Keep, on a control replica, the endpoints that announce there.
+
+Nothing of this is durable: an endpoint announces itself anew within a
+second or two. Entries ask what changed since the generation they hold.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+
+from .members import Announcement
+from .members import DRAINING
+
+# An endpoint announces every 1.5 s and a word may be a second or two late;
+# one that is silent for longer has crashed. Entries notice a crash by its
+# failures long before, so this need not be short.
+ENDPOINT_LEASE_S = 5.0
+# How long the end of an instance is remembered, so that a word of it that
+# was under way meanwhile does not bring it back. A partition holds words
+# back for as long as it lasts and TCP goes on trying for a minute.
+ENDED_KEPT_S = 120.0
+MOST_ENDED = 8192
+MOST_INSTANCES = 4096
+
+TAKEN = "taken"
+CHANGED = "changed"
+STALE = "stale"
+FULL = "full"
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """Lead from generation ``base`` of a registry to ``generation``.
+
+    A base of 0 means that ``present`` is all there is. ``ended`` names
+    instances that will never come back, ``lapsed`` those that are silent
+    here and may live on elsewhere.
+    """
+
+    epoch: int
+    base: int
+    generation: int
+    present: list[Announcement] = []
+    ended: list[str] = []
+    lapsed: list[str] = []
+
+
+class Record:
+    """Hold an instance's newest word and when it came."""
+
+    __slots__ = ("announcement", "cold_until", "heard_at", "sequence")
+
+    def __init__(self, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self.sequence = -1
+        self.heard_at = 0.0
+        self.cold_until = 0.0
+
+
+class Removal:
+    """Hold when and in which generation an instance went."""
+
+    __slots__ = ("at", "ended", "generation")
+
+    def __init__(self, at: float, generation: int, ended: bool) -> None:
+        self.at = at
+        self.generation = generation
+        self.ended = ended
+
+
+class Registry:
+    """Take endpoints' words; tell what changed since a generation.
+
+    ``epoch`` must differ at every start of the replica.
+    """
+
+    __slots__ = (
+        "_changes",
+        "_epoch",
+        "_forgotten",
+        "_generation",
+        "_records",
+        "_removals",
+    )
+
+    def __init__(self, epoch: int) -> None:
+        self._epoch = epoch
+        self._generation = 1
+        self._forgotten = 1
+        self._records: dict[str, Record] = {}
+        self._changes: dict[str, int] = {}
+        self._removals: OrderedDict[str, Removal] = OrderedDict()
+
+    @property
+    def epoch(self) -> int:
+        """Give the number of this replica's run."""
+        return self._epoch
+
+    @property
+    def generation(self) -> int:
+        """Count the changes, from 1."""
+        return self._generation
+
+    def __len__(self) -> int:
+        """Count the instances."""
+        return len(self._records)
+
+    def present(self) -> list[Announcement]:
+        """List the instances that announce here."""
+        return [record.announcement for record in self._records.values()]
+
+    def take(
+        self, announcement: Announcement, sequence: int, now: float
+    ) -> str:
+        """Take an instance's word: TAKEN, CHANGED, STALE or FULL."""
+        instance = announcement.instance
+        removal = self._removals.get(instance)
+        if removal is not None and removal.ended:
+            return STALE
+        before = self._generation
+        record = self._records.get(instance)
+        if record is None:
+            if len(self._records) >= MOST_INSTANCES:
+                return FULL
+            record = self._records[instance] = Record(announcement)
+            self._removals.pop(instance, None)
+            self._change(instance)
+        elif sequence <= record.sequence:
+            return STALE
+        elif _differ(record.announcement, announcement):
+            if record.announcement.state == DRAINING:
+                # Draining is final: a later word cannot take it back.
+                announcement = msgspec.structs.replace(
+                    announcement, state=DRAINING
+                )
+            self._change(instance)
+        record.announcement = announcement
+        record.sequence = sequence
+        record.heard_at = now
+        record.cold_until = now + announcement.cold_s
+        return TAKEN if self._generation == before else CHANGED
+
+    def end(self, instance: str, now: float) -> bool:
+        """Take an instance's farewell; return whether it is news."""
+        removal = self._removals.get(instance)
+        if removal is not None and removal.ended:
+            return False
+        self._remove(instance, now, True)
+        return True
+
+    def expire(self, now: float) -> bool:
+        """Drop silent instances; return whether there were any."""
+        silent = []
+        for instance, record in self._records.items():
+            if now - record.heard_at > ENDPOINT_LEASE_S:
+                silent.append(instance)
+        for instance in silent:
+            # The end of one that was leaving is no surprise, and a late
+            # word must not bring it back.
+            record = self._records[instance]
+            ended = record.announcement.state == DRAINING
+            self._remove(instance, now, ended)
+        while self._removals:
+            instance, removal = next(iter(self._removals.items()))
+            young = now - removal.at <= ENDED_KEPT_S
+            if young and len(self._removals) <= MOST_ENDED:
+                break
+            del self._removals[instance]
+            self._forgotten = removal.generation
+        return bool(silent)
+
+    def since(self, epoch: int, generation: int, now: float) -> Delta:
+        """Tell what changed since a generation of an epoch."""
+        base = generation
+        if epoch != self._epoch or generation < self._forgotten:
+            base = 0
+        present = []
+        for instance, record in self._records.items():
+            if self._changes[instance] > base:
+                present.append(_cold(record, now))
+        ended: list[str] = []
+        lapsed: list[str] = []
+        for instance, removal in self._removals.items():
+            if removal.generation <= base:
+                continue
+            (ended if removal.ended else lapsed).append(instance)
+        return Delta(
+            epoch=self._epoch,
+            base=base,
+            generation=self._generation,
+            present=present,
+            ended=ended,
+            lapsed=lapsed,
+        )
+
+    def _change(self, instance: str) -> None:
+        self._generation += 1
+        self._changes[instance] = self._generation
+
+    def _remove(self, instance: str, now: float, ended: bool) -> None:
+        self._generation += 1
+        self._records.pop(instance, None)
+        self._changes.pop(instance, None)
+        self._removals.pop(instance, None)
+        self._removals[instance] = Removal(now, self._generation, ended)
+
+
+def _differ(before: Announcement, after: Announcement) -> bool:
+    return before != msgspec.structs.replace(after, cold_s=before.cold_s)
+
+
+def _cold(record: Record, now: float) -> Announcement:
+    left_s = max(0.0, record.cold_until - now)
+    return msgspec.structs.replace(record.announcement, cold_s=left_s)
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -28,6 +28,9 @@
 
 ELECTION_SPREAD_S = 0.5
 HEARTBEAT_S = 0.2
+# A follower that has missed the leader's word so often is cut off from it,
+# or the leader is gone.
+CONTACT_S = 5 * HEARTBEAT_S
 
 FOLLOWER = "follower"
 PRECANDIDATE = "precandidate"
@@ -156,6 +159,17 @@
             return None
         return self._leadership.heard_at(identity)
 
+    def in_contact(self, now: float) -> bool:
+        """Tell whether a majority is in reach, as far as can be told.
+
+        Without it this replica may know an old state only.
+        """
+        if self._leadership is not None:
+            return self._leadership.has_quorum(now)
+        return self._leader is not None and (
+            now - self._heard_leader_at <= CONTACT_S
+        )
+
     def match_index(self, identity: str) -> int | None:
         """Tell how far a replica's log is known to agree with this one."""
         if identity == self._identity:
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -35,7 +35,6 @@
 SERVICE_SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
-    "required": ["rules"],
     "properties": {
         "slots": {"type": "integer", "minimum": 1, "maximum": 1024},
         "queue": {"type": "integer", "minimum": 0, "maximum": 65536},
@@ -43,7 +42,57 @@
         "probe_path": {"type": "string", "pattern": "^/"},
         "most_entries": {"type": "integer", "minimum": 1, "maximum": 256},
         "key_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+        "connections": {"type": "integer", "minimum": 1},
         "rules": {"type": "array", "minItems": 1, "items": RULE_SCHEMA},
+        "annotations": {"type": "object"},
+    },
+}
+
+_SERVICE_NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"}
+
+ROUTE_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["host", "path_prefix", "idempotent", "timeout_ms"],
+    "oneOf": [{"required": ["service"]}, {"required": ["split"]}],
+    "properties": {
+        "host": {"type": "string", "minLength": 1},
+        "path_prefix": {"type": "string", "pattern": "^/"},
+        "idempotent": {"type": "boolean"},
+        "timeout_ms": {
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "maximum": 600000,
+        },
+        "objective_ms": {"type": "number", "minimum": 0},
+        "priority": {"type": "integer", "minimum": 0},
+        "attempts": {"type": "integer", "minimum": 1, "maximum": 64},
+        "service": _SERVICE_NAME,
+        "split": {
+            "type": "array",
+            "minItems": 1,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["service", "weight"],
+                "properties": {
+                    "service": _SERVICE_NAME,
+                    "weight": {"type": "number", "minimum": 0},
+                },
+            },
+        },
+        "annotations": {"type": "object"},
+    },
+}
+
+LIMITS_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "header_bytes": {"type": "integer", "minimum": 1},
+        "body_bytes": {"type": "integer", "minimum": 0},
+        "header_timeout_ms": {"type": "number", "exclusiveMinimum": 0},
+        "idle_timeout_ms": {"type": "number", "exclusiveMinimum": 0},
     },
 }
 
@@ -57,9 +106,18 @@
             "propertyNames": {"pattern": "^[a-z][a-z0-9-]*$"},
             "additionalProperties": SERVICE_SCHEMA,
         },
+        "routes": {
+            "type": "object",
+            "additionalProperties": ROUTE_SCHEMA,
+        },
+        "limits": LIMITS_SCHEMA,
+        "annotations": {"type": "object"},
     },
 }
 
+# The parts of a team's document that hold named items.
+SECTIONS = ("services", "routes")
+
 _TEAM_VALIDATOR = jsonschema.Draft202012Validator(TEAM_SCHEMA)
 
 
@@ -83,7 +141,7 @@
         self._path_prefix: str = document.get("path_prefix", "/")
         self._idempotent: bool = document["idempotent"]
         self._priority: str = document.get("priority", PRIORITIES[0])
-        deadline_ms: int = document.get("deadline_ms", DEFAULT_DEADLINE_MS)
+        deadline_ms: float = document.get("deadline_ms", DEFAULT_DEADLINE_MS)
         self._deadline_s = deadline_ms / 1000
         self._attempts: int = document.get("attempts", 2)
         self._hedge: bool = document.get("hedge", False)
@@ -129,6 +187,7 @@
     """Hold what a team declared about one service."""
 
     __slots__ = (
+        "_connections",
         "_key_sha256",
         "_most_entries",
         "_name",
@@ -151,7 +210,8 @@
             "most_entries", DEFAULT_MOST_ENTRIES
         )
         self._key_sha256: str | None = document.get("key_sha256")
-        self._rules = [Rule(rule) for rule in document["rules"]]
+        self._connections: int | None = document.get("connections")
+        self._rules = [Rule(rule) for rule in document.get("rules", [])]
 
     @property
     def name(self) -> str:
@@ -188,6 +248,11 @@
         """Give the digest of the key that announcements must show."""
         return self._key_sha256
 
+    @property
+    def connections(self) -> int | None:
+        """Give the most connections an endpoint takes from all entries."""
+        return self._connections
+
     @property
     def rules(self) -> list[Rule]:
         """List the rules, first match first."""
@@ -223,6 +288,33 @@
                     f"service is declared by team {owners[name]!r} already",
                 )
             owners[name] = team
+    _check_routes(documents, owners)
+
+
+def _check_routes(documents: dict[str, Any], owners: dict[str, str]) -> None:
+    places: dict[tuple[str, str], str] = {}
+    for team in sorted(documents):
+        for name, route in documents[team].get("routes", {}).items():
+            where = f"{team}/routes/{name}"
+            for service in services_of(route):
+                if service not in owners:
+                    raise DeclarationError(
+                        where, f"service {service!r} is not declared"
+                    )
+            place = (route["host"].lower(), route["path_prefix"])
+            if place in places:
+                raise DeclarationError(
+                    where,
+                    f"{places[place]} has this host and prefix already",
+                )
+            places[place] = where
+
+
+def services_of(route: dict[str, Any]) -> list[str]:
+    """List the services that a route's requests may go to."""
+    if "split" not in route:
+        return [route["service"]]
+    return [part["service"] for part in route["split"]]
 
 
 def read_services(documents: dict[str, Any]) -> dict[str, Service]:
--- a/packages/core/nutmegchute_core/trees.py
+++ b/packages/core/nutmegchute_core/trees.py
@@ -22,13 +22,27 @@
 AUDIT_KEPT = 10_000
 
 
+class Patch(msgspec.Struct, frozen=True):
+    """Replace, add or remove named items of a team's document.
+
+    ``sections`` maps a section to its items by name; ``None`` as an item
+    removes it. ``limits`` replaces the limits where it is given.
+    """
+
+    sections: dict[str, dict[str, Any]]
+    limits: Any = None
+
+
 class Change(msgspec.Struct, frozen=True, tag=True):
     """Ask for new documents in one or more branches, all or none.
 
     ``bases`` names, for every branch changed, the revision the operator
-    saw; ``None`` as a document removes the branch. ``checked`` says that
-    every document passed the schema before it was proposed, so that no
-    replica spends that time again when it applies or replays the change.
+    saw; ``None`` as a document removes the branch. ``patches`` changes
+    parts of documents. ``numbers`` gives branches their next revision,
+    which must be above the present one; without it revisions count by
+    one. ``checked`` says that every document passed the schema before it
+    was proposed, so that no replica spends that time again when it
+    applies or replays the change.
     """
 
     change_id: str
@@ -37,6 +51,13 @@
     documents: dict[str, Any]
     at_unix_s: float
     checked: bool = False
+    patches: dict[str, Patch] = {}
+    numbers: dict[str, int] = {}
+
+    @property
+    def teams(self) -> list[str]:
+        """Name the branches changed, in order."""
+        return sorted({*self.documents, *self.patches})
 
 
 class Refusal(msgspec.Struct, frozen=True, tag=True):
@@ -150,7 +171,7 @@
             # A resent change was accepted once; applying it again would
             # either conflict with itself or overwrite a later change.
             return self._repeat(index, change, known, digest)
-        before = self._pick(change.documents)
+        before = self._pick(change.teams)
         answer = self._decide(index, change)
         self._remember(Kept(digest, answer))
         self._record(index, change, answer, before)
@@ -243,34 +264,50 @@
         )
 
     def _decide(self, index: int, change: Change) -> Answer:
-        if not change.documents:
+        if not change.teams:
             return self._answer(index, change, INVALID, "names no branch")
-        for team in sorted(change.documents):
+        for team in change.teams:
             current = self._revision(team)
             if change.bases.get(team, 0) == current:
                 continue
             detail = f"{team} is at revision {current}"
             return self._answer(index, change, CONFLICT, detail)
         try:
-            self._check(change)
+            documents = self._check(change)
         except DeclarationError as error:
             return self._answer(index, change, INVALID, str(error))
-        for team, document in change.documents.items():
-            branch = Branch(self._revision(team) + 1, document, index)
-            self._branches[team] = branch
+        for team, document in documents.items():
+            revision = change.numbers.get(team, self._revision(team) + 1)
+            self._branches[team] = Branch(revision, document, index)
         self._index = index
         return self._answer(index, change, ACCEPTED, "")
 
-    def _check(self, change: Change) -> None:
+    def _check(self, change: Change) -> dict[str, Any]:
+        """Return the documents that the change asks for."""
+        for team, number in change.numbers.items():
+            current = self._revision(team)
+            if number <= current:
+                raise DeclarationError(
+                    team, f"revision {number} is not above {current}"
+                )
         merged = self.documents
+        asked: dict[str, Any] = {}
         for team, document in change.documents.items():
+            asked[team] = document
             if document is None:
                 merged.pop(team, None)
                 continue
             if not change.checked:
                 check_team(team, document)
             merged[team] = document
+        for team, patch in change.patches.items():
+            if team not in merged:
+                raise DeclarationError(team, "there is no such branch")
+            document = _patched(merged[team], patch)
+            check_team(team, document)
+            asked[team] = merged[team] = document
         check_tree(merged)
+        return asked
 
     def _answer(
         self, index: int, change: Change, outcome: str, detail: str
@@ -279,12 +316,12 @@
             change_id=change.change_id,
             outcome=outcome,
             index=index,
-            revisions=self._pick(change.documents),
+            revisions=self._pick(change.teams),
             detail=detail,
         )
 
-    def _pick(self, teams: dict[str, Any]) -> dict[str, int]:
-        return {team: self._revision(team) for team in sorted(teams)}
+    def _pick(self, teams: list[str]) -> dict[str, int]:
+        return {team: self._revision(team) for team in teams}
 
     def _revision(self, team: str) -> int:
         branch = self._branches.get(team)
@@ -302,7 +339,24 @@
     return True
 
 
+def _patched(document: dict[str, Any], patch: Patch) -> dict[str, Any]:
+    patched = dict(document)
+    if patch.limits is not None:
+        patched["limits"] = patch.limits
+    for section, items in patch.sections.items():
+        kept = dict(patched.get(section, {}))
+        for name, item in items.items():
+            if item is None:
+                kept.pop(name, None)
+                continue
+            kept[name] = item
+        patched[section] = kept
+    return patched
+
+
 def _digest(change: Change) -> str:
-    asked = [change.operator, change.bases, change.documents]
+    asked: list[Any] = [change.operator, change.bases, change.documents]
+    if change.patches or change.numbers:
+        asked += [change.patches, change.numbers]
     data = msgspec.json.encode(asked, order="deterministic")
     return str(xxhash.xxh3_128_hexdigest(data))
--- a/packages/daemon/nutmegchute_daemon/__main__.py
+++ b/packages/daemon/nutmegchute_daemon/__main__.py
@@ -13,6 +13,7 @@
 import asyncio
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from docopt import docopt
@@ -26,14 +27,18 @@
 from .events import configure_logs
 from .events import Event
 from .events import log
+from .routers import RouterDaemon
 from .settings import read_settings
 from .settings import Settings
 
 EXIT_USAGE = 2
 
-ROLES: dict[str, type[Daemon]] = {
+Roles = dict[str, Callable[[Settings], Daemon]]
+
+ROLES: Roles = {
     "control": ControlDaemon,
     "entry": EntryDaemon,
+    "router": RouterDaemon,
 }
 
 
@@ -44,13 +49,17 @@
     except DocoptExit as error:
         print(error.usage.strip(), file=sys.stderr)
         return EXIT_USAGE
-    path = Path(arguments["SETTINGS"])
+    return run(Path(arguments["SETTINGS"]), ROLES)
+
+
+def run(path: Path, roles: Roles) -> int:
+    """Run the role that a settings file names; return the exit status."""
     settings = read_settings(path)
     if isinstance(settings, Failure):
         print(settings.failure(), file=sys.stderr)
         return EXIT_USAGE
     try:
-        asyncio.run(_run(settings.unwrap()))
+        asyncio.run(_run(settings.unwrap(), roles))
     except StartError as error:
         print(f"{path}: {error}", file=sys.stderr)
         return EXIT_USAGE
@@ -74,12 +83,12 @@
     os.sched_setaffinity(0, cpus)
 
 
-async def _run(settings: Settings) -> None:
+async def _run(settings: Settings, roles: Roles) -> None:
     configure_logs(settings.log_level, settings.name)
     for warning in settings.warnings():
         log(Event.SETTING_DOUBTFUL, "warning", detail=warning)
     _stay_on(settings.cpus)
-    await ROLES[settings.role](settings).run()
+    await roles[settings.role](settings).run()
 
 
 if __name__ == "__main__":
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -10,6 +10,7 @@
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import NOT_RUN as NOT_RUN_OUTCOME
 from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.claims import MISMATCH
@@ -19,8 +20,7 @@
 from .connections import Exchange
 from .exchanges import BadBodyError
 from .exchanges import StrictRequest
-from .protocols import ATTEMPT_HEADER
-from .protocols import DEADLINE_HEADER
+from .forms import CallForm
 from .protocols import ENTRY_HEADER
 from .protocols import KEY_HEADER
 from .protocols import NOT_RUN
@@ -29,7 +29,6 @@
 from .protocols import UNKNOWN
 from .readers import BadRequestError
 from .readers import MAX_DEADLINE_MS
-from .readers import read_call
 from .senders import CutAnswerError
 from .senders import Reply
 from .senders import Request
@@ -56,6 +55,9 @@
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
 
+    def end_instance(self, instance: str) -> None:
+        """Take word that an instance has left its address."""
+
 
 class CallHandler:
     """Serve calls on the HTTP server's worker threads."""
@@ -64,6 +66,7 @@
         "_active",
         "_asker",
         "_body_bytes",
+        "_form",
         "_lock",
         "_most",
         "_name",
@@ -80,8 +83,10 @@
         name: str,
         body_bytes: int,
         threads: int,
+        form: CallForm | None = None,
     ) -> None:
         self.desk: Desk
+        self._form = form or CallForm()
         self._asker = asker
         self._sender = sender
         self._name = name
@@ -111,14 +116,10 @@
     def attempt(self, ticket: Ticket, send: Send, exchange: Exchange) -> Reply:
         """Make one attempt, keep its reply and tell the loop its end."""
         request = ticket.request
-        headers = request.headers.copy()
-        # A mark that ended here would let each of 16 layers retry anew:
-        # one failing service at the bottom, 2 to the 16th calls to it.
-        headers[ATTEMPT_HEADER] = str(
-            max(ticket.arrival.attempt, send.attempt)
-        )
         remaining_ms = max(1, int(send.remaining_s * 1000))
-        headers[DEADLINE_HEADER] = str(remaining_ms)
+        headers = self._form.outgoing(
+            ticket, send.attempt, remaining_ms, send.instance
+        )
         copy = Request(
             request.method, request.target, headers, request.body, request.rest
         )
@@ -127,6 +128,8 @@
         )
         ticket.status = reply.status
         ticket.deposit(send.attempt, reply)
+        if reply.misdirected:
+            self._asker.tell(self.desk.end_instance, send.instance)
         self._tell_end(ticket, send, reply)
         return reply
 
@@ -149,7 +152,7 @@
             self._refuse(http, 503, self.refusal, FULL_RETRY_S)
             return
         try:
-            ticket = read_call(http, self._body_bytes)
+            ticket = self._form.read(http, self._body_bytes)
         except (BadRequestError, BadBodyError) as error:
             # What is left of the body would be read as the next request.
             http.close_connection = True
@@ -184,6 +187,10 @@
             if isinstance(action, Known):
                 self._repeat(http, action)
                 return
+            if isinstance(action, Reject):
+                headers = [(OUTCOME_HEADER, NOT_RUN)]
+                self._say(http, 404, headers, action.reason)
+                return
             if isinstance(action, Finish):
                 self._answer(http, ticket, action.attempt)
                 return
@@ -248,7 +255,7 @@
     ) -> None:
         headers = [
             (OUTCOME_HEADER, NOT_RUN),
-            ("Retry-After", str(max(1, round(retry_after_s)))),
+            ("Retry-After", self._form.retry_after(retry_after_s)),
         ]
         self._say(http, status, headers, reason)
 
@@ -284,6 +291,7 @@
         headers: list[tuple[str, str]],
         reason: str,
     ) -> None:
+        headers.extend(self._form.own_headers(http))
         body = msgspec.json.encode({"reason": reason, "entry": self._name})
         headers.append(("Content-Type", "application/json"))
         headers.append(("Content-Length", str(len(body))))
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+from nutmegchute_core.admissions import next_change
 from nutmegchute_core.claims import ClaimAnswers
 from nutmegchute_core.claims import ClaimBatch
 from nutmegchute_core.claims import ClaimReply
@@ -28,6 +29,7 @@
 from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
+from nutmegchute_core.trees import Tree
 
 from .claims import CLAIM
 from .claims import LedgerClock
@@ -41,24 +43,43 @@
 from .operators import ControlPages
 from .protocols import DELIVER
 from .protocols import FOLLOW
+from .protocols import WATCH
+from .registrars import EXPIRE_S
+from .registrars import Registrar
+from .servers import HttpServer
+from .servers import LoopAsker
+from .settings import Settings
 from .storages import Identity
 from .storages import open_storage
 from .waits import Waits
 
 PROPOSE_TIMEOUT_S = 3.0
-TEND_S = 1.0
+TEND_S = 0.5
 HAND_OVER_S = 0.3
 HAND_OVER_TICK_S = 0.01
 RECOVER_S = 1.0
-# A replica that came back with an empty folder takes its old identity's
-# place after that one's silence of this length.
-REPLACE_AFTER_S = 10.0
+READ_S = 0.9
+READ_TICK_S = 0.01
+DIRECTORY_THREADS = 8
 IDENTITY_BYTES = 6
 
 
+class ControlForm:
+    """Let another set of paths and documents reach the control role."""
+
+    def mount(self, control: "ControlDaemon") -> None:
+        """Add handlers to the control role's listeners."""
+
+
 class ControlDaemon(Daemon):
     """Keep the configuration with the other replicas."""
 
+    def __init__(
+        self, settings: Settings, form: ControlForm | None = None
+    ) -> None:
+        super().__init__(settings)
+        self._form = form or ControlForm()
+
     def prepare(self) -> None:
         """Open the disk and mount the pages."""
         settings = self._settings
@@ -92,12 +113,44 @@
         self._links.serve(FOLLOW, self._on_follow)
         self._ledger_clock = LedgerClock()
         self._links.serve(CLAIM, self._on_claim)
+        self.registrar = Registrar(self._in_contact, lambda: self._node)
+        self._links.serve(WATCH, self.registrar.watch)
         self._http.mount(ControlPages(self, self._asker))
+        self.add_listener(
+            "directory_address", settings.directory_address, DIRECTORY_THREADS
+        )
+        self._form.mount(self)
+
+    @property
+    def http(self) -> HttpServer:
+        """Give the listener for operators and endpoints."""
+        return self._http
+
+    @property
+    def directory(self) -> HttpServer:
+        """Give the listener for callers that ask for entries."""
+        return self._listeners.get("directory_address", self._http)
+
+    @property
+    def settings(self) -> Settings:
+        """Give the settings in force."""
+        return self._settings
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """Give the loop that all state belongs to."""
+        return self._loop
+
+    @property
+    def asker(self) -> LoopAsker:
+        """Give the way to the loop for handlers."""
+        return self._asker
 
     def begin(self) -> None:
         """Meet the other replicas, then start the replica's clock."""
         self._tasks.append(self._loop.create_task(self._start()))
         self.every(TEND_S, self._tend)
+        self.every(EXPIRE_S, self.registrar.expire)
 
     async def finish(self) -> None:
         """Hand the lead over and turn the entries away."""
@@ -182,6 +235,26 @@
         )
         return membership
 
+    async def read(self) -> Tree:
+        """Return the tree, confirmed as the newest by a majority.
+
+        :raises NotLeaderError: ask the leader instead
+        :raises TimeoutError: nobody can be sure now
+        """
+        node = self._lead()
+        term = node.replica.term
+        wanted = node.replica.begin_read()
+        give_up_at = self._loop.time() + READ_S
+        while not (node.replica.ready and node.replica.confirmed >= wanted):
+            if self._loop.time() >= give_up_at:
+                raise TimeoutError
+            await asyncio.sleep(READ_TICK_S)
+            if self._node is not node or node.replica.term != term:
+                raise NotLeaderError(None)
+        if node.replica.state != LEADER:
+            raise NotLeaderError(self._leader_name())
+        return node.machine.tree
+
     async def _on_claim(self, request: ClaimRequest) -> ClaimReply:
         try:
             term = self._lead().replica.term
@@ -362,6 +435,8 @@
         if flushed.restored:
             self._waits.lose()
         self._answer(self._followings.advance(node, self._loop.time()))
+        if flushed.decided or flushed.restored:
+            self.registrar.tell()
         leads = node.replica.state == LEADER
         self._report_lead(node.replica.term if leads else None)
 
@@ -452,21 +527,32 @@
             return
         self._followings.forget_silent(node, self._loop.time())
         try:
-            await self._replace_lost(node)
+            await self._change_group(node)
         except (NotLeaderError, ReconfigurationError, TimeoutError):
             # The next leader, or the next turn, does it.
             return
 
-    async def _replace_lost(self, node: Node) -> None:
+    async def _change_group(self, node: Node) -> None:
+        membership = node.replica.membership
+        waiting = self._waiting_outside(node)
+        if not self._settings.seeds:
+            # Where an operator lists the replicas, only those come in.
+            names = {member.name for member in membership.members}
+            waiting = {one: waiting[one] for one in waiting if one in names}
         now = self._loop.time()
-        for name in self._waiting_outside(node):
-            old = node.replica.membership.named(name)
-            if old is None:
-                continue
-            heard_at = node.replica.heard_at(old.identity)
-            if heard_at is None or now - heard_at < REPLACE_AFTER_S:
-                continue
-            await self.reconfigure(ReplicaWish("replace", name), "control")
+        silent_s = {}
+        for member in membership.members:
+            heard_at = node.replica.heard_at(member.identity)
+            if heard_at is not None:
+                silent_s[member.identity] = now - heard_at
+        wish = next_change(membership, waiting, silent_s)
+        if wish is not None:
+            await self.reconfigure(wish, "control")
+
+    def _in_contact(self) -> bool:
+        if self._node is None:
+            return False
+        return self._node.replica.in_contact(self._loop.time())
 
     def _waiting_outside(self, node: Node) -> dict[str, Member]:
         found = {}
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -4,22 +4,27 @@
 import signal
 
 import cherrypy
+from returns.result import Failure
 
 from .errors import StartError
 from .events import Event
 from .events import log
+from .exchanges import StrictRequest
 from .links import Links
 from .metrics import Metrics
 from .reports import REPORT_S
 from .reports import Reporter
 from .servers import HttpServer
 from .servers import LoopAsker
+from .settings import read_settings
 from .settings import Settings
 
 GRPC_GRACE_S = 0.2
 FLUSH_S = 1.0
 HTTP_SWEEP_S = 0.25
 CUT_S = 0.5
+METRICS_PATH = b"/metrics"
+METRICS_THREADS = 1
 
 
 class Daemon:
@@ -32,6 +37,8 @@
         self._links = Links()
         self._metrics = Metrics(settings.statsd_address, settings.name)
         self._http = HttpServer(settings.http_address, settings.http_threads)
+        # Listeners beside the first, by the setting that gives the address.
+        self._listeners: dict[str, HttpServer] = {}
         self._stopping = asyncio.Event()
         self._hurry = asyncio.Event()
         self._signals = 0
@@ -44,8 +51,11 @@
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._on_signal)
+        # Unhandled, a hangup would end the process.
+        self._loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         try:
             self.prepare()
+            self._serve_metrics()
             await self._listen()
         except StartError:
             # Left to the interpreter's end, the gRPC server prints a
@@ -65,7 +75,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await asyncio.to_thread(self._http.stop)
+        for server in (*self._listeners.values(), self._http):
+            await asyncio.to_thread(server.stop)
         cherrypy.engine.exit()
         await self._links.stop(GRPC_GRACE_S)
         self.close()
@@ -79,6 +90,10 @@
         """End what is in flight; return how much that was."""
         return 0
 
+    def reload(self, settings: Settings) -> None:
+        """Take settings that have changed; a role adds what it can use."""
+        self._settings = settings
+
     def prepare(self) -> None:
         """Build the role's state and mount what it serves."""
         raise NotImplementedError
@@ -97,6 +112,16 @@
     def close(self) -> None:
         """Release what the role holds."""
 
+    def add_listener(
+        self, place: str, address: str | None, threads: int
+    ) -> HttpServer | None:
+        """Listen at another address as well, if one is set."""
+        if address is None:
+            return None
+        server = HttpServer(address, threads)
+        self._listeners[place] = server
+        return server
+
     def every(self, period_s: float, function: object) -> None:
         """Run a function or coroutine function again and again."""
         task = self._loop.create_task(self._repeat(period_s, function))
@@ -110,6 +135,17 @@
         if self._signals > 1:
             self._hurry.set()
 
+    def _on_hangup(self) -> None:
+        if self._settings.path is None:
+            return
+        settings = read_settings(self._settings.path)
+        if isinstance(settings, Failure):
+            # What is in force was checked; a broken file changes nothing.
+            log(Event.RELOADED, "error", detail=str(settings.failure()))
+            return
+        self.reload(settings.unwrap())
+        log(Event.RELOADED)
+
     async def _finish_in_time(self) -> None:
         finishing = asyncio.ensure_future(self.finish())
         hurrying = asyncio.ensure_future(self._hurry.wait())
@@ -135,6 +171,24 @@
                 await pending
             await asyncio.sleep(period_s)
 
+    def _serve_metrics(self) -> None:
+        server = self.add_listener(
+            "metrics_address", self._settings.metrics_address, METRICS_THREADS
+        )
+        if server is not None:
+            server.handle(METRICS_PATH, self._answer_metrics)
+
+    def _answer_metrics(self, http: StrictRequest) -> None:
+        body = self._metrics.text()
+        http.begin(
+            200,
+            [
+                ("Content-Type", "text/plain; version=0.0.4"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        http.write(body)
+
     async def _listen(self) -> None:
         try:
             await self._links.start(self._settings.grpc_address)
@@ -143,11 +197,15 @@
                 f"grpc_address: cannot listen on "
                 f"{self._settings.grpc_address}: address in use"
             ) from error
+        for place, server in self._listeners.items():
+            self._open(place, server)
+        self._open("http_address", self._http)
+        cherrypy.engine.start()
+
+    def _open(self, place: str, server: HttpServer) -> None:
         try:
-            self._http.start()
+            server.start()
         except OSError as error:
             raise StartError(
-                f"http_address: cannot listen on "
-                f"{self._settings.http_address}: {error}"
+                f"{place}: cannot listen on {server.address}: {error}"
             ) from error
-        cherrypy.engine.start()
--- a/packages/daemon/nutmegchute_daemon/deliveries.py
+++ b/packages/daemon/nutmegchute_daemon/deliveries.py
@@ -55,6 +55,7 @@
             member.grpc_address, DELIVER, delivery, TIMEOUT_S
         )
         if reply is None:
+            self._links.drop(member.grpc_address)
             if member.name not in self._unreachable:
                 self._unreachable.add(member.name)
                 log(Event.PEER_UNREACHABLE, "warning", replica=member.name)
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -19,6 +19,7 @@
 from nutmegchute_core.claims import NOT_RUN as NEVER_RAN
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
+from nutmegchute_core.rules import Rule
 
 from .connections import Exchange
 from .events import Event
@@ -83,8 +84,8 @@
 
     def admit(self, ticket: Ticket, deadline_s: float | None) -> None:
         """Admit a call; its actions go to the ticket."""
-        now = self._loop.time()
         arrival = ticket.arrival
+        now = self._loop.time()
         call_id, actions = self._balancer.arrive(
             arrival.service,
             arrival.method,
@@ -93,6 +94,20 @@
             deadline_s,
             arrival.attempt,
         )
+        self._open(ticket, call_id, actions, now)
+
+    def admit_under(self, ticket: Ticket, service: str, rule: Rule) -> None:
+        """Admit a call whose service and rule a route gives."""
+        arrival = ticket.arrival
+        now = self._loop.time()
+        call_id, actions = self._balancer.arrive_under(
+            service, rule, now, arrival.deadline_s, arrival.attempt
+        )
+        self._open(ticket, call_id, actions, now)
+
+    def _open(
+        self, ticket: Ticket, call_id: int, actions: list[Action], now: float
+    ) -> None:
         ticket.call_id = call_id
         self._tickets[call_id] = ticket
         self._opened[call_id] = (now, ticket)
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -218,6 +218,9 @@
         """Forget a ticket whose worker has written its answer."""
         self._desk.close_call(ticket)
 
+    def end_instance(self, instance: str) -> None:
+        """Take word that an instance has left; here none have names."""
+
     def announce(
         self, announcement: Announcement, key: str
     ) -> dict[str, float]:
--- a/packages/daemon/nutmegchute_daemon/followers.py
+++ b/packages/daemon/nutmegchute_daemon/followers.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 from nutmegchute_core.fleets import FLEET_LEASE_S
@@ -19,6 +18,7 @@
 from .protocols import FOLLOW
 from .protocols import RELAY
 from .settings import Settings
+from .trees import TreeCopy
 
 # The leader holds a question for HOLD_S at most.
 TIMEOUT_S = HOLD_S + 0.8
@@ -33,17 +33,15 @@
     """Keep an entry at the newest tree, never at an older one."""
 
     __slots__ = (
-        "_documents",
         "_entries",
-        "_index",
         "_lapsed",
         "_links",
         "_on_tree",
         "_relay",
-        "_revisions",
         "_settings",
         "_standing",
         "_target",
+        "_tree",
         "_turn",
     )
 
@@ -62,21 +60,19 @@
         self._target: str | None = None
         self._relay: str | None = None
         self._turn = 0
-        self._index = 0
         self._lapsed = False
-        self._documents: dict[str, Any] = {}
-        self._revisions: dict[str, int] = {}
+        self._tree = TreeCopy()
         links.serve(RELAY, self._on_relay)
 
     @property
     def index(self) -> int:
         """Give the log index of the tree in force here."""
-        return self._index
+        return self._tree.index
 
     @property
     def revisions(self) -> dict[str, int]:
         """Map each team to the revision in force here."""
-        return self._revisions
+        return self._tree.revisions
 
     @property
     def has_lease(self) -> bool:
@@ -85,7 +81,7 @@
 
     def may_act(self) -> bool:
         """Tell whether calls may be sent by the tree at hand."""
-        return self._index > 0 and self._standing.may_act(_clock())
+        return self.index > 0 and self._standing.may_act(_clock())
 
     async def follow(self) -> None:
         """Ask once for a newer tree; the leader holds the question."""
@@ -119,7 +115,7 @@
         """Tell the leader that this entry acts on no tree any more."""
         if self._target is None:
             return
-        request = FollowRequest(self._settings.name, self._index, True)
+        request = FollowRequest(self._settings.name, self.index, True)
         await self._links.ask(self._target, FOLLOW, request, LEAVE_TIMEOUT_S)
 
     async def _ask_entries(self) -> None:
@@ -165,7 +161,7 @@
 
     def _request(self, hold: bool) -> FollowRequest:
         hold = hold and self._standing.may_hold(_clock())
-        return FollowRequest(self._settings.name, self._index, hold=hold)
+        return FollowRequest(self._settings.name, self.index, hold=hold)
 
     def _next_replica(self) -> str:
         replicas = self._settings.control
@@ -173,30 +169,21 @@
         return replicas[self._turn % len(replicas)].grpc_address
 
     def _take(self, reply: FollowReply, asked_at: float) -> None:
-        if reply.documents is not None and reply.index > self._index:
-            self._merge(reply, reply.documents)
-            log(Event.CONFIG_APPLIED, index=self._index)
+        if self._tree.take(reply):
+            self._on_tree(
+                msgspec.structs.replace(
+                    reply,
+                    documents=self._tree.documents,
+                    revisions=self._tree.revisions,
+                )
+            )
+            log(Event.CONFIG_APPLIED, index=self.index)
         self._standing.renew(asked_at)
         self._report_lease()
 
-    def _merge(self, reply: FollowReply, changed: dict[str, Any]) -> None:
-        documents = {**self._documents, **changed}
-        for team, document in changed.items():
-            if document is None:
-                del documents[team]
-        revisions = {**self._revisions, **reply.revisions}
-        self._on_tree(
-            msgspec.structs.replace(
-                reply, documents=documents, revisions=revisions
-            )
-        )
-        self._documents = documents
-        self._revisions = revisions
-        self._index = reply.index
-
     def _report_lease(self) -> None:
         lapsed = not self.has_lease
-        if lapsed == self._lapsed or not self._index:
+        if lapsed == self._lapsed or not self.index:
             return
         self._lapsed = lapsed
         if lapsed:
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/forms.py
@@ -0,0 +1,43 @@
+"""Say which headers carry what decisions need of a call."""
+
+from urllib3 import HTTPHeaderDict
+
+from .exchanges import StrictRequest
+from .protocols import ATTEMPT_HEADER
+from .protocols import DEADLINE_HEADER
+from .readers import read_call
+from .senders import AnswerForm
+from .tickets import Ticket
+
+
+class CallForm(AnswerForm):
+    """Read calls and write attempts in the product's own form."""
+
+    __slots__ = ()
+
+    def read(self, http: StrictRequest, body_bytes: int) -> Ticket:
+        """Read a call and open its ticket.
+
+        :raises BadRequestError: it cannot be taken as it is
+        :raises BadBodyError: its body cannot be read
+        """
+        return read_call(http, body_bytes)
+
+    def outgoing(
+        self, ticket: Ticket, attempt: int, remaining_ms: int, instance: str
+    ) -> HTTPHeaderDict:
+        """Give the headers of one attempt."""
+        headers = ticket.request.headers.copy()
+        # A mark that ended here would let each of 16 layers retry anew:
+        # one failing service at the bottom, 2 to the 16th calls to it.
+        headers[ATTEMPT_HEADER] = str(max(ticket.arrival.attempt, attempt))
+        headers[DEADLINE_HEADER] = str(remaining_ms)
+        return headers
+
+    def retry_after(self, delay_s: float) -> str:
+        """Write when a refused caller should come back."""
+        return str(max(1, round(delay_s)))
+
+    def own_headers(self, http: StrictRequest) -> list[tuple[str, str]]:
+        """Give the headers that an answer of this entry's own bears."""
+        return []
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -49,8 +49,7 @@
             grpc_address=settings.grpc_address,
             http_address=settings.http_address,
         )
-        names = [peer.name for peer in settings.control]
-        self._formation = Formation(self._member, names)
+        self._formation = Formation(self._member, settings.founders)
         self._outsiders: dict[str, tuple[Member, float]] = {}
         links.serve(INTRODUCE, self._on_introduce)
 
@@ -87,12 +86,10 @@
     async def introduce(self) -> None:
         """Introduce this replica to all listed ones."""
         asks = []
-        for peer in self._settings.control:
-            if peer.name == self._settings.name:
+        for address in self._settings.replicas:
+            if address == self._settings.grpc_address:
                 continue
-            asks.append(
-                self._links.ask(peer.grpc_address, INTRODUCE, self._word())
-            )
+            asks.append(self._links.ask(address, INTRODUCE, self._word()))
         for reply in await asyncio.gather(*asks):
             if reply is not None:
                 self._formation.hear(reply)
--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -1,5 +1,6 @@
 """Carry core messages between daemons by gRPC."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -22,6 +23,9 @@
     ("grpc.keepalive_time_ms", 4000),
     ("grpc.keepalive_timeout_ms", 2000),
     ("grpc.http2.max_pings_without_data", 0),
+    # Channels opened anew must not be given the silent connection of the
+    # one that was dropped for its silence.
+    ("grpc.use_local_subchannel_pool", 1),
     # The probes for the bandwidth would be most of what gossip sends.
     ("grpc.http2.bdp_probe", 0),
 ]
@@ -75,11 +79,13 @@
 class Links:
     """Hold the channels of this daemon and serve its methods."""
 
-    __slots__ = ("_calls", "_channels", "_server", "_started")
+    __slots__ = ("_calls", "_channels", "_closing", "_server", "_started")
 
     def __init__(self) -> None:
         self._channels: dict[str, Any] = {}
         self._calls: dict[tuple[str, str], Any] = {}
+        # The loop itself holds tasks weakly only.
+        self._closing: set[asyncio.Task[None]] = set()
         self._started = False
         self._server = grpc.aio.server(
             options=[*SERVER_OPTIONS, *CHANNEL_OPTIONS]
@@ -134,6 +140,21 @@
             # either; raised, it would end the caller's loop for good.
             return None
 
+    def drop(self, address: str) -> None:
+        """Close the connection to a daemon that does not answer.
+
+        A partition that has healed leaves connections on which TCP tries
+        again only after seconds; a new one is through at once.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            return
+        for key in [key for key in self._calls if key[0] == address]:
+            del self._calls[key]
+        task = asyncio.ensure_future(channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     def _open(self, address: str, method: Method) -> Any:
         channel = self._channels.get(address)
         if channel is None:
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -1,5 +1,7 @@
 """Name the headers and the gRPC methods, each in one place."""
 
+from nutmegchute_core.attendances import WatchReply
+from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
 from nutmegchute_core.fleets import RelayReply
@@ -26,3 +28,4 @@
 INTRODUCE = Method("Replication", "Introduce", Introduction, Introduction)
 FOLLOW = Method("Configuration", "Follow", FollowRequest, FollowReply)
 RELAY = Method("Configuration", "Relay", FollowRequest, RelayReply)
+WATCH = Method("Endpoints", "Watch", WatchRequest, WatchReply)
--- a/packages/daemon/nutmegchute_daemon/readers.py
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -58,11 +58,19 @@
     return Ticket(arrival, request, http.conn.socket.fileno(), claim)
 
 
-def _read_request(http: StrictRequest, body_bytes: int) -> tuple[str, Request]:
+def check_line(http: StrictRequest) -> None:
+    """Refuse a request line that endpoints could read differently.
+
+    :raises BadRequestError: it cannot be taken as it is
+    """
     if not _METHOD.fullmatch(http.method):
         raise BadRequestError(400, "method is not a word of letters")
     if not _TARGET.fullmatch(http.uri):
         raise BadRequestError(400, "path has bytes that must be escaped")
+
+
+def _read_request(http: StrictRequest, body_bytes: int) -> tuple[str, Request]:
+    check_line(http)
     # The raw target goes on as it came: decoding it would turn an
     # escaped slash or question mark into another path.
     raw = http.uri[len(CALL_PATH) :].decode("ascii")
@@ -70,19 +78,32 @@
     if "?" in service:
         service, _, query = service.partition("?")
         rest = f"?{query}{slash}{rest}"
-    headers = _end_to_end(http.fields)
-    body = Body(http, body_bytes)
     # The ledger compares whole requests, so that a key is never taken
     # for that of another request.
     keyed = http.inheaders.get(KEY_HEADER.encode()) is not None
     size = body_bytes + 1 if keyed else BUFFER_BYTES
-    start = _read_start(body, size)
-    request = Request(http.method.decode(), "/" + rest, headers, start)
+    return service, build_request(http, "/" + rest, body_bytes, size)
+
+
+def build_request(
+    http: StrictRequest,
+    target: str,
+    body_bytes: int,
+    start_bytes: int = BUFFER_BYTES,
+) -> Request:
+    """Read a request's body as far as it is kept, and build what is sent.
+
+    :raises BadBodyError: its body cannot be read
+    """
+    headers = _end_to_end(http.fields)
+    body = Body(http, body_bytes)
+    start = _read_start(body, start_bytes)
+    request = Request(http.method.decode(), target, headers, start)
     if not body.whole:
         request.rest = Rest(body.read)
     elif "content-length" in headers:
         del headers["Content-Length"]
-    return service, request
+    return request
 
 
 def _read_start(body: Body, size: int) -> bytes:
@@ -126,9 +147,16 @@
     )
     if deadline_ms is None:
         return None
-    # The time this request waited for a worker thread is gone as well.
+    return remaining_s(http, deadline_ms / 1000)
+
+
+def remaining_s(http: StrictRequest, deadline_s: float) -> float:
+    """Give what is left of a deadline, in seconds.
+
+    The time that the request waited for a worker thread is gone as well.
+    """
     waited_s: float = time.monotonic() - http.conn.ready_at
-    return max(0.0, deadline_ms / 1000 - waited_s)
+    return max(0.0, deadline_s - waited_s)
 
 
 def _read_attempt(http: StrictRequest) -> int:
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -0,0 +1,243 @@
+"""Hear endpoints on a control replica and tell entries of them."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+import msgspec
+from nutmegchute_core.attendances import Attendance
+from nutmegchute_core.attendances import WATCH_HOLD_S
+from nutmegchute_core.attendances import WatchReply
+from nutmegchute_core.attendances import WatchRequest
+from nutmegchute_core.fleets import FollowReply
+from nutmegchute_core.followings import news_since
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.members import DRAINING
+from nutmegchute_core.nodes import Node
+from nutmegchute_core.registries import FULL
+from nutmegchute_core.registries import Registry
+from nutmegchute_core.registries import STALE
+
+from .clocks import boot_time
+from .errors import DaemonError
+from .events import Event
+from .events import log
+
+EPOCH_BITS = 48
+EXPIRE_S = 0.25
+# An endpoint waits a second for the word that its leaving is known; it asks
+# the next replica when this one says in time that it cannot give it.
+CONFIRM_S = 0.8
+# A replica that has just started does not know the entries yet. Naming only
+# those that were quickest would send them the callers of all.
+GATHER_S = 1.5
+MOST_ENTRIES = 64
+
+
+class NotConfirmedError(DaemonError):
+    """Say that this replica cannot vouch for what it was told."""
+
+
+class News:
+    """Wake all that wait whenever there is something new."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def tell(self) -> None:
+        """Wake everybody."""
+        waiting, self._waiting = self._waiting, set()
+        for future in waiting:
+            if not future.done():
+                future.set_result(None)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for news, at most so long."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.add(future)
+        try:
+            await asyncio.wait([future], timeout=timeout_s)
+        finally:
+            self._waiting.discard(future)
+
+
+class Registrar:
+    """Hold what one control replica knows of endpoints and entries.
+
+    ``in_contact`` tells whether the replica has heard a majority of the
+    others lately; ``node`` gives it once it is loaded.
+    """
+
+    __slots__ = (
+        "_attendance",
+        "_in_contact",
+        "_news",
+        "_node",
+        "_registry",
+        "_seen",
+        "_started_at",
+    )
+
+    def __init__(
+        self, in_contact: Callable[[], bool], node: Callable[[], Node | None]
+    ) -> None:
+        self._in_contact = in_contact
+        self._node = node
+        self._registry = Registry(secrets.randbits(EPOCH_BITS))
+        self._attendance = Attendance()
+        self._news = News()
+        self._seen = News()
+        self._started_at = boot_time()
+
+    @property
+    def instances(self) -> int:
+        """Count the instances that announce here."""
+        return len(self._registry)
+
+    @property
+    def entries(self) -> int:
+        """Count the entries heard of lately."""
+        return self._attendance.count(boot_time())
+
+    def tell(self) -> None:
+        """Wake the entries' questions: the tree or the group changed."""
+        self._news.tell()
+
+    def expire(self) -> None:
+        """Drop the instances that have fallen silent."""
+        if self._registry.expire(boot_time()):
+            self._news.tell()
+
+    async def announce(
+        self, announcement: Announcement, sequence: int
+    ) -> None:
+        """Take an instance's word; returning acknowledges it.
+
+        :raises NotConfirmedError: ask another replica
+        """
+        now = boot_time()
+        if not self._in_contact() and not self._attendance.attended(now):
+            raise NotConfirmedError("neither replicas nor entries in reach")
+        before = self._registry.generation
+        outcome = self._registry.take(announcement, sequence, now)
+        if outcome == FULL:
+            raise NotConfirmedError("too many instances")
+        if outcome != STALE and self._registry.generation != before:
+            log(
+                Event.INSTANCE_HEARD,
+                instance=announcement.instance,
+                service=announcement.service,
+                endpoint=announcement.endpoint,
+                state=announcement.state,
+                sequence=sequence,
+            )
+            self._news.tell()
+        if announcement.state == DRAINING:
+            await self._confirm(announcement.instance)
+
+    async def end(self, instance: str) -> None:
+        """Take an instance's farewell; returning acknowledges it.
+
+        :raises NotConfirmedError: ask another replica
+        """
+        if self._registry.end(instance, boot_time()):
+            log(Event.INSTANCE_ENDED, instance=instance)
+            self._news.tell()
+        await self._confirm(instance)
+
+    def resolve(self, zone: str | None) -> list[str]:
+        """Return the entries that a caller in a zone should use."""
+        now = boot_time()
+        if now - self._started_at < GATHER_S:
+            return []
+        return self._attendance.usable(zone, MOST_ENTRIES, now)
+
+    async def watch(self, request: WatchRequest) -> WatchReply:
+        """Answer an entry's question, at once where there is news."""
+        name = request.entry.name
+        seen = request.generation
+        if request.epoch != self._registry.epoch:
+            seen = 0
+        self._attendance.hear(request.entry, seen, boot_time())
+        self._seen.tell()
+        hold_until = boot_time() + (WATCH_HOLD_S if request.hold else 0.0)
+        try:
+            while not self._has_news(request):
+                left_s = hold_until - boot_time()
+                if left_s <= 0:
+                    break
+                await self._news.wait(left_s)
+        except asyncio.CancelledError:
+            # Its connection is gone, most likely with the entry: callers
+            # are not sent there until it asks again.
+            self._attendance.close(name)
+            raise
+        return self._reply(request)
+
+    async def _confirm(self, instance: str) -> None:
+        """Wait until each entry in touch knows that an instance leaves.
+
+        An acknowledged leaving binds all entries. One that missed the word
+        would send calls to a process that is about to exit.
+
+        :raises NotConfirmedError: some entry did not say so in time
+        """
+        generation = self._registry.generation
+        give_up_at = boot_time() + CONFIRM_S
+        while True:
+            now = boot_time()
+            if not self._in_contact():
+                # Entries on the other side of a cut know nothing of it.
+                raise NotConfirmedError("no majority of replicas in reach")
+            behind = self._attendance.behind(generation, now)
+            if not behind:
+                return
+            if now >= give_up_at:
+                log(
+                    Event.DRAIN_UNCONFIRMED,
+                    "warning",
+                    instance=instance,
+                    entries=behind,
+                )
+                raise NotConfirmedError("not every entry has confirmed")
+            await self._seen.wait(give_up_at - now)
+
+    def _has_news(self, request: WatchRequest) -> bool:
+        mark = (self._registry.epoch, self._registry.generation)
+        if (request.epoch, request.generation) != mark:
+            return True
+        node = self._node()
+        if node is None or not self._in_contact():
+            return False
+        if node.machine.tree.index > request.index:
+            return True
+        return node.replica.log.membership_index > request.members
+
+    def _reply(self, request: WatchRequest) -> WatchReply:
+        registry = self._registry
+        delta = None
+        if (request.epoch, request.generation) != (
+            registry.epoch,
+            registry.generation,
+        ):
+            delta = registry.since(
+                request.epoch, request.generation, boot_time()
+            )
+        reply = WatchReply(delta, self.entries, members=request.members)
+        node = self._node()
+        if node is None or not self._in_contact():
+            return reply
+        tree: FollowReply | None = news_since(node, request.index)
+        members = node.replica.log.membership_index
+        replicas = None
+        if members > request.members:
+            membership = node.replica.membership
+            replicas = [one.grpc_address for one in membership.members]
+        return msgspec.structs.replace(
+            reply,
+            tree=tree,
+            members=max(members, request.members),
+            replicas=replicas,
+        )
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -0,0 +1,261 @@
+"""Run the router role: an entry that control tells all it needs.
+
+Callers speak to hosts and paths; routes of the configuration say which
+service a request goes to. Endpoints announce themselves to control.
+"""
+
+import asyncio
+import random
+import secrets
+
+from nutmegchute_core.attendances import WatchReply
+from nutmegchute_core.attendances import WatchRequest
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.budgets import ExtraLimit
+from nutmegchute_core.calls import Probe
+from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Reject
+from nutmegchute_core.calls import Result
+from nutmegchute_core.catalogs import Catalog
+from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.routes import read_routes
+from nutmegchute_core.routes import RouteTable
+from nutmegchute_core.rules import read_services
+
+from .callers import CallHandler
+from .clocks import boot_time
+from .connections import Connections
+from .daemons import Daemon
+from .desks import CallDesk
+from .desks import SWEEP_S
+from .events import Event
+from .events import log
+from .exchanges import StrictRequest
+from .forms import CallForm
+from .senders import Sender
+from .settings import Settings
+from .tickets import Ticket
+from .trees import TreeCopy
+from .watchers import Watchers
+
+DRAIN_TICK_S = 0.05
+EXPIRE_S = 0.5
+HEALTH_THREADS = 2
+UNCONFIGURED_RETRY_S = 0.5
+LEAVING_RETRY_S = 0.1
+# Of the time that a stop may take, this much is left for the last answers
+# to be written and for the process to end.
+STOP_MARGIN_S = 0.5
+EVERYTHING = b"/"
+
+
+class RouterDaemon(Daemon):
+    """Stand between callers and upstreams, told by control."""
+
+    def __init__(
+        self, settings: Settings, form: CallForm | None = None
+    ) -> None:
+        super().__init__(settings)
+        self._form = form or CallForm()
+
+    def prepare(self) -> None:
+        """Build the decisions' state and mount the callers' side."""
+        settings = self._settings
+        self._balancer = Balancer(
+            secrets.randbits(32), settings.availability_zone
+        )
+        self._catalog = Catalog()
+        self._tree = TreeCopy()
+        self._table: RouteTable | None = None
+        self._phase = random.random()
+        self._members = -1
+        self._entries = 1
+        self._leaving = False
+        self._watchers = Watchers(settings.seeds, self._links, self)
+        self._connections = Connections()
+        self._handler = CallHandler(
+            asker=self._asker,
+            sender=Sender(self._connections, self._form),
+            name=settings.name,
+            body_bytes=settings.request_body_bytes,
+            threads=settings.http_threads,
+            form=self._form,
+        )
+        self._desk = CallDesk(
+            balancer=self._balancer,
+            metrics=self._metrics,
+            hedge=self._handler.hedge,
+            ask_load=_ask_nothing,
+            settle=_settle_nothing,
+        )
+        self._handler.desk = self
+        self._http.handle(EVERYTHING, self._handler)
+        health = self.add_listener(
+            "health_address", settings.health_address, HEALTH_THREADS
+        )
+        if health is not None:
+            health.handle(EVERYTHING, self._answer_health)
+        self._share_extra()
+
+    def begin(self) -> None:
+        """Start the periodic work."""
+        self._watchers.start()
+        self.every(SWEEP_S, self._sweep)
+        self.every(EXPIRE_S, self._expire)
+
+    def gauges(self) -> dict[str, float]:
+        """Give what tells whether this entry can serve."""
+        return {
+            "in_flight": self._balancer.in_flight,
+            "upstreams": len(self._catalog.live()),
+            "entries": self._entries,
+            "config_index": self._tree.index,
+        }
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether calls can be served here."""
+        if self._leaving or self._table is None:
+            return False
+        return self._catalog.complete
+
+    async def finish(self) -> None:
+        """Leave the directory, serve those who still come, end the calls."""
+        self._leaving = True
+        log(Event.DRAINING)
+        self._watchers.poke()
+        # Callers keep an answer of the directory for a while. Those who
+        # come meanwhile are served; each answer closes its connection.
+        self._http.close_politely()
+        await asyncio.sleep(self._settings.send_on_s)
+        # What comes later might not be answered in time any more.
+        self._handler.refusal = "entry is leaving"
+        while self._handler.active:
+            await asyncio.sleep(DRAIN_TICK_S)
+
+    def cut(self) -> int:
+        """End the calls in flight; return how many there were."""
+        self._handler.refusal = "entry is stopping"
+        self._desk.cut()
+        return self._handler.active
+
+    def close(self) -> None:
+        """Let go of the helping threads."""
+        self._watchers.stop()
+        self._desk.stop()
+
+    def reload(self, settings: Settings) -> None:
+        """Take seeds and limits from settings that have changed."""
+        super().reload(settings)
+        self._watchers.seed(settings.seeds)
+        self._share_extra()
+
+    def open_call(self, ticket: Ticket) -> None:
+        """Admit a call; its actions go to the ticket."""
+        if self._table is None:
+            ticket.put(Refuse(0, "no configuration yet", UNCONFIGURED_RETRY_S))
+            return
+        arrival = ticket.arrival
+        route = self._table.find(arrival.host, arrival.path)
+        if route is None:
+            ticket.put(Reject(0, "no route covers this host and path"))
+            return
+        self._desk.admit_under(ticket, route.choose(), route.rule)
+
+    def end_attempt(self, ticket: Ticket, result: Result) -> None:
+        """Take the end of an attempt."""
+        self._desk.end_attempt(ticket, result)
+
+    def close_call(self, ticket: Ticket) -> None:
+        """Forget a ticket whose worker has written its answer."""
+        self._desk.close_call(ticket)
+
+    def end_instance(self, instance: str) -> None:
+        """Take word that an instance has left its address."""
+        if self._catalog.end(instance, boot_time()):
+            log(Event.INSTANCE_GONE, instance=instance)
+            self._update_upstreams()
+
+    def question(self, replica: str, hold: bool) -> WatchRequest:
+        """Build the question for a control replica."""
+        epoch, generation = self._catalog.mark(replica)
+        word = EntryWord(
+            self._settings.name,
+            self._settings.http_address,
+            self._settings.availability_zone,
+            not self.ready,
+        )
+        return WatchRequest(
+            word, epoch, generation, self._tree.index, self._members, hold
+        )
+
+    def hear(self, replica: str, reply: WatchReply) -> None:
+        """Take a control replica's answer."""
+        ready = self.ready
+        self._members = max(self._members, reply.members)
+        if reply.replicas is not None:
+            self._watchers.update(reply.replicas)
+        if reply.entries > self._entries:
+            self._entries = reply.entries
+            self._share_extra()
+        if reply.tree is not None and self._tree.take(reply.tree):
+            self._apply()
+        changed = reply.delta is not None and self._catalog.hear(
+            replica, reply.delta, boot_time()
+        )
+        if changed:
+            self._update_upstreams()
+        if self.ready != ready:
+            self._watchers.poke()
+
+    def _apply(self) -> None:
+        documents = self._tree.documents
+        self._balancer.configure(read_services(documents), self._loop.time())
+        # In one step, between two calls: worker threads that each took the
+        # new routes by themselves would answer by old and new in turn.
+        self._table = RouteTable(read_routes(documents, self._phase))
+        log(
+            Event.CONFIG_APPLIED,
+            index=self._tree.index,
+            revisions=self._tree.revisions,
+        )
+        self._update_upstreams()
+
+    def _update_upstreams(self) -> None:
+        live = self._catalog.live()
+        now = self._loop.time()
+        self._desk.perform(self._balancer.update_upstreams(live, now))
+        log(
+            Event.ENDPOINTS_CHANGED,
+            version=self._catalog.version,
+            endpoints=len(live),
+        )
+
+    def _share_extra(self) -> None:
+        if not self._settings.extra_fixed:
+            return
+        limit = ExtraLimit(
+            self._settings.extra_ratio, self._settings.extra_fixed
+        )
+        self._balancer.limit_extra(limit.share, limit.burst(self._entries))
+
+    def _sweep(self) -> None:
+        self._asker.run_later()
+        self._desk.sweep()
+        self._connections.sweep()
+
+    def _expire(self) -> None:
+        if self._catalog.expire(boot_time()):
+            self._update_upstreams()
+
+    def _answer_health(self, http: StrictRequest) -> None:
+        status = 200 if self.ready else 503
+        http.begin(status, [("Content-Length", "0")])
+
+
+def _ask_nothing(probe: Probe) -> None:
+    """Ask no endpoint for its load: answers tell it."""
+
+
+def _settle_nothing(ticket: Ticket, outcome: str) -> None:
+    """Settle no claim: routes declare no idempotency keys."""
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -122,6 +122,42 @@
         yield from rest
 
 
+class AnswerForm:
+    """Read what an endpoint's answer says of the call and of itself.
+
+    This is the product's own form; another set of headers is another
+    class with the same methods.
+    """
+
+    __slots__ = ()
+
+    def not_run(self, response: HTTPResponse) -> bool:
+        """Tell whether the answer says that the call did not run."""
+        return (
+            NOT_RUN_HEADER in response.headers
+            and response.status in SHED_STATUSES
+        )
+
+    def check(self, request: Request, response: HTTPResponse) -> None:
+        """Look for signs that the answer is not this request's.
+
+        :raises CutAnswerError: it is another's, or promises what is false
+        """
+
+    def misdirected(self, response: HTTPResponse) -> bool:
+        """Tell whether another process has the endpoint's address now."""
+        return False
+
+    def load(self, headers: HTTPHeaderDict) -> int | None:
+        """Give the in-flight count that the endpoint reports."""
+        load = headers.get(LOAD_HEADER, "")
+        return int(load) if load.isdecimal() and len(load) < 10 else None
+
+    def passes(self, name: str) -> bool:
+        """Tell whether a header, in small letters, is for the caller."""
+        return name not in OWN_HEADERS
+
+
 class Reply:
     """Hold how an attempt ended and, when answered, the answer."""
 
@@ -130,15 +166,18 @@
         "_connections",
         "_endpoint",
         "_exchange",
+        "_form",
         "_latency_s",
         "_outcome",
         "_response",
         "_start",
         "_wait_s",
         "_whole",
+        "misdirected",
     )
 
     def __init__(self, outcome: str, latency_s: float) -> None:
+        self.misdirected = False
         self._outcome = outcome
         self._latency_s = latency_s
         self._response: HTTPResponse | None = None
@@ -153,8 +192,11 @@
         endpoint: str,
         exchange: Exchange,
         wait_s: float,
+        form: AnswerForm,
     ) -> None:
         """Take the answer whose head has come."""
+        self._form = form
+        self.misdirected = form.misdirected(response)
         self._response = response
         self._connection = connection
         self._connections = connections
@@ -199,8 +241,7 @@
         """Give the in-flight count that the endpoint reported."""
         if self._response is None:
             return None
-        load = self._response.headers.get(LOAD_HEADER, "")
-        return int(load) if load.isdecimal() and len(load) < 10 else None
+        return self._form.load(self._response.headers)
 
     def headers(self) -> list[tuple[str, str]]:
         """List the answer's headers, those of the connection left out."""
@@ -216,7 +257,7 @@
             lower = name.lower()
             if lower in HOP_HEADERS or lower in dropped:
                 continue
-            if lower in OWN_HEADERS:
+            if not self._form.passes(lower):
                 continue
             if lower == "content-length":
                 if length_seen:
@@ -309,10 +350,13 @@
 class Sender:
     """Send attempts over kept connections."""
 
-    __slots__ = ("_connections",)
+    __slots__ = ("_connections", "_form")
 
-    def __init__(self, connections: Connections) -> None:
+    def __init__(
+        self, connections: Connections, form: AnswerForm | None = None
+    ) -> None:
         self._connections = connections
+        self._form = form or AnswerForm()
 
     def send(
         self,
@@ -338,6 +382,7 @@
             return Reply(outcome, time.monotonic() - started)
         try:
             response = self._exchange(request, connection, exchange, deadline)
+            self._form.check(request, response)
             reply = self._take(
                 response, connection, endpoint, exchange, started, deadline
             )
@@ -405,10 +450,7 @@
         started: float,
         deadline: float,
     ) -> Reply:
-        shed = (
-            NOT_RUN_HEADER in response.headers
-            and response.status in SHED_STATUSES
-        )
+        shed = self._form.not_run(response)
         reply = Reply(NOT_RUN if shed else ANSWERED, 0.0)
         wait_s = deadline - time.monotonic()
         reply.take(
@@ -418,6 +460,7 @@
             endpoint,
             exchange,
             wait_s,
+            self._form,
         )
         try:
             reply.read_start()
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -187,7 +187,7 @@
 class HttpServer:
     """Serve CherryPy's tree and the handlers of calls."""
 
-    __slots__ = ("_server", "_thread")
+    __slots__ = ("_server", "_thread", "address")
 
     def __init__(self, address: str, threads: int) -> None:
         cherrypy.config.update(
@@ -201,6 +201,7 @@
         # CherryPy's own server would listen on its default port as well,
         # and a second daemon on the vm would end without a word.
         cherrypy.server.unsubscribe()
+        self.address = address
         self._server = Listener(address, threads)
         self._thread = threading.Thread(
             target=self._server.serve, name="http", daemon=True
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -28,12 +28,22 @@
     "entries_keep_s": 5.0,
     "shutdown_limit_s": 60.0,
     "entries_answer": 4,
+    "seeds": [],
+    "founding": False,
+    "directory_address": None,
+    "health_address": None,
+    "metrics_address": None,
+    "extra_ratio": 0.08,
+    "extra_fixed": 0.0,
+    "send_on_s": 3.0,
+    "grace_s": None,
 }
 
 _ADDRESS = {
     "type": "string",
     "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
 }
+_OPTIONAL_ADDRESS = {**_ADDRESS, "type": ["string", "null"]}
 _NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"}
 
 _DIGEST = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
@@ -54,7 +64,7 @@
         "grpc_address",
     ],
     "properties": {
-        "role": {"enum": ["entry", "control"]},
+        "role": {"enum": ["entry", "router", "control"]},
         "name": _NAME,
         "region": _NAME,
         "availability_zone": _NAME,
@@ -91,7 +101,7 @@
                 },
             },
         },
-        "statsd_address": _ADDRESS,
+        "statsd_address": _OPTIONAL_ADDRESS,
         "http_threads": {"type": "integer", "minimum": 2, "maximum": 512},
         "cpus": {
             "type": "array",
@@ -102,9 +112,19 @@
         "entries_keep_s": {"type": "number", "exclusiveMinimum": 0},
         "shutdown_limit_s": {"type": "number", "exclusiveMinimum": 0},
         "entries_answer": {"type": "integer", "minimum": 1},
+        "seeds": {"type": "array", "items": _ADDRESS},
+        "founding": {"type": "boolean"},
+        "directory_address": _OPTIONAL_ADDRESS,
+        "health_address": _OPTIONAL_ADDRESS,
+        "metrics_address": _OPTIONAL_ADDRESS,
+        "extra_ratio": {"type": "number", "minimum": 0, "maximum": 1},
+        "extra_fixed": {"type": "number", "minimum": 0},
+        "send_on_s": {"type": "number", "minimum": 0},
+        "grace_s": {"type": ["number", "null"], "exclusiveMinimum": 0},
     },
 }
 
+GRACE_SHARE = 5 / 6
 MAX_CONTROL_VMS = 7
 LONG_KEEP_S = 60.0
 
@@ -165,13 +185,21 @@
 class Settings:
     """Hold checked settings, defaults filled in."""
 
-    __slots__ = ("_control", "_operators", "_values")
+    __slots__ = ("_control", "_operators", "_path", "_values")
 
-    def __init__(self, values: dict[str, Any]) -> None:
+    def __init__(
+        self, values: dict[str, Any], path: Path | None = None
+    ) -> None:
+        self._path = path
         self._values = {**DEFAULTS, **values}
         self._control = [ControlPeer(one) for one in self._values["control"]]
         self._operators = [Operator(one) for one in self._values["operators"]]
 
+    @property
+    def path(self) -> Path | None:
+        """Give the file that the settings were read from."""
+        return self._path
+
     @property
     def role(self) -> str:
         """Name the role, entry or control."""
@@ -227,9 +255,9 @@
         return None
 
     @property
-    def statsd_address(self) -> str:
-        """Give the UDP address that metrics go to."""
-        return str(self._values["statsd_address"])
+    def statsd_address(self) -> str | None:
+        """Give the UDP address that metrics go to, if any."""
+        return self._address("statsd_address")
 
     @property
     def cpus(self) -> list[int]:
@@ -258,7 +286,13 @@
 
     @property
     def shutdown_limit_s(self) -> float:
-        """Give the most that a graceful shutdown may take, in seconds."""
+        """Give the most that a graceful shutdown may take, in seconds.
+
+        Where the vm's service manager kills after ``grace_s``, work goes
+        on for five sixths of that; the rest is for telling what is cut.
+        """
+        if self._values["grace_s"] is not None:
+            return float(self._values["grace_s"]) * GRACE_SHARE
         return float(self._values["shutdown_limit_s"])
 
     @property
@@ -266,6 +300,66 @@
         """Give the most entries named to one caller."""
         return int(self._values["entries_answer"])
 
+    @property
+    def seeds(self) -> list[str]:
+        """List the gRPC addresses of the control replicas to ask first.
+
+        Only the IP numbers of the seeds count: each is asked at the port
+        that this daemon itself has for other daemons.
+        """
+        port = split_address(self.grpc_address)[1]
+        return [f"{split_address(one)[0]}:{port}" for one in self._seeds]
+
+    @property
+    def _seeds(self) -> list[str]:
+        return list(self._values["seeds"])
+
+    @property
+    def replicas(self) -> list[str]:
+        """List the gRPC addresses of the control replicas known at first."""
+        return self.seeds or [peer.grpc_address for peer in self._control]
+
+    @property
+    def founders(self) -> list[str]:
+        """List the gRPC addresses of those that may form a group."""
+        if not self._seeds:
+            return [peer.grpc_address for peer in self._control]
+        return self.seeds if self._values["founding"] else []
+
+    @property
+    def directory_address(self) -> str | None:
+        """Give where callers ask for entries, where control answers them."""
+        return self._address("directory_address")
+
+    @property
+    def health_address(self) -> str | None:
+        """Give where an entry tells whether it can serve."""
+        return self._address("health_address")
+
+    @property
+    def metrics_address(self) -> str | None:
+        """Give where metrics are served as text."""
+        return self._address("metrics_address")
+
+    def _address(self, name: str) -> str | None:
+        value = self._values[name]
+        return None if value is None else str(value)
+
+    @property
+    def extra_ratio(self) -> float:
+        """Give the extra sends that each call of a service earns."""
+        return float(self._values["extra_ratio"])
+
+    @property
+    def extra_fixed(self) -> float:
+        """Give the extra sends of a service over all entries; 0: unset."""
+        return float(self._values["extra_fixed"])
+
+    @property
+    def send_on_s(self) -> float:
+        """Give for how long a stopping router still sends new calls on."""
+        return float(self._values["send_on_s"])
+
     def warnings(self) -> list[str]:
         """List what is allowed and still likely to be a mistake."""
         found = []
@@ -282,6 +376,8 @@
                 f"control: {voters} replicas; at most {MAX_CONTROL_VMS} vms "
                 "are meant to be set aside"
             )
+        if self._seeds:
+            return found
         if self.role == "control" and not self._operators:
             found.append("operators: none, so nobody can change anything")
         if self.role == "entry":
@@ -318,7 +414,7 @@
     for fault in _VALIDATOR.iter_errors(document):
         place = "/".join(map(str, fault.absolute_path)) or "(top)"
         return Failure(SettingsError(f"{path}: {place}: {_allowed(fault)}"))
-    settings = Settings(document)
+    settings = Settings(document, path)
     problem = _contradiction(settings)
     if problem is not None:
         return Failure(SettingsError(f"{path}: {problem}"))
@@ -354,14 +450,18 @@
     names = [peer.name for peer in settings.control]
     if len(set(names)) < len(names):
         return "control: lists a name twice"
+    if settings.role == "router" and not settings.replicas:
+        return "seeds: the router role needs at least one"
     if settings.role != "control":
         return None
+    if settings.data_folder is None:
+        return "data_folder: the control role needs a folder"
+    if settings.seeds:
+        return None
     return _control_contradiction(settings)
 
 
 def _control_contradiction(settings: Settings) -> str | None:
-    if settings.data_folder is None:
-        return "data_folder: the control role needs a folder"
     for peer in settings.control:
         if peer.name != settings.name:
             continue
@@ -378,9 +478,17 @@
     found = [
         ("http_address", settings.http_address),
         ("grpc_address", settings.grpc_address),
-        ("statsd_address", settings.statsd_address),
     ]
     found.extend(("entries", one) for one in settings.entries)
+    found.extend(("seeds", one) for one in settings.seeds)
+    for place, address in (
+        ("statsd_address", settings.statsd_address),
+        ("directory_address", settings.directory_address),
+        ("health_address", settings.health_address),
+        ("metrics_address", settings.metrics_address),
+    ):
+        if address is not None:
+            found.append((place, address))
     for peer in settings.control:
         found.append((f"control/{peer.name}", peer.grpc_address))
         found.append((f"control/{peer.name}", peer.http_address))
--- a/packages/daemon/nutmegchute_daemon/tickets.py
+++ b/packages/daemon/nutmegchute_daemon/tickets.py
@@ -15,10 +15,18 @@
     """Hold what decisions need of a call: where to, and until when.
 
     ``deadline_s`` is the caller's own, if any; ``attempt`` is over 1 where
-    a layer before this entry has sent the call again.
+    a layer before this entry has sent the call again. ``host`` names what
+    the caller asked for where routes decide on the service.
     """
 
-    __slots__ = ("attempt", "deadline_s", "method", "path", "service")
+    __slots__ = (
+        "attempt",
+        "deadline_s",
+        "host",
+        "method",
+        "path",
+        "service",
+    )
 
     def __init__(
         self,
@@ -27,7 +35,9 @@
         path: str,
         deadline_s: float | None,
         attempt: int,
+        host: str = "",
     ) -> None:
+        self.host = host
         self.service = service
         self.method = method
         self.path = path
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -0,0 +1,140 @@
+"""Ask each control replica for what changed, on an entry."""
+
+import asyncio
+from typing import Protocol
+
+from nutmegchute_core.attendances import WATCH_HOLD_S
+from nutmegchute_core.attendances import WatchReply
+from nutmegchute_core.attendances import WatchRequest
+
+from .events import Event
+from .events import log
+from .links import Links
+from .protocols import WATCH
+
+# What a held question may take beyond the hold before its connection counts
+# as silent and is opened anew: a way there and back and a busy replica.
+WATCH_MARGIN_S = 0.6
+# A replica that refuses connections is asked again after so long; it is back
+# within a second of a restart.
+RETRY_S = 0.15
+# One that does not answer at all is asked more rarely as time goes on.
+RETRY_MOST_S = 1.0
+
+
+class Asking(Protocol):
+    """Describe the entry that watches."""
+
+    def question(self, replica: str, hold: bool) -> WatchRequest:
+        """Build the question for a replica."""
+
+    def hear(self, replica: str, reply: WatchReply) -> None:
+        """Take a replica's answer."""
+
+
+class Watcher:
+    """Hold an open question at one control replica."""
+
+    __slots__ = ("_address", "_asking", "_lost", "_links", "_pending", "_task")
+
+    def __init__(self, address: str, links: Links, asking: Asking) -> None:
+        self._address = address
+        self._links = links
+        self._asking = asking
+        self._lost = False
+        self._pending: asyncio.Task[WatchReply | None] | None = None
+        self._task = asyncio.ensure_future(self._run())
+
+    def poke(self) -> None:
+        """Ask anew at once: this entry has something to say."""
+        if self._pending is not None:
+            self._pending.cancel()
+
+    def stop(self) -> None:
+        """Ask no more."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        hold = False
+        failures = 0
+        while True:
+            reply = await self._ask(hold)
+            if reply is not None:
+                hold = True
+                failures = 0
+                self._report(lost=False)
+                self._asking.hear(self._address, reply)
+                continue
+            failures += 1
+            hold = False
+            self._report(lost=True)
+            self._links.drop(self._address)
+            await asyncio.sleep(min(RETRY_MOST_S, RETRY_S * failures))
+
+    async def _ask(self, hold: bool) -> WatchReply | None:
+        while True:
+            request = self._asking.question(self._address, hold)
+            timeout_s = WATCH_MARGIN_S + (WATCH_HOLD_S if hold else 0.0)
+            self._pending = asyncio.ensure_future(
+                self._links.ask(self._address, WATCH, request, timeout_s)
+            )
+            await asyncio.wait([self._pending])
+            if not self._pending.cancelled():
+                return self._pending.result()
+            hold = False
+
+    def _report(self, lost: bool) -> None:
+        if lost == self._lost:
+            return
+        self._lost = lost
+        if lost:
+            log(Event.CONTROL_LOST, "warning", address=self._address)
+        else:
+            log(Event.CONTROL_REACHED, address=self._address)
+
+
+class Watchers:
+    """Watch every control replica known."""
+
+    __slots__ = ("_asking", "_links", "_seeds", "_told", "_watchers")
+
+    def __init__(self, seeds: list[str], links: Links, asking: Asking) -> None:
+        self._seeds = seeds
+        self._links = links
+        self._asking = asking
+        self._told: list[str] = []
+        self._watchers: dict[str, Watcher] = {}
+
+    def start(self) -> None:
+        """Begin with the replicas that the settings name."""
+        self._watch(self._seeds)
+
+    def seed(self, seeds: list[str]) -> None:
+        """Take other seeds, from settings that have changed."""
+        self._seeds = seeds
+        self._watch([*self._told, *seeds])
+
+    def update(self, replicas: list[str]) -> None:
+        """Watch the replicas that the group consists of now."""
+        self._told = replicas
+        self._watch(replicas)
+
+    def poke(self) -> None:
+        """Ask every replica anew at once."""
+        for watcher in self._watchers.values():
+            watcher.poke()
+
+    def stop(self) -> None:
+        """Ask no more."""
+        self._watch([])
+
+    def _watch(self, addresses: list[str]) -> None:
+        for address in list(self._watchers):
+            if address not in addresses:
+                self._watchers.pop(address).stop()
+        for address in addresses:
+            if address in self._watchers:
+                continue
+            self._watchers[address] = Watcher(
+                address, self._links, self._asking
+            )
--- a/packages/fakes/nutmegchute_fakes/edges.py
+++ b/packages/fakes/nutmegchute_fakes/edges.py
@@ -143,6 +143,9 @@
         """Admit a call."""
         self._desk.admit(ticket, ticket.arrival.deadline_s)
 
+    def end_instance(self, instance: str) -> None:
+        """Take word that an instance has left; here none have names."""
+
 
 def drain(sock: socket.socket) -> bytes:
     """Return all bytes until the end, or until a reset."""
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -196,7 +196,7 @@
             identity = Identity(f"{self.name}.{self._seed}.{self.starts}")
             self._storage.keep_identity(identity)
         self._identity = identity
-        member = Member(identity.identity, self.name)
+        member = Member(identity.identity, self.name, self.name)
         self._formation = Formation(member, self._world.names)
         if identity.group is not None:
             self._start_node()
