--- a/packages/core/nutmegchute_core/attendances.py
+++ b/packages/core/nutmegchute_core/attendances.py
@@ -6,13 +6,15 @@
 from .fleets import FollowReply
 from .registries import Delta
 
-# How long a question is held when there is nothing new. Shorter finds a
-# silent connection sooner, longer sends fewer bytes between availability
-# zones: an entry and a replica at rest exchange one pair a HOLD_S.
-WATCH_HOLD_S = 1.0
-# An entry asks again within HOLD_S and the way there and back; one silent
-# for longer is gone, frozen or cut off.
-ATTENDANCE_S = 1.5
+# How long a question is held when there is nothing new: an entry and a
+# replica at rest exchange one pair of messages in that time. Within an
+# availability zone bytes cost nothing and a silent connection is found soon;
+# between zones they are dear, and half a second more is lost with each.
+WATCH_NEAR_S = 1.0
+WATCH_FAR_S = 3.0
+# An entry asks again once its question was answered; one that is late by
+# this much is gone, frozen or cut off.
+ATTENDANCE_MARGIN_S = 0.5
 # How long an entry counts among those that share the extra sends. Too high
 # a count only leaves a part of the budget unused.
 COUNTED_S = 60.0
@@ -26,7 +28,7 @@
 
     ``epoch`` and ``generation`` are those held of the replica's registry,
     ``index`` that of the tree in force here, ``members`` that of the
-    membership known.
+    membership known. The answer may be held for ``hold_s`` seconds.
     """
 
     entry: EntryWord
@@ -34,7 +36,7 @@
     generation: int
     index: int
     members: int
-    hold: bool
+    hold_s: float
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -43,6 +45,7 @@
     ``tree`` is None where nothing is newer, or where this replica has no
     contact with a majority and may know an old tree only. ``replicas``
     lists the gRPC addresses of all replicas, None where nothing changed.
+    ``zone`` is the replica's own.
     """
 
     delta: Delta | None
@@ -50,17 +53,20 @@
     tree: FollowReply | None = None
     members: int = 0
     replicas: list[str] | None = None
+    zone: str = ""
 
 
 class Attendant:
     """Hold what one entry said last."""
 
-    __slots__ = ("closed", "generation", "heard_at", "word")
+    __slots__ = ("closed", "due_at", "generation", "heard_at", "word")
 
     def __init__(self, word: EntryWord) -> None:
         self.word = word
         self.generation = 0
         self.heard_at = 0.0
+        # When it asks again at the latest.
+        self.due_at = 0.0
         self.closed = False
 
 
@@ -72,7 +78,9 @@
     def __init__(self) -> None:
         self._attendants: dict[str, Attendant] = {}
 
-    def hear(self, word: EntryWord, generation: int, now: float) -> None:
+    def hear(
+        self, word: EntryWord, generation: int, hold_s: float, now: float
+    ) -> None:
         """Take an entry's word; ``generation`` is 0 for another epoch."""
         attendant = self._attendants.get(word.name)
         if attendant is None:
@@ -80,8 +88,16 @@
         attendant.word = word
         attendant.generation = generation
         attendant.heard_at = now
+        attendant.due_at = now + hold_s + ATTENDANCE_MARGIN_S
         attendant.closed = False
 
+    def answered(self, name: str, now: float) -> None:
+        """Take word that an entry's question got its answer."""
+        attendant = self._attendants.get(name)
+        if attendant is not None:
+            due_at = now + ATTENDANCE_MARGIN_S
+            attendant.due_at = min(attendant.due_at, due_at)
+
     def close(self, name: str) -> None:
         """Take word that an entry's connection ended."""
         attendant = self._attendants.get(name)
@@ -92,7 +108,7 @@
         """Name the entries in touch that have not seen a generation."""
         found = []
         for name, attendant in self._attendants.items():
-            if attendant.closed or now - attendant.heard_at > ATTENDANCE_S:
+            if attendant.closed or now > attendant.due_at:
                 continue
             if attendant.generation < generation:
                 found.append(name)
@@ -108,7 +124,7 @@
     def attended(self, now: float) -> bool:
         """Tell whether any entry is in touch."""
         for attendant in self._attendants.values():
-            if now - attendant.heard_at <= ATTENDANCE_S:
+            if not attendant.closed and now <= attendant.due_at:
                 return True
         return False
 
@@ -120,7 +136,7 @@
             word = attendant.word
             if word.draining or attendant.closed:
                 continue
-            if now - attendant.heard_at > ATTENDANCE_S:
+            if now > attendant.due_at:
                 continue
             (near if word.availability_zone == zone else others).append(
                 word.address
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -15,11 +15,14 @@
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
+from .inquiries import ANSWER_S
+from .inquiries import Inquiry
 from .members import Announcement
 from .policies import Policy
 from .pools import Pool
 from .rules import Rule
 from .rules import Service
+from .timers import ASKED
 from .timers import EXPIRY
 from .timers import HEDGE
 from .timers import Timers
@@ -35,6 +38,8 @@
         "_availability_zone",
         "_calls",
         "_extra",
+        "_inquiries",
+        "_inquiry_limit",
         "_next_id",
         "_policy",
         "_pools",
@@ -56,6 +61,8 @@
         self._timers = Timers()
         self._next_id = 1
         self._extra: tuple[float, float] | None = None
+        self._inquiries: dict[int, Inquiry] = {}
+        self._inquiry_limit = (0.0, 1)
 
     @property
     def in_flight(self) -> int:
@@ -76,6 +83,7 @@
                 )
                 if self._extra is not None:
                     pool.limit_extra(*self._extra)
+                pool.limit_inquiries(*self._inquiry_limit)
             else:
                 pool.reconfigure(service)
             pools[name] = pool
@@ -87,6 +95,12 @@
         for pool in self._pools.values():
             pool.limit_extra(share, burst)
 
+    def limit_inquiries(self, per_endpoint: float, entries: int) -> None:
+        """Take how often a second all entries may ask each endpoint."""
+        self._inquiry_limit = (per_endpoint, entries)
+        for pool in self._pools.values():
+            pool.limit_inquiries(per_endpoint, entries)
+
     def update_upstreams(
         self, announcements: list[Announcement], now: float
     ) -> list[Action]:
@@ -147,8 +161,10 @@
         reason = pool.admit(call, now)
         if reason is not None:
             return call_id, [self._give_up(pool, call, reason)]
-        self._enqueue(pool, call)
         actions: list[Action] = []
+        if self._ask(pool, call, Inquiry([]), now, actions):
+            return call_id, actions
+        self._enqueue(pool, call)
         self._dispatch(pool, now, actions)
         self._guard(pool, call)
         return call_id, actions
@@ -178,12 +194,14 @@
         load: int | None,
         latency_s: float,
         now: float,
+        stretch: float | None = None,
     ) -> list[Action]:
         """Take a probe's end; a load of None says that it failed."""
         actions: list[Action] = []
         pool = self._pools.get(service)
         if pool is not None:
-            pool.take_probe(endpoint, load, now)
+            pool.take_probe(endpoint, load, now, stretch)
+            self._hear_answer(pool, endpoint, now, actions)
             self._dispatch(pool, now, actions)
         return actions
 
@@ -198,6 +216,7 @@
         if pool is not None:
             pool.queue.remove(call_id)
             self._dispatch(pool, now, actions)
+        self._inquiries.pop(call_id, None)
         return actions
 
     def next_wakeup(self) -> float | None:
@@ -221,11 +240,14 @@
             kind, call_id = due
             call = self._calls.get(call_id)
             if call is None:
+                self._inquiries.pop(call_id, None)
                 continue
             if kind == HEDGE:
-                self._hedge(call, now, actions)
+                self._begin_hedge(call, now, actions)
             elif kind == EXPIRY:
                 self._expire(call, actions)
+            elif kind == ASKED and call_id in self._inquiries:
+                self._end_inquiry(call, now, actions)
         for name, pool in self._pools.items():
             if pool.queue:
                 self._dispatch(pool, now, actions)
@@ -236,6 +258,61 @@
                 actions.append(Probe(name, address))
         return actions
 
+    def _ask(
+        self,
+        pool: Pool,
+        call: Call,
+        inquiry: Inquiry,
+        now: float,
+        actions: list[Action],
+    ) -> bool:
+        """Ask endpoints for a call; return whether it waits for answers."""
+        asked = pool.to_ask(inquiry, now)
+        if not asked:
+            return False
+        inquiry.ask(asked)
+        self._inquiries[call.call_id] = inquiry
+        self._timers.add(now + ANSWER_S, ASKED, call.call_id)
+        path = pool.service.probe_path
+        for address in asked:
+            actions.append(Probe(call.service, address, path))
+        return True
+
+    def _hear_answer(
+        self, pool: Pool, address: str, now: float, actions: list[Action]
+    ) -> None:
+        for call_id, inquiry in list(self._inquiries.items()):
+            call = self._calls.get(call_id)
+            if call is None or call.service != pool.service.name:
+                continue
+            if not inquiry.hear(address):
+                continue
+            if pool.suits(address, now):
+                self._end_inquiry(call, now, actions)
+                continue
+            if not inquiry.over:
+                continue
+            more = inquiry.rounds_left
+            if more and self._ask(pool, call, inquiry, now, actions):
+                continue
+            self._end_inquiry(call, now, actions)
+
+    def _end_inquiry(
+        self, call: Call, now: float, actions: list[Action]
+    ) -> None:
+        """Send a call on with what is known by now."""
+        inquiry = self._inquiries.pop(call.call_id)
+        if inquiry.hedging:
+            self._hedge(call, now, actions)
+            return
+        pool = self._pools.get(call.service)
+        if pool is None:
+            actions.append(self._give_up(None, call, "unknown service"))
+            return
+        self._enqueue(pool, call)
+        self._dispatch(pool, now, actions)
+        self._guard(pool, call)
+
     def _conclude(
         self,
         pool: Pool | None,
@@ -293,9 +370,9 @@
                     self._give_up(pool, call, "cannot be answered in time")
                 )
                 continue
-            if not pool.has_room():
-                break
             endpoint = pool.choose(call, now)
+            if not self._may_go(pool, endpoint, now):
+                break
             pool.queue.remove(call_id)
             if endpoint is None:
                 stuck.append(call)
@@ -312,6 +389,11 @@
         for call in stuck:
             self._enqueue(pool, call)
 
+    def _may_go(self, pool: Pool, endpoint: str | None, now: float) -> bool:
+        if endpoint is None:
+            return pool.has_room()
+        return pool.may_send(endpoint, now)
+
     def _guard(self, pool: Pool, call: Call) -> None:
         """See to it that a call left waiting is refused in time."""
         if call.state == QUEUED:
@@ -320,6 +402,7 @@
 
     def _send(self, pool: Pool, call: Call, address: str, now: float) -> Send:
         attempt = call.record_send(address, now)
+        basis = pool.basis(address, now)
         pool.take_send(call, attempt)
         return Send(
             call_id=call.call_id,
@@ -327,8 +410,21 @@
             endpoint=address,
             remaining_s=call.deadline_at - now,
             instance=pool.instance_at(address),
+            basis=basis,
         )
 
+    def _begin_hedge(
+        self, call: Call, now: float, actions: list[Action]
+    ) -> None:
+        pool = self._pools.get(call.service)
+        if pool is None or len(call.outstanding) != 1:
+            return
+        if not pool.may_hedge(call, now):
+            return
+        inquiry = Inquiry(list(call.attempts.values()), True)
+        if not self._ask(pool, call, inquiry, now, actions):
+            self._hedge(call, now, actions)
+
     def _hedge(self, call: Call, now: float, actions: list[Action]) -> None:
         pool = self._pools.get(call.service)
         if pool is None or len(call.outstanding) != 1:
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -17,6 +17,7 @@
 
     __slots__ = (
         "attempt",
+        "basis",
         "call_id",
         "endpoint",
         "instance",
@@ -30,12 +31,15 @@
         endpoint: str,
         remaining_s: float,
         instance: str = "",
+        basis: dict[str, float] | None = None,
     ) -> None:
         self.call_id = call_id
         self.attempt = attempt
         self.endpoint = endpoint
         self.remaining_s = remaining_s
         self.instance = instance
+        # What the choice rested on, for the log.
+        self.basis = basis or {}
 
 
 class Refuse:
@@ -110,13 +114,14 @@
 
 
 class Probe:
-    """Order one question to an endpoint about its load."""
+    """Order one question to an endpoint about its load, at a path."""
 
-    __slots__ = ("endpoint", "service")
+    __slots__ = ("endpoint", "path", "service")
 
-    def __init__(self, service: str, endpoint: str) -> None:
+    def __init__(self, service: str, endpoint: str, path: str = "/") -> None:
         self.service = service
         self.endpoint = endpoint
+        self.path = path
 
 
 CallAction = Send | Refuse | Reject | Lose | Finish | Known | Cancel
@@ -127,6 +132,7 @@
     """Report how one attempt ended.
 
     ``load`` is the in-flight count the endpoint reported on its answer.
+    ``stretch`` is how many times as long as usual work takes there now.
     ``failed`` marks an answer that says the endpoint itself is broken (a
     5xx status that is not "not run").
     """
@@ -138,6 +144,7 @@
         "latency_s",
         "load",
         "outcome",
+        "stretch",
     )
 
     def __init__(
@@ -148,7 +155,9 @@
         latency_s: float,
         load: int | None = None,
         failed: bool = False,
+        stretch: float | None = None,
     ) -> None:
+        self.stretch = stretch
         self.call_id = call_id
         self.attempt = attempt
         self.outcome = outcome
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -1,9 +1,14 @@
 """Choose the endpoint where a call is expected to end first."""
 
+from math import inf
 from math import sqrt
 from random import Random
 
 from .endpoints import Endpoint
+from .inquiries import ASKED_AT_ONCE
+from .inquiries import Fullness
+from .inquiries import nearly_full
+from .inquiries import suits
 from .latencies import FIRST_S
 from .latencies import Mean
 from .policies import Policy
@@ -19,6 +24,12 @@
 # Spread of the load estimate: even below its slots an endpoint may queue.
 SPREAD = 1.0
 OTHER_ZONE_S = 0.002
+# Bytes between availability zones are dear: a call that can be answered
+# within its objective here goes elsewhere only where that is expected to
+# save this much of a usual answer's time.
+OTHER_ZONE_SHARE = 1.0
+# Of what is left of the objective, this much is taken for certain enough.
+OBJECTIVE_SHARE = 0.8
 # A suspect is passed over while others will do. Suspicion fades, for an
 # endpoint that gets nothing cannot answer and so clear itself.
 SUSPECT_FACTOR = 1.0
@@ -55,11 +66,15 @@
         "_recent",
         "_slots",
         "_stalls",
+        "_stretch",
+        "_stretches",
+        "fullness",
         "probed",
     )
 
     def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
         self.probed = probed
+        self.fullness = Fullness()
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
@@ -71,6 +86,9 @@
         self._stalls: dict[str, ZoneStalls] = {}
         self._latency = Mean(FIRST_S)
         self._others = Mean(0.0)
+        self._stretch = Mean(1.0)
+        # Whether endpoints tell how long work takes; None: not known yet.
+        self._stretches: bool | None = None
 
     @property
     def latency_s(self) -> float:
@@ -94,11 +112,20 @@
                 del self._recent[endpoint]
 
     def choose(
-        self, avoid: list[str], trial: bool, now: float
+        self,
+        avoid: list[str],
+        trial: bool,
+        now: float,
+        within_s: float = inf,
     ) -> Endpoint | None:
-        """Return the best endpoint; ``trial`` allows one on trial."""
+        """Return the best endpoint; ``trial`` allows one on trial.
+
+        ``within_s`` is what is left of the call's objective.
+        """
         best = None
         best_score = 0.0
+        near = None
+        near_score = 0.0
         floor = self._below_floor()
         for endpoint in self._candidates():
             if endpoint.in_flight >= endpoint.slots:
@@ -111,9 +138,15 @@
             if best is None or score < best_score:
                 best = endpoint
                 best_score = score
+            if endpoint.local and (near is None or score < near_score):
+                near = endpoint
+                near_score = score
         if best is None:
-            best = self._any(avoid, trial, floor, now)
-        return best
+            return self._any(avoid, trial, floor, now)
+        if near is None or near_score > within_s * OBJECTIVE_SHARE:
+            return best
+        saved_s = near_score - best_score
+        return near if saved_s <= OTHER_ZONE_SHARE * self.latency_s else best
 
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Estimate when a call sent now would be answered, in seconds."""
@@ -126,8 +159,11 @@
         over = load + 1.0 - slots
         waiting = (over + sqrt(over * over + SPREAD)) / 2.0
         score = mean_s * (1.0 + waiting / slots)
+        score *= endpoint.pace(self._stretch.value, now) / self._stretch.value
         if not endpoint.local:
             score += OTHER_ZONE_S
+        if nearly_full(endpoint, load):
+            score *= self.fullness.factor
         band_s = LATENCY_BAND * mean_s
         if endpoint.latency_s > band_s:
             score *= max(1.0, endpoint.latency(mean_s, now) / band_s)
@@ -147,10 +183,21 @@
             suspicion += STALL_S / (STALL_S + now - zone.at)
         return suspicion
 
-    def hear_load(self, endpoint: Endpoint, load: int, now: float) -> None:
+    def hear_load(
+        self,
+        endpoint: Endpoint,
+        load: int,
+        now: float,
+        stretch: float | None = None,
+    ) -> None:
         """Take an endpoint's load report."""
-        endpoint.hear_load(load, now)
+        endpoint.hear_load(load, now, stretch)
         self._others.learn(endpoint.reported_others)
+        if stretch is not None:
+            self._stretch.learn(stretch)
+            self._stretches = True
+        elif self._stretches is None:
+            self._stretches = False
         if endpoint not in self._members:
             # Its last answers still come in while it drains; as a recent
             # one it would be a candidate again.
@@ -197,6 +244,33 @@
         if endpoint.fail(now):
             self._ejected.add(endpoint)
 
+    def to_ask(
+        self, avoid: list[str], near: bool, now: float
+    ) -> list[Endpoint]:
+        """Return whom to ask before a call is sent; none where it is known.
+
+        ``near`` leaves out other availability zones. Endpoints that never
+        told how long work takes are not asked: their health path may wait
+        for a slot as any call does.
+        """
+        if self._stretches is False:
+            return []
+        found = []
+        floor = self._below_floor()
+        for endpoint in self._candidates():
+            if endpoint.in_flight >= endpoint.slots:
+                continue
+            if endpoint.address in avoid or (near and not endpoint.local):
+                continue
+            if not floor and endpoint in self._ejected:
+                continue
+            if suits(endpoint, self.fullness, now):
+                return []
+            found.append(endpoint)
+        found.sort(key=lambda one: self.score(one, now))
+        # Whether questions are of use is found out by a single one.
+        return found[: ASKED_AT_ONCE if self._stretches else 1]
+
     def suspect(self, now: float) -> Endpoint | None:
         """Return the ejected endpoint that was not asked for longest."""
         best = None
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -1,5 +1,7 @@
 """Hold what one entry knows of one endpoint, and how old that is."""
 
+from math import exp
+
 from .members import Announcement
 from .members import DRAINING
 
@@ -7,6 +9,9 @@
 LATENCY_WEIGHT = 0.3
 LATENCY_KEPT_S = 2.0
 
+# What neighbours do to a vm lasts a tenth of a second or two.
+STRETCH_KEPT_S = 0.1
+
 EJECT_AFTER = 3
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 8.0
@@ -25,6 +30,7 @@
         "_heard_at",
         "_latency_at",
         "_others",
+        "_stretch",
         "alive",
         "ejected_until",
         "in_flight",
@@ -44,6 +50,7 @@
         self.latency_s = 0.0
         self._latency_at = 0.0
         self._others = 0.0
+        self._stretch = 1.0
         self._heard_at: float | None = None
         self._failures = 0
         self._ejections = 0
@@ -82,6 +89,15 @@
         """Tell whether the endpoint is leaving."""
         return self._announcement.state == DRAINING
 
+    def known(self, now: float) -> dict[str, float]:
+        """Give own calls, the reported load and stretch and their age."""
+        found = {"own": float(self.in_flight)}
+        if self._heard_at is not None:
+            found["others"] = self._others
+            found["stretch"] = self._stretch
+            found["age_ms"] = round((now - self._heard_at) * 1000, 1)
+        return found
+
     def others(self, mean: float, keep_s: float, now: float) -> float:
         """Estimate the calls that other entries have there.
 
@@ -109,13 +125,37 @@
             return 1.0
         return 1.0 + (COLD_FACTOR - 1.0) * (1.0 - age_s / WARM_UP_S)
 
+    @property
+    def stretch(self) -> float:
+        """Give how much longer than usual work took at the last report."""
+        return self._stretch
+
+    def report_age_s(self, now: float) -> float | None:
+        """Give the age of the last report, in seconds, if there is one."""
+        if self._heard_at is None:
+            return None
+        return now - self._heard_at
+
+    def pace(self, mean: float, now: float) -> float:
+        """Estimate how much longer than usual work takes that begins now.
+
+        A report gives way to the mean over all endpoints as it ages.
+        """
+        if self._heard_at is None:
+            return mean
+        weight = exp((self._heard_at - now) / STRETCH_KEPT_S)
+        return mean + (self._stretch - mean) * weight
+
     @property
     def reported_others(self) -> float:
         """Give the calls of other entries in the last report."""
         return self._others
 
-    def hear_load(self, load: int, now: float) -> None:
+    def hear_load(
+        self, load: int, now: float, stretch: float | None = None
+    ) -> None:
         """Take a load report."""
+        self._stretch = 1.0 if stretch is None else stretch
         self._others = float(max(0, load - self.in_flight))
         self._heard_at = now
 
--- /dev/null
+++ b/packages/core/nutmegchute_core/inquiries.py
@@ -0,0 +1,160 @@
+"""Ask a few endpoints how they are before a call is sent to one.
+
+Neighbours on an endpoint's vm stretch work several times over for a tenth
+of a second or so, and a call that begins there keeps the pace it began
+with. One entry hears of each endpoint too rarely to know: a report as old
+as a service time says nothing. A question costs a millisecond and shows it.
+"""
+
+from .endpoints import Endpoint
+from .latencies import Mean
+
+# How long a report is taken for the present state; neighbours change more
+# than five times a second.
+FRESH_S = 0.01
+# Questions go out in rounds: most often the first finds what is wanted.
+ASKED_AT_ONCE = 2
+ROUNDS = 3
+# So many rounds are asked in the entry's own availability zone.
+NEAR_ROUNDS = 2
+# What an answer may take within a region, new connection included; a call
+# waits no longer for what may be a lost endpoint.
+ANSWER_S = 0.015
+# Work that takes longer than this multiple of the usual is worth another
+# question: neighbours cost two or more.
+STRETCHED = 1.5
+# Some endpoints slow down when nearly full. Whether those of a service do
+# is learned; until enough answers tell, this much is expected.
+NEARLY_FULL = 0.8
+FIRST_FULL_FACTOR = 1.3
+LEAST_ANSWERS = 8
+# A slowdown below this is no reason to ask further.
+FULL_MATTERS = 1.2
+# Questions a second, as a share of what the upstreams allow all entries:
+# the rest covers entries that count one another too low.
+ALLOWED_SHARE = 0.5
+BURST_S = 1.0
+
+
+class Inquiry:
+    """Follow the questions asked for one call, or for its hedge."""
+
+    __slots__ = ("_avoid", "_hedging", "_open", "_round")
+
+    def __init__(self, avoid: list[str], hedging: bool = False) -> None:
+        self._avoid = avoid
+        self._hedging = hedging
+        self._open: set[str] = set()
+        self._round = 0
+
+    @property
+    def avoid(self) -> list[str]:
+        """List the addresses that were asked or tried already."""
+        return self._avoid
+
+    @property
+    def hedging(self) -> bool:
+        """Tell whether a second attempt is to be placed."""
+        return self._hedging
+
+    @property
+    def over(self) -> bool:
+        """Tell whether every question of this round has its answer."""
+        return not self._open
+
+    @property
+    def near(self) -> bool:
+        """Tell whether to ask in this availability zone only."""
+        return self._round < NEAR_ROUNDS
+
+    @property
+    def rounds_left(self) -> bool:
+        """Tell whether others may still be asked."""
+        return self._round < ROUNDS
+
+    def ask(self, addresses: list[str]) -> None:
+        """Begin a round."""
+        self._round += 1
+        self._open = set(addresses)
+        self._avoid = [*self._avoid, *addresses]
+
+    def hear(self, address: str) -> bool:
+        """Take an answer; return whether this call asked for it."""
+        if address not in self._open:
+            return False
+        self._open.discard(address)
+        return True
+
+
+class InquiryBudget:
+    """Bound the questions of one entry by time."""
+
+    __slots__ = ("_at", "_rate", "_tokens")
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._tokens = 0.0
+        self._at = 0.0
+
+    def limit(self, rate: float) -> None:
+        """Take how many questions a second are this entry's."""
+        self._rate = rate * ALLOWED_SHARE
+
+    def spend(self, count: int, now: float) -> bool:
+        """Take questions, if there are so many."""
+        earned = (now - self._at) * self._rate
+        self._tokens = min(self._rate * BURST_S, self._tokens + earned)
+        self._at = now
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
+
+class Fullness:
+    """Learn how much longer work takes at endpoints that are nearly full.
+
+    Answers count as multiples of what is usual for their kind of call.
+    """
+
+    __slots__ = ("_counts", "_free", "_full")
+
+    def __init__(self) -> None:
+        self._free = Mean(1.0)
+        self._full = Mean(FIRST_FULL_FACTOR)
+        self._counts = [0, 0]
+
+    @property
+    def factor(self) -> float:
+        """Give the slowdown, at least 1."""
+        if min(self._counts) < LEAST_ANSWERS:
+            return FIRST_FULL_FACTOR
+        return max(1.0, self._full.value / self._free.value)
+
+    @property
+    def matters(self) -> bool:
+        """Tell whether being nearly full is a reason to go elsewhere."""
+        return self.factor > FULL_MATTERS
+
+    def learn(self, full: bool, multiple: float) -> None:
+        """Take an answer's time as a multiple of the usual."""
+        self._counts[full] += 1
+        (self._full if full else self._free).learn(multiple)
+
+
+def nearly_full(endpoint: Endpoint, load: float) -> bool:
+    """Tell whether one more call than the load makes it nearly full."""
+    return load + 1 > max(1.0, NEARLY_FULL * endpoint.slots)
+
+
+def suits(endpoint: Endpoint, fullness: Fullness, now: float) -> bool:
+    """Tell whether a call sent now is known to begin at once, at pace."""
+    age_s = endpoint.report_age_s(now)
+    if age_s is None or age_s > FRESH_S:
+        return False
+    if endpoint.stretch > STRETCHED:
+        return False
+    load = endpoint.in_flight + endpoint.reported_others
+    if load + 1 > endpoint.slots:
+        return False
+    return not (fullness.matters and nearly_full(endpoint, load))
--- a/packages/core/nutmegchute_core/latencies.py
+++ b/packages/core/nutmegchute_core/latencies.py
@@ -10,9 +10,9 @@
 
     __slots__ = ("_share", "_value_s")
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, first_s: float = FIRST_S) -> None:
         self._share = share
-        self._value_s = FIRST_S
+        self._value_s = first_s
 
     @property
     def value_s(self) -> float:
--- a/packages/core/nutmegchute_core/memberships.py
+++ b/packages/core/nutmegchute_core/memberships.py
@@ -19,6 +19,7 @@
     grpc_address: str = ""
     http_address: str = ""
     voter: bool = True
+    availability_zone: str = ""
 
 
 class Membership(msgspec.Struct, frozen=True):
--- a/packages/core/nutmegchute_core/policies.py
+++ b/packages/core/nutmegchute_core/policies.py
@@ -12,6 +12,7 @@
         "admission",
         "ejection",
         "hedging",
+        "inquiries",
         "latency",
         "limit",
         "probing",
@@ -31,6 +32,7 @@
     admission: bool
     ejection: bool
     hedging: bool
+    inquiries: bool
     latency: bool
     limit: bool
     probing: bool
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -12,6 +12,11 @@
 from .calls import Result
 from .choosers import Chooser
 from .endpoints import Endpoint
+from .inquiries import FRESH_S
+from .inquiries import Inquiry
+from .inquiries import InquiryBudget
+from .inquiries import nearly_full
+from .inquiries import suits
 from .latencies import Quantile
 from .limits import Window
 from .members import Announcement
@@ -20,6 +25,9 @@
 from .rules import Service
 
 HEDGE_QUANTILE = 0.92
+# What is taken for usual and for slow at first, as shares of the objective.
+FIRST_HALF = 0.4
+FIRST_SLOW = 0.6
 # Calls of others per slot beyond which a hedge only lengthens queues.
 HEDGE_MOST_LOAD = 1.0
 HEDGE_LEAST_FACTOR = 1.5
@@ -27,6 +35,43 @@
 RETRY_AFTER_LEAST_S = 0.2
 TIMED_OUT_SHARE = 0.9
 ADMIT_SHARE = 0.5
+# Routes come and go with the configuration; what is learned of those that
+# went must not be kept for ever.
+MOST_RULES = 1024
+
+
+class Usual:
+    """Follow how long calls of one rule take."""
+
+    __slots__ = ("half", "slow")
+
+    def __init__(self, objective_s: float) -> None:
+        # Until answers tell more: an entry sees few calls of a rule, and a
+        # guess that is too low would hedge each of the first ones.
+        self.half = Quantile(0.5, objective_s * FIRST_HALF)
+        self.slow = Quantile(HEDGE_QUANTILE, objective_s * FIRST_SLOW)
+
+    def learn(self, latency_s: float) -> None:
+        """Take the time of an answer, in seconds."""
+        self.half.learn(latency_s)
+        self.slow.learn(latency_s)
+
+
+class Sent:
+    """Hold where an attempt went and whether that was nearly full then.
+
+    ``full`` is None where the endpoint's load was not known.
+    """
+
+    __slots__ = ("endpoint", "full")
+
+    def __init__(self, endpoint: Endpoint, now: float) -> None:
+        self.endpoint = endpoint
+        self.full: bool | None = None
+        age_s = endpoint.report_age_s(now)
+        if age_s is not None and age_s <= FRESH_S:
+            load = endpoint.in_flight + endpoint.reported_others
+            self.full = nearly_full(endpoint, load)
 
 
 class Pool:
@@ -37,11 +82,13 @@
         "_endpoints",
         "_extra",
         "_half",
+        "_inquiries",
+        "_inquiry_budget",
         "_policy",
         "_probes",
         "_service",
-        "_slow",
         "_under_way",
+        "_usual",
         "_window",
         "_zone",
         "queue",
@@ -59,12 +106,15 @@
         self._zone = zone
         self._chooser = Chooser(random, policy, self._may_probe(service))
         self._extra = ExtraBudget()
+        self._inquiry_budget = InquiryBudget()
+        self._inquiries = (0.0, 1)
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
         self._window = Window()
         self._half = Quantile(0.5)
-        self._slow = Quantile(HEDGE_QUANTILE)
+        # By rule: what is late for one kind of call is usual for another.
+        self._usual: dict[str, Usual] = {}
         self._endpoints: dict[str, Endpoint] = {}
-        self._under_way: dict[tuple[int, int], Endpoint] = {}
+        self._under_way: dict[tuple[int, int], Sent] = {}
         self.queue = WaitQueue()
 
     @property
@@ -95,12 +145,36 @@
 
     def reconfigure(self, service: Service) -> None:
         """Take what a newer configuration says."""
+        if len(self._usual) > MOST_RULES:
+            self._usual.clear()
         self._service = service
         probes = ProbeBudget(service.probes_per_s, service.most_entries)
         probes.follow(self._probes)
         self._probes = probes
         self._chooser.probed = self._may_probe(service)
 
+    def limit_inquiries(self, per_endpoint: float, entries: int) -> None:
+        """Take how often a second all entries may ask each endpoint."""
+        self._inquiries = (per_endpoint, entries)
+        rate = per_endpoint * len(self._endpoints) / max(1, entries)
+        self._inquiry_budget.limit(rate)
+
+    def to_ask(self, inquiry: Inquiry, now: float) -> list[str]:
+        """Return whom to ask before a call is sent, as far as allowed."""
+        if not self._policy.inquiries:
+            return []
+        found = self._chooser.to_ask(inquiry.avoid, inquiry.near, now)
+        if not found or not self._inquiry_budget.spend(len(found), now):
+            return []
+        return [endpoint.address for endpoint in found]
+
+    def suits(self, address: str, now: float) -> bool:
+        """Tell whether a call can begin at once at an endpoint."""
+        endpoint = self._endpoints.get(address)
+        if endpoint is None:
+            return False
+        return suits(endpoint, self._chooser.fullness, now)
+
     def limit_extra(self, share: float, burst: float) -> None:
         """Take this entry's part of the extra sends."""
         self._extra.limit(share, burst)
@@ -139,6 +213,7 @@
         self._chooser.update(open_ones)
         share = slots / self._service.most_entries
         self._window.set_share(share, most_slots)
+        self.limit_inquiries(*self._inquiries)
 
     def admit(self, call: Call, now: float) -> str | None:
         """Earn the call's share of extra sends; say why it is refused."""
@@ -183,10 +258,22 @@
                 return True
         return False
 
+    def may_send(self, address: str, now: float) -> bool:
+        """Tell whether a call may go to an endpoint now.
+
+        The window stands in for what one entry does not know of the
+        others' calls. Where the endpoint has just told that it is free,
+        holding the call back would only add to its time.
+        """
+        return self.has_room() or self.suits(address, now)
+
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
         avoid = list(call.attempts.values())
-        endpoint = self._chooser.choose(avoid, call.rule.idempotent, now)
+        within_s = call.arrived_at + call.rule.objective_s - now
+        endpoint = self._chooser.choose(
+            avoid, call.rule.idempotent, now, within_s
+        )
         return None if endpoint is None else endpoint.address
 
     def instance_at(self, address: str) -> str:
@@ -194,20 +281,29 @@
         endpoint = self._endpoints.get(address)
         return "" if endpoint is None else endpoint.announcement.instance
 
-    def choose_hedge(self, call: Call, now: float) -> str | None:
-        """Note that an answer is late; return where to send besides."""
+    def basis(self, address: str, now: float) -> dict[str, float]:
+        """Give what is known of an endpoint, for the log."""
+        endpoint = self._endpoints.get(address)
+        return {} if endpoint is None else endpoint.known(now)
+
+    def may_hedge(self, call: Call, now: float) -> bool:
+        """Note that an answer is late; tell whether another may be asked."""
         address = next(iter(call.attempts.values()))
         endpoint = self._endpoints.get(address)
         if endpoint is not None:
             elapsed_s = now - call.sent_at(1)
             self._chooser.hear_stall(endpoint, elapsed_s, now)
         if not call.rule.hedge or call.is_retry or self.queue:
-            return None
+            return False
         if len(call.attempts) >= call.rule.attempts:
-            return None
+            return False
         if self.too_late(call, now) or not self.has_room():
-            return None
-        if self._chooser.load_per_slot > HEDGE_MOST_LOAD:
+            return False
+        return self._chooser.load_per_slot <= HEDGE_MOST_LOAD
+
+    def choose_hedge(self, call: Call, now: float) -> str | None:
+        """Return where to send a late call besides, if anywhere."""
+        if len(call.attempts) >= call.rule.attempts:
             return None
         found = self.choose(call, now)
         if found is None or not self._extra.spend_hedge():
@@ -218,7 +314,8 @@
         """Give after what time a call's first attempt is late."""
         if not self._policy.hedging or len(call.attempts) > 1:
             return None
-        return max(self._slow.value_s, HEDGE_LEAST_FACTOR * self._half.value_s)
+        usual = self._usual_of(call)
+        return max(usual.slow.value_s, HEDGE_LEAST_FACTOR * usual.half.value_s)
 
     def may_retry(self, call: Call) -> bool:
         """Take one retry from the rule's attempts and the budget."""
@@ -229,37 +326,47 @@
     def take_send(self, call: Call, attempt: int) -> None:
         """Count an attempt that starts."""
         endpoint = self._endpoints[call.attempts[attempt]]
+        self._under_way[call.call_id, attempt] = Sent(
+            endpoint, call.sent_at(attempt)
+        )
         endpoint.in_flight += 1
-        self._under_way[call.call_id, attempt] = endpoint
 
     def take_cancel(self, call: Call, attempt: int, now: float) -> None:
         """Count an attempt that ends without an answer."""
-        endpoint = self._release(call.call_id, attempt)
-        if endpoint is not None and self._policy.latency:
-            endpoint.hear_late(now - call.sent_at(attempt), now)
+        sent = self._release(call.call_id, attempt)
+        if sent is not None and self._policy.latency:
+            sent.endpoint.hear_late(now - call.sent_at(attempt), now)
 
     def take_result(self, call: Call, result: Result, now: float) -> None:
         """Learn from how an attempt ended."""
-        endpoint = self._release(call.call_id, result.attempt)
-        if endpoint is None:
+        sent = self._release(call.call_id, result.attempt)
+        if sent is None:
             return
+        endpoint = sent.endpoint
         if result.load is not None and self._policy.reports:
-            self._chooser.hear_load(endpoint, result.load, now)
+            self._chooser.hear_load(endpoint, result.load, now, result.stretch)
         if result.outcome == ANSWERED and not result.failed:
             self._take_answer(endpoint, result, now)
+            self._learn_usual(call, sent, result.latency_s)
             return
         if not self._is_to_blame(call, result):
             return
         self._chooser.hear_failure(endpoint, now)
 
-    def take_probe(self, address: str, load: int | None, now: float) -> None:
+    def take_probe(
+        self,
+        address: str,
+        load: int | None,
+        now: float,
+        stretch: float | None = None,
+    ) -> None:
         """Learn from a probe."""
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             return
         if load is None:
             return
-        self._chooser.hear_load(endpoint, load, now)
+        self._chooser.hear_load(endpoint, load, now, stretch)
         self._chooser.hear_sign_of_life(endpoint)
 
     def next_probe(self, now: float) -> str | None:
@@ -280,7 +387,6 @@
     ) -> None:
         self._chooser.hear_answer(endpoint, result.latency_s, now)
         self._half.learn(result.latency_s)
-        self._slow.learn(result.latency_s)
         if result.load is None:
             return
         self._window.learn(
@@ -307,7 +413,7 @@
         # as failures, a few such calls would eject healthy endpoints.
         given_s = call.deadline_at - call.sent_at(result.attempt)
         timed_out = result.latency_s >= given_s * TIMED_OUT_SHARE
-        return not timed_out or given_s >= self._slow.value_s
+        return not timed_out or given_s >= self._usual_of(call).slow.value_s
 
     @property
     def _gap_s(self) -> float:
@@ -318,13 +424,27 @@
         # Were a slow spell to raise this over the whole deadline, nothing
         # would be sent any more and so nothing faster ever learned.
         most_s = (call.deadline_at - call.arrived_at) * TYPICAL_MOST_SHARE
-        return min(most_s, self._half.value_s)
-
-    def _release(self, call_id: int, attempt: int) -> Endpoint | None:
+        return min(most_s, self._usual_of(call).half.value_s)
+
+    def _learn_usual(self, call: Call, sent: Sent, latency_s: float) -> None:
+        usual = self._usual_of(call)
+        usual.learn(latency_s)
+        if sent.full is not None:
+            multiple = latency_s / usual.half.value_s
+            self._chooser.fullness.learn(sent.full, multiple)
+
+    def _usual_of(self, call: Call) -> Usual:
+        usual = self._usual.get(call.rule.name)
+        if usual is None:
+            usual = Usual(call.rule.objective_s)
+            self._usual[call.rule.name] = usual
+        return usual
+
+    def _release(self, call_id: int, attempt: int) -> Sent | None:
         # Kept by attempt, not by address: an endpoint that left and came
         # back would otherwise be credited with the ends of calls that
         # went to the process before it, and get more than its slots.
-        endpoint = self._under_way.pop((call_id, attempt), None)
-        if endpoint is not None:
-            endpoint.in_flight -= 1
-        return endpoint
+        sent = self._under_way.pop((call_id, attempt), None)
+        if sent is not None:
+            sent.endpoint.in_flight -= 1
+        return sent
--- a/packages/core/nutmegchute_core/routes.py
+++ b/packages/core/nutmegchute_core/routes.py
@@ -15,7 +15,6 @@
     __slots__ = (
         "_host",
         "_name",
-        "_objective_s",
         "_parts",
         "_path_prefix",
         "_point",
@@ -29,8 +28,6 @@
         self._host: str = document["host"].lower()
         self._path_prefix: str = document["path_prefix"]
         self._rule = _rule(name, document)
-        objective_ms: int = document.get("objective_ms", 0)
-        self._objective_s = objective_ms / 1000 or self._rule.deadline_s
         self._parts = _parts(document)
         self._point = phase
 
@@ -54,11 +51,6 @@
         """Give the rule its requests fall under."""
         return self._rule
 
-    @property
-    def objective_s(self) -> float:
-        """Give the time in which an answer is of full use, in seconds."""
-        return self._objective_s
-
     def choose(self) -> str:
         """Return the service of the next request.
 
@@ -117,7 +109,9 @@
             "idempotent": document["idempotent"],
             "priority": PRIORITIES[rank],
             "deadline_ms": document["timeout_ms"],
+            "objective_ms": document.get("objective_ms"),
             "attempts": document.get("attempts", 1),
+            "hedge": document["idempotent"],
         }
     )
 
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -131,6 +131,7 @@
         "_idempotent",
         "_method",
         "_name",
+        "_objective_s",
         "_path_prefix",
         "_priority",
     )
@@ -143,6 +144,8 @@
         self._priority: str = document.get("priority", PRIORITIES[0])
         deadline_ms: float = document.get("deadline_ms", DEFAULT_DEADLINE_MS)
         self._deadline_s = deadline_ms / 1000
+        objective_ms: float = document.get("objective_ms") or deadline_ms
+        self._objective_s = objective_ms / 1000
         self._attempts: int = document.get("attempts", 2)
         self._hedge: bool = document.get("hedge", False)
 
@@ -166,6 +169,11 @@
         """Give the time in which an answer is still of use, in seconds."""
         return self._deadline_s
 
+    @property
+    def objective_s(self) -> float:
+        """Give the time in which an answer is of full use, in seconds."""
+        return self._objective_s
+
     @property
     def attempts(self) -> int:
         """Give the most sends for one call, the first included."""
--- a/packages/core/nutmegchute_core/timers.py
+++ b/packages/core/nutmegchute_core/timers.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+ASKED = "asked"
 EXPIRY = "expiry"
 HEDGE = "hedge"
 
--- a/packages/daemon/nutmegchute_daemon/__main__.py
+++ b/packages/daemon/nutmegchute_daemon/__main__.py
@@ -30,8 +30,10 @@
 from .routers import RouterDaemon
 from .settings import read_settings
 from .settings import Settings
+from .sinks import LineSink
 
 EXIT_USAGE = 2
+LOST_S = 1.0
 
 Roles = dict[str, Callable[[Settings], Daemon]]
 
@@ -84,11 +86,23 @@
 
 
 async def _run(settings: Settings, roles: Roles) -> None:
-    configure_logs(settings.log_level, settings.name)
-    for warning in settings.warnings():
-        log(Event.SETTING_DOUBTFUL, "warning", detail=warning)
+    # First, so that the threads that follow are held as well.
     _stay_on(settings.cpus)
-    await roles[settings.role](settings).run()
+    sink = configure_logs(settings.log_level, settings.name)
+    try:
+        for warning in settings.warnings():
+            log(Event.SETTING_DOUBTFUL, "warning", detail=warning)
+        daemon = roles[settings.role](settings)
+        daemon.every(LOST_S, lambda: _report_lost(sink))
+        await daemon.run()
+    finally:
+        sink.close()
+
+
+def _report_lost(sink: LineSink) -> None:
+    lost = sink.take_lost()
+    if lost:
+        log(Event.LINES_LOST, "warning", lines=lost)
 
 
 if __name__ == "__main__":
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -218,6 +218,7 @@
             latency_s=reply.latency_s,
             load=reply.load,
             failed=reply.failed,
+            stretch=reply.stretch,
         )
         self._asker.tell(self.desk.end_attempt, ticket, result)
 
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import io
+import re
 import socket
 import threading
 import time
@@ -19,6 +20,13 @@
 # older than this is closed here first, so that a request is not written
 # into a connection that is being closed.
 IDLE_S = 4.0
+# Of the time that an endpoint says it keeps an idle connection, this share
+# is used; the rest covers the way there.
+IDLE_SHARE = 0.75
+IDLE_MOST_S = 60.0
+
+
+_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
 
 class Exchange:
@@ -112,21 +120,22 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        # With the time until which the connection may be used again.
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
 
     def take(self, endpoint: str) -> Connection | None:
         """Return an idle connection that still looks open, if any."""
-        oldest = time.monotonic() - IDLE_S
+        now = time.monotonic()
         while True:
             with self._lock:
                 waiting = self._idle.get(endpoint)
                 if not waiting:
                     return None
-                since, connection = waiting.pop()
+                until, connection = waiting.pop()
             # Readable while idle means closed, or bytes nobody asked for:
             # a second answer, which the next call must not be given.
             sock = connection.sock
-            fresh = since > oldest and sock is not None
+            fresh = until > now and sock is not None
             if fresh and not wait_for_read(sock, 0.0):
                 return connection
             connection.close()
@@ -136,11 +145,14 @@
         host, port = split_address(endpoint)
         return Connection(host, port, timeout=timeout_s)
 
-    def give_back(self, endpoint: str, connection: Connection) -> None:
+    def give_back(
+        self, endpoint: str, connection: Connection, keep_s: float = IDLE_S
+    ) -> None:
         """Keep a connection whose exchange came to its clean end."""
+        until = time.monotonic() + keep_s
         with self._lock:
             waiting = self._idle.setdefault(endpoint, deque())
-            waiting.append((time.monotonic(), connection))
+            waiting.append((until, connection))
             surplus = None
             if len(waiting) > IDLE_PER_ENDPOINT:
                 surplus = waiting.popleft()[1]
@@ -149,11 +161,11 @@
 
     def sweep(self) -> None:
         """Close what has been idle too long, also of endpoints that left."""
-        oldest = time.monotonic() - IDLE_S
+        now = time.monotonic()
         expired = []
         with self._lock:
             for endpoint, waiting in list(self._idle.items()):
-                while waiting and waiting[0][0] <= oldest:
+                while waiting and waiting[0][0] <= now:
                     expired.append(waiting.popleft()[1])
                 if not waiting:
                     del self._idle[endpoint]
@@ -161,6 +173,14 @@
             connection.close()
 
 
+def idle_s(keep_alive: str) -> float:
+    """Read from a Keep-Alive header how long a connection may be kept."""
+    found = _TIMEOUT.search(keep_alive)
+    if found is None:
+        return IDLE_S
+    return min(IDLE_MOST_S, int(found[1]) * IDLE_SHARE)
+
+
 def _holds_more(file: io.BufferedReader) -> bool:
     sock = getattr(file.raw, "_sock", None)
     if sock is None:
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -113,7 +113,9 @@
         self._links.serve(FOLLOW, self._on_follow)
         self._ledger_clock = LedgerClock()
         self._links.serve(CLAIM, self._on_claim)
-        self.registrar = Registrar(self._in_contact, lambda: self._node)
+        self.registrar = Registrar(
+            settings.availability_zone, self._in_contact, lambda: self._node
+        )
         self._links.serve(WATCH, self.registrar.watch)
         self._http.mount(ControlPages(self, self._asker))
         self.add_listener(
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -8,6 +8,7 @@
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
+from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Cancel
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
@@ -109,6 +110,7 @@
         self, ticket: Ticket, call_id: int, actions: list[Action], now: float
     ) -> None:
         ticket.call_id = call_id
+        ticket.story.opened_at = now
         self._tickets[call_id] = ticket
         self._opened[call_id] = (now, ticket)
         self._metrics.count("calls")
@@ -120,8 +122,34 @@
             ticket.worker_attempt = None
         self._metrics.count(f"attempts.{result.outcome}")
         self._metrics.time_ms("attempt", result.latency_s * 1000)
+        send = ticket.story.sends.get(result.attempt)
+        if send is not None:
+            send["outcome"] = result.outcome
+            send["ms"] = round(result.latency_s * 1000, 1)
+            send["load"] = result.load
+            send["then"] = result.stretch
         self.perform(self._balancer.finish(result, self._loop.time()))
 
+    def take_probe(
+        self,
+        probe: Probe,
+        load: int | None,
+        latency_s: float,
+        stretch: float | None,
+    ) -> None:
+        """Take a probe's end; a load of None says that it failed."""
+        self._metrics.count("probes")
+        self.perform(
+            self._balancer.take_probe(
+                probe.service,
+                probe.endpoint,
+                load,
+                latency_s,
+                self._loop.time(),
+                stretch,
+            )
+        )
+
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
         if ticket.call_id in self._tickets:
@@ -146,7 +174,7 @@
                 self._send(ticket, action)
                 continue
             del self._tickets[action.call_id]
-            ticket.put(action)
+            tell(ticket, action)
             if isinstance(action, Finish):
                 self._settle(ticket, RAN)
             elif isinstance(action, Refuse):
@@ -188,10 +216,10 @@
             self._balancer.abandon(call_id, self._loop.time())
             if ticket.exchanges:
                 self._settle(ticket, UNKNOWN)
-                ticket.put(Lose(call_id, "entry is stopping"))
+                tell(ticket, Lose(call_id, "entry is stopping"))
                 continue
             self._settle(ticket, NEVER_RAN)
-            ticket.put(Refuse(call_id, "entry is stopping", CUT_RETRY_S))
+            tell(ticket, Refuse(call_id, "entry is stopping", CUT_RETRY_S))
 
     def stop(self) -> None:
         """Let go of the hedging threads."""
@@ -200,6 +228,13 @@
     def _send(self, ticket: Ticket, send: Send) -> None:
         exchange = Exchange()
         ticket.exchanges[send.attempt] = exchange
+        at_s = self._loop.time() - ticket.story.opened_at
+        ticket.story.sends[send.attempt] = {
+            "to": send.endpoint,
+            "instance": send.instance,
+            "at_ms": round(at_s * 1000, 1),
+            **send.basis,
+        }
         if self._cutting:
             exchange.end()
         if ticket.worker_attempt is None:
@@ -232,7 +267,7 @@
         ticket = self._tickets.pop(call_id, None)
         if ticket is not None:
             self._settle(ticket, UNKNOWN)
-            ticket.put(Lose(call_id, "caller has gone"))
+            tell(ticket, Lose(call_id, "caller has gone"))
 
     def _arm(self) -> None:
         at = self._balancer.next_wakeup()
@@ -250,6 +285,13 @@
         self.perform(self._balancer.tick(self._loop.time()))
 
 
+def tell(ticket: Ticket, action: CallAction) -> None:
+    """Give a ticket its call's final action, and note it for the log."""
+    ticket.story.outcome = type(action).__name__.lower()
+    ticket.story.reason = getattr(action, "reason", "")
+    ticket.put(action)
+
+
 def _has_gone(socket_number: int) -> bool:
     """Tell whether the other side has closed its connection."""
     try:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -42,6 +42,7 @@
 from .gossips import Gossiper
 from .gossips import TICK_S as GOSSIP_TICK_S
 from .pages import EntryPages
+from .probes import LOAD_PATH
 from .probes import Prober
 from .readers import CALL_PATH
 from .senders import Sender
@@ -88,7 +89,9 @@
             body_bytes=settings.request_body_bytes,
             threads=settings.http_threads,
         )
-        self._prober = Prober(self._tell_probe)
+        self._prober = Prober(
+            self._tell_probe, Sender(self._connections), LOAD_PATH
+        )
         self._desk = CallDesk(
             balancer=self._balancer,
             metrics=self._metrics,
@@ -256,18 +259,15 @@
         self._connections.sweep()
 
     def _tell_probe(
-        self, probe: Probe, load: int | None, latency_s: float
-    ) -> None:
-        self._asker.tell(self._take_probe, probe, load, latency_s)
-
-    def _take_probe(
-        self, probe: Probe, load: int | None, latency_s: float
+        self,
+        probe: Probe,
+        load: int | None,
+        latency_s: float,
+        stretch: float | None,
     ) -> None:
-        self._metrics.count("probes")
-        actions = self._balancer.take_probe(
-            probe.service, probe.endpoint, load, latency_s, self._loop.time()
+        self._asker.tell(
+            self._desk.take_probe, probe, load, latency_s, stretch
         )
-        self._desk.perform(actions)
 
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from .sinks import LineSink
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -22,6 +24,7 @@
     STOPPING = ("NC1002", "daemon stopping")
     STOPPED = ("NC1003", "daemon stopped")
     SETTING_DOUBTFUL = ("NC1005", "setting is likely a mistake")
+    LINES_LOST = ("NC1009", "log lines lost")
     WORK_CUT = ("NC1007", "daemon stops with work in flight")
     DRAIN_ASKED = ("NC1006", "operator asked the entry to drain")
     LED = ("NC2001", "replica leads")
@@ -50,7 +53,7 @@
     INSTANCE_HEARD = ("NC2013", "instance announced itself anew")
     INSTANCE_ENDED = ("NC2014", "instance left")
     DRAIN_UNCONFIRMED = ("NC2015", "entries did not confirm a leaving")
-    ORDER_REFUSED = ("NC2016", "order refused")
+    CALL_ENDED = ("NC3016", "call ended")
     RELOADED = ("NC1008", "settings read again")
     LEASE_LAPSED = ("NC3010", "no leader confirms the configuration")
     LEASE_RENEWED = ("NC3011", "a leader confirms the configuration again")
@@ -66,8 +69,9 @@
         return str(self.value[1])
 
 
-def configure_logs(level: str, name: str) -> None:
-    """Send JSON lines of the level and above to standard error."""
+def configure_logs(level: str, name: str) -> LineSink:
+    """Send JSON lines of the level and above to standard output."""
+    sink = LineSink(sys.stdout.fileno())
 
     def add_name(logger: Any, method: str, fields: Any) -> Any:
         # Not by a context variable: worker threads and what they put on
@@ -84,8 +88,10 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=lambda *_: sink,
+        cache_logger_on_first_use=True,
     )
+    return sink
 
 
 def log(event: Event, level: str = "info", **fields: Any) -> None:
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -48,6 +48,7 @@
             name=settings.name,
             grpc_address=settings.grpc_address,
             http_address=settings.http_address,
+            availability_zone=settings.availability_zone,
         )
         self._formation = Formation(self._member, settings.founders)
         self._outsiders: dict[str, tuple[Member, float]] = {}
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -4,30 +4,34 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-import urllib3
 from nutmegchute_core.calls import Probe
-from urllib3.exceptions import HTTPError
+from urllib3 import HTTPHeaderDict
 
-from .protocols import LOAD_HEADER
+from .connections import Exchange
+from .senders import Request
+from .senders import Sender
+from .senders import skip_user_agent
 
 LOAD_PATH = "/nutmegchute/load"
-THREADS = 4
-TIMEOUT_S = 0.5
-WAITING = 16
+THREADS = 6
+# An endpoint that takes longer to tell is no place for a call.
+TIMEOUT_S = 0.1
+WAITING = 32
 
-Told = Callable[[Probe, int | None, float], None]
+Told = Callable[[Probe, int | None, float, float | None], None]
 
 
 class Prober:
     """Carry out probes; what cannot be asked in time is dropped."""
 
-    __slots__ = ("_pool", "_tell", "_threads", "_waiting")
+    __slots__ = ("_path", "_sender", "_tell", "_threads", "_waiting")
 
-    def __init__(self, tell: Told) -> None:
+    def __init__(
+        self, tell: Told, sender: Sender, path: str | None = None
+    ) -> None:
         self._tell = tell
-        self._pool = urllib3.PoolManager(
-            num_pools=1024, retries=False, timeout=TIMEOUT_S
-        )
+        self._sender = sender
+        self._path = path
         self._threads = ThreadPoolExecutor(THREADS, "probe")
         # Changed by the loop and the probing threads; a count that is off
         # by one for a moment only moves the bound by one.
@@ -38,7 +42,7 @@
         if self._waiting >= WAITING:
             # The threads hang on slow endpoints. An old report is worth
             # nothing, so the probe ends as failed at once.
-            self._tell(probe, None, 0.0)
+            self._tell(probe, None, 0.0, None)
             return
         self._waiting += 1
         self._threads.submit(self._ask, probe)
@@ -49,21 +53,19 @@
 
     def _ask(self, probe: Probe) -> None:
         started = time.monotonic()
+        headers = HTTPHeaderDict()
+        skip_user_agent(headers)
+        request = Request("GET", self._path or probe.path, headers)
         load = None
+        stretch = None
         try:
-            answer = self._pool.request(
-                "GET", f"http://{probe.endpoint}{LOAD_PATH}"
+            reply = self._sender.send(
+                request, probe.endpoint, TIMEOUT_S, Exchange()
             )
-            load = _read_load(answer)
-        except HTTPError:
-            pass
+            if reply.status == 200:
+                load = reply.load
+                stretch = reply.stretch
+            reply.close()
         finally:
             self._waiting -= 1
-        self._tell(probe, load, time.monotonic() - started)
-
-
-def _read_load(answer: urllib3.BaseHTTPResponse) -> int | None:
-    text = answer.headers.get(LOAD_HEADER, "")
-    if answer.status != 200 or not text.isdecimal() or len(text) > 9:
-        return None
-    return int(text)
+        self._tell(probe, load, time.monotonic() - started, stretch)
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from nutmegchute_core.attendances import Attendance
-from nutmegchute_core.attendances import WATCH_HOLD_S
+from nutmegchute_core.attendances import WATCH_FAR_S
 from nutmegchute_core.attendances import WatchReply
 from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.fleets import FollowReply
@@ -78,11 +78,16 @@
         "_registry",
         "_seen",
         "_started_at",
+        "_zone",
     )
 
     def __init__(
-        self, in_contact: Callable[[], bool], node: Callable[[], Node | None]
+        self,
+        zone: str,
+        in_contact: Callable[[], bool],
+        node: Callable[[], Node | None],
     ) -> None:
+        self._zone = zone
         self._in_contact = in_contact
         self._node = node
         self._registry = Registry(secrets.randbits(EPOCH_BITS))
@@ -147,6 +152,20 @@
             self._news.tell()
         await self._confirm(instance)
 
+    def nearest(self, zone: str) -> str | None:
+        """Return the address of a replica in a zone, if there is one.
+
+        Endpoints that announce themselves within their availability zone
+        send no bytes between zones.
+        """
+        node = self._node()
+        if node is None:
+            return None
+        for member in node.replica.membership.members:
+            if member.availability_zone == zone:
+                return member.http_address
+        return None
+
     def resolve(self, zone: str | None) -> list[str]:
         """Return the entries that a caller in a zone should use."""
         now = boot_time()
@@ -160,9 +179,10 @@
         seen = request.generation
         if request.epoch != self._registry.epoch:
             seen = 0
-        self._attendance.hear(request.entry, seen, boot_time())
+        now = boot_time()
+        self._attendance.hear(request.entry, seen, request.hold_s, now)
         self._seen.tell()
-        hold_until = boot_time() + (WATCH_HOLD_S if request.hold else 0.0)
+        hold_until = now + min(WATCH_FAR_S, request.hold_s)
         try:
             while not self._has_news(request):
                 left_s = hold_until - boot_time()
@@ -174,6 +194,7 @@
             # are not sent there until it asks again.
             self._attendance.close(name)
             raise
+        self._attendance.answered(name, boot_time())
         return self._reply(request)
 
     async def _confirm(self, instance: str) -> None:
@@ -225,7 +246,9 @@
             delta = registry.since(
                 request.epoch, request.generation, boot_time()
             )
-        reply = WatchReply(delta, self.entries, members=request.members)
+        reply = WatchReply(
+            delta, self.entries, members=request.members, zone=self._zone
+        )
         node = self._node()
         if node is None or not self._in_contact():
             return reply
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -28,10 +28,12 @@
 from .daemons import Daemon
 from .desks import CallDesk
 from .desks import SWEEP_S
+from .desks import tell
 from .events import Event
 from .events import log
 from .exchanges import StrictRequest
 from .forms import CallForm
+from .probes import Prober
 from .senders import Sender
 from .settings import Settings
 from .tickets import Ticket
@@ -81,11 +83,14 @@
             threads=settings.http_threads,
             form=self._form,
         )
+        self._prober = Prober(
+            self._tell_probe, Sender(self._connections, self._form)
+        )
         self._desk = CallDesk(
             balancer=self._balancer,
             metrics=self._metrics,
             hedge=self._handler.hedge,
-            ask_load=_ask_nothing,
+            ask_load=self._prober.ask,
             settle=_settle_nothing,
         )
         self._handler.desk = self
@@ -143,6 +148,7 @@
         """Let go of the helping threads."""
         self._watchers.stop()
         self._desk.stop()
+        self._prober.stop()
 
     def reload(self, settings: Settings) -> None:
         """Take seeds and limits from settings that have changed."""
@@ -158,9 +164,11 @@
         arrival = ticket.arrival
         route = self._table.find(arrival.host, arrival.path)
         if route is None:
-            ticket.put(Reject(0, "no route covers this host and path"))
+            tell(ticket, Reject(0, "no route covers this host and path"))
             return
-        self._desk.admit_under(ticket, route.choose(), route.rule)
+        ticket.story.route = route.name
+        ticket.story.service = route.choose()
+        self._desk.admit_under(ticket, ticket.story.service, route.rule)
 
     def end_attempt(self, ticket: Ticket, result: Result) -> None:
         """Take the end of an attempt."""
@@ -169,6 +177,26 @@
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
         self._desk.close_call(ticket)
+        self._log_call(ticket)
+
+    def _log_call(self, ticket: Ticket) -> None:
+        story = ticket.story
+        ms = 0.0
+        if story.opened_at:
+            ms = round((self._loop.time() - story.opened_at) * 1000, 1)
+        log(
+            Event.CALL_ENDED,
+            request=ticket.name,
+            route=story.route,
+            service=story.service,
+            outcome=story.outcome,
+            status=ticket.status,
+            reason=story.reason,
+            ms=ms,
+            sends=list(story.sends.values()),
+            index=self._tree.index,
+            known=self._catalog.version,
+        )
 
     def end_instance(self, instance: str) -> None:
         """Take word that an instance has left its address."""
@@ -176,7 +204,12 @@
             log(Event.INSTANCE_GONE, instance=instance)
             self._update_upstreams()
 
-    def question(self, replica: str, hold: bool) -> WatchRequest:
+    @property
+    def availability_zone(self) -> str:
+        """Name this entry's availability zone."""
+        return self._settings.availability_zone
+
+    def question(self, replica: str, hold_s: float) -> WatchRequest:
         """Build the question for a control replica."""
         epoch, generation = self._catalog.mark(replica)
         word = EntryWord(
@@ -186,7 +219,7 @@
             not self.ready,
         )
         return WatchRequest(
-            word, epoch, generation, self._tree.index, self._members, hold
+            word, epoch, generation, self._tree.index, self._members, hold_s
         )
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -232,6 +265,9 @@
         )
 
     def _share_extra(self) -> None:
+        self._balancer.limit_inquiries(
+            self._settings.probes_per_s, self._entries
+        )
         if not self._settings.extra_fixed:
             return
         limit = ExtraLimit(
@@ -248,14 +284,21 @@
         if self._catalog.expire(boot_time()):
             self._update_upstreams()
 
+    def _tell_probe(
+        self,
+        probe: Probe,
+        load: int | None,
+        latency_s: float,
+        stretch: float | None,
+    ) -> None:
+        self._asker.tell(
+            self._desk.take_probe, probe, load, latency_s, stretch
+        )
+
     def _answer_health(self, http: StrictRequest) -> None:
         status = 200 if self.ready else 503
         http.begin(status, [("Content-Length", "0")])
 
 
-def _ask_nothing(probe: Probe) -> None:
-    """Ask no endpoint for its load: answers tell it."""
-
-
 def _settle_nothing(ticket: Ticket, outcome: str) -> None:
     """Settle no claim: routes declare no idempotency keys."""
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -18,6 +18,7 @@
 from .connections import Connection
 from .connections import Connections
 from .connections import Exchange
+from .connections import idle_s
 from .errors import DaemonError
 from .protocols import ENTRY_HEADER
 from .protocols import LOAD_HEADER
@@ -153,6 +154,10 @@
         load = headers.get(LOAD_HEADER, "")
         return int(load) if load.isdecimal() and len(load) < 10 else None
 
+    def stretch(self, headers: HTTPHeaderDict) -> float | None:
+        """Give how many times as long as usual work takes there now."""
+        return None
+
     def passes(self, name: str) -> bool:
         """Tell whether a header, in small letters, is for the caller."""
         return name not in OWN_HEADERS
@@ -243,6 +248,13 @@
             return None
         return self._form.load(self._response.headers)
 
+    @property
+    def stretch(self) -> float | None:
+        """Give how much longer than usual the endpoint says work takes."""
+        if self._response is None:
+            return None
+        return self._form.stretch(self._response.headers)
+
     def headers(self) -> list[tuple[str, str]]:
         """List the answer's headers, those of the connection left out."""
         if self._response is None:
@@ -342,7 +354,10 @@
         self._response.close()
         kept = self._exchange.detach()
         if kept and self._connection.clean:
-            self._connections.give_back(self._endpoint, self._connection)
+            keep_s = idle_s(self._response.headers.get("keep-alive", ""))
+            self._connections.give_back(
+                self._endpoint, self._connection, keep_s
+            )
         else:
             self._connection.close()
 
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -35,6 +35,7 @@
     "metrics_address": None,
     "extra_ratio": 0.08,
     "extra_fixed": 0.0,
+    "probes_per_s": 0.0,
     "send_on_s": 3.0,
     "grace_s": None,
 }
@@ -119,6 +120,7 @@
         "metrics_address": _OPTIONAL_ADDRESS,
         "extra_ratio": {"type": "number", "minimum": 0, "maximum": 1},
         "extra_fixed": {"type": "number", "minimum": 0},
+        "probes_per_s": {"type": "number", "minimum": 0},
         "send_on_s": {"type": "number", "minimum": 0},
         "grace_s": {"type": ["number", "null"], "exclusiveMinimum": 0},
     },
@@ -355,6 +357,11 @@
         """Give the extra sends of a service over all entries; 0: unset."""
         return float(self._values["extra_fixed"])
 
+    @property
+    def probes_per_s(self) -> float:
+        """Give how often all routers may ask one endpoint, a second."""
+        return float(self._values["probes_per_s"])
+
     @property
     def send_on_s(self) -> float:
         """Give for how long a stopping router still sends new calls on."""
--- a/packages/daemon/nutmegchute_daemon/tickets.py
+++ b/packages/daemon/nutmegchute_daemon/tickets.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+from typing import Any
 
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.claims import Claim
@@ -53,11 +54,30 @@
         return min(most_s, self.deadline_s)
 
 
+class Story:
+    """Gather what became of a call, for its line in the log.
+
+    ``sends`` holds a line for each attempt, with what was known of the
+    endpoint when it was chosen.
+    """
+
+    __slots__ = ("opened_at", "outcome", "reason", "route", "sends", "service")
+
+    def __init__(self) -> None:
+        self.opened_at = 0.0
+        self.route = ""
+        self.service = ""
+        self.outcome = "gone"
+        self.reason = ""
+        self.sends: dict[int, dict[str, Any]] = {}
+
+
 class Ticket:
     """Carry the loop's actions for one call to its worker thread.
 
-    ``claim`` is the call's idempotency key and ``claimed`` tells whether
-    its rule asks for one; ``status`` is that of the answer read last.
+    ``name`` is what the caller calls the request, if anything. ``claim``
+    is the call's idempotency key and ``claimed`` tells whether its rule
+    asks for one; ``status`` is that of the answer read last.
     """
 
     __slots__ = (
@@ -70,9 +90,11 @@
         "claim",
         "claimed",
         "exchanges",
+        "name",
         "request",
         "socket_number",
         "status",
+        "story",
         "worker_attempt",
     )
 
@@ -82,7 +104,10 @@
         request: Request,
         socket_number: int,
         claim: Claim | None = None,
+        name: str = "",
     ) -> None:
+        self.name = name
+        self.story = Story()
         self.arrival = arrival
         self.claim = claim
         self.claimed = False
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -3,7 +3,8 @@
 import asyncio
 from typing import Protocol
 
-from nutmegchute_core.attendances import WATCH_HOLD_S
+from nutmegchute_core.attendances import WATCH_FAR_S
+from nutmegchute_core.attendances import WATCH_NEAR_S
 from nutmegchute_core.attendances import WatchReply
 from nutmegchute_core.attendances import WatchRequest
 
@@ -25,7 +26,11 @@
 class Asking(Protocol):
     """Describe the entry that watches."""
 
-    def question(self, replica: str, hold: bool) -> WatchRequest:
+    @property
+    def availability_zone(self) -> str:
+        """Name the entry's availability zone."""
+
+    def question(self, replica: str, hold_s: float) -> WatchRequest:
         """Build the question for a replica."""
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -55,33 +60,34 @@
         self._task.cancel()
 
     async def _run(self) -> None:
-        hold = False
+        hold_s = 0.0
         failures = 0
         while True:
-            reply = await self._ask(hold)
+            reply = await self._ask(hold_s)
             if reply is not None:
-                hold = True
+                near = reply.zone == self._asking.availability_zone
+                hold_s = WATCH_NEAR_S if near else WATCH_FAR_S
                 failures = 0
                 self._report(lost=False)
                 self._asking.hear(self._address, reply)
                 continue
             failures += 1
-            hold = False
+            hold_s = 0.0
             self._report(lost=True)
             self._links.drop(self._address)
             await asyncio.sleep(min(RETRY_MOST_S, RETRY_S * failures))
 
-    async def _ask(self, hold: bool) -> WatchReply | None:
+    async def _ask(self, hold_s: float) -> WatchReply | None:
         while True:
-            request = self._asking.question(self._address, hold)
-            timeout_s = WATCH_MARGIN_S + (WATCH_HOLD_S if hold else 0.0)
+            request = self._asking.question(self._address, hold_s)
+            timeout_s = WATCH_MARGIN_S + hold_s
             self._pending = asyncio.ensure_future(
                 self._links.ask(self._address, WATCH, request, timeout_s)
             )
             await asyncio.wait([self._pending])
             if not self._pending.cancelled():
                 return self._pending.result()
-            hold = False
+            # Cancelled by a poke: the same question with other words.
 
     def _report(self, lost: bool) -> None:
         if lost == self._lost:
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -233,7 +233,7 @@
             return
         if self.node is None:
             self._guard(self._form)
-        member = Member(self._identity.identity, self.name)
+        member = Member(self._identity.identity, self.name, self.name)
         word = Introduction(
             member, self._identity.group, self._identity.genesis
         )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,8 @@
 import pytest
 from docopt import docopt
 from docopt import DocoptExit
+from nutmegchute_core.rules import LIMITS_SCHEMA
+from nutmegchute_core.rules import ROUTE_SCHEMA
 from nutmegchute_core.rules import RULE_SCHEMA
 from nutmegchute_core.rules import SERVICE_SCHEMA
 
@@ -87,7 +89,12 @@
 
 @pytest.mark.parametrize(
     ("title", "schema"),
-    [("A service", SERVICE_SCHEMA), ("A rule", RULE_SCHEMA)],
+    [
+        ("A service", SERVICE_SCHEMA),
+        ("A rule", RULE_SCHEMA),
+        ("A route", ROUTE_SCHEMA),
+        ("Limits", LIMITS_SCHEMA),
+    ],
 )
 def test_declarations_page_and_schema_agree(
     title: str, schema: dict[str, Any]
@@ -98,7 +105,7 @@
     found = re.findall(r"^``(\w+)`` \((.+)\)$", section, re.MULTILINE)
     assert sorted(name for name, _ in found) == sorted(schema["properties"])
     required = [name for name, kind in found if kind == "required"]
-    assert sorted(required) == sorted(schema["required"])
+    assert sorted(required) == sorted(schema.get("required", []))
 
 
 def _understood(command: str) -> bool:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -102,9 +102,9 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Name the file, the place and what is allowed; status 2."""
-    (tmp_path / "lending.json").write_text('{"services": {"a": {}}}')
+    (tmp_path / "lending.json").write_text('{"services": {"a": {"slots": 0}}}')
     (tmp_path / "torn.json").write_text('{"services": ')
     assert main(["check", str(tmp_path)]) == 2
     out = capsys.readouterr().out
-    assert "lending/services/a: 'rules' is a required property" in out
+    assert "lending/services/a/slots: 0 is less than the minimum" in out
     assert "not JSON" in out
--- a/tests/test_handlers.py
+++ b/tests/test_handlers.py
@@ -30,7 +30,7 @@
     no use there, and the log as NC3006 with the trace, so that somebody
     can find the cause the next morning.
     """
-    configure_logs("info", "entry-1")
+    sink = configure_logs("info", "entry-1")
     address = free_address()
     server = HttpServer(address, 2)
     server.mount(BrokenPages())
@@ -49,6 +49,7 @@
     )
     assert broken.status == 500
     assert b"the inside" not in broken.data
-    err = capfd.readouterr().err
-    assert "NC3006" in err
-    assert "the inside of the program" in err
+    sink.close()
+    out = capfd.readouterr().out
+    assert "NC3006" in out
+    assert "the inside of the program" in out
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -52,7 +52,8 @@
 def start(path: Path) -> subprocess.Popen[str]:
     """Start a daemon from a settings file."""
     command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
-    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    pipe = subprocess.PIPE
+    return subprocess.Popen(command, stdout=pipe, stderr=pipe, text=True)
 
 
 def test_good_settings_are_completed(tmp_path: Path) -> None:
@@ -139,8 +140,11 @@
 def test_names_carry_their_units() -> None:
     """Tell seconds from milliseconds and bytes by a number's name."""
     counts = {"http_threads", "entries_answer"}
+    counts |= {"extra_ratio", "extra_fixed"}
     for name, schema in SCHEMA["properties"].items():
-        if schema.get("type") not in ("number", "integer"):
+        kinds = schema.get("type")
+        kinds = [kinds] if isinstance(kinds, str) else kinds or []
+        if not {"number", "integer"} & set(kinds):
             continue
         assert name in counts or name.endswith(("_ms", "_s", "_bytes")), name
 
@@ -217,8 +221,8 @@
     }
     process = start(write(tmp_path, cpus=[cpu], **addresses))
     try:
-        assert process.stderr is not None
-        while "daemon started" not in process.stderr.readline():
+        assert process.stdout is not None
+        while "daemon started" not in process.stdout.readline():
             assert process.poll() is None
         threads = list(Path(f"/proc/{process.pid}/task").iterdir())
         assert len(threads) > 1
@@ -259,8 +263,8 @@
         entries_keep_s=0.2,
     )
     process = start(path)
-    assert process.stderr is not None
-    while "NC1001" not in process.stderr.readline():
+    assert process.stdout is not None
+    while "NC1001" not in process.stdout.readline():
         assert process.poll() is None
     try:
         for key, status in (("none", 1), ("one", 1), ("all", 0)):
@@ -270,8 +274,8 @@
     finally:
         if process.poll() is None:
             os.kill(process.pid, signal.SIGKILL)
-        _, err = process.communicate()
-    events = [msgspec.json.decode(line) for line in err.splitlines()]
+        out, _ = process.communicate()
+    events = [msgspec.json.decode(line) for line in out.splitlines()]
     told = {one["number"]: one for one in events}
     assert told["NC2012"]["remote"] == "127.0.0.1"
     assert told["NC1006"]["operator"] == "ana"
