Tell a request's story from logs, keep the founding with the folder

A replica killed between its first start and the group's forming still founds: the folder remembers, the settings of the next start do not say so. Limits of the configuration bound heads, bodies and idle connections of a router's callers.

--- a/packages/cli/nutmegchute_cli/__main__.py
+++ b/packages/cli/nutmegchute_cli/__main__.py
@@ -15,6 +15,7 @@
   nutmegchute replicas remove NAME [options]
   nutmegchute replicas replace NAME NEW GRPC_ADDRESS HTTP_ADDRESS [options]
   nutmegchute check PATH... [options]
+  nutmegchute explain REQUEST FILE... [options]
   nutmegchute -h | --help
 
 Commands:
@@ -29,6 +30,7 @@
   drain      Take the entry named by --entry out of service.
   replicas   List, add, remove or replace control replicas.
   check      Check settings and declarations without starting anything.
+  explain    Tell from logs what became of a request, and why.
 
 Options:
   --control=ADDRESSES  Control replicas' HTTP addresses, separated by
@@ -66,6 +68,7 @@
 from . import changes
 from . import checks
 from . import drains
+from . import explanations
 from . import listings
 from . import replicas
 from .errors import CliError
@@ -86,6 +89,7 @@
     "drain": drains.drain,
     "replicas": replicas.run,
     "check": checks.check,
+    "explain": explanations.explain,
 }
 
 
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -332,3 +332,26 @@
         for name, document in documents[team]["services"].items():
             services[name] = Service(name, document)
     return services
+
+
+class CallerLimits:
+    """Bound what callers may send and how long they may stay idle.
+
+    None leaves the entry's own bound.
+    """
+
+    __slots__ = ("body_bytes", "header_bytes", "idle_s")
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.header_bytes: int | None = document.get("header_bytes")
+        self.body_bytes: int | None = document.get("body_bytes")
+        idle_ms: float | None = document.get("idle_timeout_ms")
+        self.idle_s = None if idle_ms is None else idle_ms / 1000
+
+
+def read_limits(documents: dict[str, Any]) -> CallerLimits:
+    """Read the limits of a checked tree; the last team's go first."""
+    merged: dict[str, Any] = {}
+    for team in sorted(documents):
+        merged.update(documents[team].get("limits", {}))
+    return CallerLimits(merged)
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -65,12 +65,12 @@
     __slots__ = (
         "_active",
         "_asker",
-        "_body_bytes",
         "_form",
         "_lock",
         "_most",
         "_name",
         "_sender",
+        "body_bytes",
         "desk",
         "refusal",
     )
@@ -90,7 +90,7 @@
         self._asker = asker
         self._sender = sender
         self._name = name
-        self._body_bytes = body_bytes
+        self.body_bytes = body_bytes
         self._lock = threading.Lock()
         self._active = 0
         self._most = max(1, threads - max(1, threads // PAGE_THREADS_SHARE))
@@ -152,7 +152,7 @@
             self._refuse(http, 503, self.refusal, FULL_RETRY_S)
             return
         try:
-            ticket = self._form.read(http, self._body_bytes)
+            ticket = self._form.read(http, self.body_bytes)
         except (BadRequestError, BadBodyError) as error:
             # What is left of the body would be read as the next request.
             http.close_connection = True
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -89,7 +89,8 @@
             identity = self._storage.identity()
             if identity is None:
                 identity = Identity(
-                    f"{settings.name}.{secrets.token_hex(IDENTITY_BYTES)}"
+                    f"{settings.name}.{secrets.token_hex(IDENTITY_BYTES)}",
+                    founding=settings.founding,
                 )
                 self._storage.keep_identity(identity)
             self._group = Group(settings, self._links, self._storage, identity)
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -50,7 +50,10 @@
             http_address=settings.http_address,
             availability_zone=settings.availability_zone,
         )
-        self._formation = Formation(self._member, settings.founders)
+        # Not by the settings of this start: a replica that was killed
+        # between its first start and the group's forming must still found.
+        founders = settings.replicas if identity.founding else []
+        self._formation = Formation(self._member, founders)
         self._outsiders: dict[str, tuple[Member, float]] = {}
         links.serve(INTRODUCE, self._on_introduce)
 
@@ -105,7 +108,9 @@
         return found
 
     def _keep(self, found: Introduction) -> None:
-        identity = Identity(self.identity, found.group, found.genesis)
+        identity = Identity(
+            self.identity, found.group, found.genesis, self._identity.founding
+        )
         self._storage.keep_identity(identity)
         self._identity = identity
         founder = bool(self.genesis.members)
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -20,6 +20,8 @@
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.routes import read_routes
 from nutmegchute_core.routes import RouteTable
+from nutmegchute_core.rules import CallerLimits
+from nutmegchute_core.rules import read_limits
 from nutmegchute_core.rules import read_services
 
 from .callers import CallHandler
@@ -247,6 +249,7 @@
         # In one step, between two calls: worker threads that each took the
         # new routes by themselves would answer by old and new in turn.
         self._table = RouteTable(read_routes(documents, self._phase))
+        self._limit_callers(read_limits(documents))
         log(
             Event.CONFIG_APPLIED,
             index=self._tree.index,
@@ -254,6 +257,15 @@
         )
         self._update_upstreams()
 
+    def _limit_callers(self, limits: CallerLimits) -> None:
+        if limits.header_bytes is not None:
+            self._http.limit_heads(limits.header_bytes)
+        if limits.body_bytes is not None:
+            self._http.limit_body(limits.body_bytes)
+            self._handler.body_bytes = limits.body_bytes
+        if limits.idle_s is not None:
+            self._http.limit_idle(limits.idle_s)
+
     def _update_upstreams(self) -> None:
         live = self._catalog.live()
         now = self._loop.time()
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -219,6 +219,14 @@
         """Take no longer bodies, in bytes."""
         self._server.max_request_body_size = most
 
+    def limit_heads(self, most: int) -> None:
+        """Take no longer heads of requests, in bytes."""
+        self._server.max_request_header_size = most
+
+    def limit_idle(self, idle_s: float) -> None:
+        """Close connections that nobody uses for so long."""
+        self._server.timeout = idle_s
+
     def start(self) -> None:
         """Listen and serve; OSError says the address cannot be had."""
         self._server.prepare()
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -322,11 +322,9 @@
         return self.seeds or [peer.grpc_address for peer in self._control]
 
     @property
-    def founders(self) -> list[str]:
-        """List the gRPC addresses of those that may form a group."""
-        if not self._seeds:
-            return [peer.grpc_address for peer in self._control]
-        return self.seeds if self._values["founding"] else []
+    def founding(self) -> bool:
+        """Tell whether the deployment starts for the first time."""
+        return bool(self._values["founding"]) or not self._seeds
 
     @property
     def directory_address(self) -> str | None:
--- a/packages/daemon/nutmegchute_daemon/storages.py
+++ b/packages/daemon/nutmegchute_daemon/storages.py
@@ -28,12 +28,14 @@
 class Identity(msgspec.Struct, frozen=True):
     """Say which replica a folder belongs to and how its group began.
 
-    ``group`` is None until a group was formed or joined.
+    ``group`` is None until a group was formed or joined. ``founding``
+    tells whether this folder was made at the deployment's first start.
     """
 
     identity: str
     group: str | None = None
     genesis: Membership = Membership()
+    founding: bool = True
 
 
 class Saved(msgspec.Struct, frozen=True):
