Hold calls at the entry while every endpoint is crowded

Cause: endpoints slow down 1.7 times with all three slots taken, and with half of the service's endpoints gone entries sent on regardless: loads of 4 to 9, answers after 300 to 1000 ms, clients' retries on top; the overload outlasted its cause by twenty seconds. Ruled out: too little room (two of three slots at their usual pace run more calls a second than three slowed ones, 203 against 183 for 13 endpoints). Change: whether being nearly full costs time is learned by service; a call that finds every endpoint asked crowded waits at the entry until an answer tells of room, those first that can still meet their objective; a caller's shorter deadline tells how long it has tried. An endpoint that takes no connection is left alone for a moment, doubled each time. A fault in taking control's word no longer ends the asking.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -16,17 +16,20 @@
 from .calls import Result
 from .calls import Send
 from .inquiries import ANSWER_S
+from .inquiries import ASK_AGAIN_S
 from .inquiries import Inquiry
 from .members import Announcement
 from .policies import Policy
 from .pools import Pool
 from .rules import Rule
 from .rules import Service
+from .timers import AGAIN
 from .timers import ASKED
 from .timers import EXPIRY
 from .timers import HEDGE
 from .timers import Timers
 
+ADMITTED = "admitted"
 QUEUED = "queued"
 MOST_STUCK = 4
 
@@ -158,6 +161,7 @@
             deadline_s = min(deadline_s, caller_deadline_s)
         call = Call(call_id, service, rule, now, deadline_s, attempt > 1)
         self._calls[call_id] = call
+        pool.note_deadline(call, caller_deadline_s)
         reason = pool.admit(call, now)
         if reason is not None:
             return call_id, [self._give_up(pool, call, reason)]
@@ -201,7 +205,8 @@
         pool = self._pools.get(service)
         if pool is not None:
             pool.take_probe(endpoint, load, now, stretch)
-            self._hear_answer(pool, endpoint, now, actions)
+            told = load is not None
+            self._hear_answer(pool, endpoint, told, now, actions)
             self._dispatch(pool, now, actions)
         return actions
 
@@ -248,6 +253,8 @@
                 self._expire(call, actions)
             elif kind == ASKED and call_id in self._inquiries:
                 self._end_inquiry(call, now, actions)
+            elif kind == AGAIN:
+                self._ask_again(call, now, actions)
         for name, pool in self._pools.items():
             if pool.queue:
                 self._dispatch(pool, now, actions)
@@ -279,13 +286,18 @@
         return True
 
     def _hear_answer(
-        self, pool: Pool, address: str, now: float, actions: list[Action]
+        self,
+        pool: Pool,
+        address: str,
+        told: bool,
+        now: float,
+        actions: list[Action],
     ) -> None:
         for call_id, inquiry in list(self._inquiries.items()):
             call = self._calls.get(call_id)
             if call is None or call.service != pool.service.name:
                 continue
-            if not inquiry.hear(address):
+            if not inquiry.hear(address, told):
                 continue
             if pool.suits(address, now):
                 self._end_inquiry(call, now, actions)
@@ -309,9 +321,35 @@
         if pool is None:
             actions.append(self._give_up(None, call, "unknown service"))
             return
-        self._enqueue(pool, call)
-        self._dispatch(pool, now, actions)
+        if call.state == ADMITTED:
+            self._enqueue(pool, call)
+        elif call.state != QUEUED:
+            # Another call's answer told of room meanwhile, and it went.
+            return
+        # Endpoints that answer no question may still run calls.
+        freed = None if inquiry.told else call.call_id
+        self._dispatch(pool, now, actions, freed)
         self._guard(pool, call)
+        if call.state == QUEUED and pool.holds:
+            self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
+
+    def _ask_again(
+        self, call: Call, now: float, actions: list[Action]
+    ) -> None:
+        """Look for room for a call that is held back."""
+        pool = self._pools.get(call.service)
+        if pool is None or call.state != QUEUED:
+            return
+        if pool.queue.first(now) != call.call_id:
+            self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
+            return
+        inquiry = Inquiry(list(call.attempts.values()))
+        if self._ask(pool, call, inquiry, now, actions):
+            return
+        # Not to be asked: by the budget, or since the answer is known.
+        self._dispatch(pool, now, actions, call.call_id)
+        if call.state == QUEUED:
+            self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
 
     def _conclude(
         self,
@@ -353,14 +391,26 @@
         return True
 
     def _enqueue(self, pool: Pool, call: Call) -> None:
-        if call.state == "admitted":
+        if call.state == ADMITTED:
             call.step("queue")
-        pool.queue.push(call.call_id, call.rule.priority, call.arrived_at)
+        pool.queue.push(
+            call.call_id,
+            call.rule.priority,
+            call.arrived_at,
+            pool.late_at(call),
+        )
 
-    def _dispatch(self, pool: Pool, now: float, actions: list[Action]) -> None:
+    def _dispatch(
+        self,
+        pool: Pool,
+        now: float,
+        actions: list[Action],
+        freed: int | None = None,
+    ) -> None:
+        """Send the calls that may go; ``freed`` need not wait for news."""
         stuck: list[Call] = []
         while len(stuck) <= MOST_STUCK:
-            call_id = pool.queue.first()
+            call_id = pool.queue.first(now)
             if call_id is None:
                 break
             call = self._calls[call_id]
@@ -371,7 +421,7 @@
                 )
                 continue
             endpoint = pool.choose(call, now)
-            if not self._may_go(pool, endpoint, now):
+            if not self._may_go(pool, endpoint, call_id == freed, now):
                 break
             pool.queue.remove(call_id)
             if endpoint is None:
@@ -389,10 +439,12 @@
         for call in stuck:
             self._enqueue(pool, call)
 
-    def _may_go(self, pool: Pool, endpoint: str | None, now: float) -> bool:
+    def _may_go(
+        self, pool: Pool, endpoint: str | None, freed: bool, now: float
+    ) -> bool:
         if endpoint is None:
             return pool.has_room()
-        return pool.may_send(endpoint, now)
+        return pool.may_send(endpoint, freed, now)
 
     def _guard(self, pool: Pool, call: Call) -> None:
         """See to it that a call left waiting is refused in time."""
@@ -403,7 +455,7 @@
     def _send(self, pool: Pool, call: Call, address: str, now: float) -> Send:
         attempt = call.record_send(address, now)
         basis = pool.basis(address, now)
-        pool.take_send(call, attempt)
+        pool.take_send(call, attempt, now)
         return Send(
             call_id=call.call_id,
             attempt=attempt,
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -181,6 +181,7 @@
         "_service",
         "_state",
         "may_have_run",
+        "objective_at",
         "outstanding",
     )
 
@@ -200,6 +201,8 @@
         self._rule = rule
         self._arrived_at = arrived_at
         self._deadline_at = arrived_at + deadline_s
+        # Until when an answer is of full use.
+        self.objective_at = arrived_at + rule.objective_s
         self._state = self._chart.initial
         self._attempts: dict[int, str] = {}
         self._sent_at: dict[int, float] = {}
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -39,6 +39,10 @@
 # the calls and of the queue that the load reports tell of already.
 LATENCY_BAND = 1.25
 EJECTED_MOST_SHARE = 0.5
+# Work that may wait at an endpoint, as a share of its slots, before the
+# entry keeps its calls back. Too little lets slots run dry between two
+# calls; too much lets calls wait where none can overtake them.
+QUEUE_SHARE = 0.5
 UNPROBED_S = 16.0
 
 
@@ -95,6 +99,11 @@
         """Give the mean latency of answers, in seconds."""
         return self._latency.value
 
+    @property
+    def tells(self) -> bool:
+        """Tell whether endpoints say how long work takes."""
+        return bool(self._stretches)
+
     @property
     def load_per_slot(self) -> float:
         """Give the mean load that other entries put on a slot."""
@@ -136,6 +145,8 @@
                 continue
             if not floor and not self._open(endpoint, trial, now):
                 continue
+            if endpoint.muted(now):
+                continue
             score = self.score(endpoint, now)
             # One that has just told that it is free goes before those of
             # which only the mean is known.
@@ -154,8 +165,8 @@
             return self._any(avoid, trial, floor, now)
         if near is None or near_score > within_s * OBJECTIVE_SHARE:
             return best
-        if near_suits:
-            return near
+        if near_suits or best_suits:
+            return near if near_suits else best
         saved_s = near_score - best_score
         return near if saved_s <= OTHER_ZONE_SHARE * self.latency_s else best
 
@@ -255,6 +266,19 @@
         if endpoint.fail(now):
             self._ejected.add(endpoint)
 
+    def crowded(self, endpoint: Endpoint, load: int) -> bool:
+        """Tell whether an endpoint has more work than does it good.
+
+        Where endpoints tell how long work takes, a call waits here, from
+        where it can still go to any of them, and not at one of them; and
+        where they slow down when nearly full, it waits before that.
+        """
+        if not self._stretches:
+            return load > endpoint.slots * (1.0 + QUEUE_SHARE)
+        if self.fullness.matters:
+            return nearly_full(endpoint, load)
+        return load >= endpoint.slots
+
     def to_ask(
         self, avoid: list[str], near: bool, now: float
     ) -> list[Endpoint]:
@@ -275,6 +299,8 @@
                 continue
             if not floor and endpoint in self._ejected:
                 continue
+            if endpoint.muted(now):
+                continue
             if suits(endpoint, self.fullness, now):
                 return []
             found.append(endpoint)
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -1,6 +1,7 @@
 """Hold what one entry knows of one endpoint, and how old that is."""
 
 from math import exp
+from math import inf
 
 from .members import Announcement
 from .members import DRAINING
@@ -16,6 +17,10 @@
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 8.0
 
+# One that takes no connection is left alone for so long, doubled each time.
+MUTE_FIRST_S = 0.25
+MUTE_MOST_S = 2.0
+
 WARM_UP_S = 2.0
 COLD_FACTOR = 3.0
 
@@ -29,6 +34,8 @@
         "_failures",
         "_heard_at",
         "_latency_at",
+        "_muted_until",
+        "_mutes",
         "_others",
         "_stretch",
         "alive",
@@ -54,6 +61,8 @@
         self._heard_at: float | None = None
         self._failures = 0
         self._ejections = 0
+        self._mutes = 0
+        self._muted_until = -inf
         self.ejected_until = 0.0
         self.in_flight = 0
         self.joined_at = joined_at
@@ -156,6 +165,8 @@
     ) -> None:
         """Take a load report."""
         self._stretch = 1.0 if stretch is None else stretch
+        self._mutes = 0
+        self._muted_until = -inf
         self._others = float(max(0, load - self.in_flight))
         self._heard_at = now
 
@@ -172,10 +183,26 @@
         if elapsed_s > self.latency_s:
             self.hear_latency(elapsed_s, now)
 
+    def mute(self, now: float) -> None:
+        """Take word that the endpoint does not even take a connection.
+
+        A dark endpoint stays announced for seconds. Asked or tried by every
+        call meanwhile, it would cost each a connection's timeout.
+        """
+        pause_s = MUTE_FIRST_S * 2**self._mutes
+        self._muted_until = now + min(MUTE_MOST_S, pause_s)
+        self._mutes = min(self._mutes + 1, 16)
+
+    def muted(self, now: float) -> bool:
+        """Tell whether the endpoint is to be left alone for now."""
+        return now < self._muted_until
+
     def succeed(self) -> None:
         """Forget failures; the endpoint answers."""
         self._failures = 0
         self._ejections = 0
+        self._mutes = 0
+        self._muted_until = -inf
         self.ejected_until = 0.0
         self.stalled = 0
 
--- a/packages/core/nutmegchute_core/inquiries.py
+++ b/packages/core/nutmegchute_core/inquiries.py
@@ -20,6 +20,11 @@
 # What an answer may take within a region, new connection included; a call
 # waits no longer for what may be a lost endpoint.
 ANSWER_S = 0.015
+# A call that finds every endpoint crowded is held at the entry: there it can
+# still go to any of them, and endpoints that slow down when nearly full run
+# more calls a second with a slot left free. Answers to other calls tell of
+# room; where none come, somebody is asked again after so long.
+ASK_AGAIN_S = 0.05
 # Work that takes longer than this multiple of the usual is worth another
 # question: neighbours cost two or more.
 STRETCHED = 1.5
@@ -39,13 +44,19 @@
 class Inquiry:
     """Follow the questions asked for one call, or for its hedge."""
 
-    __slots__ = ("_avoid", "_hedging", "_open", "_round")
+    __slots__ = ("_avoid", "_hedging", "_open", "_round", "_told")
 
     def __init__(self, avoid: list[str], hedging: bool = False) -> None:
         self._avoid = avoid
         self._hedging = hedging
         self._open: set[str] = set()
         self._round = 0
+        self._told = False
+
+    @property
+    def told(self) -> bool:
+        """Tell whether any endpoint answered."""
+        return self._told
 
     @property
     def avoid(self) -> list[str]:
@@ -78,10 +89,11 @@
         self._open = set(addresses)
         self._avoid = [*self._avoid, *addresses]
 
-    def hear(self, address: str) -> bool:
-        """Take an answer; return whether this call asked for it."""
+    def hear(self, address: str, told: bool) -> bool:
+        """Take a question's end; return whether this call asked it."""
         if address not in self._open:
             return False
+        self._told = self._told or told
         self._open.discard(address)
         return True
 
--- a/packages/core/nutmegchute_core/limits.py
+++ b/packages/core/nutmegchute_core/limits.py
@@ -5,17 +5,13 @@
 LEAST_SHARE = 0.5
 GAIN = 1.0
 BACK_OFF = 0.9
-# Work that may wait at an endpoint, as a share of its slots, before the
-# entry keeps its calls back. Too little lets slots run dry between two
-# calls; too much lets calls wait where none can overtake them.
-QUEUE_SHARE = 0.5
 
 
 class Window:
     """Grow by addition and shrink by multiplication on one bit a report.
 
     The bit says whether the endpoint that answered has more work than
-    its slots and a little queue. Entries that share endpoints reach
+    does it good. Entries that share endpoints reach
     equal shares by this rule without knowing one another ("Congestion
     avoidance in computer networks", sections 5.1 and 5.2).
     """
@@ -45,10 +41,10 @@
             self._size = max(self._size, self._least)
 
     def learn(
-        self, load: int, slots: int, in_flight: int, now: float, pause_s: float
+        self, crowded: bool, in_flight: int, now: float, pause_s: float
     ) -> None:
-        """Take one report; shrink at most once in ``pause_s``."""
-        if load <= slots * (1.0 + QUEUE_SHARE):
+        """Take one report's bit; shrink at most once in ``pause_s``."""
+        if not crowded:
             if in_flight + 1 >= self.size / 2:
                 self._size = self.size + GAIN / self.size
             return
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -17,6 +17,7 @@
 from .inquiries import InquiryBudget
 from .inquiries import nearly_full
 from .inquiries import suits
+from .latencies import Mean
 from .latencies import Quantile
 from .limits import Window
 from .members import Announcement
@@ -29,27 +30,35 @@
 FIRST_HALF = 0.4
 FIRST_SLOW = 0.6
 # Calls of others per slot beyond which a hedge only lengthens queues.
-HEDGE_MOST_LOAD = 1.0
+HEDGE_MOST_LOAD = 0.5
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
 RETRY_AFTER_LEAST_S = 0.2
 TIMED_OUT_SHARE = 0.9
 ADMIT_SHARE = 0.5
+# The time between two sends while calls wait: what is taken at first, and
+# the most that a pause may count for.
+FIRST_GAP_S = 0.05
+GAP_MOST_S = 1.0
 # Routes come and go with the configuration; what is learned of those that
 # went must not be kept for ever.
 MOST_RULES = 1024
 
 
 class Usual:
-    """Follow how long calls of one rule take."""
+    """Follow how long calls of one rule take, and what callers allow.
 
-    __slots__ = ("half", "slow")
+    ``deadline_s`` is the longest deadline that a caller gave.
+    """
+
+    __slots__ = ("deadline_s", "half", "slow")
 
     def __init__(self, objective_s: float) -> None:
         # Until answers tell more: an entry sees few calls of a rule, and a
         # guess that is too low would hedge each of the first ones.
         self.half = Quantile(0.5, objective_s * FIRST_HALF)
         self.slow = Quantile(HEDGE_QUANTILE, objective_s * FIRST_SLOW)
+        self.deadline_s = 0.0
 
     def learn(self, latency_s: float) -> None:
         """Take the time of an answer, in seconds."""
@@ -81,11 +90,13 @@
         "_chooser",
         "_endpoints",
         "_extra",
+        "_gap",
         "_half",
         "_inquiries",
         "_inquiry_budget",
         "_policy",
         "_probes",
+        "_sent_at",
         "_service",
         "_under_way",
         "_usual",
@@ -113,6 +124,8 @@
         self._half = Quantile(0.5)
         # By rule: what is late for one kind of call is usual for another.
         self._usual: dict[str, Usual] = {}
+        self._gap = Mean(FIRST_GAP_S)
+        self._sent_at: float | None = None
         self._endpoints: dict[str, Endpoint] = {}
         self._under_way: dict[tuple[int, int], Sent] = {}
         self.queue = WaitQueue()
@@ -230,6 +243,23 @@
             return "cannot be answered in time"
         return None
 
+    def note_deadline(self, call: Call, deadline_s: float | None) -> None:
+        """Learn from a caller's deadline how long it has tried already.
+
+        A caller that was refused or lost its answer comes back with what is
+        left of its time. Its objective counts from its first try, so a call
+        with less time than others of its rule have has used up some.
+        """
+        if deadline_s is None:
+            return
+        usual = self._usual_of(call)
+        usual.deadline_s = max(usual.deadline_s, deadline_s)
+        call.objective_at -= usual.deadline_s - deadline_s
+
+    def late_at(self, call: Call) -> float:
+        """Give until when a send may still be answered in full use."""
+        return call.objective_at - self._typical_s(call)
+
     def latest_send_at(self, call: Call) -> float:
         """Give until when a send may still be answered in time."""
         if not self._policy.admission:
@@ -258,19 +288,28 @@
                 return True
         return False
 
-    def may_send(self, address: str, now: float) -> bool:
+    @property
+    def holds(self) -> bool:
+        """Tell whether calls wait here until an endpoint has room."""
+        return self._policy.inquiries and self._chooser.tells
+
+    def may_send(self, address: str, freed: bool, now: float) -> bool:
         """Tell whether a call may go to an endpoint now.
 
         The window stands in for what one entry does not know of the
-        others' calls. Where the endpoint has just told that it is free,
-        holding the call back would only add to its time.
+        others' calls. Where endpoints tell, they are believed, unless none
+        could be asked for a ``freed`` call.
         """
-        return self.has_room() or self.suits(address, now)
+        if self.suits(address, now):
+            return True
+        if self.holds and not freed:
+            return False
+        return self.has_room()
 
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
         avoid = list(call.attempts.values())
-        within_s = call.arrived_at + call.rule.objective_s - now
+        within_s = call.objective_at - now
         endpoint = self._chooser.choose(
             avoid, call.rule.idempotent, now, within_s
         )
@@ -323,8 +362,11 @@
             return False
         return self._extra.spend_retry()
 
-    def take_send(self, call: Call, attempt: int) -> None:
+    def take_send(self, call: Call, attempt: int, now: float) -> None:
         """Count an attempt that starts."""
+        if self._sent_at is not None and self.queue:
+            self._gap.learn(min(now - self._sent_at, GAP_MOST_S))
+        self._sent_at = now
         endpoint = self._endpoints[call.attempts[attempt]]
         self._under_way[call.call_id, attempt] = Sent(
             endpoint, call.sent_at(attempt)
@@ -351,6 +393,8 @@
             return
         if not self._is_to_blame(call, result):
             return
+        if result.outcome == NOT_RUN:
+            endpoint.mute(now)
         self._chooser.hear_failure(endpoint, now)
 
     def take_probe(
@@ -365,6 +409,7 @@
         if endpoint is None:
             return
         if load is None:
+            endpoint.mute(now)
             return
         self._chooser.hear_load(endpoint, load, now, stretch)
         self._chooser.hear_sign_of_life(endpoint)
@@ -390,8 +435,7 @@
         if result.load is None:
             return
         self._window.learn(
-            result.load,
-            endpoint.slots,
+            self._chooser.crowded(endpoint, result.load),
             self.in_flight,
             now,
             self._half.value_s,
@@ -417,7 +461,9 @@
 
     @property
     def _gap_s(self) -> float:
-        """Estimate the time between two answers when calls wait."""
+        """Estimate the time between two sends when calls wait."""
+        if self.holds:
+            return self._gap.value
         return self._chooser.latency_s / self._window.size
 
     def _typical_s(self, call: Call) -> float:
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -1,6 +1,7 @@
 """Keep calls waiting: urgent ones first, old ones in the end too."""
 
 import heapq
+from math import inf
 
 from .rules import PRIORITIES
 
@@ -10,12 +11,20 @@
 
 
 class WaitQueue:
-    """Order waiting calls by arrival plus what their priority adds."""
+    """Order waiting calls by arrival plus what their priority adds.
 
-    __slots__ = ("_counts", "_heap", "_waiting")
+    Calls that can still be answered within their objective go before those
+    that cannot. When more comes than can be served, the oldest first would
+    make every call wait until it is late; so most are served in time, and
+    who is late already is served when nobody else waits.
+    """
+
+    __slots__ = ("_counts", "_heap", "_late", "_late_at", "_waiting")
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int]] = []
+        self._late: list[tuple[float, int]] = []
+        self._late_at: dict[int, float] = {}
         self._waiting: dict[int, str] = {}
         self._counts = dict.fromkeys(PRIORITIES, 0)
 
@@ -31,11 +40,21 @@
                 break
         return count
 
-    def push(self, call_id: int, priority: str, arrived_at: float) -> None:
-        """Let a call wait; a retry keeps the place of its arrival."""
+    def push(
+        self,
+        call_id: int,
+        priority: str,
+        arrived_at: float,
+        late_at: float = inf,
+    ) -> None:
+        """Let a call wait; a retry keeps the place of its arrival.
+
+        Sent after ``late_at`` it cannot be answered within its objective.
+        """
         key = arrived_at + HEAD_START_S[priority]
         heapq.heappush(self._heap, (key, call_id))
         self._waiting[call_id] = priority
+        self._late_at[call_id] = late_at
         self._counts[priority] += 1
 
     def remove(self, call_id: int) -> bool:
@@ -44,13 +63,21 @@
         if priority is None:
             return False
         self._counts[priority] -= 1
+        del self._late_at[call_id]
         return True
 
-    def first(self) -> int | None:
+    def first(self, now: float = -inf) -> int | None:
         """Return the call that is next, if any; it stays."""
         while self._heap:
-            call_id = self._heap[0][1]
+            key, call_id = self._heap[0]
             if call_id in self._waiting:
-                return call_id
+                if self._late_at[call_id] >= now:
+                    return call_id
+                heapq.heappush(self._late, (key, call_id))
             heapq.heappop(self._heap)
+        while self._late:
+            call_id = self._late[0][1]
+            if call_id in self._waiting:
+                return call_id
+            heapq.heappop(self._late)
         return None
--- a/packages/core/nutmegchute_core/timers.py
+++ b/packages/core/nutmegchute_core/timers.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+AGAIN = "again"
 ASKED = "asked"
 EXPIRY = "expiry"
 HEDGE = "hedge"
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -55,6 +55,7 @@
     DRAIN_UNCONFIRMED = ("NC2015", "entries did not confirm a leaving")
     CALL_ENDED = ("NC3016", "call ended")
     RELOADED = ("NC1008", "settings read again")
+    WORD_FAILED = ("NC3017", "control's word could not be taken")
     LEASE_LAPSED = ("NC3010", "no leader confirms the configuration")
     LEASE_RENEWED = ("NC3011", "a leader confirms the configuration again")
 
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -41,8 +41,7 @@
         """Ask in the background; the loop calls this."""
         if self._waiting >= WAITING:
             # The threads hang on slow endpoints. An old report is worth
-            # nothing, so the probe ends as failed at once.
-            self._tell(probe, None, 0.0, None)
+            # nothing, and who waits for this one waits a moment only.
             return
         self._waiting += 1
         self._threads.submit(self._ask, probe)
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -1,6 +1,7 @@
 """Ask each control replica for what changed, on an entry."""
 
 import asyncio
+from traceback import format_exc
 from typing import Protocol
 
 from nutmegchute_core.attendances import WATCH_FAR_S
@@ -69,7 +70,7 @@
                 hold_s = WATCH_NEAR_S if near else WATCH_FAR_S
                 failures = 0
                 self._report(lost=False)
-                self._asking.hear(self._address, reply)
+                self._hear(reply)
                 continue
             failures += 1
             hold_s = 0.0
@@ -77,6 +78,19 @@
             self._links.drop(self._address)
             await asyncio.sleep(min(RETRY_MOST_S, RETRY_S * failures))
 
+    def _hear(self, reply: WatchReply) -> None:
+        try:
+            self._asking.hear(self._address, reply)
+        except Exception:
+            # Were the watcher to end with it, this entry would keep its
+            # configuration and endpoints for good and serve on by them.
+            log(
+                Event.WORD_FAILED,
+                "error",
+                address=self._address,
+                trace=format_exc(),
+            )
+
     async def _ask(self, hold_s: float) -> WatchReply | None:
         while True:
             request = self._asking.question(self._address, hold_s)
--- a/tests/test_balancers_stateful.py
+++ b/tests/test_balancers_stateful.py
@@ -92,7 +92,7 @@
         for action in actions:
             if isinstance(action, Probe):
                 assert self.live[action.endpoint][0] == UP
-                self.probes.append(self.now)
+                self.note_probe(action)
                 continue
             call = self.calls[action.call_id]
             if isinstance(action, Cancel):
@@ -109,6 +109,10 @@
             elif isinstance(action, Lose):
                 assert call.may_have_run and not call.out
 
+    def note_probe(self, probe: Probe) -> None:
+        """Remember a question."""
+        self.probes.append(self.now)
+
     def check_send(self, call: ModelCall, send: Send) -> None:
         """Hold a send to the rules."""
         state, incarnation = self.live[send.endpoint]
@@ -273,3 +277,63 @@
     max_examples=150, stateful_step_count=50
 )
 TestBalancer = BalancerMachine.TestCase
+
+
+class AskingMachine(BalancerMachine):
+    """Let endpoints tell how long work takes, so that they are asked.
+
+    Questions are answered late, twice, wrongly or never, and calls end,
+    hedge and are abandoned meanwhile.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked: list[str] = []
+        self.balancer.limit_inquiries(1000.0, 1)
+
+    def note_probe(self, probe: Probe) -> None:
+        """Remember a question that can be answered."""
+        self.asked.append(probe.endpoint)
+
+    @step(
+        pick=st.integers(0, 1000),
+        load=st.none() | st.integers(0, 6),
+        stretch=st.sampled_from((1.0, 1.0, 5.0)),
+        again=st.booleans(),
+    )
+    def answer(
+        self, pick: int, load: int | None, stretch: float, again: bool
+    ) -> None:
+        """Answer a question."""
+        if not self.asked:
+            return
+        index = pick % len(self.asked)
+        address = self.asked[index] if again else self.asked.pop(index)
+        self.take(
+            self.balancer.take_probe(
+                "catalogo", address, load, 0.001, self.now, stretch
+            )
+        )
+
+    @step(
+        pick=st.integers(0, 1000),
+        load=st.integers(0, 6),
+        stretch=st.sampled_from((1.0, 5.0)),
+    )
+    def end_and_tell(self, pick: int, load: int, stretch: float) -> None:
+        """Let an attempt be answered with a report."""
+        found = self.open_attempts()
+        if not found:
+            return
+        call_id, attempt = found[pick % len(found)]
+        self.calls[call_id].out.discard(attempt)
+        result = Result(
+            call_id, attempt, ANSWERED, 0.01, load, stretch=stretch
+        )
+        self.take(self.balancer.finish(result, self.now))
+
+
+AskingMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=50
+)
+TestAsking = AskingMachine.TestCase
