Ask on past silent endpoints and refuse held calls later

Cause: five endpoints went dark and stayed announced for five seconds; each inquiry that hit one waited 15 ms and ended there, calls were held, and the estimate of the wait refused the next ones with slots free elsewhere.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -252,7 +252,7 @@
             elif kind == EXPIRY:
                 self._expire(call, actions)
             elif kind == ASKED and call_id in self._inquiries:
-                self._end_inquiry(call, now, actions)
+                self._end_round(call, now, actions)
             elif kind == AGAIN:
                 self._ask_again(call, now, actions)
         for name, pool in self._pools.items():
@@ -277,7 +277,7 @@
         asked = pool.to_ask(inquiry, now)
         if not asked:
             return False
-        inquiry.ask(asked)
+        inquiry.ask(asked, now + ANSWER_S)
         self._inquiries[call.call_id] = inquiry
         self._timers.add(now + ANSWER_S, ASKED, call.call_id)
         path = pool.service.probe_path
@@ -304,10 +304,36 @@
                 continue
             if not inquiry.over:
                 continue
-            more = inquiry.rounds_left
-            if more and self._ask(pool, call, inquiry, now, actions):
-                continue
-            self._end_inquiry(call, now, actions)
+            if not self._ask_more(pool, call, inquiry, now, actions):
+                self._end_inquiry(call, now, actions)
+
+    def _ask_more(
+        self,
+        pool: Pool,
+        call: Call,
+        inquiry: Inquiry,
+        now: float,
+        actions: list[Action],
+    ) -> bool:
+        if not inquiry.rounds_left:
+            return False
+        return self._ask(pool, call, inquiry, now, actions)
+
+    def _end_round(
+        self, call: Call, now: float, actions: list[Action]
+    ) -> None:
+        """Ask others in place of those that do not answer in time."""
+        inquiry = self._inquiries[call.call_id]
+        if now < inquiry.until:
+            # A later round has its own timer.
+            return
+        pool = self._pools.get(call.service)
+        if pool is not None:
+            for address in inquiry.unanswered:
+                pool.note_silence(address, now)
+            if self._ask_more(pool, call, inquiry, now, actions):
+                return
+        self._end_inquiry(call, now, actions)
 
     def _end_inquiry(
         self, call: Call, now: float, actions: list[Action]
--- a/packages/core/nutmegchute_core/inquiries.py
+++ b/packages/core/nutmegchute_core/inquiries.py
@@ -44,7 +44,7 @@
 class Inquiry:
     """Follow the questions asked for one call, or for its hedge."""
 
-    __slots__ = ("_avoid", "_hedging", "_open", "_round", "_told")
+    __slots__ = ("_avoid", "_hedging", "_open", "_round", "_told", "until")
 
     def __init__(self, avoid: list[str], hedging: bool = False) -> None:
         self._avoid = avoid
@@ -52,6 +52,7 @@
         self._open: set[str] = set()
         self._round = 0
         self._told = False
+        self.until = 0.0
 
     @property
     def told(self) -> bool:
@@ -83,8 +84,14 @@
         """Tell whether others may still be asked."""
         return self._round < ROUNDS
 
-    def ask(self, addresses: list[str]) -> None:
-        """Begin a round."""
+    @property
+    def unanswered(self) -> list[str]:
+        """List who has not answered in this round."""
+        return sorted(self._open)
+
+    def ask(self, addresses: list[str], until: float) -> None:
+        """Begin a round that is over at a time at the latest."""
+        self.until = until
         self._round += 1
         self._open = set(addresses)
         self._avoid = [*self._avoid, *addresses]
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -36,6 +36,9 @@
 RETRY_AFTER_LEAST_S = 0.2
 TIMED_OUT_SHARE = 0.9
 ADMIT_SHARE = 0.5
+# Where calls are held until an endpoint has room, those that can still be
+# in time go first, and the wait of one is less than the queue suggests.
+HELD_ADMIT_SHARE = 0.9
 # The time between two sends while calls wait: what is taken at first, and
 # the most that a pause may count for.
 FIRST_GAP_S = 0.05
@@ -181,6 +184,12 @@
             return []
         return [endpoint.address for endpoint in found]
 
+    def note_silence(self, address: str, now: float) -> None:
+        """Leave an endpoint alone that did not answer a question in time."""
+        endpoint = self._endpoints.get(address)
+        if endpoint is not None and not endpoint.muted(now):
+            endpoint.mute(now)
+
     def suits(self, address: str, now: float) -> bool:
         """Tell whether a call can begin at once at an endpoint."""
         endpoint = self._endpoints.get(address)
@@ -239,7 +248,8 @@
             return None
         ahead = self.queue.ahead_of(call.rule.priority)
         wait_s = ahead * self._gap_s + self._typical_s(call)
-        if wait_s > (call.deadline_at - now) * ADMIT_SHARE:
+        share = HELD_ADMIT_SHARE if self.holds else ADMIT_SHARE
+        if wait_s > (call.deadline_at - now) * share:
             return "cannot be answered in time"
         return None
 
--- a/packages/core/nutmegchute_core/registries.py
+++ b/packages/core/nutmegchute_core/registries.py
@@ -14,7 +14,7 @@
 # An endpoint announces every 1.5 s and a word may be a second or two late;
 # one that is silent for longer has crashed. Entries notice a crash by its
 # failures long before, so this need not be short.
-ENDPOINT_LEASE_S = 5.0
+ENDPOINT_LEASE_S = 4.0
 # How long the end of an instance is remembered, so that a word of it that
 # was under way meanwhile does not bring it back. A partition holds words
 # back for as long as it lasts and TCP goes on trying for a minute.
