Send changes, not whole branches; hold calls after a pause

Cause of the bytes: each change sent every router the whole configuration; after a change that added many routes that was most of what crossed zones. Routers take the accepted changes themselves where control keeps them. Calls are held until every replica was heard again, 0.6 s at most. An election after a start without a leader begins sooner (0.15 s), the directory answers 0.7 s after a start.

--- a/packages/core/nutmegchute_core/fleets.py
+++ b/packages/core/nutmegchute_core/fleets.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .trees import Step
+
 # How long an entry acts on a tree after it last asked a leader. It outlasts
 # one lost question (hold, time-out, retry) and leaves room for a failover
 # within the 12 s in which a change must be in force.
@@ -28,7 +30,9 @@
     """Give what changed up to ``index``, or only name the leader.
 
     ``documents`` holds the branches that changed since the index that was
-    asked for, None for a removed one; it is None where nothing did.
+    asked for, None for a removed one; it is None where nothing did. In its
+    place ``steps`` may lead there, a fraction of the bytes where branches
+    hold thousands of items and a change one of them.
     Only a ``current`` reply comes from a leader that a quorum confirmed
     after the question arrived; no other may be acted on.
     """
@@ -39,6 +43,7 @@
     index: int = 0
     revisions: dict[str, int] = {}
     documents: dict[str, Any] | None = None
+    steps: list[Step] | None = None
 
 
 class Enroll(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/nutmegchute_core/followings.py
+++ b/packages/core/nutmegchute_core/followings.py
@@ -126,11 +126,19 @@
     return FollowReply(leader.name, leader.grpc_address, False)
 
 
-def news_since(node: Node, known: int) -> FollowReply | None:
-    """Give what changed in the tree since an index; None: nothing."""
+def news_since(
+    node: Node, known: int, by_steps: bool = False
+) -> FollowReply | None:
+    """Give what changed in the tree since an index; None: nothing.
+
+    ``by_steps`` gives the changes themselves where they are kept.
+    """
     tree = node.machine.tree
     if tree.index <= known:
         return None
+    steps = tree.steps_since(known) if by_steps and known else None
+    if steps is not None:
+        return FollowReply(None, None, True, tree.index, steps=steps)
     changed = tree.changed_since(known)
     return FollowReply(
         leader=None,
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -403,7 +403,7 @@
             return
         if not self._is_to_blame(call, result):
             return
-        if result.outcome == NOT_RUN:
+        if result.outcome == NOT_RUN and result.load is None:
             endpoint.mute(now)
         self._chooser.hear_failure(endpoint, now)
 
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -27,6 +27,11 @@
 from .messages import VoteRequest
 
 ELECTION_SPREAD_S = 0.5
+# A replica that has heard no leader since its start asks for votes sooner:
+# after a loss of power nobody leads, and every replica waiting as if for a
+# lost leader would keep all entries without a configuration for a second.
+# Where one leads, the others refuse the question.
+START_ELECTION_S = 0.15
 HEARTBEAT_S = 0.2
 # A follower that has missed the leader's word so often is cut off from it,
 # or the leader is gone.
@@ -49,6 +54,7 @@
         "_commit",
         "_election_at",
         "_hard_state",
+        "_heard_any",
         "_heard_leader_at",
         "_heartbeat_at",
         "_identity",
@@ -93,6 +99,7 @@
         self._term_start = 0
         self._heartbeat_at = now
         self._heard_leader_at = now - ELECTION_S
+        self._heard_any = False
         self._election_at = now
         self._reset_election(now)
 
@@ -506,6 +513,7 @@
             self._step("leader_heard")
         self._leader = leader
         self._heard_leader_at = now
+        self._heard_any = True
         self._reset_election(now)
 
     def _merge(self, entries: list[LogEntry]) -> None:
@@ -598,8 +606,9 @@
             self._unsaved_from = index
 
     def _reset_election(self, now: float) -> None:
-        spread = ELECTION_SPREAD_S * self._random.random()
-        self._election_at = now + ELECTION_S + spread
+        spread_s = ELECTION_SPREAD_S * self._random.random()
+        least_s = ELECTION_S if self._heard_any else START_ELECTION_S
+        self._election_at = now + least_s + spread_s
 
     def _step(self, event: str) -> None:
         self._state = REPLICA_CHART.step(self._state, event)
--- a/packages/core/nutmegchute_core/trees.py
+++ b/packages/core/nutmegchute_core/trees.py
@@ -20,6 +20,8 @@
 # it names rose, so it ends as a conflict.
 ANSWERS_KEPT = 10_000
 AUDIT_KEPT = 10_000
+# Entries lag by a few changes at most; a storm has several a second.
+STEPS_KEPT = 64
 
 
 class Patch(msgspec.Struct, frozen=True):
@@ -108,6 +110,20 @@
     answer: Answer
 
 
+class Step(msgspec.Struct, frozen=True):
+    """Hold what one accepted change did to the tree.
+
+    ``index`` is its place in the log, ``after`` that of the change before
+    it; an entry that holds the tree of then can take the step alone.
+    """
+
+    index: int
+    after: int
+    documents: dict[str, Any]
+    patches: dict[str, Patch]
+    revisions: dict[str, int]
+
+
 class TreeState(msgspec.Struct, frozen=True):
     """Hold a tree in the form that snapshots keep."""
 
@@ -120,9 +136,11 @@
 class Tree:
     """Apply changes in log order; every replica reaches the same tree."""
 
-    __slots__ = ("_answers", "_audit", "_branches", "_index")
+    __slots__ = ("_answers", "_audit", "_branches", "_index", "_steps")
 
     def __init__(self) -> None:
+        # Not part of the state: who lacks a step is sent whole branches.
+        self._steps: deque[Step] = deque(maxlen=STEPS_KEPT)
         self._branches: dict[str, Branch] = {}
         self._answers: dict[str, Kept] = {}
         self._audit: deque[AuditRecord] = deque(maxlen=AUDIT_KEPT)
@@ -163,6 +181,17 @@
             if branch.index > index
         }
 
+    def steps_since(self, index: int) -> list[Step] | None:
+        """List the changes after an index; None: not all are kept."""
+        found = []
+        for step in reversed(self._steps):
+            if step.index <= index:
+                break
+            found.append(step)
+        if not found or found[-1].after > index:
+            return None
+        return found[::-1]
+
     def apply(self, index: int, change: Change) -> Answer:
         """Apply a committed change, or repeat the answer it got before."""
         digest = _digest(change)
@@ -222,6 +251,7 @@
     def restore(self, state: TreeState) -> None:
         """Take a snapshot's tree in place of the present one."""
         self._index = state.index
+        self._steps.clear()
         self._branches = dict(state.branches)
         self._answers = {kept.answer.change_id: kept for kept in state.answers}
         self._audit = deque(state.audit, AUDIT_KEPT)
@@ -279,6 +309,15 @@
         for team, document in documents.items():
             revision = change.numbers.get(team, self._revision(team) + 1)
             self._branches[team] = Branch(revision, document, index)
+        self._steps.append(
+            Step(
+                index=index,
+                after=self._index,
+                documents=change.documents,
+                patches=change.patches,
+                revisions=self._pick(change.teams),
+            )
+        )
         self._index = index
         return self._answer(index, change, ACCEPTED, "")
 
@@ -303,7 +342,7 @@
         for team, patch in change.patches.items():
             if team not in merged:
                 raise DeclarationError(team, "there is no such branch")
-            document = _patched(merged[team], patch)
+            document = patched(merged[team], patch)
             check_team(team, document)
             asked[team] = merged[team] = document
         check_tree(merged)
@@ -339,19 +378,20 @@
     return True
 
 
-def _patched(document: dict[str, Any], patch: Patch) -> dict[str, Any]:
-    patched = dict(document)
+def patched(document: dict[str, Any], patch: Patch) -> dict[str, Any]:
+    """Return a document with some of its items replaced or removed."""
+    changed = dict(document)
     if patch.limits is not None:
-        patched["limits"] = patch.limits
+        changed["limits"] = patch.limits
     for section, items in patch.sections.items():
-        kept = dict(patched.get(section, {}))
+        kept = dict(changed.get(section, {}))
         for name, item in items.items():
             if item is None:
                 kept.pop(name, None)
                 continue
             kept[name] = item
-        patched[section] = kept
-    return patched
+        changed[section] = kept
+    return changed
 
 
 def _digest(change: Change) -> str:
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -56,6 +56,7 @@
     CALL_ENDED = ("NC3016", "call ended")
     RELOADED = ("NC1008", "settings read again")
     WORD_FAILED = ("NC3017", "control's word could not be taken")
+    PAUSED = ("NC3018", "entry stood still")
     LEASE_LAPSED = ("NC3010", "no leader confirms the configuration")
     LEASE_RENEWED = ("NC3011", "a leader confirms the configuration again")
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -30,7 +30,7 @@
 CONFIRM_S = 0.8
 # A replica that has just started does not know the entries yet. Naming only
 # those that were quickest would send them the callers of all.
-GATHER_S = 1.5
+GATHER_S = 0.7
 MOST_ENTRIES = 64
 
 
@@ -252,7 +252,7 @@
         node = self._node()
         if node is None or not self._in_contact():
             return reply
-        tree: FollowReply | None = news_since(node, request.index)
+        tree: FollowReply | None = news_since(node, request.index, True)
         members = node.replica.log.membership_index
         replicas = None
         if members > request.members:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -18,6 +18,7 @@
 from nutmegchute_core.calls import Result
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.pauses import Pause
 from nutmegchute_core.routes import read_routes
 from nutmegchute_core.routes import RouteTable
 from nutmegchute_core.rules import CallerLimits
@@ -75,6 +76,8 @@
         self._members = -1
         self._entries = 1
         self._leaving = False
+        self._pause = Pause(boot_time())
+        self._held: list[Ticket] = []
         self._watchers = Watchers(settings.seeds, self._links, self)
         self._connections = Connections()
         self._handler = CallHandler(
@@ -160,8 +163,16 @@
 
     def open_call(self, ticket: Ticket) -> None:
         """Admit a call; its actions go to the ticket."""
+        self._look_for_pause()
+        if self._pause.quiet(boot_time()):
+            self._held.append(ticket)
+            return
+        self._route(ticket)
+
+    def _route(self, ticket: Ticket) -> None:
         if self._table is None:
-            ticket.put(Refuse(0, "no configuration yet", UNCONFIGURED_RETRY_S))
+            refuse = Refuse(0, "no configuration yet", UNCONFIGURED_RETRY_S)
+            tell(ticket, refuse)
             return
         arrival = ticket.arrival
         route = self._table.find(arrival.host, arrival.path)
@@ -227,6 +238,7 @@
     def hear(self, replica: str, reply: WatchReply) -> None:
         """Take a control replica's answer."""
         ready = self.ready
+        self._pause.hear(replica)
         self._members = max(self._members, reply.members)
         if reply.replicas is not None:
             self._watchers.update(reply.replicas)
@@ -242,6 +254,21 @@
             self._update_upstreams()
         if self.ready != ready:
             self._watchers.poke()
+        self._release()
+
+    def _look_for_pause(self) -> None:
+        paused_s = self._pause.look(boot_time(), self._watchers.addresses)
+        if paused_s is None:
+            return
+        log(Event.PAUSED, "warning", paused_s=round(paused_s, 3))
+        self._watchers.poke()
+
+    def _release(self) -> None:
+        if not self._held or self._pause.quiet(boot_time()):
+            return
+        held, self._held = self._held, []
+        for ticket in held:
+            self._route(ticket)
 
     def _apply(self) -> None:
         documents = self._tree.documents
@@ -288,6 +315,8 @@
         self._balancer.limit_extra(limit.share, limit.burst(self._entries))
 
     def _sweep(self) -> None:
+        self._look_for_pause()
+        self._release()
         self._asker.run_later()
         self._desk.sweep()
         self._connections.sweep()
--- a/packages/daemon/nutmegchute_daemon/trees.py
+++ b/packages/daemon/nutmegchute_daemon/trees.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from nutmegchute_core.fleets import FollowReply
+from nutmegchute_core.trees import patched
+from nutmegchute_core.trees import Step
 
 
 class TreeCopy:
@@ -32,13 +34,38 @@
 
     def take(self, reply: FollowReply) -> bool:
         """Take what changed; return whether it is newer."""
-        if reply.documents is None or reply.index <= self._index:
+        if reply.index <= self._index:
             return False
-        documents = {**self._documents, **reply.documents}
-        for team, document in reply.documents.items():
+        if reply.steps is not None:
+            return self._take_steps(reply.steps)
+        if reply.documents is None:
+            return False
+        self._replace(reply.documents, reply.revisions)
+        self._index = reply.index
+        return True
+
+    def _take_steps(self, steps: list[Step]) -> bool:
+        before = self._index
+        for step in steps:
+            if step.index <= self._index:
+                continue
+            if step.after > self._index:
+                # A change between is not held; the next question gives it.
+                break
+            changed = dict(step.documents)
+            for team, patch in step.patches.items():
+                document = changed.get(team, self._documents.get(team))
+                changed[team] = patched(document or {}, patch)
+            self._replace(changed, step.revisions)
+            self._index = step.index
+        return self._index > before
+
+    def _replace(
+        self, changed: dict[str, Any], revisions: dict[str, int]
+    ) -> None:
+        documents = {**self._documents, **changed}
+        for team, document in changed.items():
             if document is None:
                 del documents[team]
         self._documents = documents
-        self._revisions = {**self._revisions, **reply.revisions}
-        self._index = reply.index
-        return True
+        self._revisions = {**self._revisions, **revisions}
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -125,6 +125,11 @@
         self._told: list[str] = []
         self._watchers: dict[str, Watcher] = {}
 
+    @property
+    def addresses(self) -> list[str]:
+        """List the replicas that are watched."""
+        return list(self._watchers)
+
     def start(self) -> None:
         """Begin with the replicas that the settings name."""
         self._watch(self._seeds)
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,34 @@
+"""Hold calls after a process stood still."""
+
+from nutmegchute_core.pauses import Pause
+from nutmegchute_core.pauses import PAUSE_S
+from nutmegchute_core.pauses import QUIET_S
+
+REPLICAS = ["c1", "c2"]
+
+
+def test_calls_are_held_until_every_replica_was_heard() -> None:
+    """Hold calls of a process that wakes with old endpoints.
+
+    A vm is frozen for three seconds. An endpoint says meanwhile that it
+    leaves, and is told that this is known. The vm wakes with a caller's
+    request before it; sent by what was known, it would reach the endpoint.
+    """
+    pause = Pause(0.0)
+    assert pause.look(0.1, REPLICAS) is None
+    assert not pause.quiet(0.1)
+    assert pause.look(3.2, REPLICAS) is not None
+    assert pause.quiet(3.2)
+    pause.hear("c1")
+    assert pause.quiet(3.21)
+    pause.hear("c2")
+    assert not pause.quiet(3.21)
+
+
+def test_lost_replica_holds_calls_for_a_moment_only() -> None:
+    """Go on without a replica that does not answer."""
+    pause = Pause(0.0)
+    pause.look(PAUSE_S + 0.1, REPLICAS)
+    pause.hear("c1")
+    assert pause.quiet(PAUSE_S + QUIET_S)
+    assert not pause.quiet(PAUSE_S + 0.1 + QUIET_S)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -211,6 +211,9 @@
     accept(world, "a", 0)
     assert world.run_until(lambda: world.in_force_index > 0, 5.0)
     silent = world.entries[0]
+    assert world.run_until(
+        lambda: silent.standing.has_lease(world.now) and silent.index > 0, 5.0
+    )
     for name in world.names:
         world.cuts |= {(silent.name, name), (name, silent.name)}
     if leader_dies:
--- /dev/null
+++ b/tests/test_tree_copies.py
@@ -0,0 +1,103 @@
+"""Lead an entry's copy of the tree on by the changes alone."""
+
+from typing import Any
+
+from nutmegchute_core.fleets import FollowReply
+from nutmegchute_core.trees import ACCEPTED
+from nutmegchute_core.trees import Change
+from nutmegchute_core.trees import Patch
+from nutmegchute_core.trees import STEPS_KEPT
+from nutmegchute_core.trees import Tree
+from nutmegchute_daemon.trees import TreeCopy
+
+TEAM = "lending"
+
+
+def route(prefix: str) -> dict[str, Any]:
+    """Build a route."""
+    return {
+        "host": "h",
+        "path_prefix": prefix,
+        "idempotent": True,
+        "timeout_ms": 1000,
+        "service": "desk",
+    }
+
+
+def change(tree: Tree, index: int, **fields: Any) -> None:
+    """Apply a change that builds on the present revision."""
+    asked = Change(
+        change_id=str(index),
+        operator="ana",
+        bases={TEAM: tree.revisions.get(TEAM, 0)},
+        documents=fields.get("documents", {}),
+        at_unix_s=0.0,
+        patches=fields.get("patches", {}),
+    )
+    assert tree.apply(index, asked).outcome == ACCEPTED
+
+
+def whole(tree: Tree, index: int) -> FollowReply:
+    """Give the tree as it is told to who knows nothing."""
+    return FollowReply(None, None, True, index, tree.revisions, tree.documents)
+
+
+def build() -> tuple[Tree, TreeCopy]:
+    """Build a tree of many routes and a copy that holds it."""
+    tree = Tree()
+    routes = {f"r{n}": route(f"/{n}/") for n in range(50)}
+    change(
+        tree, 3, documents={TEAM: {"services": {"desk": {}}, "routes": routes}}
+    )
+    copy = TreeCopy()
+    assert copy.take(whole(tree, 3))
+    return tree, copy
+
+
+def patch(name: str, item: Any) -> dict[str, Patch]:
+    """Build a patch of one route."""
+    return {TEAM: Patch({"routes": {name: item}})}
+
+
+def test_copy_follows_by_steps() -> None:
+    """Reach the same tree by the changes as by whole branches."""
+    tree, copy = build()
+    change(tree, 5, patches=patch("r1", route("/new/")))
+    change(tree, 9, patches=patch("r2", None))
+    steps = tree.steps_since(copy.index)
+    assert steps is not None and [one.index for one in steps] == [5, 9]
+    assert copy.take(FollowReply(None, None, True, 9, steps=steps))
+    assert copy.documents == tree.documents
+    assert (copy.index, copy.revisions) == (9, tree.revisions)
+
+
+def test_step_on_an_unknown_tree_is_not_taken() -> None:
+    """Never apply a change to a tree that it was not made on."""
+    tree, copy = build()
+    change(tree, 5, patches=patch("r1", None))
+    change(tree, 9, patches=patch("r2", None))
+    steps = tree.steps_since(5)
+    assert steps is not None
+    assert not copy.take(FollowReply(None, None, True, 9, steps=steps))
+    assert copy.index == 3
+
+
+def test_steps_taken_already_are_passed_over() -> None:
+    """Take an answer that another replica's has overtaken in part."""
+    tree, copy = build()
+    change(tree, 5, patches=patch("r1", None))
+    assert copy.take(whole(tree, 5))
+    change(tree, 9, patches=patch("r2", None))
+    steps = tree.steps_since(3)
+    assert steps is not None
+    assert copy.take(FollowReply(None, None, True, 9, steps=steps))
+    assert copy.documents == tree.documents
+
+
+def test_who_lags_too_far_gets_whole_branches() -> None:
+    """Keep a bounded number of changes."""
+    tree, copy = build()
+    for index in range(10, 12 + STEPS_KEPT):
+        change(tree, index, patches=patch("r1", route(f"/x{index}/")))
+    assert tree.steps_since(copy.index) is None
+    assert tree.steps_since(tree.index - 1) is not None
