Learn from scratch whether nearly full endpoints slow down

Cause: a slowdown of 1.3 was expected until eight answers told otherwise. Calls were kept from any endpoint with one of two slots taken, so no answer ever told: 243 of 246 sends in six seconds went to empty endpoints, the rest waited (at the tenth percentile from the top 234 ms) with half the slots free. Change: no slowdown is expected at first; medians in place of means, since stretched answers are five times as long; what was learned fades, so that it is tried again.

--- a/packages/core/nutmegchute_core/inquiries.py
+++ b/packages/core/nutmegchute_core/inquiries.py
@@ -7,7 +7,7 @@
 """
 
 from .endpoints import Endpoint
-from .latencies import Mean
+from .latencies import Quantile
 
 # How long a report is taken for the present state; neighbours change more
 # than five times a second.
@@ -29,12 +29,18 @@
 # question: neighbours cost two or more.
 STRETCHED = 1.5
 # Some endpoints slow down when nearly full. Whether those of a service do
-# is learned; until enough answers tell, this much is expected.
+# is learned. Until enough answers tell, none is expected: held back from
+# such endpoints, calls would never show that they do not slow down.
 NEARLY_FULL = 0.8
-FIRST_FULL_FACTOR = 1.3
+FIRST_FULL_FACTOR = 1.0
 LEAST_ANSWERS = 8
-# A slowdown below this is no reason to ask further.
-FULL_MATTERS = 1.2
+# A slowdown below this is no reason to ask further; medians of a few answers
+# differ by a tenth either way.
+FULL_MATTERS = 1.3
+# What was learned fades with every answer from an endpoint that was not
+# nearly full, so that it is tried again after some three hundred of them:
+# while it keeps calls away nothing else could show that it is wrong.
+FULL_FADES = 0.999
 # Questions a second, as a share of what the upstreams allow all entries:
 # the rest covers entries that count one another too low.
 ALLOWED_SHARE = 0.5
@@ -140,19 +146,21 @@
     Answers count as multiples of what is usual for their kind of call.
     """
 
-    __slots__ = ("_counts", "_free", "_full")
+    __slots__ = ("_counts", "_faded", "_free", "_full")
 
     def __init__(self) -> None:
-        self._free = Mean(1.0)
-        self._full = Mean(FIRST_FULL_FACTOR)
+        self._free = Quantile(0.5, 1.0)
+        self._full = Quantile(0.5, 1.0)
         self._counts = [0, 0]
+        self._faded = 1.0
 
     @property
     def factor(self) -> float:
         """Give the slowdown, at least 1."""
         if min(self._counts) < LEAST_ANSWERS:
             return FIRST_FULL_FACTOR
-        return max(1.0, self._full.value / self._free.value)
+        factor = self._full.value_s / self._free.value_s
+        return max(1.0, factor * self._faded)
 
     @property
     def matters(self) -> bool:
@@ -162,6 +170,7 @@
     def learn(self, full: bool, multiple: float) -> None:
         """Take an answer's time as a multiple of the usual."""
         self._counts[full] += 1
+        self._faded = 1.0 if full else self._faded * FULL_FADES
         (self._full if full else self._free).learn(multiple)
 
 
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -10,6 +10,7 @@
 from nutmegchute_core.calls import Send
 from nutmegchute_core.inquiries import ANSWER_S
 from nutmegchute_core.inquiries import FRESH_S
+from nutmegchute_core.inquiries import Fullness
 from nutmegchute_core.inquiries import InquiryBudget
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.policies import Policy
@@ -206,3 +207,34 @@
                 SERVICE, address, load, 0.001, now, 1.0
             )
     assert set(sent(actions)) <= set(FAR)
+
+
+def test_slowdown_of_nearly_full_endpoints_is_learned() -> None:
+    """Keep away from nearly full endpoints only where it costs time.
+
+    One deployment's endpoints take 1.7 times as long with all slots taken,
+    the other's do not. Kept away from these from the start, calls would
+    wait for free endpoints with half of the slots empty.
+    """
+    slowing = Fullness()
+    steady = Fullness()
+    assert not slowing.matters
+    for turn in range(60):
+        slowing.learn(False, 1.0 + turn % 3 / 10)
+        slowing.learn(True, 1.7 + turn % 3 / 10)
+        steady.learn(False, 1.0 + turn % 3 / 10)
+        steady.learn(True, 1.0 + turn % 3 / 10)
+    assert slowing.matters
+    assert not steady.matters
+
+
+def test_slowdown_is_tried_again() -> None:
+    """Forget a slowdown that nothing can contradict any more."""
+    fullness = Fullness()
+    for _ in range(20):
+        fullness.learn(True, 1.6)
+        fullness.learn(False, 1.0)
+    assert fullness.matters
+    for _ in range(400):
+        fullness.learn(False, 1.0)
+    assert not fullness.matters
