Split answers, usual times and descriptions from what uses them

Routers' trees count for "in force": status and apply said that a change was in force everywhere while a router in touch still had an older one, since only entries that enroll were asked. The way of a probe's answer to the loop stood twice.

--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -1,6 +1,7 @@
 """Put a request's story together from the logs of many daemons."""
 
 import re
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,8 @@
 from .options import Options
 from .tables import print_json
 
-CALL_ENDED = "NC3016"
+Line = dict[str, Any]
+
 CONFIG_APPLIED = "NC3001"
 ENDPOINTS_CHANGED = "NC3014"
 # A collector may put a time and a name before each line.
@@ -48,7 +50,7 @@
     return EXIT_DONE
 
 
-def _read(path: Path) -> list[dict[str, Any]]:
+def _read(path: Path) -> list[Line]:
     lines = []
     try:
         text = path.read_text(errors="replace")
@@ -68,7 +70,7 @@
     return lines
 
 
-def _story(end: dict[str, Any], lines: list[dict[str, Any]]) -> dict[str, Any]:
+def _story(end: Line, lines: list[Line]) -> Line:
     """Tell one call, and the lines that its choice rested on."""
     at = str(end.get("timestamp", ""))
     before = [one for one in lines if str(one.get("timestamp", "")) <= at]
@@ -96,7 +98,7 @@
     return {"call": end, "told": told}
 
 
-def _head(end: dict[str, Any]) -> str:
+def _head(end: Line) -> str:
     meaning = OUTCOMES.get(end["outcome"], end["outcome"])
     reason = f" ({end['reason']})" if end.get("reason") else ""
     return (
@@ -107,8 +109,8 @@
 
 
 def _newest(
-    lines: list[dict[str, Any]], number: str, end: dict[str, Any], holds: Any
-) -> dict[str, Any] | None:
+    lines: list[Line], number: str, end: Line, holds: Callable[[Line], bool]
+) -> Line | None:
     """Return the last such line of the daemon that had the call."""
     for line in reversed(lines):
         if line["number"] != number or line.get("daemon") != end["daemon"]:
@@ -118,7 +120,7 @@
     return None
 
 
-def _short(line: dict[str, Any]) -> str:
+def _short(line: Line) -> str:
     kept = {
         key: value
         for key, value in line.items()
@@ -130,5 +132,5 @@
     )
 
 
-def _fields(values: dict[str, Any]) -> str:
+def _fields(values: Line) -> str:
     return " ".join(f"{key}={value}" for key, value in values.items())
--- a/packages/core/nutmegchute_core/attendances.py
+++ b/packages/core/nutmegchute_core/attendances.py
@@ -59,11 +59,19 @@
 class Attendant:
     """Hold what one entry said last."""
 
-    __slots__ = ("closed", "due_at", "generation", "heard_at", "word")
+    __slots__ = (
+        "closed",
+        "due_at",
+        "generation",
+        "heard_at",
+        "index",
+        "word",
+    )
 
     def __init__(self, word: EntryWord) -> None:
         self.word = word
         self.generation = 0
+        self.index = 0
         self.heard_at = 0.0
         # When it asks again at the latest.
         self.due_at = 0.0
@@ -79,7 +87,12 @@
         self._attendants: dict[str, Attendant] = {}
 
     def hear(
-        self, word: EntryWord, generation: int, hold_s: float, now: float
+        self,
+        word: EntryWord,
+        generation: int,
+        index: int,
+        hold_s: float,
+        now: float,
     ) -> None:
         """Take an entry's word; ``generation`` is 0 for another epoch."""
         attendant = self._attendants.get(word.name)
@@ -87,6 +100,7 @@
             attendant = self._attendants[word.name] = Attendant(word)
         attendant.word = word
         attendant.generation = generation
+        attendant.index = index
         attendant.heard_at = now
         attendant.due_at = now + hold_s + ATTENDANCE_MARGIN_S
         attendant.closed = False
@@ -114,6 +128,14 @@
                 found.append(name)
         return found
 
+    def applied(self, now: float) -> dict[str, int]:
+        """Map the entries in touch to the tree each has in force."""
+        found = {}
+        for name, attendant in self._attendants.items():
+            if not attendant.closed and now <= attendant.due_at:
+                found[name] = attendant.index
+        return found
+
     def count(self, now: float) -> int:
         """Count the entries heard of lately, rather too many than too few."""
         for name, attendant in list(self._attendants.items()):
--- /dev/null
+++ b/packages/core/nutmegchute_core/usuals.py
@@ -0,0 +1,49 @@
+"""Hold what is usual for a rule's calls, and what a send met."""
+
+from .endpoints import Endpoint
+from .inquiries import FRESH_S
+from .inquiries import nearly_full
+from .latencies import Quantile
+
+HEDGE_QUANTILE = 0.92
+# What is taken for usual and for slow at first, as shares of the objective.
+FIRST_HALF = 0.4
+FIRST_SLOW = 0.6
+
+
+class Usual:
+    """Follow how long calls of one rule take, and what callers allow.
+
+    ``deadline_s`` is the longest deadline that a caller gave.
+    """
+
+    __slots__ = ("deadline_s", "half", "slow")
+
+    def __init__(self, objective_s: float) -> None:
+        # Until answers tell more: an entry sees few calls of a rule, and a
+        # guess that is too low would hedge each of the first ones.
+        self.half = Quantile(0.5, objective_s * FIRST_HALF)
+        self.slow = Quantile(HEDGE_QUANTILE, objective_s * FIRST_SLOW)
+        self.deadline_s = 0.0
+
+    def learn(self, latency_s: float) -> None:
+        """Take the time of an answer, in seconds."""
+        self.half.learn(latency_s)
+        self.slow.learn(latency_s)
+
+
+class Sent:
+    """Hold where an attempt went and whether that was nearly full then.
+
+    ``full`` is None where the endpoint's load was not known.
+    """
+
+    __slots__ = ("endpoint", "full")
+
+    def __init__(self, endpoint: Endpoint, now: float) -> None:
+        self.endpoint = endpoint
+        self.full: bool | None = None
+        age_s = endpoint.report_age_s(now)
+        if age_s is not None and age_s <= FRESH_S:
+            load = endpoint.in_flight + endpoint.reported_others
+            self.full = nearly_full(endpoint, load)
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -17,6 +17,7 @@
 from nutmegchute_core.claims import OPEN
 from nutmegchute_core.claims import RAN
 
+from .answers import CutAnswerError
 from .connections import Exchange
 from .exchanges import BadBodyError
 from .exchanges import StrictRequest
@@ -29,7 +30,6 @@
 from .protocols import UNKNOWN
 from .readers import BadRequestError
 from .readers import MAX_DEADLINE_MS
-from .senders import CutAnswerError
 from .senders import Reply
 from .senders import Request
 from .senders import Sender
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -35,6 +35,8 @@
 from .claims import LedgerClock
 from .daemons import Daemon
 from .deliveries import Deliveries
+from .descriptions import describe_idle
+from .descriptions import describe_member
 from .errors import StartError
 from .errors import StorageError
 from .events import Event
@@ -282,18 +284,9 @@
     def status(self) -> dict[str, Any]:
         """Describe this replica and the entries that follow it."""
         node = self._node
-        index = self.machine.tree.index
         if node is None:
-            state = "forming" if self._problem is None else "storage-failed"
-            return {
-                "name": self._settings.name,
-                "state": state,
-                "leader": None,
-                "problem": self._problem,
-                "index": 0,
-                "in_force": False,
-                "entries": {},
-            }
+            return describe_idle(self._settings.name, self._problem)
+        index = self.machine.tree.index
         return {
             "name": self._settings.name,
             "state": node.replica.state,
@@ -303,8 +296,12 @@
             "commit": node.replica.commit,
             "snapshot": node.replica.log.snapshot.index,
             "index": index,
-            "entries": self._followings.fleet.applied(),
+            "entries": {
+                **self._followings.fleet.applied(),
+                **self.registrar.applied(),
+            },
             "enrolled": sorted(self.machine.entries),
+            "instances": self.registrar.instances,
             "in_force": self._in_force(index),
         }
 
@@ -313,32 +310,16 @@
         node = self._node
         if node is None:
             return {"leader": None, "replicas": [], "waiting": []}
+        now = self._loop.time()
         rows = []
         for member in node.replica.membership.members:
-            rows.append(self._describe(node, member))
+            rows.append(describe_member(node.replica, member, now))
         return {
             "leader": self._leader_name(),
             "replicas": rows,
             "waiting": list(self._waiting_outside(node).values()),
         }
 
-    def _describe(self, node: Node, member: Member) -> dict[str, Any]:
-        replica = node.replica
-        now = self._loop.time()
-        heard_at = replica.heard_at(member.identity)
-        leads = member.identity == replica.leader
-        kind = "voter" if member.voter else "learner"
-        return {
-            "name": member.name,
-            "kind": "leader" if leads else kind,
-            "identity": member.identity,
-            "grpc_address": member.grpc_address,
-            "http_address": member.http_address,
-            "voter": member.voter,
-            "match_index": replica.match_index(member.identity),
-            "silent_s": None if heard_at is None else now - heard_at,
-        }
-
     def leader_address(self) -> str | None:
         """Give the address where operators reach the leader."""
         leader = self._leader()
@@ -382,6 +363,8 @@
     def _in_force(self, index: int) -> bool:
         if self._node is None:
             return False
+        if self.registrar.lagging(index):
+            return False
         return self._followings.in_force(index, self._node, self._loop.time())
 
     async def _decision(self, index: int, term: int) -> Outcome:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -7,7 +7,6 @@
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Known
-from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.claims import ClaimAnswer
@@ -90,7 +89,7 @@
             threads=settings.http_threads,
         )
         self._prober = Prober(
-            self._tell_probe, Sender(self._connections), LOAD_PATH
+            self._asker, Sender(self._connections), LOAD_PATH
         )
         self._desk = CallDesk(
             balancer=self._balancer,
@@ -99,6 +98,7 @@
             ask_load=self._prober.ask,
             settle=self._settle,
         )
+        self._prober.take = self._desk.take_probe
         self._handler.desk = self
         pages = EntryPages(self, self._asker, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._asker, self.stop)
@@ -258,17 +258,6 @@
         self._desk.sweep()
         self._connections.sweep()
 
-    def _tell_probe(
-        self,
-        probe: Probe,
-        load: int | None,
-        latency_s: float,
-        stretch: float | None,
-    ) -> None:
-        self._asker.tell(
-            self._desk.take_probe, probe, load, latency_s, stretch
-        )
-
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
         self._desk.perform(self._balancer.update_upstreams(live, now))
--- a/packages/daemon/nutmegchute_daemon/forms.py
+++ b/packages/daemon/nutmegchute_daemon/forms.py
@@ -2,11 +2,11 @@
 
 from urllib3 import HTTPHeaderDict
 
+from .answers import AnswerForm
 from .exchanges import StrictRequest
 from .protocols import ATTEMPT_HEADER
 from .protocols import DEADLINE_HEADER
 from .readers import read_call
-from .senders import AnswerForm
 from .tickets import Ticket
 
 
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -11,6 +11,7 @@
 from .senders import Request
 from .senders import Sender
 from .senders import skip_user_agent
+from .servers import LoopAsker
 
 LOAD_PATH = "/nutmegchute/load"
 THREADS = 6
@@ -24,12 +25,14 @@
 class Prober:
     """Carry out probes; what cannot be asked in time is dropped."""
 
-    __slots__ = ("_path", "_sender", "_tell", "_threads", "_waiting")
+    __slots__ = ("_asker", "_path", "_sender", "_threads", "_waiting", "take")
 
     def __init__(
-        self, tell: Told, sender: Sender, path: str | None = None
+        self, asker: LoopAsker, sender: Sender, path: str | None = None
     ) -> None:
-        self._tell = tell
+        # Takes the end of each probe, on the loop.
+        self.take: Told
+        self._asker = asker
         self._sender = sender
         self._path = path
         self._threads = ThreadPoolExecutor(THREADS, "probe")
@@ -67,4 +70,5 @@
             reply.close()
         finally:
             self._waiting -= 1
-        self._tell(probe, load, time.monotonic() - started, stretch)
+        latency_s = time.monotonic() - started
+        self._asker.tell(self.take, probe, load, latency_s, stretch)
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -106,6 +106,14 @@
         """Count the entries heard of lately."""
         return self._attendance.count(boot_time())
 
+    def applied(self) -> dict[str, int]:
+        """Map each entry in touch to the tree that it has in force."""
+        return self._attendance.applied(boot_time())
+
+    def lagging(self, index: int) -> bool:
+        """Tell whether an entry in touch has an older tree in force."""
+        return any(one < index for one in self.applied().values())
+
     def tell(self) -> None:
         """Wake the entries' questions: the tree or the group changed."""
         self._news.tell()
@@ -180,7 +188,9 @@
         if request.epoch != self._registry.epoch:
             seen = 0
         now = boot_time()
-        self._attendance.hear(request.entry, seen, request.hold_s, now)
+        self._attendance.hear(
+            request.entry, seen, request.index, request.hold_s, now
+        )
         self._seen.tell()
         hold_until = now + min(WATCH_FAR_S, request.hold_s)
         try:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -12,7 +12,6 @@
 from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.budgets import ExtraLimit
-from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
@@ -89,7 +88,7 @@
             form=self._form,
         )
         self._prober = Prober(
-            self._tell_probe, Sender(self._connections, self._form)
+            self._asker, Sender(self._connections, self._form)
         )
         self._desk = CallDesk(
             balancer=self._balancer,
@@ -98,6 +97,7 @@
             ask_load=self._prober.ask,
             settle=_settle_nothing,
         )
+        self._prober.take = self._desk.take_probe
         self._handler.desk = self
         self._http.handle(EVERYTHING, self._handler)
         health = self.add_listener(
@@ -325,17 +325,6 @@
         if self._catalog.expire(boot_time()):
             self._update_upstreams()
 
-    def _tell_probe(
-        self,
-        probe: Probe,
-        load: int | None,
-        latency_s: float,
-        stretch: float | None,
-    ) -> None:
-        self._asker.tell(
-            self._desk.take_probe, probe, load, latency_s, stretch
-        )
-
     def _answer_health(self, http: StrictRequest) -> None:
         status = 200 if self.ready else 503
         http.begin(status, [("Content-Length", "0")])
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -15,16 +15,13 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from .answers import AnswerForm
+from .answers import CutAnswerError
 from .connections import Connection
 from .connections import Connections
 from .connections import Exchange
 from .connections import idle_s
 from .errors import DaemonError
-from .protocols import ENTRY_HEADER
-from .protocols import LOAD_HEADER
-from .protocols import NOT_RUN_HEADER
-from .protocols import OUTCOME_HEADER
-from .protocols import RAN_STATUS_HEADER
 
 CONNECT_TIMEOUT_S = 0.25
 BUFFER_BYTES = 65536
@@ -32,10 +29,6 @@
 FIRST_FINAL_STATUS = 200
 FIRST_FAILED_STATUS = 500
 
-# An endpoint that sheds says so with one of these. "Not run" beside an
-# answer of another kind cannot be true.
-SHED_STATUSES = frozenset({429, 503})
-
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -52,26 +45,10 @@
     }
 )
 
-# Only the entry says these to a caller; an upstream that says them would
-# be believed about something it does not know.
-OWN_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        ENTRY_HEADER,
-        NOT_RUN_HEADER,
-        OUTCOME_HEADER,
-        RAN_STATUS_HEADER,
-    )
-)
-
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FOLD = re.compile(r"[\r\n]+[ \t]*")
 
 
-class CutAnswerError(DaemonError):
-    """Say that an answer ended before its end."""
-
-
 class Rest:
     """Pass on the rest of a long body as it comes; it is read only once."""
 
@@ -123,46 +100,6 @@
         yield from rest
 
 
-class AnswerForm:
-    """Read what an endpoint's answer says of the call and of itself.
-
-    This is the product's own form; another set of headers is another
-    class with the same methods.
-    """
-
-    __slots__ = ()
-
-    def not_run(self, response: HTTPResponse) -> bool:
-        """Tell whether the answer says that the call did not run."""
-        return (
-            NOT_RUN_HEADER in response.headers
-            and response.status in SHED_STATUSES
-        )
-
-    def check(self, request: Request, response: HTTPResponse) -> None:
-        """Look for signs that the answer is not this request's.
-
-        :raises CutAnswerError: it is another's, or promises what is false
-        """
-
-    def misdirected(self, response: HTTPResponse) -> bool:
-        """Tell whether another process has the endpoint's address now."""
-        return False
-
-    def load(self, headers: HTTPHeaderDict) -> int | None:
-        """Give the in-flight count that the endpoint reports."""
-        load = headers.get(LOAD_HEADER, "")
-        return int(load) if load.isdecimal() and len(load) < 10 else None
-
-    def stretch(self, headers: HTTPHeaderDict) -> float | None:
-        """Give how many times as long as usual work takes there now."""
-        return None
-
-    def passes(self, name: str) -> bool:
-        """Tell whether a header, in small letters, is for the caller."""
-        return name not in OWN_HEADERS
-
-
 class Reply:
     """Hold how an attempt ended and, when answered, the answer."""
 
@@ -397,7 +334,7 @@
             return Reply(outcome, time.monotonic() - started)
         try:
             response = self._exchange(request, connection, exchange, deadline)
-            self._form.check(request, response)
+            self._form.check(request.headers, response)
             reply = self._take(
                 response, connection, endpoint, exchange, started, deadline
             )
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -10,9 +10,9 @@
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_daemon.answers import CutAnswerError
 from nutmegchute_daemon.connections import Connections
 from nutmegchute_daemon.connections import Exchange
-from nutmegchute_daemon.senders import CutAnswerError
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
 from nutmegchute_fakes import misfits
