Never hold a call with nobody to tell it of room

Cause, found by reading: a retry, and a call that arrives when the entry's questions are used up, went into the queue without a question of their own. At a quiet entry they were held until another call's answer, at worst until their deadline. Change: a retry asks at once; a call that may ask nobody goes by what is known, as far as the window allows. Two tests, which failed first.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -169,8 +169,9 @@
         if self._ask(pool, call, Inquiry([]), now, actions):
             return call_id, actions
         self._enqueue(pool, call)
-        self._dispatch(pool, now, actions)
+        self._dispatch(pool, now, actions, call_id)
         self._guard(pool, call)
+        self._ask_later(pool, call, now)
         return call_id, actions
 
     def finish(self, result: Result, now: float) -> list[Action]:
@@ -356,8 +357,7 @@
         freed = None if inquiry.told else call.call_id
         self._dispatch(pool, now, actions, freed)
         self._guard(pool, call)
-        if call.state == QUEUED and pool.holds:
-            self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
+        self._ask_later(pool, call, now)
 
     def _ask_again(
         self, call: Call, now: float, actions: list[Action]
@@ -367,14 +367,17 @@
         if pool is None or call.state != QUEUED:
             return
         if pool.queue.first(now) != call.call_id:
-            self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
+            self._ask_later(pool, call, now)
             return
         inquiry = Inquiry(list(call.attempts.values()))
         if self._ask(pool, call, inquiry, now, actions):
             return
         # Not to be asked: by the budget, or since the answer is known.
         self._dispatch(pool, now, actions, call.call_id)
-        if call.state == QUEUED:
+        self._ask_later(pool, call, now)
+
+    def _ask_later(self, pool: Pool, call: Call, now: float) -> None:
+        if call.state == QUEUED and pool.holds:
             self._timers.add(now + ASK_AGAIN_S, AGAIN, call.call_id)
 
     def _conclude(
@@ -388,7 +391,7 @@
         if result.outcome == LOST or result.outcome == CANCELLED:
             call.may_have_run = True
         if result.outcome == ANSWERED:
-            if result.failed and self._retry(pool, call, result):
+            if result.failed and self._retry(pool, call, result, now):
                 # The endpoint may have acted before it failed.
                 call.may_have_run = True
                 return
@@ -397,12 +400,14 @@
             actions.append(Finish(call.call_id, result.attempt))
             self._cancel(pool, call, now, actions)
             return
-        if self._retry(pool, call, result):
+        if self._retry(pool, call, result, now):
             return
         if not call.outstanding:
             actions.append(self._give_up(pool, call, "no upstream answered"))
 
-    def _retry(self, pool: Pool | None, call: Call, result: Result) -> bool:
+    def _retry(
+        self, pool: Pool | None, call: Call, result: Result, now: float
+    ) -> bool:
         """Queue a failed call again; return whether it goes on."""
         if call.outstanding:
             # The other attempt of a hedged call is the retry.
@@ -414,6 +419,10 @@
             return False
         call.step("retry")
         self._enqueue(pool, call)
+        if pool.holds:
+            # Held for another call's answer, it could wait at a quiet entry
+            # until its deadline.
+            self._timers.add(now, AGAIN, call.call_id)
         return True
 
     def _enqueue(self, pool: Pool, call: Call) -> None:
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -73,6 +73,7 @@
         "body_bytes",
         "desk",
         "refusal",
+        "refusal_retry_s",
     )
 
     def __init__(
@@ -96,6 +97,8 @@
         self._most = max(1, threads - max(1, threads // PAGE_THREADS_SHARE))
         # Why no call is taken at present; none while calls are taken.
         self.refusal: str | None = None
+        # When a caller that is refused for it should come back, in seconds.
+        self.refusal_retry_s = FULL_RETRY_S
 
     @property
     def active(self) -> int:
@@ -149,7 +152,7 @@
 
     def _handle(self, http: StrictRequest) -> None:
         if self.refusal is not None:
-            self._refuse(http, 503, self.refusal, FULL_RETRY_S)
+            self._refuse(http, 503, self.refusal, self.refusal_retry_s)
             return
         try:
             ticket = self._form.read(http, self.body_bytes)
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -138,7 +138,9 @@
         # come meanwhile are served; each answer closes its connection.
         self._http.close_politely()
         await asyncio.sleep(self._settings.send_on_s)
-        # What comes later might not be answered in time any more.
+        # What comes later might not be answered in time any more. Other
+        # entries can take it at once.
+        self._handler.refusal_retry_s = LEAVING_RETRY_S
         self._handler.refusal = "entry is leaving"
         while self._handler.active:
             await asyncio.sleep(DRAIN_TICK_S)
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -5,6 +5,7 @@
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
@@ -238,3 +239,39 @@
     for _ in range(400):
         fullness.learn(False, 1.0)
     assert not fullness.matters
+
+
+def test_retry_looks_for_room_by_itself() -> None:
+    """Ask for a retry although no other call's answer tells of room.
+
+    At a quiet entry one call's endpoint breaks off. Nobody else's answer
+    comes; held until one did, the retry would wait for its deadline.
+    """
+    balancer = build()
+    call_id, actions = balancer.arrive_under(SERVICE, rule(), 5.0)
+    address = asked(actions)[0]
+    actions = balancer.take_probe(SERVICE, address, 0, 0.001, 5.001, 1.0)
+    send = next(one for one in actions if isinstance(one, Send))
+    lost = Result(call_id, send.attempt, LOST, 0.05)
+    actions = balancer.finish(lost, 5.05)
+    if not asked(actions):
+        at = balancer.next_wakeup()
+        assert at is not None and at < 5.1
+        actions = balancer.tick(5.06)
+    other = asked(actions)[0]
+    assert other != address
+    actions = balancer.take_probe(SERVICE, other, 0, 0.001, 5.061, 1.0)
+    assert sent(actions) == [other]
+
+
+def test_call_that_may_ask_nobody_is_not_held() -> None:
+    """Send by what is known where the questions are used up.
+
+    A burst has spent the entry's questions. The call cannot find out where
+    there is room, and no answer may come soon that tells.
+    """
+    balancer = build()
+    balancer.limit_inquiries(0.0, 2)
+    _, actions = balancer.arrive_under(SERVICE, rule(), 5.0)
+    assert asked(actions) == []
+    assert len(sent(actions)) == 1
