Test bad input at the wire and routes in nutmegchute check

Over-long and unreadable words of endpoints and operators get 413 or 400 and one reason; versions that go back 400, changes on a version that is not in place 412; the configuration stays as it was.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -108,3 +108,20 @@
     out = capsys.readouterr().out
     assert "lending/services/a/slots: 0 is less than the minimum" in out
     assert "not JSON" in out
+
+
+def test_check_knows_routes(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Check routes as any other declaration; name a service not declared."""
+    route = (
+        '{"host": "a.example", "path_prefix": "/", "idempotent": true,'
+        ' "timeout_ms": 900, "service": "%s"}'
+    )
+    path = tmp_path / "lending.json"
+    text = '{"services": {"desk": {}}, "routes": {"all": %s}}'
+    path.write_text(text % (route % "desk"))
+    assert main(["check", str(tmp_path)]) == 0
+    path.write_text(text % (route % "shelf"))
+    assert main(["check", str(tmp_path)]) == 2
+    assert "service 'shelf' is not declared" in capsys.readouterr().out
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -188,6 +188,31 @@
         beats.stop()
 
 
+def test_bad_input_is_told_in_one_line(site: Site) -> None:
+    """Refuse what cannot be read with its status and one reason.
+
+    Nothing of it is taken, and the daemon goes on serving.
+    """
+    control = site.control()
+    beat = f"http://{control}/Instances.Heartbeat/i-1"
+    wrong = [
+        ("POST", beat, "x" * 100000, 413),
+        ("POST", beat, {"service": "desk"}, 400),
+        ("POST", f"http://{control}/Config.Replace", {"version": 1}, 400),
+        ("POST", f"http://{control}/Config.Update", "none", 400),
+    ]
+    for method, url, body, status in wrong:
+        answer = ask(method, url, body)
+        assert answer.status == status, url
+        assert len(answer.json()["reason"].splitlines()) == 1
+    back = whole(1, 1, LOAN)
+    assert site.order("/Config.Replace", back).status == 400
+    old = whole(9, 0, LOAN)
+    assert site.order("/Config.Replace", old).status == 412
+    url = f"http://{control}/Config.Read"
+    assert ask("GET", url).json()["version"] == "r1"
+
+
 def test_address_taken_over_by_another_process(site: Site) -> None:
     """Send nothing to a process that is not the one announced.
 
