Tell callers to come back at once where nobody waits

Cause: a call that two endpoints shed was refused with a time of 0.2 s at least, also with nobody waiting and slots free everywhere; for an objective of 0.3 s its next try was late before it began. Change: 0.05 s where no call waits; with calls waiting the estimate stands.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -18,7 +18,6 @@
 import sys
 from collections.abc import Callable
 from math import exp
-from math import log
 from random import Random
 from typing import Any
 
@@ -34,6 +33,7 @@
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
 
+from .policy import geometric_mean
 from .policy_arrivals import Arrival
 from .policy_baselines import Decider
 from .policy_oracle import Oracle
@@ -348,11 +348,6 @@
     )
 
 
-def geometric_mean(values: list[float]) -> float:
-    """Give the geometric mean."""
-    return exp(sum(log(value) for value in values) / len(values))
-
-
 def main() -> int:
     """Run what the arguments ask for."""
     arguments: dict[str, Any] = docopt(__doc__)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -32,6 +32,11 @@
 HEDGE_LEAST_FACTOR = 1.5
 TYPICAL_MOST_SHARE = 0.5
 RETRY_AFTER_LEAST_S = 0.2
+# Where nobody waits a call was refused by endpoints that shed at random or
+# are leaving, and there is room at once; the rest lets entries hear of a
+# change. With every endpoint shedding 45 in 100 calls, worst two seconds
+# (make bench-placing): 0.88 of the calls in time, 0.62 when told 0.2 s.
+NO_QUEUE_RETRY_S = 0.05
 TIMED_OUT_SHARE = 0.9
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has room, those that can still be
@@ -116,7 +121,9 @@
 
     @property
     def retry_after_s(self) -> float:
-        """Estimate when the calls waiting now will be through."""
+        """Estimate when there is room: once those who wait are through."""
+        if not self.queue:
+            return NO_QUEUE_RETRY_S
         wait_s = len(self.queue) * self._gap_s + self._half.value_s
         return max(RETRY_AFTER_LEAST_S, wait_s)
 
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -127,3 +127,18 @@
     assert isinstance(first, Cancel)
     assert isinstance(then, Send)
     assert then.call_id == call_id
+
+
+def test_shed_call_is_told_to_come_back_at_once() -> None:
+    """Name a time when there is room, not a time by habit.
+
+    Endpoints shed calls at random while they have free slots and nobody
+    waits. A caller that is told 0.2 s is late for an objective of 0.3 s
+    however well its next try goes.
+    """
+    balancer = build("a:1")
+    send = arrive(balancer, "POST")
+    result = Result(send.call_id, send.attempt, NOT_RUN, 0.001, load=0)
+    (refusal,) = balancer.finish(result, 0.001)
+    assert isinstance(refusal, Refuse)
+    assert 0 < refusal.retry_after_s <= 0.05
