Let late calls go where endpoints have a single slot

Cause, found by reading: a late call leaves one slot of each endpoint to others, so that of endpoints with one slot it got none until a fifth of its time was left. Endpoints with more slots decide as before. The test fails without the change.

--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -317,7 +317,8 @@
         """
         slot = self._slot(address, now)
         if slot > NO_SLOT and self._yields(call, now):
-            return self._endpoints[address].spare_slots > 1
+            endpoint = self._endpoints[address]
+            return endpoint.spare_slots > min(1, endpoint.slots - 1)
         if slot == FREE_SLOT:
             return True
         if slot == LAST_SLOT:
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -40,7 +40,7 @@
     return Route("shelf", document, 0.0).rule
 
 
-def build(*off: str) -> Balancer:
+def build(*off: str, slots: int = 3) -> Balancer:
     """Build an entry's balancer whose endpoints tell how long work takes."""
     balancer = Balancer(7, ZONE, Policy(*off))
     balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
@@ -48,7 +48,7 @@
     live = []
     for zone, addresses in ((ZONE, NEAR), ("lima", FAR)):
         for address in addresses:
-            live.append(Announcement(SERVICE, address, zone, 3, 1))
+            live.append(Announcement(SERVICE, address, zone, slots, 1))
     balancer.update_upstreams(live, 0.0)
     call_id, actions = balancer.arrive_under(SERVICE, rule(), 0.0)
     for action in actions:
@@ -418,3 +418,10 @@
         if asked(actions):
             break
     assert asked(actions)
+
+
+def test_late_call_goes_where_endpoints_have_one_slot() -> None:
+    """Leave no slot to others where the only one would be left for good."""
+    balancer = build(slots=1)
+    assert len(arrive(balancer, 49.0, 0, 0, 2.5)) == 1
+    assert len(arrive(balancer, 50.0, 0, 0, 1.6)) == 1
