Take large bodies, endpoints that start again, and other writers

Cause: a third deployment has requests of a kind that was not known, so its first configuration was refused and nothing was served. Endpoints may start again under their name, and heartbeats may come from other writers.

Ruled out: keeping the kind among the annotations only; then nothing could decide by it. Telling processes apart by their order of arrival: a late word of the earlier one, told by another replica, took the later one away.

Change: a route may say that its bodies are large; up to 1 MiB is read before an endpoint is chosen and can be sent to a second one after 'not run'. An endpoint that answers before it has read a long body is heard. An instance's process is known by name and incarnation through registry, deltas and catalog; earlier starts are refused and end with the later one. Words that name no declared service or another address are refused and counted in one line. Idle connections to processes that are no more are closed.

--- a/packages/core/nutmegchute_core/catalogs.py
+++ b/packages/core/nutmegchute_core/catalogs.py
@@ -7,6 +7,7 @@
 from .members import Announcement
 from .members import DRAINING
 from .members import Key
+from .members import Process
 from .registries import Delta
 from .registries import ENDED_KEPT_S
 from .registries import MOST_ENDED
@@ -24,21 +25,26 @@
 class Source:
     """Hold what one control replica told."""
 
-    __slots__ = ("epoch", "generation", "heard_at", "instances")
+    __slots__ = ("epoch", "generation", "heard_at", "processes")
 
     def __init__(self) -> None:
         self.epoch = 0
         self.generation = 0
         self.heard_at = 0.0
-        self.instances: dict[str, Announcement] = {}
+        self.processes: dict[Process, Announcement] = {}
 
 
 class Catalog:
-    """Know the endpoints that any control replica vouches for."""
+    """Know the endpoints that any control replica vouches for.
+
+    An instance that starts again under its name is another process. What
+    any replica still tells of the earlier one names no endpoint.
+    """
 
     __slots__ = (
         "_draining",
         "_ended",
+        "_latest",
         "_next",
         "_order",
         "_orphans",
@@ -48,12 +54,14 @@
 
     def __init__(self) -> None:
         self._sources: dict[str, Source] = {}
-        self._orphans: dict[str, tuple[Announcement, float]] = {}
-        # The end of an instance, and its leaving, are final: words of it
+        self._orphans: dict[Process, tuple[Announcement, float]] = {}
+        # The end of a process, and its leaving, are final: words of it
         # that another replica still has, or hears late, change nothing.
-        self._ended: OrderedDict[str, float] = OrderedDict()
-        self._draining: OrderedDict[str, float] = OrderedDict()
-        self._order: dict[str, int] = {}
+        self._ended: OrderedDict[Process, float] = OrderedDict()
+        self._draining: OrderedDict[Process, float] = OrderedDict()
+        self._order: dict[Process, int] = {}
+        # The latest incarnation heard of by instance.
+        self._latest: dict[str, int] = {}
         self._next = 1
         self._version = 0
 
@@ -87,29 +95,42 @@
             self._start_over(source, delta, now)
         for announcement in delta.present:
             self._put(source, announcement, now)
-        for instance in delta.lapsed:
-            if source.instances.pop(instance, None) is not None:
+        for process in delta.lapsed:
+            if source.processes.pop(process, None) is not None:
                 self._version += 1
-        for instance in delta.ended:
-            self.end(instance, now)
+        for process in delta.ended:
+            self.end(process, now)
         source.epoch = delta.epoch
         source.generation = delta.generation
         return self._version != before
 
-    def end(self, instance: str, now: float) -> bool:
-        """Take word that an instance is gone for good."""
-        if instance in self._ended:
+    def end(self, process: Process, now: float) -> bool:
+        """Take word that a process is gone for good."""
+        if process in self._ended:
             return False
-        _remember(self._ended, instance, now)
+        _remember(self._ended, process, now)
         self._version += 1
         return True
 
+    def leave(self, instance: str, address: str, now: float) -> bool:
+        """Take word that an instance is no longer at an address.
+
+        One that started again elsewhere meanwhile is not meant.
+        """
+        left = False
+        for announcement in self._vouched():
+            if announcement.instance != instance:
+                continue
+            if announcement.endpoint == address:
+                left |= self.end(announcement.process, now)
+        return left
+
     def expire(self, now: float) -> bool:
         """Drop what nobody vouches for any more."""
         before = self._version
-        for instance, (_, until) in list(self._orphans.items()):
+        for process, (_, until) in list(self._orphans.items()):
             if now > until:
-                del self._orphans[instance]
+                del self._orphans[process]
                 self._version += 1
         newest = max(
             (one.heard_at for one in self._sources.values()), default=0
@@ -120,84 +141,94 @@
             if now - newest > SILENT_S / 2:
                 continue
             del self._sources[replica]
-            self._version += bool(source.instances)
+            self._version += bool(source.processes)
         self._forget_orders()
         return self._version != before
 
     def live(self) -> list[Announcement]:
-        """List the endpoints, the newest instance of each address."""
+        """List the endpoints, the newest process of each address."""
         found: dict[Key, Announcement] = {}
         for announcement in self._vouched():
-            instance = announcement.instance
-            if instance in self._ended:
+            process = announcement.process
+            if process in self._ended or self._outdated(process):
                 continue
-            if instance in self._draining:
+            if process in self._draining:
                 announcement = msgspec.structs.replace(
                     announcement, state=DRAINING
                 )
-            announcement = msgspec.structs.replace(
-                announcement, incarnation=self._order[instance]
-            )
             other = found.get(announcement.key)
-            if other is None or _rank(other) < _rank(announcement):
+            if other is None or self._rank(other) < self._rank(announcement):
                 found[announcement.key] = announcement
         return [found[key] for key in sorted(found)]
 
+    def _outdated(self, process: Process) -> bool:
+        instance, incarnation = process
+        return incarnation < self._latest.get(instance, 0)
+
+    def _rank(self, announcement: Announcement) -> tuple[bool, int]:
+        # One that still announces itself goes before one that leaves; of
+        # two that do, the one heard of later is the newer process.
+        order = self._order[announcement.process]
+        return announcement.state != DRAINING, order
+
     def _vouched(self) -> list[Announcement]:
         found = [announcement for announcement, _ in self._orphans.values()]
         for source in self._sources.values():
-            found.extend(source.instances.values())
+            found.extend(source.processes.values())
         return found
 
     def _start_over(self, source: Source, delta: Delta, now: float) -> None:
-        present = {one.instance for one in delta.present}
-        for instance, announcement in source.instances.items():
-            if instance in present:
+        present = {one.process for one in delta.present}
+        for process, announcement in source.processes.items():
+            if process in present:
                 continue
             self._version += 1
             if delta.epoch != source.epoch:
-                self._orphans[instance] = (announcement, now + ORPHAN_S)
-        source.instances = {
-            instance: announcement
-            for instance, announcement in source.instances.items()
-            if instance in present
+                self._orphans[process] = (announcement, now + ORPHAN_S)
+        source.processes = {
+            process: announcement
+            for process, announcement in source.processes.items()
+            if process in present
         }
 
     def _put(
         self, source: Source, announcement: Announcement, now: float
     ) -> None:
-        instance = announcement.instance
+        process = announcement.process
+        instance, incarnation = process
+        latest = self._latest.get(instance, 0)
+        self._latest[instance] = max(latest, incarnation)
         if announcement.state == DRAINING:
-            _remember(self._draining, instance, now)
-        if instance not in self._order:
-            self._order[instance] = self._next
+            _remember(self._draining, process, now)
+        if process not in self._order:
+            self._order[process] = self._next
             self._next += 1
-        self._orphans.pop(instance, None)
-        if source.instances.get(instance) != announcement:
+        self._orphans.pop(process, None)
+        if source.processes.get(process) != announcement:
             self._version += 1
-        source.instances[instance] = announcement
+        source.processes[process] = announcement
 
     def _forget_orders(self) -> None:
         if len(self._order) <= MOST_ENDED:
             return
-        vouched = {one.instance for one in self._vouched()}
+        vouched = {one.process for one in self._vouched()}
         self._order = {
-            instance: order
-            for instance, order in self._order.items()
-            if instance in vouched
+            process: order
+            for process, order in self._order.items()
+            if process in vouched
+        }
+        names = {instance for instance, _ in vouched}
+        self._latest = {
+            instance: incarnation
+            for instance, incarnation in self._latest.items()
+            if instance in names
         }
-
-
-def _rank(announcement: Announcement) -> tuple[bool, int]:
-    # An instance that still announces itself goes before one that leaves;
-    # of two that do, the one heard of later is the newer process.
-    return announcement.state != DRAINING, announcement.incarnation
 
 
 def _remember(
-    kept: OrderedDict[str, float], instance: str, now: float
+    kept: OrderedDict[Process, float], process: Process, now: float
 ) -> None:
-    kept.setdefault(instance, now)
+    kept.setdefault(process, now)
     while kept:
         oldest, at = next(iter(kept.items()))
         if now - at <= ENDED_KEPT_S and len(kept) <= MOST_ENDED:
--- a/packages/core/nutmegchute_core/declarations.py
+++ b/packages/core/nutmegchute_core/declarations.py
@@ -55,6 +55,7 @@
         "host": {"type": "string", "minLength": 1},
         "path_prefix": {"type": "string", "pattern": "^/"},
         "idempotent": {"type": "boolean"},
+        "large_bodies": {"type": "boolean"},
         "timeout_ms": {
             "type": "number",
             "exclusiveMinimum": 0,
@@ -149,6 +150,10 @@
                     raise DeclarationError(
                         where, f"service {service!r} is not declared"
                     )
+            if route["idempotent"] and route.get("large_bodies"):
+                raise DeclarationError(
+                    where, "a route of large bodies cannot be idempotent"
+                )
             place = (route["host"].lower(), route["path_prefix"])
             if place in places:
                 raise DeclarationError(
--- a/packages/core/nutmegchute_core/members.py
+++ b/packages/core/nutmegchute_core/members.py
@@ -14,11 +14,16 @@
 
 MAX_CHANGES = 256
 
+# No endpoint is slow for longer after its start; a larger figure is wrong.
+MOST_COLD_S = 3600.0
+
 
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 _NAME = "^[a-z][a-z0-9-]*$"
 
 Key = tuple[str, str]
+# An instance's name and incarnation: one start of one endpoint.
+Process = tuple[str, int]
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -27,9 +32,10 @@
     """Say that an endpoint lives, and in which state.
 
     ``incarnation`` rises at every start of the endpoint, so that words
-    about an earlier process at the same address lose against newer ones.
-    ``instance`` names the process where names cannot be compared;
-    ``cold_s`` tells for how many seconds more it is slow after its start.
+    about an earlier process at the same address, or of the same instance,
+    lose against newer ones. ``instance`` names the endpoint where several
+    have one address in turn; ``cold_s`` tells for how many seconds more it
+    is slow after its start.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=_NAME, max_length=63)]
@@ -41,13 +47,18 @@
     incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
     state: Annotated[str, msgspec.Meta(pattern="^(up|draining)$")] = UP
     instance: Annotated[str, msgspec.Meta(max_length=128)] = ""
-    cold_s: float = 0.0
+    cold_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_COLD_S)] = 0.0
 
     @property
     def key(self) -> Key:
         """Give service and address, which name the endpoint."""
         return (self.service, self.endpoint)
 
+    @property
+    def process(self) -> Process:
+        """Give instance and incarnation, which name the process."""
+        return (self.instance, self.incarnation)
+
 
 class Vouch(msgspec.Struct, frozen=True, array_like=True):
     """Say which state of its own set an entry vouches for.
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -213,8 +213,7 @@
             endpoint = self._endpoints.get(address)
             if (
                 endpoint is None
-                or endpoint.announcement.incarnation
-                != announcement.incarnation
+                or endpoint.announcement.process != announcement.process
             ):
                 local = (
                     announcement.availability_zone == self._zone
--- a/packages/core/nutmegchute_core/registries.py
+++ b/packages/core/nutmegchute_core/registries.py
@@ -10,6 +10,7 @@
 
 from .members import Announcement
 from .members import DRAINING
+from .members import Process
 
 # An endpoint announces every 1.5 s and a word may be a second or two late;
 # one that is silent for longer has crashed. Entries notice a crash by its
@@ -26,13 +27,17 @@
 CHANGED = "changed"
 STALE = "stale"
 FULL = "full"
+# A later start of the instance is known.
+OUTDATED = "outdated"
+# A process does not change its service or address: another one says so.
+FOREIGN = "foreign"
 
 
 class Delta(msgspec.Struct, frozen=True):
     """Lead from generation ``base`` of a registry to ``generation``.
 
     A base of 0 means that ``present`` is all there is. ``ended`` names
-    instances that will never come back, ``lapsed`` those that are silent
+    processes that will never come back, ``lapsed`` those that are silent
     here and may live on elsewhere.
     """
 
@@ -40,12 +45,12 @@
     base: int
     generation: int
     present: list[Announcement] = []
-    ended: list[str] = []
-    lapsed: list[str] = []
+    ended: list[Process] = []
+    lapsed: list[Process] = []
 
 
 class Record:
-    """Hold an instance's newest word and when it came."""
+    """Hold a process's newest word and when it came."""
 
     __slots__ = ("announcement", "cold_until", "heard_at", "sequence")
 
@@ -57,7 +62,7 @@
 
 
 class Removal:
-    """Hold when and in which generation an instance went."""
+    """Hold when and in which generation a process went."""
 
     __slots__ = ("at", "ended", "generation")
 
@@ -70,6 +75,8 @@
 class Registry:
     """Take endpoints' words; tell what changed since a generation.
 
+    An instance may start again under its name. Each start is a process of
+    its own: nothing that was heard of an earlier one holds for it.
     ``epoch`` must differ at every start of the replica.
     """
 
@@ -78,6 +85,7 @@
         "_epoch",
         "_forgotten",
         "_generation",
+        "_latest",
         "_records",
         "_removals",
     )
@@ -86,9 +94,12 @@
         self._epoch = epoch
         self._generation = 1
         self._forgotten = 1
-        self._records: dict[str, Record] = {}
-        self._changes: dict[str, int] = {}
-        self._removals: OrderedDict[str, Removal] = OrderedDict()
+        self._records: dict[Process, Record] = {}
+        self._changes: dict[Process, int] = {}
+        self._removals: OrderedDict[Process, Removal] = OrderedDict()
+        # The latest incarnation heard of by instance, kept as long as a
+        # record or the removal of that process.
+        self._latest: dict[str, int] = {}
 
     @property
     def epoch(self) -> int:
@@ -105,25 +116,47 @@
         return len(self._records)
 
     def present(self) -> list[Announcement]:
-        """List the instances that announce here."""
+        """List the processes that announce here."""
         return [record.announcement for record in self._records.values()]
 
+    def latest(self, instance: str) -> Process:
+        """Give the latest process of an instance that was heard of."""
+        return instance, self._latest.get(instance, 0)
+
+    def knows(self, process: Process) -> bool:
+        """Tell whether a process announces here."""
+        return process in self._records
+
+    def outdated(self, process: Process) -> bool:
+        """Tell whether a later start of the instance is known."""
+        instance, incarnation = process
+        return incarnation < self._latest.get(instance, 0)
+
     def take(
         self, announcement: Announcement, sequence: int, now: float
     ) -> str:
-        """Take an instance's word: TAKEN, CHANGED, STALE or FULL."""
-        instance = announcement.instance
-        removal = self._removals.get(instance)
+        """Take a process's word.
+
+        Return TAKEN or CHANGED, else why not: STALE, OUTDATED, FOREIGN or
+        FULL.
+        """
+        process = announcement.process
+        if self.outdated(process):
+            return OUTDATED
+        removal = self._removals.get(process)
         if removal is not None and removal.ended:
             return STALE
         before = self._generation
-        record = self._records.get(instance)
+        record = self._records.get(process)
         if record is None:
             if len(self._records) >= MOST_INSTANCES:
                 return FULL
-            record = self._records[instance] = Record(announcement)
-            self._removals.pop(instance, None)
-            self._change(instance)
+            self._supersede(process, now)
+            record = self._records[process] = Record(announcement)
+            self._removals.pop(process, None)
+            self._change(process)
+        elif record.announcement.key != announcement.key:
+            return FOREIGN
         elif sequence <= record.sequence:
             return STALE
         elif _differ(record.announcement, announcement):
@@ -132,39 +165,44 @@
                 announcement = msgspec.structs.replace(
                     announcement, state=DRAINING
                 )
-            self._change(instance)
+            self._change(process)
         record.announcement = announcement
         record.sequence = sequence
         record.heard_at = now
         record.cold_until = now + announcement.cold_s
         return TAKEN if self._generation == before else CHANGED
 
-    def end(self, instance: str, now: float) -> bool:
-        """Take an instance's farewell; return whether it is news."""
-        removal = self._removals.get(instance)
+    def end(self, process: Process, now: float) -> bool:
+        """Take a process's farewell; return whether it is news."""
+        if self.outdated(process):
+            return False
+        removal = self._removals.get(process)
         if removal is not None and removal.ended:
             return False
-        self._remove(instance, now, True)
+        self._supersede(process, now)
+        self._remove(process, now, True)
         return True
 
     def expire(self, now: float) -> bool:
-        """Drop silent instances; return whether there were any."""
+        """Drop silent processes; return whether there were any."""
         silent = []
-        for instance, record in self._records.items():
+        for process, record in self._records.items():
             if now - record.heard_at > ENDPOINT_LEASE_S:
-                silent.append(instance)
-        for instance in silent:
+                silent.append(process)
+        for process in silent:
             # The end of one that was leaving is no surprise, and a late
             # word must not bring it back.
-            record = self._records[instance]
+            record = self._records[process]
             ended = record.announcement.state == DRAINING
-            self._remove(instance, now, ended)
+            self._remove(process, now, ended)
         while self._removals:
-            instance, removal = next(iter(self._removals.items()))
+            process, removal = next(iter(self._removals.items()))
             young = now - removal.at <= ENDED_KEPT_S
             if young and len(self._removals) <= MOST_ENDED:
                 break
-            del self._removals[instance]
+            del self._removals[process]
+            if self.latest(process[0]) == process:
+                self._latest.pop(process[0], None)
             self._forgotten = removal.generation
         return bool(silent)
 
@@ -174,15 +212,15 @@
         if epoch != self._epoch or generation < self._forgotten:
             base = 0
         present = []
-        for instance, record in self._records.items():
-            if self._changes[instance] > base:
+        for process, record in self._records.items():
+            if self._changes[process] > base:
                 present.append(_cold(record, now))
-        ended: list[str] = []
-        lapsed: list[str] = []
-        for instance, removal in self._removals.items():
+        ended: list[Process] = []
+        lapsed: list[Process] = []
+        for process, removal in self._removals.items():
             if removal.generation <= base:
                 continue
-            (ended if removal.ended else lapsed).append(instance)
+            (ended if removal.ended else lapsed).append(process)
         return Delta(
             epoch=self._epoch,
             base=base,
@@ -192,16 +230,24 @@
             lapsed=lapsed,
         )
 
-    def _change(self, instance: str) -> None:
+    def _supersede(self, process: Process, now: float) -> None:
+        """End the process that the instance was before, if any."""
+        instance, incarnation = process
+        earlier = self.latest(instance)
+        if earlier != process and earlier in self._records:
+            self._remove(earlier, now, True)
+        self._latest[instance] = incarnation
+
+    def _change(self, process: Process) -> None:
         self._generation += 1
-        self._changes[instance] = self._generation
+        self._changes[process] = self._generation
 
-    def _remove(self, instance: str, now: float, ended: bool) -> None:
+    def _remove(self, process: Process, now: float, ended: bool) -> None:
         self._generation += 1
-        self._records.pop(instance, None)
-        self._changes.pop(instance, None)
-        self._removals.pop(instance, None)
-        self._removals[instance] = Removal(now, self._generation, ended)
+        self._records.pop(process, None)
+        self._changes.pop(process, None)
+        self._removals.pop(process, None)
+        self._removals[process] = Removal(now, self._generation, ended)
 
 
 def _differ(before: Announcement, after: Announcement) -> bool:
--- a/packages/core/nutmegchute_core/routes.py
+++ b/packages/core/nutmegchute_core/routes.py
@@ -5,6 +5,13 @@
 from .rules import PRIORITIES
 from .rules import Rule
 
+# How much of a request's body is read before an endpoint is chosen. What is
+# kept can be sent to a second endpoint if the first one sheds it, and no slot
+# is held for a body that trickles in; the rest passes through as it comes.
+# Each of the 40 calls that an entry takes at once may hold that much: 40 MiB.
+KEPT_BYTES = 65536
+LARGE_KEPT_BYTES = 1024 * 1024
+
 # Steps of this length fill the unit interval more evenly than any other.
 GOLDEN_SHARE = 0.6180339887498949
 
@@ -14,6 +21,7 @@
 
     __slots__ = (
         "_host",
+        "_kept_bytes",
         "_name",
         "_parts",
         "_path_prefix",
@@ -27,6 +35,8 @@
         self._name = name
         self._host: str = document["host"].lower()
         self._path_prefix: str = document["path_prefix"]
+        large = document.get("large_bodies", False)
+        self._kept_bytes = LARGE_KEPT_BYTES if large else KEPT_BYTES
         self._rule = _rule(name, document)
         self._parts = _parts(document)
         self._point = phase
@@ -46,6 +56,11 @@
         """Give the beginning of the paths it covers."""
         return self._path_prefix
 
+    @property
+    def kept_bytes(self) -> int:
+        """Give how much of a body is kept, to be sent once more."""
+        return self._kept_bytes
+
     @property
     def rule(self) -> Rule:
         """Give the rule its requests fall under."""
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -17,12 +17,14 @@
 from nutmegchute_core.claims import MISMATCH
 from nutmegchute_core.claims import OPEN
 from nutmegchute_core.claims import RAN
+from nutmegchute_core.routes import KEPT_BYTES
 
 from .answers import CutAnswerError
 from .connections import Exchange
 from .exchanges import BadBodyError
 from .exchanges import StrictRequest
 from .forms import CallForm
+from .forms import Kept
 from .protocols import ENTRY_HEADER
 from .protocols import KEY_HEADER
 from .protocols import NOT_RUN
@@ -56,7 +58,7 @@
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
 
-    def end_instance(self, instance: str) -> None:
+    def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left its address."""
 
 
@@ -73,6 +75,7 @@
         "_sender",
         "body_bytes",
         "desk",
+        "kept",
         "refusal",
         "refusal_retry_s",
     )
@@ -93,6 +96,7 @@
         self._sender = sender
         self._name = name
         self.body_bytes = body_bytes
+        self.kept: Kept = _keep_little
         self._lock = threading.Lock()
         self._active = 0
         self._most = max(1, threads - max(1, threads // PAGE_THREADS_SHARE))
@@ -133,7 +137,9 @@
         ticket.status = reply.status
         ticket.deposit(send.attempt, reply)
         if reply.misdirected:
-            self._asker.tell(self.desk.end_instance, send.instance)
+            self._asker.tell(
+                self.desk.end_instance, send.instance, send.endpoint
+            )
         self._tell_end(ticket, send, reply)
         return reply
 
@@ -156,7 +162,7 @@
             self._refuse(http, 503, self.refusal, self.refusal_retry_s)
             return
         try:
-            ticket = self._form.read(http, self.body_bytes)
+            ticket = self._form.read(http, self.body_bytes, self.kept)
         except (BadRequestError, BadBodyError) as error:
             # What is left of the body would be read as the next request.
             http.close_connection = True
@@ -305,3 +311,8 @@
         headers.append((ENTRY_HEADER, self._name))
         http.begin(status, headers)
         http.write(body)
+
+
+def _keep_little(host: str, path: str) -> int:
+    """Keep as much of a body as where no route says otherwise."""
+    return KEPT_BYTES
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -97,11 +97,13 @@
     """Connect to an endpoint and notice what should not come."""
 
     answer: Answer | None = None
+    # Whether the endpoint stopped reading before the request's end.
+    part_sent = False
 
     @property
     def clean(self) -> bool:
         """Tell whether another exchange may follow on the connection."""
-        if self.sock is None or self.answer is None:
+        if self.sock is None or self.answer is None or self.part_sent:
             return False
         return not self.answer.over_read
 
@@ -159,6 +161,13 @@
         if surplus is not None:
             surplus.close()
 
+    def forget(self, endpoint: str) -> None:
+        """Close the idle connections to an endpoint."""
+        with self._lock:
+            waiting = self._idle.pop(endpoint, deque())
+        for _, connection in waiting:
+            connection.close()
+
     def sweep(self) -> None:
         """Close what has been idle too long, also of endpoints that left."""
         now = time.monotonic()
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -226,7 +226,7 @@
         """Forget a ticket whose worker has written its answer."""
         self._desk.close_call(ticket)
 
-    def end_instance(self, instance: str) -> None:
+    def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left; here none have names."""
 
     def announce(
--- a/packages/daemon/nutmegchute_daemon/forms.py
+++ b/packages/daemon/nutmegchute_daemon/forms.py
@@ -1,5 +1,7 @@
 """Say which headers carry what decisions need of a call."""
 
+from collections.abc import Callable
+
 from urllib3 import HTTPHeaderDict
 
 from .answers import AnswerForm
@@ -9,19 +11,26 @@
 from .readers import read_call
 from .tickets import Ticket
 
+# Tells, by host and path, how many bytes of a body are kept.
+Kept = Callable[[str, str], int]
+
 
 class CallForm(AnswerForm):
     """Read calls and write attempts in the product's own form."""
 
     __slots__ = ()
 
-    def read(self, http: StrictRequest, body_bytes: int) -> Ticket:
+    def read(self, http: StrictRequest, body_bytes: int, kept: Kept) -> Ticket:
         """Read a call and open its ticket.
 
+        ``body_bytes`` bounds its body; ``kept`` tells by host and path how
+        much of one is read before the call is placed.
+
         :raises BadRequestError: it cannot be taken as it is
         :raises BadBodyError: its body cannot be read
         """
-        return read_call(http, body_bytes)
+        path = http.uri.partition(b"?")[0].decode("latin-1")
+        return read_call(http, body_bytes, kept("", path))
 
     def outgoing(
         self, ticket: Ticket, attempt: int, remaining_ms: int, instance: str
--- a/packages/daemon/nutmegchute_daemon/readers.py
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -40,13 +40,15 @@
         self.status = status
 
 
-def read_call(http: StrictRequest, body_bytes: int) -> Ticket:
+def read_call(http: StrictRequest, body_bytes: int, kept_bytes: int) -> Ticket:
     """Read a call and open its ticket.
 
+    Of its body ``kept_bytes`` are read here, the rest when it is sent.
+
     :raises BadRequestError: it cannot be taken as it is
     :raises BadBodyError: its body cannot be read
     """
-    service, request = _read_request(http, body_bytes)
+    service, request = _read_request(http, body_bytes, kept_bytes)
     arrival = Arrival(
         service=service,
         method=request.method,
@@ -69,7 +71,9 @@
         raise BadRequestError(400, "path has bytes that must be escaped")
 
 
-def _read_request(http: StrictRequest, body_bytes: int) -> tuple[str, Request]:
+def _read_request(
+    http: StrictRequest, body_bytes: int, kept_bytes: int
+) -> tuple[str, Request]:
     check_line(http)
     # The raw target goes on as it came: decoding it would turn an
     # escaped slash or question mark into another path.
@@ -81,7 +85,7 @@
     # The ledger compares whole requests, so that a key is never taken
     # for that of another request.
     keyed = http.inheaders.get(KEY_HEADER.encode()) is not None
-    size = body_bytes + 1 if keyed else BUFFER_BYTES
+    size = body_bytes + 1 if keyed else kept_bytes
     return service, build_request(http, "/" + rest, body_bytes, size)
 
 
@@ -89,7 +93,7 @@
     http: StrictRequest,
     target: str,
     body_bytes: int,
-    start_bytes: int = BUFFER_BYTES,
+    start_bytes: int,
 ) -> Request:
     """Read a request's body as far as it is kept, and build what is sent.
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -13,8 +13,11 @@
 from nutmegchute_core.followings import news_since
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
+from nutmegchute_core.members import Process
 from nutmegchute_core.nodes import Node
+from nutmegchute_core.registries import FOREIGN
 from nutmegchute_core.registries import FULL
+from nutmegchute_core.registries import OUTDATED
 from nutmegchute_core.registries import Registry
 from nutmegchute_core.registries import STALE
 
@@ -32,6 +35,17 @@
 # those that were quickest would send them the callers of all.
 GATHER_S = 0.7
 MOST_ENTRIES = 64
+# A writer that goes wrong may send many words a second; one line in so many
+# seconds tells of all.
+REFUSALS_TOLD_S = 10.0
+
+
+# Why a word is not taken, and so not acknowledged.
+REFUSALS = {
+    FOREIGN: "this process has another service or address",
+    FULL: "too many instances",
+    OUTDATED: "a later start of this instance is known",
+}
 
 
 class NotConfirmedError(DaemonError):
@@ -63,6 +77,36 @@
             self._waiting.discard(future)
 
 
+class Refusals:
+    """Log words that were refused, however many come, in one line a while."""
+
+    __slots__ = ("_count", "_reason", "_told_at")
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._reason = ""
+        self._told_at = -REFUSALS_TOLD_S
+
+    def note(self, reason: str, now: float) -> None:
+        """Count one; the first after a while is logged at once."""
+        self._count += 1
+        self._reason = reason
+        self.tell(now)
+
+    def tell(self, now: float) -> None:
+        """Log what was counted, if it is time."""
+        if not self._count or now - self._told_at < REFUSALS_TOLD_S:
+            return
+        log(
+            Event.WORDS_REFUSED,
+            "warning",
+            words=self._count,
+            reason=self._reason,
+        )
+        self._told_at = now
+        self._count = 0
+
+
 class Registrar:
     """Hold what one control replica knows of endpoints and entries.
 
@@ -75,6 +119,7 @@
         "_in_contact",
         "_news",
         "_node",
+        "_refusals",
         "_registry",
         "_seen",
         "_started_at",
@@ -92,6 +137,7 @@
         self._node = node
         self._registry = Registry(secrets.randbits(EPOCH_BITS))
         self._attendance = Attendance()
+        self._refusals = Refusals()
         self._news = News()
         self._seen = News()
         self._started_at = boot_time()
@@ -120,9 +166,28 @@
 
     def expire(self) -> None:
         """Drop the instances that have fallen silent."""
+        self._refusals.tell(boot_time())
         if self._registry.expire(boot_time()):
             self._news.tell()
 
+    def note_refused(self, reason: str) -> None:
+        """Count what cannot be taken for an endpoint's word."""
+        self._refusals.note(reason, boot_time())
+
+    def _refuse(self, reason: str) -> NotConfirmedError:
+        self.note_refused(reason)
+        return NotConfirmedError(reason)
+
+    def _declared(self, service: str) -> bool:
+        """Tell whether a configuration in force may name a service."""
+        node = self._node()
+        if node is None or not self._in_contact():
+            return True
+        documents = node.machine.tree.documents
+        if not documents:
+            return True
+        return any(service in one["services"] for one in documents.values())
+
     async def announce(
         self, announcement: Announcement, sequence: int
     ) -> None:
@@ -133,14 +198,21 @@
         now = boot_time()
         if not self._in_contact() and not self._attendance.attended(now):
             raise NotConfirmedError("neither replicas nor entries in reach")
+        known = self._registry.knows(announcement.process)
+        if not known and not self._declared(announcement.service):
+            # Whoever wrote this is no endpoint of ours. Taken, it would end
+            # the process that has this instance's name.
+            raise self._refuse("service is not declared")
         before = self._registry.generation
         outcome = self._registry.take(announcement, sequence, now)
-        if outcome == FULL:
-            raise NotConfirmedError("too many instances")
+        refusal = REFUSALS.get(outcome)
+        if refusal is not None:
+            raise self._refuse(refusal)
         if outcome != STALE and self._registry.generation != before:
             log(
                 Event.INSTANCE_HEARD,
                 instance=announcement.instance,
+                incarnation=announcement.incarnation,
                 service=announcement.service,
                 endpoint=announcement.endpoint,
                 state=announcement.state,
@@ -148,17 +220,29 @@
             )
             self._news.tell()
         if announcement.state == DRAINING:
-            await self._confirm(announcement.instance)
+            await self._confirm(announcement.process)
+
+    async def end(self, instance: str, incarnation: int | None) -> None:
+        """Take a process's farewell; returning acknowledges it.
 
-    async def end(self, instance: str) -> None:
-        """Take an instance's farewell; returning acknowledges it.
+        Without its incarnation it is that of the latest process known.
 
         :raises NotConfirmedError: ask another replica
         """
-        if self._registry.end(instance, boot_time()):
-            log(Event.INSTANCE_ENDED, instance=instance)
+        process = self._registry.latest(instance)
+        if incarnation is not None:
+            process = (instance, incarnation)
+        if self._registry.outdated(process):
+            # Held up by a partition: the instance has started again.
+            raise self._refuse(REFUSALS[OUTDATED])
+        if self._registry.end(process, boot_time()):
+            log(
+                Event.INSTANCE_ENDED,
+                instance=instance,
+                incarnation=process[1],
+            )
             self._news.tell()
-        await self._confirm(instance)
+        await self._confirm(process)
 
     def nearest(self, zone: str) -> str | None:
         """Return the address of a replica in a zone, if there is one.
@@ -207,8 +291,8 @@
         self._attendance.answered(name, boot_time())
         return self._reply(request)
 
-    async def _confirm(self, instance: str) -> None:
-        """Wait until each entry in touch knows that an instance leaves.
+    async def _confirm(self, process: Process) -> None:
+        """Wait until each entry in touch knows that a process leaves.
 
         An acknowledged leaving binds all entries. One that missed the word
         would send calls to a process that is about to exit.
@@ -229,7 +313,7 @@
                 log(
                     Event.DRAIN_UNCONFIRMED,
                     "warning",
-                    instance=instance,
+                    instance=process[0],
                     entries=behind,
                 )
                 raise NotConfirmedError("not every entry has confirmed")
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -17,7 +17,10 @@
 from nutmegchute_core.calls import Result
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.members import Process
 from nutmegchute_core.pauses import Pause
+from nutmegchute_core.routes import KEPT_BYTES
 from nutmegchute_core.routes import read_routes
 from nutmegchute_core.routes import RouteTable
 from nutmegchute_core.rules import CallerLimits
@@ -79,6 +82,7 @@
         self._held: list[Ticket] = []
         self._watchers = Watchers(settings.seeds, self._links, self)
         self._connections = Connections()
+        self._processes: dict[str, Process] = {}
         self._handler = CallHandler(
             asker=self._asker,
             sender=Sender(self._connections, self._form),
@@ -99,6 +103,7 @@
         )
         self._prober.take = self._desk.take_probe
         self._handler.desk = self
+        self._handler.kept = self._kept_bytes
         self._http.handle(EVERYTHING, self._handler)
         health = self.add_listener(
             "health_address", settings.health_address, HEALTH_THREADS
@@ -171,6 +176,15 @@
             return
         self._route(ticket)
 
+    def _kept_bytes(self, host: str, path: str) -> int:
+        """Tell how much of a body to keep; worker threads call this.
+
+        A table never changes once it is in force.
+        """
+        table = self._table
+        route = None if table is None else table.find(host, path)
+        return KEPT_BYTES if route is None else route.kept_bytes
+
     def _route(self, ticket: Ticket) -> None:
         if self._table is None:
             refuse = Refuse(0, "no configuration yet", UNCONFIGURED_RETRY_S)
@@ -205,14 +219,14 @@
             status=ticket.status,
             reason=story.reason,
             ms=story.ms,
-            sends=list(story.sends.values()),
+            sends=[dict(send) for send in story.sends.values()],
             index=self._tree.index,
             known=self._catalog.version,
         )
 
-    def end_instance(self, instance: str) -> None:
+    def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left its address."""
-        if self._catalog.end(instance, boot_time()):
+        if self._catalog.leave(instance, address, boot_time()):
             log(Event.INSTANCE_GONE, instance=instance)
             self._update_upstreams()
 
@@ -294,6 +308,7 @@
 
     def _update_upstreams(self) -> None:
         live = self._catalog.live()
+        self._drop_connections(live)
         now = self._loop.time()
         self._desk.perform(self._balancer.update_upstreams(live, now))
         log(
@@ -302,6 +317,19 @@
             endpoints=len(live),
         )
 
+    def _drop_connections(self, live: list[Announcement]) -> None:
+        """Close what is kept open to processes that are no more.
+
+        One that crashed behind a cut closed none of its connections. What
+        is sent on such a connection is lost, and a call that must not run
+        twice with it, though a later process serves at the address.
+        """
+        processes = {one.endpoint: one.process for one in live}
+        for address, process in self._processes.items():
+            if processes.get(address) != process:
+                self._connections.forget(address)
+        self._processes = processes
+
     def _share_extra(self) -> None:
         self._balancer.limit_inquiries(
             self._settings.probes_per_s, self._entries
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -374,14 +374,20 @@
     ) -> HTTPResponse:
         exchange.wait_until = deadline
         connection.timeout = max(LEAST_TIMEOUT_S, deadline - time.monotonic())
-        connection.request(
-            request.method,
-            request.target,
-            body=request.pieces(),
-            headers=request.headers,
-            preload_content=False,
-            decode_content=False,
-        )
+        try:
+            connection.request(
+                request.method,
+                request.target,
+                body=request.pieces(),
+                headers=request.headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (BrokenPipeError, ConnectionResetError):
+            # An endpoint that sheds a long body may say so and close before
+            # it has read it. Its answer is worth reading: without it a call
+            # that has not run would be lost to its caller.
+            connection.part_sent = True
         connection.timeout = max(LEAST_TIMEOUT_S, deadline - time.monotonic())
         response = connection.getresponse()
         if response.status < FIRST_FINAL_STATUS:
--- a/packages/fakes/nutmegchute_fakes/edges.py
+++ b/packages/fakes/nutmegchute_fakes/edges.py
@@ -143,7 +143,7 @@
         """Admit a call."""
         self._desk.admit(ticket, ticket.arrival.deadline_s)
 
-    def end_instance(self, instance: str) -> None:
+    def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left; here none have names."""
 
 
--- a/packages/fakes/nutmegchute_fakes/misfits.py
+++ b/packages/fakes/nutmegchute_fakes/misfits.py
@@ -46,6 +46,10 @@
         self._misfit.note(head + body)
         return head + body
 
+    def read_head(self) -> bytes | None:
+        """Return the next request's head and leave its body unread."""
+        return self._read_until(CRLF + CRLF)
+
     def write(self, data: bytes) -> None:
         """Write bytes as they are."""
         self._socket.sendall(data)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,13 +1,19 @@
 """Translate the platform's documents and words, and keep them in place."""
 
 import ast
+import contextlib
+from functools import partial as partial_of
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 from nutmegchute_core.errors import DeclarationError
 from nutmegchute_core.members import DRAINING
+from nutmegchute_core.routes import read_routes
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import CONFLICT
 from nutmegchute_core.trees import INVALID
@@ -17,7 +23,8 @@
 from nutmegchute_platform.configurations import read_whole
 from nutmegchute_platform.configurations import TEAM
 from nutmegchute_platform.configurations import write_whole
-from nutmegchute_platform.endpoints import read_beat
+from nutmegchute_platform.endpoints import read_farewell
+from nutmegchute_platform.endpoints import read_heartbeat
 
 ROOT = Path(__file__).parent.parent
 # Words of the platform that only its folder may know.
@@ -80,6 +87,33 @@
 }
 
 
+def json_values() -> st.SearchStrategy[Any]:
+    """Give documents that use the platform's names with any content."""
+    names = st.sampled_from(
+        [
+            "born",
+            "service",
+            "services",
+            "state",
+            "sequence",
+            "virtualHosts",
+            "paths",
+            "version",
+            "kind",
+            "name",
+        ]
+    )
+    plain = st.none() | st.booleans() | st.integers() | st.text(max_size=5)
+    return st.recursive(
+        plain | st.floats(allow_nan=False, allow_infinity=False),
+        lambda inner: (
+            st.lists(inner, max_size=4)
+            | st.dictionaries(names, inner, max_size=6)
+        ),
+        max_leaves=20,
+    )
+
+
 def whole(**values: Any) -> bytes:
     """Encode a complete configuration."""
     return msgspec.json.encode({**WHOLE, **values})
@@ -107,6 +141,30 @@
     return tree
 
 
+def test_routes_of_large_bodies_are_read_back() -> None:
+    """Keep apart what may run once only from what is large besides."""
+    photos = {**ROUTE, "name": "r-photo", "pathPrefix": "/p/"}
+    photos["kind"] = "upload"
+    body = whole(
+        virtualHosts=[{"hostname": "a.example", "paths": [ROUTE, photos]}]
+    )
+    tree = Tree()
+    assert tree.apply(1, read_whole(body, 0.0)).outcome == ACCEPTED
+    paths = shown(tree)["virtualHosts"][0]["paths"]
+    assert paths == [ROUTE, photos]
+    loans, bundles = read_routes(tree.documents, 0.0)
+    assert not bundles.rule.idempotent
+    assert bundles.kept_bytes > loans.kept_bytes
+
+
+def test_unknown_kind_of_request_is_refused() -> None:
+    """Put nothing in force whose meaning is not known."""
+    odd = {**ROUTE, "kind": "maybe"}
+    body = whole(virtualHosts=[{"hostname": "a.example", "paths": [odd]}])
+    with pytest.raises(DeclarationError):
+        read_whole(body, 0.0)
+
+
 def test_configuration_is_read_back_as_it_was_sent() -> None:
     """Give every field back, also those that nothing here reads."""
     expected = dict(WHOLE)
@@ -226,13 +284,50 @@
         "sequence": 4,
         "later": True,
     }
-    announcement, sequence = read_beat("i-1", msgspec.json.encode(body))
+    announcement, sequence = read_heartbeat("i-1", msgspec.json.encode(body))
     assert sequence == 4
+    assert announcement.incarnation == 0
     assert announcement.state == DRAINING
     assert (announcement.instance, announcement.slots) == ("i-1", 3)
     assert announcement.cold_s == 1.5
 
 
+def test_start_of_an_endpoint() -> None:
+    """Read when the process started, in heartbeats and farewells."""
+    body = {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "zone": "surco",
+        "capacity": 3,
+        "state": "ready",
+        "sequence": 4,
+        "born": 1764720000000,
+    }
+    announcement, _ = read_heartbeat("i-1", msgspec.json.encode(body))
+    assert announcement.process == ("i-1", 1764720000000)
+    assert read_farewell(b'{"born": 1764720000000}') == 1764720000000
+    assert read_farewell(b"{}") is None
+    assert read_farewell(b"") is None
+    with pytest.raises(msgspec.DecodeError):
+        read_farewell(b'{"born": "today"}')
+
+
+@settings(max_examples=300)
+@given(
+    st.binary(max_size=200)
+    | json_values().map(msgspec.json.encode)
+    | st.just(b"[" * 100000)
+)
+def test_any_bytes_are_read_or_refused(body: bytes) -> None:
+    """Meet whatever another writer sends with one kind of error."""
+    for read in (partial_of(read_heartbeat, "i-1"), read_farewell):
+        with contextlib.suppress(msgspec.DecodeError):
+            read(body)
+    for order in (read_whole, read_partial):
+        with contextlib.suppress(DeclarationError):
+            order(body, 0.0)
+
+
 @pytest.mark.parametrize(
     "values",
     [
@@ -241,6 +336,12 @@
         {"state": "asleep"},
         {"sequence": "four"},
         {"service": None},
+        {"born": "1764720000000"},
+        {"born": 1764720000000.5},
+        {"born": -1},
+        {"born": None},
+        {"warmupLeftMs": -1},
+        {"warmupLeftMs": 1e300},
     ],
 )
 def test_wrong_word_of_an_endpoint(values: dict[str, Any]) -> None:
@@ -255,7 +356,7 @@
         **values,
     }
     with pytest.raises(msgspec.DecodeError):
-        read_beat("i-1", msgspec.json.encode(body))
+        read_heartbeat("i-1", msgspec.json.encode(body))
 
 
 def test_nothing_else_knows_the_platform() -> None:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -235,6 +235,84 @@
         beats.stop()
 
 
+def test_endpoint_starts_again_under_its_name(site: Site) -> None:
+    """Serve by the later process at once, whatever was heard before.
+
+    An endpoint drains and ends, and starts again under its id and address
+    with its numbers anew. What the earlier process sent comes after: it is
+    not acknowledged, and the later one goes on serving.
+    """
+    earlier = Endpoint("i-1", "desk")
+    assert _status(earlier.beat(site.control(0), born=1000, sequence=70))
+    earlier.state = "draining"
+    drain = partial(earlier.beat, site.control(0), born=1000, sequence=71)
+    wait_for(lambda: _status(drain()), "acknowledged")
+    earlier.stop()
+    later = Endpoint("i-1", "desk", earlier.address)
+    try:
+        for control in range(3):
+            answer = later.beat(site.control(control), born=2000)
+            assert _status(answer)
+        _all_served(site)
+        for control in range(3):
+            late = earlier.beat(site.control(control), born=1000, sequence=99)
+            assert _status(late, 503)
+        assert _status(_farewell(site, "i-1", {"born": 1000}), 503)
+        _all_served(site)
+        assert _status(_farewell(site, "i-1", {"born": 2000}))
+        assert _status(site.request("/loan/1", _name(), 0, "POST"), 503)
+    finally:
+        later.stop()
+
+
+def test_other_writers_name_no_endpoint(site: Site) -> None:
+    """Refuse what another writer sends; the endpoints known hold.
+
+    Heartbeats come with fields missing or of another type, with a state or
+    service that nobody declared, or as bytes that cannot be read, some
+    under the id of an endpoint that serves.
+    """
+    desk = Endpoint("i-1", "desk")
+    beats = Beats(site, desk)
+    try:
+        _all_served(site)
+        wrong: list[dict[str, Any]] = [
+            {"state": "resting"},
+            {"service": "nobody"},
+            {"service": "shelf"},
+            {"born": "now"},
+            {"sequence": None},
+            {"capacity": "many"},
+            {"address": "127.0.0.1:9"},
+        ]
+        beats.stop()
+        for control in range(3):
+            assert _status(desk.beat(site.control(control)))
+        for values in wrong:
+            answer = desk.beat(site.control(0), **{"sequence": 99, **values})
+            assert answer.status in (400, 503), values
+        desk.instance = "i-77"
+        for values in (wrong[0], wrong[1], wrong[3], wrong[4]):
+            answer = desk.beat(site.control(0), **values)
+            assert answer.status in (400, 503), values
+        desk.instance = "i-1"
+        for name in ("%ff%fe", "x" * 200, ""):
+            url = f"http://{site.control(0)}/Instances.Heartbeat/{name}"
+            assert _status(ask("POST", url, {}), 400)
+        assert _status(_farewell(site, "i-1", [1, 2]), 400)
+        for control in range(3):
+            assert _status(desk.beat(site.control(control)))
+        _all_served(site)
+    finally:
+        beats.stop()
+        desk.stop()
+
+
+def _farewell(site: Site, name: str, body: Any) -> Any:
+    url = f"http://{site.control(0)}/Instances.Deregister/{name}"
+    return ask("POST", url, body)
+
+
 def test_drain_binds_while_an_entry_does_not_answer(site: Site) -> None:
     """Acknowledge a leaving although one entry is frozen; it heeds it.
 
--- a/tests/test_registries.py
+++ b/tests/test_registries.py
@@ -7,7 +7,10 @@
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
 from nutmegchute_core.registries import CHANGED
+from nutmegchute_core.registries import ENDED_KEPT_S
 from nutmegchute_core.registries import ENDPOINT_LEASE_S
+from nutmegchute_core.registries import FOREIGN
+from nutmegchute_core.registries import OUTDATED
 from nutmegchute_core.registries import Registry
 from nutmegchute_core.registries import STALE
 from nutmegchute_core.registries import TAKEN
@@ -17,7 +20,11 @@
 
 
 def word(
-    instance: str, endpoint: str = A, state: str = UP, cold_s: float = 0.0
+    instance: str,
+    endpoint: str = A,
+    state: str = UP,
+    cold_s: float = 0.0,
+    incarnation: int = 0,
 ) -> Announcement:
     """Build an instance's word."""
     return Announcement(
@@ -25,7 +32,7 @@
         endpoint=endpoint,
         availability_zone="surco",
         slots=3,
-        incarnation=0,
+        incarnation=incarnation,
         state=state,
         instance=instance,
         cold_s=cold_s,
@@ -64,8 +71,8 @@
     """Refuse words of an instance that said farewell."""
     registry = Registry(1)
     registry.take(word("i1"), 1, 0.0)
-    assert registry.end("i1", 1.0)
-    assert not registry.end("i1", 1.1)
+    assert registry.end(("i1", 0), 1.0)
+    assert not registry.end(("i1", 0), 1.1)
     assert registry.take(word("i1"), 9, 1.2) == STALE
     assert registry.take(word("i2"), 1, 1.3) == CHANGED
 
@@ -73,7 +80,7 @@
 def test_farewell_before_any_word_is_kept() -> None:
     """Remember the end of an instance that announced itself elsewhere."""
     registry = Registry(1)
-    assert registry.end("i1", 0.0)
+    assert registry.end(("i1", 0), 0.0)
     catalog = Catalog()
     other = Registry(2)
     other.take(word("i1"), 3, 0.0)
@@ -196,7 +203,7 @@
     registry.take(word("i2"), 1, 1.0)
     tell(registry, catalog, 1.0)
     assert list(states(catalog)) == ["i2"]
-    catalog.end("i2", 2.0)
+    catalog.end(("i2", 0), 2.0)
     assert list(states(catalog)) == ["i1"]
 
 
@@ -207,3 +214,108 @@
     delta = registry.since(0, 0, 2.0)
     assert delta.present[0].cold_s == 1.0
     assert registry.take(word("i1", cold_s=1.5), 2, 1.5) == TAKEN
+
+
+def test_later_start_of_an_instance_is_another_process() -> None:
+    """Begin anew with an instance that started again under its name.
+
+    The endpoint crashes while it drains and starts again under its name.
+    Its numbers begin anew and it takes calls, whatever was heard of the
+    process before.
+    """
+    registry = Registry(1)
+    catalog = Catalog()
+    registry.take(word("i1", state=DRAINING, incarnation=5), 40, 0.0)
+    tell(registry, catalog, 0.0)
+    assert states(catalog) == {"i1": DRAINING}
+    assert registry.take(word("i1", incarnation=9), 1, 1.0) == CHANGED
+    tell(registry, catalog, 1.0)
+    assert states(catalog) == {"i1": UP}
+    assert catalog.live()[0].incarnation == 9
+
+
+def test_earlier_start_that_comes_late_changes_nothing() -> None:
+    """Refuse the words of a process whose instance has started again.
+
+    A cut holds back the heartbeat and the farewell of the earlier process.
+    They come when the later one serves; heeded, they would take it away.
+    """
+    registry = Registry(1)
+    registry.take(word("i1", incarnation=9), 1, 0.0)
+    generation = registry.generation
+    late = word("i1", state=DRAINING, incarnation=5)
+    assert registry.take(late, 99, 1.0) == OUTDATED
+    assert not registry.end(("i1", 5), 1.1)
+    assert registry.outdated(("i1", 5))
+    assert registry.generation == generation
+
+
+def test_earlier_start_told_by_another_replica_names_no_endpoint() -> None:
+    """Hold to the later start, in whatever order replicas tell of both.
+
+    The instance moved to another replica when it started again. The first
+    replica, or one that restarted and heard a late word, has the earlier
+    process still, at another address.
+    """
+    earlier = Registry(1)
+    earlier.take(word("i1", B, incarnation=5), 7, 0.0)
+    later = Registry(2)
+    later.take(word("i1", A, incarnation=9), 1, 0.0)
+    for order in ((earlier, later), (later, earlier)):
+        catalog = Catalog()
+        for registry in order:
+            tell(registry, catalog, 1.0)
+        assert [one.endpoint for one in catalog.live()] == [A]
+
+
+def test_end_of_an_earlier_start_spares_the_later() -> None:
+    """Keep an instance whose earlier process ended at another replica."""
+    catalog = Catalog()
+    later = Registry(2)
+    later.take(word("i1", incarnation=9), 1, 0.0)
+    tell(later, catalog, 0.0)
+    earlier = Registry(1)
+    earlier.end(("i1", 5), 0.0)
+    tell(earlier, catalog, 0.1)
+    assert states(catalog) == {"i1": UP}
+
+
+def test_instance_that_moved_is_not_ended_at_its_old_address() -> None:
+    """End only the process that was at the address which answered.
+
+    An instance starts again at another address, and a request still goes
+    to the old one, where somebody else says so.
+    """
+    catalog = Catalog()
+    earlier = Registry(1)
+    earlier.take(word("i1", B, incarnation=5), 7, 0.0)
+    later = Registry(2)
+    later.take(word("i1", A, incarnation=9), 1, 0.0)
+    tell(earlier, catalog, 0.0)
+    tell(later, catalog, 0.0)
+    assert catalog.leave("i1", B, 1.0)
+    assert [one.endpoint for one in catalog.live()] == [A]
+    assert catalog.leave("i1", A, 1.0)
+    assert catalog.live() == []
+
+
+def test_foreign_word_changes_no_endpoint() -> None:
+    """Refuse a word that moves a running process elsewhere.
+
+    A process keeps its service and address. Another writer that uses its
+    name would take it out of its service.
+    """
+    registry = Registry(1)
+    registry.take(word("i1"), 1, 0.0)
+    assert registry.take(word("i1", B), 2, 0.1) == FOREIGN
+    assert registry.present() == [word("i1")]
+
+
+def test_start_is_forgotten_with_its_process() -> None:
+    """Hold no instance for ever: names are made anew at most starts."""
+    registry = Registry(1)
+    registry.take(word("i1", incarnation=9), 1, 0.0)
+    registry.expire(ENDPOINT_LEASE_S + 1.0)
+    assert registry.outdated(("i1", 5))
+    registry.expire(ENDPOINT_LEASE_S + ENDED_KEPT_S + 2.0)
+    assert not registry.outdated(("i1", 5))
