Divide questions to endpoints by what entries have to place

Cause: a zone with three of fourteen entries and two fifths of the callers had a third fewer questions a call than it used; calls that found nobody to ask waited, were late, and gave way to those in time until their deadline. 66 of 1,000 calls there were refused while other zones had room.

Ruled out: asking in more rounds and asking held calls again sooner (model: no better, the questions were used up).

Change: entries tell control how many calls a second they place, control adds them up, and four fifths of the questions are divided by that. The sum of all shares stays one. The placing benchmark has unequal zones now. A router that has just started holds calls until control has answered.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -9,10 +9,11 @@
 
 Neighbours on an endpoint's vm stretch work fivefold for 150 ms at a time, a
 call keeps the pace it begins with, the last slot is slow, and each answer
-tells what runs and at which pace. Sixteen routers run real balancers and
-share nothing. Callers that are refused come back when they were told to, and
-count from their first try. A figure is the share of calls answered within
-their objective, over the whole run and in its worst two seconds.
+tells what runs and at which pace. Routers run real balancers and share
+nothing but what control adds up for them. Callers that are refused come back
+when they were told to, and count from their first try. A figure is the share
+of calls answered within their objective, over the whole run and in its worst
+two seconds.
 """
 
 import sys
@@ -23,10 +24,12 @@
 
 from docopt import docopt
 from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.budgets import ExtraLimit
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refuse
+from nutmegchute_core.demands import Shares
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.policies import Policy
 from nutmegchute_core.routes import Route
@@ -44,21 +47,15 @@
 
 SERVICE = "prestamos"
 ZONES = ("miraflores", "san-isidro", "surco")
-ENTRIES = 16
 SLOTS = 3
-OBJECTIVE_S = 0.3
-TIMEOUT_S = 1.2
-DEADLINE_S = 2.5
-WORK_S = 0.13
 WORK_SIGMA = 0.3
 NEIGHBOURS_SHARE = 0.25
 NEIGHBOURS_FACTOR = 5.0
 NEIGHBOURS_S = 0.15
 LAST_SLOT_FACTOR = 1.7
 PROBES_PER_S = 60.0
-# One way between a caller and its entry.
-CALLER_S = 0.008
-RETRIES = 2
+EXTRA_RATIO = 0.2
+EXTRA_FIXED = 60.0
 RUN_S = 12.0
 TAIL_S = 4.0
 WARM_S = 2.0
@@ -70,6 +67,87 @@
 ORACLE = "oracle"
 
 
+class Deployment:
+    """Describe callers and entries: who is where, and who waits how long.
+
+    Times are in seconds. ``entries`` and ``callers`` are by zone, callers
+    as a share; ``way_s`` is one way between a caller and its entry.
+    """
+
+    __slots__ = (
+        "callers",
+        "deadline_s",
+        "entries",
+        "objective_s",
+        "retries",
+        "timeout_s",
+        "way_s",
+        "work_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        entries: tuple[int, int, int],
+        callers: tuple[float, float, float],
+        objective_s: float,
+        timeout_s: float,
+        deadline_s: float,
+        work_s: float,
+        way_s: float,
+        retries: int,
+    ) -> None:
+        self.entries = entries
+        self.callers = callers
+        self.objective_s = objective_s
+        self.timeout_s = timeout_s
+        self.deadline_s = deadline_s
+        self.work_s = work_s
+        self.way_s = way_s
+        self.retries = retries
+
+    @property
+    def zones(self) -> list[str]:
+        """List the zone of each entry."""
+        found = []
+        for zone, count in zip(ZONES, self.entries, strict=True):
+            found.extend([zone] * count)
+        return found
+
+    @property
+    def weights(self) -> list[float]:
+        """List the share of the calls that each entry gets."""
+        found = []
+        for share, count in zip(self.callers, self.entries, strict=True):
+            found.extend([share / count] * count)
+        return found
+
+
+# Long work, patient callers, zones alike.
+LOANS = Deployment(
+    entries=(6, 5, 5),
+    callers=(0.375, 0.3125, 0.3125),
+    objective_s=0.3,
+    timeout_s=1.2,
+    deadline_s=2.5,
+    work_s=0.13,
+    way_s=0.008,
+    retries=2,
+)
+# Short work, callers that come back once, a zone of few entries and many
+# callers.
+PARTS = Deployment(
+    entries=(6, 5, 3),
+    callers=(0.32, 0.29, 0.39),
+    objective_s=0.2,
+    timeout_s=0.8,
+    deadline_s=0.8,
+    work_s=0.065,
+    way_s=0.003,
+    retries=1,
+)
+
+
 class SharedEndpoint(Endpoint):
     """Run jobs on a vm whose neighbours come and go."""
 
@@ -122,11 +200,13 @@
         endpoints: list[SharedEndpoint],
         random: Random,
         oracle: bool,
+        deployment: Deployment,
     ) -> None:
         super().__init__(SERVICE, deciders, zones, list(endpoints), 0)
         self._draw = random
         self._oracle = oracle
-        self._rule = _rule()
+        self._deployment = deployment
+        self._rule = _rule(deployment)
         self._of_arrival: dict[Arrival, Caller] = {}
         self.callers: list[Caller] = []
         self.crossed = 0
@@ -139,8 +219,10 @@
 
     def _schedule(self, at: float, entry: int, caller: Caller) -> None:
         sigma = WORK_SIGMA
-        work_s = WORK_S * exp(self._draw.gauss(-sigma * sigma / 2, sigma))
-        left_s = caller.first_at + DEADLINE_S - at
+        work_s = self._deployment.work_s * exp(
+            self._draw.gauss(-sigma * sigma / 2, sigma)
+        )
+        left_s = caller.first_at + self._deployment.deadline_s - at
         arrival = Arrival(at, entry, "GET", work_s, left_s, (1.0,) * 3)
         self._of_arrival[arrival] = caller
         self.at(at, self._arrive, arrival)
@@ -154,7 +236,9 @@
             )
         else:
             # The oracle serves whom it can serve in time.
-            left_s = caller.first_at + OBJECTIVE_S - CALLER_S - self.now
+            plan = self._deployment
+            until = caller.first_at + plan.objective_s - plan.way_s
+            left_s = until - self.now
             call_id, actions = decider.arrive(
                 SERVICE, "GET", "/", self.now, max(0.001, left_s)
             )
@@ -194,25 +278,34 @@
     def _conclude(self, entry: int, action: CallAction) -> None:
         arrival = self._arrivals.pop((entry, action.call_id))
         caller = self._of_arrival.pop(arrival)
+        plan = self._deployment
         if isinstance(action, Finish):
             caller.served = True
-            elapsed_s = self.now + CALLER_S - caller.first_at
-            caller.in_time = elapsed_s <= OBJECTIVE_S
+            elapsed_s = self.now + plan.way_s - caller.first_at
+            caller.in_time = elapsed_s <= plan.objective_s
             return
-        if not isinstance(action, Refuse) or caller.tries > RETRIES:
+        if not isinstance(action, Refuse) or caller.tries > plan.retries:
             return
         if self._oracle:
             return
         caller.tries += 1
-        at = self.now + 2 * CALLER_S + action.retry_after_s
-        if at + OBJECTIVE_S < caller.first_at + DEADLINE_S:
+        # On a new connection, which takes a way there and back to open.
+        at = self.now + 4 * plan.way_s + action.retry_after_s
+        if at + plan.work_s < caller.first_at + plan.deadline_s:
             self._schedule(at, entry, caller)
 
 
 class Pattern:
     """Describe a load and what happens to the endpoints."""
 
-    __slots__ = ("act", "counts", "name", "per_s", "returning_s")
+    __slots__ = (
+        "act",
+        "counts",
+        "deployment",
+        "name",
+        "per_s",
+        "returning_s",
+    )
 
     def __init__(
         self,
@@ -221,7 +314,9 @@
         counts: tuple[int, int, int] = (6, 7, 4),
         act: Callable[[SharedSimulation], None] | None = None,
         returning_s: float = 0.0,
+        deployment: Deployment = LOANS,
     ) -> None:
+        self.deployment = deployment
         self.name = name
         self.per_s = per_s
         self.counts = counts
@@ -231,13 +326,13 @@
         self.returning_s = returning_s
 
 
-def _rule() -> Rule:
+def _rule(deployment: Deployment) -> Rule:
     document = {
         "host": "h",
         "path_prefix": "/",
         "idempotent": True,
-        "timeout_ms": TIMEOUT_S * 1000,
-        "objective_ms": OBJECTIVE_S * 1000,
+        "timeout_ms": deployment.timeout_s * 1000,
+        "objective_ms": deployment.objective_s * 1000,
         "attempts": 2,
         "service": SERVICE,
     }
@@ -255,6 +350,11 @@
     simulation.kill(names)
 
 
+def _lose_third(simulation: SharedSimulation) -> None:
+    names = list(simulation.endpoints)[::3]
+    simulation.kill(names)
+
+
 PATTERNS = [
     Pattern("calm", lambda _: 100.0),
     Pattern("crowded zone", lambda _: 110.0, (5, 5, 3)),
@@ -264,21 +364,56 @@
     Pattern("half dark", lambda _: 90.0, act=_halve),
     Pattern("all shed 45 in 100", lambda _: 90.0, act=_shed),
     Pattern("power comes back", lambda _: 110.0, returning_s=1.6),
+    Pattern("unequal zones", lambda _: 200.0, (5, 6, 5), deployment=PARTS),
+    Pattern(
+        "unequal burst",
+        lambda now: 270.0 if 0 < now - EVENT_AT_S < 3.0 else 190.0,
+        (5, 6, 5),
+        deployment=PARTS,
+    ),
+    Pattern(
+        "unequal, all shed",
+        lambda _: 190.0,
+        (5, 6, 5),
+        _shed,
+        deployment=PARTS,
+    ),
+    Pattern(
+        "unequal, a third dark",
+        lambda _: 190.0,
+        (5, 6, 5),
+        _lose_third,
+        deployment=PARTS,
+    ),
+    Pattern(
+        "unequal power",
+        lambda _: 200.0,
+        (5, 6, 5),
+        returning_s=0.7,
+        deployment=PARTS,
+    ),
 ]
 
 
-def build(way: str, seed: int, oracle: Oracle) -> list[Decider]:
+def build(
+    way: str, seed: int, oracle: Oracle, deployment: Deployment
+) -> list[Decider]:
     """Build the routers of a run."""
     deciders: list[Decider] = []
-    for entry in range(ENTRIES):
+    weights = deployment.weights
+    for entry, zone in enumerate(deployment.zones):
         if way == ORACLE:
             deciders.append(OracleEntry(oracle, entry))
             continue
         off = ("inquiries",) if way == BLIND else ()
-        balancer = Balancer(seed * 100 + entry, ZONES[entry % 3], Policy(*off))
+        balancer = Balancer(seed * 100 + entry, zone, Policy(*off))
         balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
-        balancer.limit_extra(0.2, 62.0 / ENTRIES)
-        balancer.limit_inquiries(PROBES_PER_S, ENTRIES)
+        limit = ExtraLimit(EXTRA_RATIO, EXTRA_FIXED)
+        balancer.limit_extra(limit.share, limit.burst(len(weights)))
+        shares = Shares()
+        shares.told = weights[entry]
+        shares.hear("control", 1.0)
+        balancer.limit_inquiries(PROBES_PER_S, shares.share(len(weights)))
         deciders.append(balancer)
     return deciders
 
@@ -292,9 +427,15 @@
             name = f"{zone}-{number}:1"
             endpoints.append(SharedEndpoint(name, zone, random))
     oracle = Oracle()
-    zones = [ZONES[entry % 3] for entry in range(ENTRIES)]
+    deployment = pattern.deployment
+    zones = deployment.zones
     simulation = SharedSimulation(
-        build(way, seed, oracle), zones, endpoints, random, way == ORACLE
+        build(way, seed, oracle, deployment),
+        zones,
+        endpoints,
+        random,
+        way == ORACLE,
+        deployment,
     )
     if way == ORACLE:
         oracle.watch(simulation)
@@ -302,7 +443,7 @@
         Announcement(SERVICE, one.name, one.zone, SLOTS, 1)
         for one in endpoints
     ]
-    for entry in range(ENTRIES):
+    for entry in range(len(zones)):
         simulation.announce(entry, live)
     if pattern.act is not None:
         simulation.at(EVENT_AT_S, pattern.act, simulation)
@@ -314,6 +455,7 @@
 def _offer(
     pattern: Pattern, simulation: SharedSimulation, random: Random
 ) -> None:
+    weights = pattern.deployment.weights
     now = -pattern.returning_s
     most = max(pattern.per_s(at / 10) for at in range(int(RUN_S * 10)))
     while now < RUN_S:
@@ -322,7 +464,8 @@
             continue
         # Those that could not connect try again within a tenth of a second.
         at = now if now > 0 else random.random() * 0.1
-        simulation.offer(at, random.randrange(ENTRIES), now)
+        entry = random.choices(range(len(weights)), weights)[0]
+        simulation.offer(at, entry, now)
 
 
 def _figures(
--- a/packages/core/nutmegchute_core/attendances.py
+++ b/packages/core/nutmegchute_core/attendances.py
@@ -29,6 +29,7 @@
     ``epoch`` and ``generation`` are those held of the replica's registry,
     ``index`` that of the tree in force here, ``members`` that of the
     membership known. The answer may be held for ``hold_s`` seconds.
+    ``calls_per_s`` is what the entry has to place.
     """
 
     entry: EntryWord
@@ -37,6 +38,7 @@
     index: int
     members: int
     hold_s: float
+    calls_per_s: float = 0.0
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -45,7 +47,7 @@
     ``tree`` is None where nothing is newer, or where this replica has no
     contact with a majority and may know an old tree only. ``replicas``
     lists the gRPC addresses of all replicas, None where nothing changed.
-    ``zone`` is the replica's own.
+    ``zone`` is the replica's own. ``calls_per_s`` adds up what entries told.
     """
 
     delta: Delta | None
@@ -54,12 +56,14 @@
     members: int = 0
     replicas: list[str] | None = None
     zone: str = ""
+    calls_per_s: float = 0.0
 
 
 class Attendant:
     """Hold what one entry said last."""
 
     __slots__ = (
+        "calls_per_s",
         "closed",
         "due_at",
         "generation",
@@ -73,6 +77,7 @@
         self.generation = 0
         self.index = 0
         self.heard_at = 0.0
+        self.calls_per_s = 0.0
         # When it asks again at the latest.
         self.due_at = 0.0
         self.closed = False
@@ -93,6 +98,7 @@
         index: int,
         hold_s: float,
         now: float,
+        calls_per_s: float = 0.0,
     ) -> None:
         """Take an entry's word; ``generation`` is 0 for another epoch."""
         attendant = self._attendants.get(word.name)
@@ -103,6 +109,7 @@
         attendant.index = index
         attendant.heard_at = now
         attendant.due_at = now + hold_s + ATTENDANCE_MARGIN_S
+        attendant.calls_per_s = calls_per_s
         attendant.closed = False
 
     def answered(self, name: str, now: float) -> None:
@@ -143,6 +150,11 @@
                 del self._attendants[name]
         return len(self._attendants)
 
+    def calls_per_s(self, now: float) -> float:
+        """Add up what the entries heard of lately have to place."""
+        self.count(now)
+        return sum(one.calls_per_s for one in self._attendants.values())
+
     def attended(self, now: float) -> bool:
         """Tell whether any entry is in touch."""
         for attendant in self._attendants.values():
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -65,7 +65,7 @@
         self._next_id = 1
         self._extra: tuple[float, float] | None = None
         self._inquiries: dict[int, Inquiry] = {}
-        self._inquiry_limit = (0.0, 1)
+        self._inquiry_limit = (0.0, 1.0)
 
     @property
     def in_flight(self) -> int:
@@ -98,11 +98,16 @@
         for pool in self._pools.values():
             pool.limit_extra(share, burst)
 
-    def limit_inquiries(self, per_endpoint: float, entries: int) -> None:
-        """Take how often a second all entries may ask each endpoint."""
-        self._inquiry_limit = (per_endpoint, entries)
+    def limit_inquiries(self, per_endpoint: float, share: float) -> None:
+        """Take how often a second all entries may ask each endpoint.
+
+        ``share`` of it is this entry's.
+        """
+        if self._inquiry_limit == (per_endpoint, share):
+            return
+        self._inquiry_limit = (per_endpoint, share)
         for pool in self._pools.values():
-            pool.limit_inquiries(per_endpoint, entries)
+            pool.limit_inquiries(per_endpoint, share)
 
     def update_upstreams(
         self, announcements: list[Announcement], now: float
--- /dev/null
+++ b/packages/core/nutmegchute_core/demands.py
@@ -0,0 +1,76 @@
+"""Divide what all entries may ask of endpoints by what each has to place.
+
+Zones have unequal shares of the callers, and so entries of the calls. With
+equal shares of the questions the entries of a crowded zone run out of them
+while those of others leave most of theirs unused.
+"""
+
+from math import exp
+
+# How far back calls count: a burst shows within seconds, and the rate of an
+# entry with few calls is still a rate.
+KEPT_S = 3.0
+# Of the questions this much is divided equally: an entry that has had no
+# calls yet must be able to ask for its first ones. What an entry told is a
+# question's hold old at most.
+EQUAL_SHARE = 0.2
+
+
+class Rate:
+    """Follow how many calls a second come; older ones fade."""
+
+    __slots__ = ("_at", "_sum")
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._at = 0.0
+
+    def count(self, now: float) -> None:
+        """Count a call."""
+        self._fade(now)
+        self._sum += 1.0
+
+    def per_s(self, now: float) -> float:
+        """Give the calls a second."""
+        self._fade(now)
+        return self._sum / KEPT_S
+
+    def _fade(self, now: float) -> None:
+        self._sum *= exp((self._at - now) / KEPT_S)
+        self._at = now
+
+
+class Shares:
+    """Say, on an entry, which share of the questions is its own.
+
+    Control replicas add up what entries tell of their calls. The share
+    rests on what this entry told, which is in every sum, and on the highest
+    sum that a replica gave; ``entries`` must never be too low. So the shares
+    of all entries come to one, but for what changed within a hold.
+    """
+
+    __slots__ = ("_totals", "told")
+
+    def __init__(self) -> None:
+        # Calls a second, as told last.
+        self.told = 0.0
+        self._totals: dict[str, float] = {}
+
+    def hear(self, replica: str, total: float) -> None:
+        """Take the calls a second that a replica has heard of in all."""
+        self._totals[replica] = total
+
+    def keep(self, replicas: list[str]) -> None:
+        """Forget the replicas that are no more."""
+        for replica in list(self._totals):
+            if replica not in replicas:
+                del self._totals[replica]
+
+    def share(self, entries: int) -> float:
+        """Give this entry's share of the questions, from 0 to 1."""
+        equal = 1.0 / max(1, entries)
+        total = max(self._totals.values(), default=0.0)
+        if total <= 0.0 or self.told > total:
+            return equal
+        own = self.told / total
+        return EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * own
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -170,6 +170,21 @@
         if self._registry.expire(boot_time()):
             self._news.tell()
 
+    @property
+    def generation(self) -> int:
+        """Count the changes of what announces here."""
+        return self._registry.generation
+
+    def present(self) -> list[Announcement]:
+        """List what announces here."""
+        return self._registry.present(boot_time())
+
+    def recall(self, announcements: list[Announcement]) -> None:
+        """Take the endpoints that were known before this start."""
+        now = boot_time()
+        for announcement in announcements:
+            self._registry.recall(announcement, now)
+
     def note_refused(self, reason: str) -> None:
         """Count what cannot be taken for an endpoint's word."""
         self._refusals.note(reason, boot_time())
@@ -273,7 +288,12 @@
             seen = 0
         now = boot_time()
         self._attendance.hear(
-            request.entry, seen, request.index, request.hold_s, now
+            request.entry,
+            seen,
+            request.index,
+            request.hold_s,
+            now,
+            request.calls_per_s,
         )
         self._seen.tell()
         hold_until = now + min(WATCH_FAR_S, request.hold_s)
@@ -341,7 +361,11 @@
                 request.epoch, request.generation, boot_time()
             )
         reply = WatchReply(
-            delta, self.entries, members=request.members, zone=self._zone
+            delta,
+            self.entries,
+            members=request.members,
+            zone=self._zone,
+            calls_per_s=self._attendance.calls_per_s(boot_time()),
         )
         node = self._node()
         if node is None or not self._in_contact():
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -16,6 +16,8 @@
 from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
 from nutmegchute_core.catalogs import Catalog
+from nutmegchute_core.demands import Rate
+from nutmegchute_core.demands import Shares
 from nutmegchute_core.directories import EntryWord
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Process
@@ -48,7 +50,10 @@
 DRAIN_TICK_S = 0.05
 EXPIRE_S = 0.5
 HEALTH_THREADS = 2
-UNCONFIGURED_RETRY_S = 0.5
+# A router that has just started has its configuration in a tenth of a second
+# or two where control is there; calls are held so long, and not sent away.
+UNCONFIGURED_HOLD_S = 0.6
+UNCONFIGURED_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.1
 # Of the time that a stop may take, this much is left for the last answers
 # to be written and for the process to end.
@@ -77,9 +82,13 @@
         self._phase = random.random()
         self._members = -1
         self._entries = 1
+        self._rate = Rate()
+        self._shares = Shares()
         self._leaving = False
         self._pause = Pause(boot_time())
-        self._held: list[Ticket] = []
+        # Calls that wait for word of control, and since when.
+        self._held: list[tuple[float, Ticket]] = []
+        self._hold_until = boot_time() + UNCONFIGURED_HOLD_S
         self._watchers = Watchers(settings.seeds, self._links, self)
         self._connections = Connections()
         self._processes: dict[str, Process] = {}
@@ -111,6 +120,7 @@
         if health is not None:
             health.handle(EVERYTHING, self._answer_health)
         self._share_extra()
+        self._share_inquiries()
 
     def begin(self) -> None:
         """Start the periodic work."""
@@ -167,15 +177,24 @@
         super().reload(settings)
         self._watchers.seed(settings.seeds)
         self._share_extra()
+        self._share_inquiries()
 
     def open_call(self, ticket: Ticket) -> None:
         """Admit a call; its actions go to the ticket."""
+        self._rate.count(boot_time())
         self._look_for_pause()
-        if self._pause.quiet(boot_time()):
-            self._held.append(ticket)
+        if self._must_hold():
+            self._held.append((boot_time(), ticket))
             return
         self._route(ticket)
 
+    def _must_hold(self) -> bool:
+        """Tell whether calls wait for word of control."""
+        now = boot_time()
+        if not self._leaving and not self.ready and now < self._hold_until:
+            return True
+        return self._pause.quiet(now)
+
     def _kept_bytes(self, host: str, path: str) -> int:
         """Tell how much of a body to keep; worker threads call this.
 
@@ -244,8 +263,15 @@
             self._settings.availability_zone,
             not self.ready,
         )
+        self._shares.told = round(self._rate.per_s(boot_time()), 1)
         return WatchRequest(
-            word, epoch, generation, self._tree.index, self._members, hold_s
+            word,
+            epoch,
+            generation,
+            self._tree.index,
+            self._members,
+            hold_s,
+            self._shares.told,
         )
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -255,9 +281,12 @@
         self._members = max(self._members, reply.members)
         if reply.replicas is not None:
             self._watchers.update(reply.replicas)
+            self._shares.keep(self._watchers.addresses)
+        self._shares.hear(replica, reply.calls_per_s)
         if reply.entries > self._entries:
             self._entries = reply.entries
             self._share_extra()
+        self._share_inquiries()
         if reply.tree is not None and self._tree.take(reply.tree):
             self._apply()
         changed = reply.delta is not None and self._catalog.hear(
@@ -277,10 +306,12 @@
         self._watchers.poke()
 
     def _release(self) -> None:
-        if not self._held or self._pause.quiet(boot_time()):
+        if not self._held or self._must_hold():
             return
         held, self._held = self._held, []
-        for ticket in held:
+        now = boot_time()
+        for held_at, ticket in held:
+            ticket.arrival.spend(now - held_at)
             self._route(ticket)
 
     def _apply(self) -> None:
@@ -330,10 +361,12 @@
                 self._connections.forget(address)
         self._processes = processes
 
-    def _share_extra(self) -> None:
+    def _share_inquiries(self) -> None:
         self._balancer.limit_inquiries(
-            self._settings.probes_per_s, self._entries
+            self._settings.probes_per_s, self._shares.share(self._entries)
         )
+
+    def _share_extra(self) -> None:
         if not self._settings.extra_fixed:
             return
         limit = ExtraLimit(
--- a/tests/test_balancers_stateful.py
+++ b/tests/test_balancers_stateful.py
@@ -289,7 +289,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.asked: list[str] = []
-        self.balancer.limit_inquiries(1000.0, 1)
+        self.balancer.limit_inquiries(1000.0, 1.0)
 
     def note_probe(self, probe: Probe) -> None:
         """Remember a question that can be answered."""
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -44,7 +44,7 @@
     """Build an entry's balancer whose endpoints tell how long work takes."""
     balancer = Balancer(7, ZONE, Policy(*off))
     balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
-    balancer.limit_inquiries(60.0, 2)
+    balancer.limit_inquiries(60.0, 0.5)
     live = []
     for zone, addresses in ((ZONE, NEAR), ("lima", FAR)):
         for address in addresses:
@@ -166,7 +166,7 @@
     """Leave a health path alone that waits for a slot as any call does."""
     balancer = Balancer(7, ZONE)
     balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
-    balancer.limit_inquiries(60.0, 1)
+    balancer.limit_inquiries(60.0, 1.0)
     live = [Announcement(SERVICE, one, ZONE, 3, 1) for one in NEAR]
     balancer.update_upstreams(live, 0.0)
     _, actions = balancer.arrive_under(SERVICE, rule(), 0.0)
@@ -273,7 +273,7 @@
     there is room, and no answer may come soon that tells.
     """
     balancer = build()
-    balancer.limit_inquiries(0.0, 2)
+    balancer.limit_inquiries(0.0, 0.5)
     _, actions = balancer.arrive_under(SERVICE, rule(), 5.0)
     assert asked(actions) == []
     assert len(sent(actions)) == 1
@@ -406,7 +406,7 @@
     for good although there is room for all.
     """
     balancer = build()
-    balancer.limit_inquiries(1.0, 2)
+    balancer.limit_inquiries(1.0, 0.5)
     _, actions = balancer.arrive_under(SERVICE, rule(), 50.0)
     assert asked(actions)
     for number in range(5):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -235,6 +235,27 @@
         beats.stop()
 
 
+def test_router_that_starts_holds_calls_for_a_moment(site: Site) -> None:
+    """Serve a call that comes before the configuration does.
+
+    A router is killed and starts again. It listens before it has asked
+    control for routes and endpoints; callers that were sent away then would
+    come back later than the answer takes.
+    """
+    desk = Endpoint("i-1", "desk")
+    beats = Beats(site, desk)
+    try:
+        _all_served(site)
+        site.kill(site.routers[0])
+        site.start(site.routers[0], False)
+        answer = wait_for(
+            lambda: site.request("/look/1", _name(), 0), "listening"
+        )
+        assert answer.status == 200
+    finally:
+        beats.stop()
+
+
 def test_endpoint_starts_again_under_its_name(site: Site) -> None:
     """Serve by the later process at once, whatever was heard before.
 
