Send to services that do not tell their load

Cause: where endpoints tell nothing, the answer at the health path was taken for a failure. It kept calls away from the endpoint, each call asked one after the other and waited, and "not run" ejected endpoints that were busy.

Ruled out: taking the time of the health answer for a sign of a free slot.

Change: an answer without a load is an answer; endpoints that tell nothing are asked no more. "Not run" from an endpoint is told apart from a connection that could not be had, and shrinks the window in place of a report.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -54,6 +54,8 @@
 NEIGHBOURS_S = 0.15
 LAST_SLOT_FACTOR = 1.7
 PROBES_PER_S = 60.0
+# What a question takes of a slot where it is treated as any call.
+UNTOLD_PROBE_S = 0.006
 EXTRA_RATIO = 0.2
 EXTRA_FIXED = 60.0
 RUN_S = 12.0
@@ -201,11 +203,13 @@
         random: Random,
         oracle: bool,
         deployment: Deployment,
+        tells: bool,
     ) -> None:
         super().__init__(SERVICE, deciders, zones, list(endpoints), 0)
         self._draw = random
         self._oracle = oracle
         self._deployment = deployment
+        self._tells = tells
         self._rule = _rule(deployment)
         self._of_arrival: dict[Arrival, Caller] = {}
         self.callers: list[Caller] = []
@@ -253,25 +257,46 @@
         self.crossed += endpoint.zone != self._zones[job.entry]
         super()._reach(job, endpoint)
 
+    def _reply_at(
+        self,
+        at: float,
+        job: Job,
+        endpoint: Endpoint,
+        outcome: str,
+        load: int | None = None,
+        failed: bool = False,
+        stretch: float | None = None,
+    ) -> None:
+        if not self._tells:
+            load = stretch = None
+        super()._reply_at(at, job, endpoint, outcome, load, failed, stretch)
+
     def _probe(self, entry: int, name: str) -> None:
         endpoint = self._endpoints[name]
         self.probes.append(self.now)
+        if not self._tells:
+            endpoint.probe_debt_s += UNTOLD_PROBE_S
         delay_s = self._delay(entry, endpoint)
         self.at(self.now + delay_s, self._look, entry, endpoint, delay_s)
 
     def _look(self, entry: int, endpoint: Endpoint, delay_s: float) -> None:
         if endpoint.dead:
             return
-        load = endpoint.load(self.now)
-        stretch = endpoint.stretch(self.now)
+        load: int | None = None
+        stretch: float | None = None
+        if self._tells:
+            load = endpoint.load(self.now)
+            stretch = endpoint.stretch(self.now)
         at = self.now + delay_s
         self.at(at, self._tell, entry, endpoint.name, load, stretch)
 
-    def _tell(self, entry: int, name: str, load: int, stretch: float) -> None:
+    def _tell(
+        self, entry: int, name: str, load: int | None, stretch: float | None
+    ) -> None:
         decider = self._deciders[entry]
         if isinstance(decider, Balancer):
             actions = decider.take_probe(
-                SERVICE, name, load, 0.002, self.now, stretch
+                SERVICE, name, load, 0.002, self.now, stretch, True
             )
             self.perform(entry, actions)
 
@@ -305,6 +330,7 @@
         "name",
         "per_s",
         "returning_s",
+        "tells",
     )
 
     def __init__(
@@ -315,7 +341,10 @@
         act: Callable[[SharedSimulation], None] | None = None,
         returning_s: float = 0.0,
         deployment: Deployment = LOANS,
+        tells: bool = True,
     ) -> None:
+        # Whether answers tell what runs at an endpoint and at which pace.
+        self.tells = tells
         self.deployment = deployment
         self.name = name
         self.per_s = per_s
@@ -364,6 +393,17 @@
     Pattern("half dark", lambda _: 90.0, act=_halve),
     Pattern("all shed 45 in 100", lambda _: 90.0, act=_shed),
     Pattern("power comes back", lambda _: 110.0, returning_s=1.6),
+    Pattern("nothing told", lambda _: 90.0, tells=False),
+    Pattern(
+        "nothing told, half dark", lambda _: 70.0, act=_halve, tells=False
+    ),
+    Pattern(
+        "nothing told, unequal",
+        lambda _: 170.0,
+        (5, 6, 5),
+        deployment=PARTS,
+        tells=False,
+    ),
     Pattern("unequal zones", lambda _: 200.0, (5, 6, 5), deployment=PARTS),
     Pattern(
         "unequal burst",
@@ -436,6 +476,7 @@
         random,
         way == ORACLE,
         deployment,
+        pattern.tells,
     )
     if way == ORACLE:
         oracle.watch(simulation)
--- a/benchmarks/policy_upstreams.py
+++ b/benchmarks/policy_upstreams.py
@@ -58,6 +58,7 @@
         "deadline_at",
         "entry",
         "running",
+        "shed",
         "sent_at",
         "work_s",
     )
@@ -77,6 +78,7 @@
         self.deadline_at = now + send.remaining_s
         self.cancelled = False
         self.running = False
+        self.shed = False
 
 
 class Endpoint:
@@ -338,6 +340,7 @@
     ) -> None:
         load = 0 if failed else endpoint.load(self.now)
         stretch = endpoint.stretch(self.now)
+        job.shed = outcome == NOT_RUN
         at = self.now + self._delay(job.entry, endpoint)
         self._reply_at(at, job, endpoint, outcome, load, failed, stretch)
 
@@ -381,6 +384,7 @@
             load,
             failed,
             stretch,
+            job.shed,
         )
         decider = self._deciders[job.entry]
         self.perform(job.entry, decider.finish(result, self.now))
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -205,12 +205,13 @@
         latency_s: float,
         now: float,
         stretch: float | None = None,
+        answered: bool = False,
     ) -> list[Action]:
-        """Take a probe's end; a load of None says that it failed."""
+        """Take a probe's end; without load and answer it has failed."""
         actions: list[Action] = []
         pool = self._pools.get(service)
         if pool is not None:
-            pool.take_probe(endpoint, load, now, stretch)
+            pool.take_probe(endpoint, load, now, stretch, answered)
             told = load is not None
             self._hear_answer(pool, endpoint, told, now, actions)
             self._dispatch(pool, now, actions)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -134,7 +134,8 @@
     ``load`` is the in-flight count the endpoint reported on its answer.
     ``stretch`` is how many times as long as usual work takes there now.
     ``failed`` marks an answer that says the endpoint itself is broken (a
-    5xx status that is not "not run").
+    5xx status that is not "not run"). ``shed`` marks a "not run" that the
+    endpoint said; without it the call did not reach the endpoint.
     """
 
     __slots__ = (
@@ -144,6 +145,7 @@
         "latency_s",
         "load",
         "outcome",
+        "shed",
         "stretch",
     )
 
@@ -156,7 +158,9 @@
         load: int | None = None,
         failed: bool = False,
         stretch: float | None = None,
+        shed: bool = False,
     ) -> None:
+        self.shed = shed
         self.stretch = stretch
         self.call_id = call_id
         self.attempt = attempt
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -44,6 +44,9 @@
 # calls; too much lets calls wait where none can overtake them.
 QUEUE_SHARE = 0.5
 UNPROBED_S = 16.0
+# Endpoints that have told their pace are still held to do so until so many
+# answers in a row say nothing: some answers come from a cache or a proxy.
+UNTOLD_MOST = 8
 
 
 class ZoneStalls:
@@ -72,6 +75,7 @@
         "_stalls",
         "_stretch",
         "_stretches",
+        "_untold",
         "fullness",
         "probed",
     )
@@ -93,6 +97,8 @@
         self._stretch = Mean(1.0)
         # Whether endpoints tell how long work takes; None: not known yet.
         self._stretches: bool | None = None
+        # Answers in a row that told nothing.
+        self._untold = 0
 
     @property
     def latency_s(self) -> float:
@@ -232,6 +238,7 @@
         if stretch is not None:
             self._stretch.learn(stretch)
             self._stretches = True
+            self._untold = 0
         elif self._stretches is None:
             self._stretches = False
         if endpoint not in self._members:
@@ -243,6 +250,16 @@
         if len(self._recent) > RECENT:
             del self._recent[next(iter(self._recent))]
 
+    def hear_untold(self) -> None:
+        """Take an answer that tells neither load nor pace.
+
+        The endpoints of some services tell nothing. A question costs them
+        as much as a call does, and its answer is worth nothing.
+        """
+        self._untold += 1
+        if self._stretches is None or self._untold >= UNTOLD_MOST:
+            self._stretches = False
+
     def hear_answer(
         self, endpoint: Endpoint, latency_s: float, now: float
     ) -> None:
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -430,13 +430,17 @@
         endpoint = sent.endpoint
         if result.load is not None and self._policy.reports:
             self._chooser.hear_load(endpoint, result.load, now, result.stretch)
+        elif result.outcome == ANSWERED:
+            self._chooser.hear_untold()
+        elif result.shed:
+            self._take_silent_shed(endpoint, now)
         if result.outcome == ANSWERED and not result.failed:
             self._take_answer(endpoint, result, now)
             self._learn_usual(call, sent, result.latency_s)
             return
         if not self._is_to_blame(call, result):
             return
-        if result.outcome == NOT_RUN and result.load is None:
+        if result.outcome == NOT_RUN:
             endpoint.mute(now)
         self._chooser.hear_failure(endpoint, now)
 
@@ -446,13 +450,18 @@
         load: int | None,
         now: float,
         stretch: float | None = None,
+        answered: bool = False,
     ) -> None:
-        """Learn from a probe."""
+        """Learn from a probe; one that ``answered`` may tell no load."""
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             return
         if load is None:
-            endpoint.mute(now)
+            if not answered:
+                endpoint.mute(now)
+                return
+            self._chooser.hear_untold()
+            self._chooser.hear_sign_of_life(endpoint)
             return
         self._chooser.hear_load(endpoint, load, now, stretch)
         self._chooser.hear_sign_of_life(endpoint)
@@ -475,14 +484,22 @@
     ) -> None:
         self._chooser.hear_answer(endpoint, result.latency_s, now)
         self._half.learn(result.latency_s)
-        if result.load is None:
-            return
-        self._window.learn(
-            self._chooser.crowded(endpoint, result.load),
-            self.in_flight,
-            now,
-            self._half.value_s,
+        # Where endpoints tell no load, only those that shed are crowded.
+        crowded = result.load is not None and self._chooser.crowded(
+            endpoint, result.load
         )
+        self._learn_window(crowded, now)
+
+    def _take_silent_shed(self, endpoint: Endpoint, now: float) -> None:
+        """Learn from "not run" where endpoints do not tell their load.
+
+        All slots are taken, and calls wait there besides.
+        """
+        endpoint.hear_load(endpoint.slots + endpoint.in_flight, now)
+        self._learn_window(True, now)
+
+    def _learn_window(self, crowded: bool, now: float) -> None:
+        self._window.learn(crowded, self.in_flight, now, self._half.value_s)
 
     def _may_probe(self, service: Service) -> bool:
         return service.probes_per_s > 0 and self._policy.probing
@@ -492,8 +509,8 @@
         if result.outcome == CANCELLED:
             return False
         if result.outcome == NOT_RUN:
-            # One that sheds and tells its load is busy, not broken.
-            return result.load is None
+            # One that sheds is busy, not broken.
+            return not result.shed and result.load is None
         if result.outcome != LOST:
             return True
         # A caller that gives a call two milliseconds loses each; counted
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -231,6 +231,7 @@
             load=reply.load,
             failed=reply.failed,
             stretch=reply.stretch,
+            shed=reply.shed,
         )
         self._asker.tell(self.desk.end_attempt, ticket, result)
 
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/desks.py
@@ -136,8 +136,9 @@
         load: int | None,
         latency_s: float,
         stretch: float | None,
+        answered: bool,
     ) -> None:
-        """Take a probe's end; a load of None says that it failed."""
+        """Take a probe's end; without load and answer it has failed."""
         self._metrics.count("probes")
         self.perform(
             self._balancer.take_probe(
@@ -147,6 +148,7 @@
                 latency_s,
                 self._loop.time(),
                 stretch,
+                answered,
             )
         )
 
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -19,7 +19,7 @@
 TIMEOUT_S = 0.1
 WAITING = 32
 
-Told = Callable[[Probe, int | None, float, float | None], None]
+Told = Callable[[Probe, int | None, float, float | None, bool], None]
 
 
 class Prober:
@@ -60,15 +60,17 @@
         request = Request("GET", self._path or probe.path, headers)
         load = None
         stretch = None
+        answered = False
         try:
             reply = self._sender.send(
                 request, probe.endpoint, TIMEOUT_S, Exchange()
             )
-            if reply.status == 200:
+            answered = reply.status == 200
+            if answered:
                 load = reply.load
                 stretch = reply.stretch
             reply.close()
         finally:
             self._waiting -= 1
         latency_s = time.monotonic() - started
-        self._asker.tell(self.take, probe, load, latency_s, stretch)
+        self._asker.tell(self.take, probe, load, latency_s, stretch, answered)
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -165,6 +165,13 @@
         """Give the answer's status."""
         return 0 if self._response is None else self._response.status
 
+    @property
+    def shed(self) -> bool:
+        """Tell whether the endpoint itself said that it ran nothing."""
+        if self.misdirected or self._response is None:
+            return False
+        return self._outcome == NOT_RUN
+
     @property
     def failed(self) -> bool:
         """Tell whether the answer says that the endpoint is broken."""
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -6,9 +6,11 @@
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.choosers import UNTOLD_MOST
 from nutmegchute_core.inquiries import ANSWER_S
 from nutmegchute_core.inquiries import ASK_AGAIN_S
 from nutmegchute_core.inquiries import FRESH_S
@@ -425,3 +427,77 @@
     balancer = build(slots=1)
     assert len(arrive(balancer, 49.0, 0, 0, 2.5)) == 1
     assert len(arrive(balancer, 50.0, 0, 0, 1.6)) == 1
+
+
+def untold(balancer: Balancer, now: float) -> tuple[int, list[Action]]:
+    """Let a call arrive; questions are answered without a load."""
+    call_id, actions = balancer.arrive_under(SERVICE, rule(), now)
+    for address in asked(actions):
+        actions = balancer.take_probe(
+            SERVICE, address, None, 0.008, now + 0.008, None, True
+        )
+    return call_id, actions
+
+
+def build_untold() -> Balancer:
+    """Build an entry's balancer whose endpoints tell nothing."""
+    balancer = Balancer(7, ZONE)
+    balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
+    balancer.limit_inquiries(60.0, 1.0)
+    live = [Announcement(SERVICE, one, ZONE, 3, 1) for one in NEAR]
+    balancer.update_upstreams(live, 0.0)
+    return balancer
+
+
+def test_health_answer_without_a_load_silences_nobody() -> None:
+    """Send on after a question whose answer tells nothing, and ask no more.
+
+    A service does not tell its load. Its endpoint answers at the health
+    path; taken for a failure, that answer kept calls away from it, and each
+    call asked one endpoint after the other and waited.
+    """
+    balancer = build_untold()
+    _, actions = untold(balancer, 0.0)
+    assert len(sent(actions)) == 1
+    for number in range(1, 4):
+        call_id, actions = untold(balancer, float(number))
+        assert asked(actions) == []
+        assert len(sent(actions)) == 1
+        balancer.finish(Result(call_id, 1, ANSWERED, 0.1), number + 0.1)
+
+
+def test_endpoint_that_sheds_without_a_load_is_not_ejected() -> None:
+    """Hold an endpoint that says "not run" for busy, not for broken.
+
+    Endpoints that do not tell their load shed in a burst. Counted as
+    failures, three of them took an endpoint out for half a second, and the
+    others got its calls.
+    """
+    balancer = build_untold()
+    for number in range(40):
+        call_id, actions = untold(balancer, float(number))
+        now = number + 0.002
+        while actions:
+            action = actions.pop()
+            if not isinstance(action, Send):
+                continue
+            shed = Result(
+                call_id, action.attempt, NOT_RUN, 0.001, None, shed=True
+            )
+            actions += balancer.finish(shed, now)
+    endpoints = balancer._pools[SERVICE].endpoints.values()
+    assert not [one for one in endpoints if one.ejected_until]
+    assert not [one for one in endpoints if one.muted(39.01)]
+
+
+def test_pace_told_once_is_asked_for_until_answers_fall_silent() -> None:
+    """Go on asking after a few answers without a load, not for ever."""
+    balancer = build()
+    for number in range(UNTOLD_MOST):
+        _, actions = balancer.arrive_under(SERVICE, rule(), 5.0 + number)
+        assert len(asked(actions)) == 1
+        balancer.take_probe(
+            SERVICE, asked(actions)[0], None, 0.001, 5.0 + number, None, True
+        )
+    _, actions = balancer.arrive_under(SERVICE, rule(), 50.0)
+    assert asked(actions) == []
