Send calls away that would wait in vain

Cause: when more comes than endpoints can take, calls in time go first.

Change: a late call waits only alone; beside one that waits late no other begins to wait. Both are told to come back after 20 ms.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -2,10 +2,13 @@
 
 Usage:
   placing [--seeds=N] [--only=TEXT]
+  placing --ablate [--seeds=N] [--only=TEXT] [--jobs=N]
 
 Options:
   --seeds=N    Runs of each load pattern [default: 3].
   --only=TEXT  Run only patterns whose name has this.
+  --ablate     Switch off each mechanism in turn.
+  --jobs=N     Processes that run patterns side by side [default: 2].
 
 Neighbours on an endpoint's vm stretch work fivefold for 150 ms at a time, a
 call keeps the pace it begins with, the last slot is slow, and each answer
@@ -18,6 +21,7 @@
 
 import sys
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from math import exp
 from random import Random
 from typing import Any
@@ -425,6 +429,13 @@
         _lose_third,
         deployment=PARTS,
     ),
+    Pattern(
+        "unequal, dark burst",
+        lambda now: 260.0 if 0 < now - EVENT_AT_S < 3.0 else 190.0,
+        (5, 6, 5),
+        _lose_third,
+        deployment=PARTS,
+    ),
     Pattern(
         "unequal power",
         lambda _: 200.0,
@@ -435,6 +446,12 @@
 ]
 
 
+def _policy(way: str) -> Policy:
+    if way == BLIND:
+        return Policy("inquiries")
+    return Policy() if way == POLICY else Policy(way)
+
+
 def build(
     way: str, seed: int, oracle: Oracle, deployment: Deployment
 ) -> list[Decider]:
@@ -445,8 +462,7 @@
         if way == ORACLE:
             deciders.append(OracleEntry(oracle, entry))
             continue
-        off = ("inquiries",) if way == BLIND else ()
-        balancer = Balancer(seed * 100 + entry, zone, Policy(*off))
+        balancer = Balancer(seed * 100 + entry, zone, _policy(way))
         balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
         limit = ExtraLimit(EXTRA_RATIO, EXTRA_FIXED)
         balancer.limit_extra(limit.share, limit.burst(len(weights)))
@@ -532,11 +548,41 @@
     )
 
 
+def _run_all(job: tuple[str, str, range]) -> list[float]:
+    """Give a pattern's mean figures over seeds; the pattern by name."""
+    name, way, seeds = job
+    pattern = next(one for one in PATTERNS if one.name == name)
+    runs = [run(pattern, way, seed) for seed in seeds]
+    return [sum(ones) / len(ones) for ones in zip(*runs, strict=True)]
+
+
+def ablate(names: list[str], seeds: range, jobs: int) -> None:
+    """Show what each pattern loses without each mechanism."""
+    ways = [POLICY, *Policy.__slots__]
+    plan = [(name, way, seeds) for way in ways for name in names]
+    with ProcessPoolExecutor(jobs) as pool:
+        found = dict(zip(plan, pool.map(_run_all, plan), strict=True))
+    print("in time and worst 2 s with all, then what each loses without")
+    for name in names:
+        whole = found[name, POLICY, seeds]
+        print(f"\n{name}: {whole[0]:.3f} {whole[1]:.3f}")
+        for way in ways[1:]:
+            figures = found[name, way, seeds]
+            print(
+                f"    {way:12}{whole[0] - figures[0]:+8.3f}"
+                f"{whole[1] - figures[1]:+8.3f}"
+            )
+
+
 def main() -> int:
     """Run what the arguments ask for."""
     arguments: dict[str, Any] = docopt(__doc__)
     seeds = range(1, int(arguments["--seeds"]) + 1)
     text = arguments["--only"] or ""
+    if arguments["--ablate"]:
+        names = [one.name for one in PATTERNS if text in one.name]
+        ablate(names, seeds, int(arguments["--jobs"]))
+        return 0
     ratios = []
     print(
         f"{'':34}{'in time':>9}{'worst 2 s':>11}{'served':>9}"
@@ -547,8 +593,7 @@
             continue
         worst = {}
         for way in (BLIND, POLICY, ORACLE):
-            runs = [run(pattern, way, seed) for seed in seeds]
-            means = [sum(ones) / len(ones) for ones in zip(*runs, strict=True)]
+            means = _run_all((pattern.name, way, seeds))
             worst[way] = means[1]
             print(
                 f"{pattern.name:20}{way:14}{means[0]:9.3f}{means[1]:11.3f}"
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -20,6 +20,7 @@
 from .inquiries import Inquiry
 from .members import Announcement
 from .policies import Policy
+from .pools import CROWDED_RETRY_S
 from .pools import Pool
 from .rules import Rule
 from .rules import Service
@@ -362,9 +363,27 @@
         # Endpoints that answer no question may still run calls.
         freed = None if inquiry.told else call.call_id
         self._dispatch(pool, now, actions, freed)
+        if self._send_away(pool, call, True, now, actions):
+            return
         self._guard(pool, call)
         self._ask_later(pool, call, now)
 
+    def _send_away(
+        self,
+        pool: Pool,
+        call: Call,
+        begins: bool,
+        now: float,
+        actions: list[Action],
+    ) -> bool:
+        """Refuse a waiting call that would wait in vain, if it would."""
+        if call.state != QUEUED or not pool.sends_away(call, begins, now):
+            return False
+        pool.queue.remove(call.call_id)
+        reason = "too many wait"
+        actions.append(self._give_up(pool, call, reason, CROWDED_RETRY_S))
+        return True
+
     def _ask_again(
         self, call: Call, now: float, actions: list[Action]
     ) -> None:
@@ -372,6 +391,8 @@
         pool = self._pools.get(call.service)
         if pool is None or call.state != QUEUED:
             return
+        if self._send_away(pool, call, False, now, actions):
+            return
         if pool.queue.first(now) != call.call_id:
             self._ask_later(pool, call, now)
             return
@@ -563,7 +584,13 @@
                 pool.take_cancel(call, attempt, now)
         call.outstanding.clear()
 
-    def _give_up(self, pool: Pool | None, call: Call, reason: str) -> Action:
+    def _give_up(
+        self,
+        pool: Pool | None,
+        call: Call,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> Action:
         del self._calls[call.call_id]
         if call.may_have_run:
             # An earlier attempt was lost after bytes had left: "not run"
@@ -572,5 +599,6 @@
             call.step("lose")
             return Lose(call.call_id, reason)
         call.step("refuse")
-        retry_after_s = 0.0 if pool is None else pool.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = 0.0 if pool is None else pool.retry_after_s
         return Refuse(call.call_id, reason, retry_after_s)
--- a/packages/core/nutmegchute_core/policies.py
+++ b/packages/core/nutmegchute_core/policies.py
@@ -11,14 +11,19 @@
     __slots__ = (
         "admission",
         "ejection",
+        "fullness",
         "hedging",
         "inquiries",
         "latency",
         "limit",
         "probing",
         "reports",
+        "returning",
+        "sending_away",
+        "silence",
         "suspicion",
         "warm_up",
+        "yielding",
         "zones",
     )
 
@@ -31,12 +36,17 @@
 
     admission: bool
     ejection: bool
+    fullness: bool
     hedging: bool
     inquiries: bool
     latency: bool
     limit: bool
     probing: bool
     reports: bool
+    returning: bool
+    sending_away: bool
+    silence: bool
     suspicion: bool
     warm_up: bool
+    yielding: bool
     zones: bool
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -42,6 +42,9 @@
 # again on a new connection. Less is the time a call waits for a thread here.
 RETURN_LEAST_S = 0.01
 TIMED_OUT_SHARE = 0.9
+# A caller that is sent away while others wait comes back after this: soon
+# enough to be in time, and after the first answers that tell of room.
+CROWDED_RETRY_S = 0.02
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has room, those that can still be
 # in time go first, and the wait of one is less than the queue suggests.
@@ -172,7 +175,7 @@
         """Leave an endpoint alone that did not answer a question in time."""
         endpoint = self._endpoints.get(address)
         if endpoint is not None and not endpoint.muted(now):
-            endpoint.mute(now)
+            self._mute(endpoint, now)
 
     def suits(self, address: str, now: float) -> bool:
         """Tell whether a call can begin at once, at pace, at an endpoint."""
@@ -284,6 +287,25 @@
         """Tell whether a call sent now would be answered in vain."""
         return now >= self.latest_send_at(call)
 
+    def sends_away(self, call: Call, begins: bool, now: float) -> bool:
+        """Tell whether a call that found no room should not wait on.
+
+        When more comes than endpoints can take, calls in time go first and
+        late ones wait until their deadline, most of them for nothing. So a
+        late call waits only while it is the only one, and where one waits
+        late already no other ``begins`` to: refused while it can be in
+        time, it comes back, most often to another entry. A third of the
+        endpoints dark in a burst, worst two seconds (make bench-placing):
+        0.68 of the calls in time, 0.63 when all wait.
+        """
+        if not self.holds or call.may_have_run:
+            return False
+        if not self._policy.sending_away:
+            return False
+        if self.late_at(call) < now:
+            return len(self.queue) > 1
+        return begins and self.queue.late(now) > 0
+
     def has_room(self) -> bool:
         """Tell whether the window lets one more attempt go."""
         if not self._policy.limit:
@@ -342,6 +364,8 @@
         wait for one and be late as well, for as long as it goes on. With
         little time left a late call takes what it gets.
         """
+        if not self._policy.yielding:
+            return False
         late_at = self.late_at(call)
         latest_at = self.latest_send_at(call)
         return late_at < now < late_at + (latest_at - late_at) * YIELD_SHARE
@@ -400,7 +424,8 @@
         """Take one retry from the rule's attempts and the budget."""
         if call.is_retry or len(call.attempts) >= call.rule.attempts:
             return False
-        return self._extra.spend_retry(call.is_first_try)
+        first_try = call.is_first_try and self._policy.returning
+        return self._extra.spend_retry(first_try)
 
     def take_send(self, call: Call, attempt: int, now: float) -> None:
         """Count an attempt that starts."""
@@ -441,7 +466,7 @@
         if not self._is_to_blame(call, result):
             return
         if result.outcome == NOT_RUN:
-            endpoint.mute(now)
+            self._mute(endpoint, now)
         self._chooser.hear_failure(endpoint, now)
 
     def take_probe(
@@ -458,7 +483,7 @@
             return
         if load is None:
             if not answered:
-                endpoint.mute(now)
+                self._mute(endpoint, now)
                 return
             self._chooser.hear_untold()
             self._chooser.hear_sign_of_life(endpoint)
@@ -490,6 +515,10 @@
         )
         self._learn_window(crowded, now)
 
+    def _mute(self, endpoint: Endpoint, now: float) -> None:
+        if self._policy.silence:
+            endpoint.mute(now)
+
     def _take_silent_shed(self, endpoint: Endpoint, now: float) -> None:
         """Learn from "not run" where endpoints do not tell their load.
 
@@ -535,7 +564,7 @@
     def _learn_usual(self, call: Call, sent: Sent, latency_s: float) -> None:
         usual = self._usual_of(call)
         usual.learn(latency_s)
-        if sent.full is not None:
+        if sent.full is not None and self._policy.fullness:
             multiple = latency_s / usual.half.value_s
             self._chooser.fullness.learn(sent.full, multiple)
 
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -47,6 +47,10 @@
                 count += 1
         return count
 
+    def late(self, now: float) -> int:
+        """Count the calls that cannot be answered within their objective."""
+        return sum(late_at < now for late_at in self._late_at.values())
+
     def push(
         self,
         call_id: int,
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -8,6 +8,7 @@
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Probe
+from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.choosers import UNTOLD_MOST
@@ -18,6 +19,7 @@
 from nutmegchute_core.inquiries import InquiryBudget
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.policies import Policy
+from nutmegchute_core.pools import CROWDED_RETRY_S
 from nutmegchute_core.routes import Route
 from nutmegchute_core.rules import Service
 
@@ -501,3 +503,50 @@
         )
     _, actions = balancer.arrive_under(SERVICE, rule(), 50.0)
     assert asked(actions) == []
+
+
+def crowd(balancer: Balancer, now: float) -> tuple[int, list[Action]]:
+    """Let a call arrive while every endpoint says that it is full."""
+    call_id, actions = balancer.arrive_under(SERVICE, rule(), now, 1.2)
+    while asked(actions):
+        for address in asked(actions):
+            actions = balancer.take_probe(SERVICE, address, 9, 0.001, now, 1.0)
+    return call_id, actions
+
+
+def test_no_call_is_held_beside_one_that_waits_late() -> None:
+    """Send a call back at once where another has waited too long already.
+
+    More comes than the endpoints can take. Calls in time go first, so one
+    that is late waits until its deadline; held beside it, the next ones
+    would become late as well, and be told "not run" when nothing is left.
+    """
+    balancer = build()
+    _, actions = crowd(balancer, 5.0)
+    assert sent(actions) == []
+    _, actions = crowd(balancer, 5.3)
+    (refusal,) = [one for one in actions if isinstance(one, Refuse)]
+    assert refusal.retry_after_s == CROWDED_RETRY_S
+
+
+def test_late_call_waits_only_alone() -> None:
+    """End the wait of a call that has become late beside another.
+
+    Two calls came at one moment and found no room. A tenth of a second
+    later both are late; one of them is told to come back.
+    """
+    balancer = build()
+    crowd(balancer, 5.0)
+    crowd(balancer, 5.0)
+    refused: list[Refuse] = []
+    while not refused:
+        now = balancer.next_wakeup()
+        assert now is not None and now < 5.5
+        actions = balancer.tick(now)
+        for address in asked(actions):
+            actions += balancer.take_probe(
+                SERVICE, address, 9, 0.001, now, 1.0
+            )
+        refused = [one for one in actions if isinstance(one, Refuse)]
+    assert len(refused) == 1
+    assert balancer.in_flight == 1
