--- a/packages/core/nutmegchute_core/attendances.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -14,7 +14,7 @@
 WATCH_FAR_S = 3.0
 # An entry asks again once its question was answered; one that is late by
 # this much is gone, frozen or cut off.
-ATTENDANCE_MARGIN_S = 0.5
+SESSION_MARGIN_S = 0.5
 # How long an entry counts among those that share the extra sends. Too high
 # a count only leaves a part of the budget unused.
 COUNTED_S = 60.0
@@ -59,7 +59,7 @@
     calls_per_s: float = 0.0
 
 
-class Attendant:
+class EntrySession:
     """Hold what one entry said last."""
 
     __slots__ = (
@@ -83,13 +83,13 @@
         self.closed = False
 
 
-class Attendance:
+class EntrySessions:
     """Record the entries that ask and which generation each has seen."""
 
-    __slots__ = ("_attendants",)
+    __slots__ = ("_sessions",)
 
     def __init__(self) -> None:
-        self._attendants: dict[str, Attendant] = {}
+        self._sessions: dict[str, EntrySession] = {}
 
     def hear(
         self,
@@ -101,64 +101,64 @@
         calls_per_s: float = 0.0,
     ) -> None:
         """Take an entry's word; ``generation`` is 0 for another epoch."""
-        attendant = self._attendants.get(word.name)
-        if attendant is None:
-            attendant = self._attendants[word.name] = Attendant(word)
-        attendant.word = word
-        attendant.generation = generation
-        attendant.index = index
-        attendant.heard_at = now
-        attendant.due_at = now + hold_s + ATTENDANCE_MARGIN_S
-        attendant.calls_per_s = calls_per_s
-        attendant.closed = False
+        session = self._sessions.get(word.name)
+        if session is None:
+            session = self._sessions[word.name] = EntrySession(word)
+        session.word = word
+        session.generation = generation
+        session.index = index
+        session.heard_at = now
+        session.due_at = now + hold_s + SESSION_MARGIN_S
+        session.calls_per_s = calls_per_s
+        session.closed = False
 
     def answered(self, name: str, now: float) -> None:
         """Take word that an entry's question got its answer."""
-        attendant = self._attendants.get(name)
-        if attendant is not None:
-            due_at = now + ATTENDANCE_MARGIN_S
-            attendant.due_at = min(attendant.due_at, due_at)
+        session = self._sessions.get(name)
+        if session is not None:
+            due_at = now + SESSION_MARGIN_S
+            session.due_at = min(session.due_at, due_at)
 
     def close(self, name: str) -> None:
         """Take word that an entry's connection ended."""
-        attendant = self._attendants.get(name)
-        if attendant is not None:
-            attendant.closed = True
+        session = self._sessions.get(name)
+        if session is not None:
+            session.closed = True
 
     def behind(self, generation: int, now: float) -> list[str]:
         """Name the entries in touch that have not seen a generation."""
         found = []
-        for name, attendant in self._attendants.items():
-            if attendant.closed or now > attendant.due_at:
+        for name, session in self._sessions.items():
+            if session.closed or now > session.due_at:
                 continue
-            if attendant.generation < generation:
+            if session.generation < generation:
                 found.append(name)
         return found
 
     def applied(self, now: float) -> dict[str, int]:
         """Map the entries in touch to the tree each has in force."""
         found = {}
-        for name, attendant in self._attendants.items():
-            if not attendant.closed and now <= attendant.due_at:
-                found[name] = attendant.index
+        for name, session in self._sessions.items():
+            if not session.closed and now <= session.due_at:
+                found[name] = session.index
         return found
 
     def count(self, now: float) -> int:
         """Count the entries heard of lately, rather too many than too few."""
-        for name, attendant in list(self._attendants.items()):
-            if now - attendant.heard_at > COUNTED_S:
-                del self._attendants[name]
-        return len(self._attendants)
+        for name, session in list(self._sessions.items()):
+            if now - session.heard_at > COUNTED_S:
+                del self._sessions[name]
+        return len(self._sessions)
 
     def calls_per_s(self, now: float) -> float:
         """Add up what the entries heard of lately have to place."""
         self.count(now)
-        return sum(one.calls_per_s for one in self._attendants.values())
+        return sum(one.calls_per_s for one in self._sessions.values())
 
-    def attended(self, now: float) -> bool:
+    def any_open(self, now: float) -> bool:
         """Tell whether any entry is in touch."""
-        for attendant in self._attendants.values():
-            if not attendant.closed and now <= attendant.due_at:
+        for session in self._sessions.values():
+            if not session.closed and now <= session.due_at:
                 return True
         return False
 
@@ -166,11 +166,11 @@
         """Return the addresses that a caller in a zone should use."""
         near: list[str] = []
         others: list[str] = []
-        for attendant in self._attendants.values():
-            word = attendant.word
-            if word.draining or attendant.closed:
+        for session in self._sessions.values():
+            word = session.word
+            if word.draining or session.closed:
                 continue
-            if now > attendant.due_at:
+            if now > session.due_at:
                 continue
             (near if word.availability_zone == zone else others).append(
                 word.address
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -46,7 +46,7 @@
 PAGE_THREADS_SHARE = 6
 
 
-class Desk(Protocol):
+class CallTaker(Protocol):
     """Describe what the entry's loop does for a call."""
 
     def open_call(self, ticket: Ticket) -> None:
@@ -74,7 +74,7 @@
         "_name",
         "_sender",
         "body_bytes",
-        "desk",
+        "dispatcher",
         "kept",
         "refusal",
         "refusal_retry_s",
@@ -90,7 +90,7 @@
         threads: int,
         form: CallForm | None = None,
     ) -> None:
-        self.desk: Desk
+        self.dispatcher: CallTaker
         self._form = form or CallForm()
         self._asker = asker
         self._sender = sender
@@ -138,7 +138,7 @@
         ticket.deposit(send.attempt, reply)
         if reply.misdirected:
             self._asker.tell(
-                self.desk.end_instance, send.instance, send.endpoint
+                self.dispatcher.end_instance, send.instance, send.endpoint
             )
         self._tell_end(ticket, send, reply)
         return reply
@@ -169,14 +169,14 @@
             self._refuse(http, error.status, str(error), 0.0)
             return
         http.opened = True
-        self._asker.tell(self.desk.open_call, ticket)
+        self._asker.tell(self.dispatcher.open_call, ticket)
         try:
             self._follow(ticket, http)
         finally:
             # Here, since the loop hears of the end up to a sweep later.
             ticket.story.ended_at = time.monotonic()
             ticket.close()
-            self._asker.tell_later(self.desk.close_call, ticket)
+            self._asker.tell_later(self.dispatcher.close_call, ticket)
 
     def _follow(self, ticket: Ticket, http: StrictRequest) -> None:
         while True:
@@ -233,7 +233,7 @@
             stretch=reply.stretch,
             shed=reply.shed,
         )
-        self._asker.tell(self.desk.end_attempt, ticket, result)
+        self._asker.tell(self.dispatcher.end_attempt, ticket, result)
 
     def _answer(
         self, http: StrictRequest, ticket: Ticket, attempt: int
--- a/packages/daemon/nutmegchute_daemon/desks.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -39,7 +39,7 @@
 Settle = Callable[[Ticket, str], None]
 
 
-class CallDesk:
+class Dispatcher:
     """Hand the balancer's actions to those that carry them out."""
 
     __slots__ = (
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -35,8 +35,8 @@
 from .clocks import boot_time
 from .connections import Connections
 from .daemons import Daemon
-from .desks import CallDesk
-from .desks import SWEEP_S
+from .dispatchers import Dispatcher
+from .dispatchers import SWEEP_S
 from .drains import DrainPage
 from .events import Event
 from .events import log
@@ -94,15 +94,15 @@
         self._prober = Prober(
             self._asker, Sender(self._connections), LOAD_PATH
         )
-        self._desk = CallDesk(
+        self._dispatcher = Dispatcher(
             balancer=self._balancer,
             metrics=self._metrics,
             hedge=self._handler.hedge,
             ask_load=self._prober.ask,
             settle=self._settle,
         )
-        self._prober.take = self._desk.take_probe
-        self._handler.desk = self
+        self._prober.take = self._dispatcher.take_probe
+        self._handler.dispatcher = self
         pages = EntryPages(self, self._asker, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._asker, self.stop)
         self._http.mount(open_pages(pages))
@@ -149,13 +149,13 @@
         """End the calls in flight; return how many there were."""
         self._handler.refusal = "entry is stopping"
         self._http.close_politely()
-        self._desk.cut()
+        self._dispatcher.cut()
         return self._handler.active
 
     def close(self) -> None:
         """Close the pages and let go of the helping threads."""
         close_pages()
-        self._desk.stop()
+        self._dispatcher.stop()
         self._prober.stop()
 
     def open_call(self, ticket: Ticket) -> None:
@@ -167,7 +167,7 @@
             return
         rule = self._claimed_rule(ticket)
         if rule is None:
-            self._desk.admit(ticket, ticket.arrival.deadline_s)
+            self._dispatcher.admit(ticket, ticket.arrival.deadline_s)
             return
         started_at = self._loop.time()
         wait_s = ticket.arrival.bound_s(rule.deadline_s)
@@ -177,7 +177,7 @@
             if not self._may_send(ticket, answer):
                 return
             left_s = wait_s - (self._loop.time() - started_at)
-            self._desk.admit(ticket, max(0.0, left_s))
+            self._dispatcher.admit(ticket, max(0.0, left_s))
 
         self._claiming += 1
         assert ticket.claim is not None
@@ -220,11 +220,11 @@
 
     def end_attempt(self, ticket: Ticket, result: Result) -> None:
         """Take the end of an attempt."""
-        self._desk.end_attempt(ticket, result)
+        self._dispatcher.end_attempt(ticket, result)
 
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
-        self._desk.close_call(ticket)
+        self._dispatcher.close_call(ticket)
 
     def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left; here none have names."""
@@ -260,12 +260,12 @@
 
     def _sweep(self) -> None:
         self._asker.run_later()
-        self._desk.sweep()
+        self._dispatcher.sweep()
         self._connections.sweep()
 
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
-        self._desk.perform(self._balancer.update_upstreams(live, now))
+        self._dispatcher.perform(self._balancer.update_upstreams(live, now))
 
     def _apply(self, reply: FollowReply) -> None:
         now = self._loop.time()
--- a/packages/daemon/nutmegchute_daemon/methods.py
+++ b/packages/daemon/nutmegchute_daemon/methods.py
@@ -4,11 +4,11 @@
 the whole of the control state with them.
 """
 
-from nutmegchute_core.attendances import WatchReply
-from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
 from nutmegchute_core.fleets import RelayReply
+from nutmegchute_core.sessions import WatchReply
+from nutmegchute_core.sessions import WatchRequest
 
 from .links import Method
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -5,10 +5,6 @@
 from collections.abc import Callable
 
 import msgspec
-from nutmegchute_core.attendances import Attendance
-from nutmegchute_core.attendances import WATCH_FAR_S
-from nutmegchute_core.attendances import WatchReply
-from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.followings import news_since
 from nutmegchute_core.members import Announcement
@@ -20,6 +16,10 @@
 from nutmegchute_core.registries import OUTDATED
 from nutmegchute_core.registries import Registry
 from nutmegchute_core.registries import STALE
+from nutmegchute_core.sessions import EntrySessions
+from nutmegchute_core.sessions import WATCH_FAR_S
+from nutmegchute_core.sessions import WatchReply
+from nutmegchute_core.sessions import WatchRequest
 
 from .clocks import boot_time
 from .errors import DaemonError
@@ -115,7 +115,7 @@
     """
 
     __slots__ = (
-        "_attendance",
+        "_sessions",
         "_in_contact",
         "_news",
         "_node",
@@ -136,7 +136,7 @@
         self._in_contact = in_contact
         self._node = node
         self._registry = Registry(secrets.randbits(EPOCH_BITS))
-        self._attendance = Attendance()
+        self._sessions = EntrySessions()
         self._refusals = Refusals()
         self._news = News()
         self._seen = News()
@@ -150,11 +150,11 @@
     @property
     def entries(self) -> int:
         """Count the entries heard of lately."""
-        return self._attendance.count(boot_time())
+        return self._sessions.count(boot_time())
 
     def applied(self) -> dict[str, int]:
         """Map each entry in touch to the tree that it has in force."""
-        return self._attendance.applied(boot_time())
+        return self._sessions.applied(boot_time())
 
     def lagging(self, index: int) -> bool:
         """Tell whether an entry in touch has an older tree in force."""
@@ -211,7 +211,7 @@
         :raises NotConfirmedError: ask another replica
         """
         now = boot_time()
-        if not self._in_contact() and not self._attendance.attended(now):
+        if not self._in_contact() and not self._sessions.any_open(now):
             raise NotConfirmedError("neither replicas nor entries in reach")
         known = self._registry.knows(announcement.process)
         if not known and not self._declared(announcement.service):
@@ -278,7 +278,7 @@
         now = boot_time()
         if now - self._started_at < GATHER_S:
             return []
-        return self._attendance.usable(zone, MOST_ENTRIES, now)
+        return self._sessions.usable(zone, MOST_ENTRIES, now)
 
     async def watch(self, request: WatchRequest) -> WatchReply:
         """Answer an entry's question, at once where there is news."""
@@ -287,7 +287,7 @@
         if request.epoch != self._registry.epoch:
             seen = 0
         now = boot_time()
-        self._attendance.hear(
+        self._sessions.hear(
             request.entry,
             seen,
             request.index,
@@ -306,9 +306,9 @@
         except asyncio.CancelledError:
             # Its connection is gone, most likely with the entry: callers
             # are not sent there until it asks again.
-            self._attendance.close(name)
+            self._sessions.close(name)
             raise
-        self._attendance.answered(name, boot_time())
+        self._sessions.answered(name, boot_time())
         return self._reply(request)
 
     async def _confirm(self, process: Process) -> None:
@@ -326,7 +326,7 @@
             if not self._in_contact():
                 # Entries on the other side of a cut know nothing of it.
                 raise NotConfirmedError("no majority of replicas in reach")
-            behind = self._attendance.behind(generation, now)
+            behind = self._sessions.behind(generation, now)
             if not behind:
                 return
             if now >= give_up_at:
@@ -365,7 +365,7 @@
             self.entries,
             members=request.members,
             zone=self._zone,
-            calls_per_s=self._attendance.calls_per_s(boot_time()),
+            calls_per_s=self._sessions.calls_per_s(boot_time()),
         )
         node = self._node()
         if node is None or not self._in_contact():
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -8,8 +8,6 @@
 import random
 import secrets
 
-from nutmegchute_core.attendances import WatchReply
-from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.budgets import ExtraLimit
 from nutmegchute_core.calls import Refuse
@@ -28,14 +26,16 @@
 from nutmegchute_core.rules import CallerLimits
 from nutmegchute_core.rules import read_limits
 from nutmegchute_core.rules import read_services
+from nutmegchute_core.sessions import WatchReply
+from nutmegchute_core.sessions import WatchRequest
 
 from .callers import CallHandler
 from .clocks import boot_time
 from .connections import Connections
 from .daemons import Daemon
-from .desks import CallDesk
-from .desks import SWEEP_S
-from .desks import tell
+from .dispatchers import Dispatcher
+from .dispatchers import SWEEP_S
+from .dispatchers import tell
 from .events import Event
 from .events import log
 from .exchanges import StrictRequest
@@ -103,15 +103,15 @@
         self._prober = Prober(
             self._asker, Sender(self._connections, self._form)
         )
-        self._desk = CallDesk(
+        self._dispatcher = Dispatcher(
             balancer=self._balancer,
             metrics=self._metrics,
             hedge=self._handler.hedge,
             ask_load=self._prober.ask,
             settle=_settle_nothing,
         )
-        self._prober.take = self._desk.take_probe
-        self._handler.desk = self
+        self._prober.take = self._dispatcher.take_probe
+        self._handler.dispatcher = self
         self._handler.kept = self._kept_bytes
         self._http.handle(EVERYTHING, self._handler)
         health = self.add_listener(
@@ -163,13 +163,13 @@
     def cut(self) -> int:
         """End the calls in flight; return how many there were."""
         self._handler.refusal = "entry is stopping"
-        self._desk.cut()
+        self._dispatcher.cut()
         return self._handler.active
 
     def close(self) -> None:
         """Let go of the helping threads."""
         self._watchers.stop()
-        self._desk.stop()
+        self._dispatcher.stop()
         self._prober.stop()
 
     def reload(self, settings: Settings) -> None:
@@ -216,15 +216,15 @@
             return
         ticket.story.route = route.name
         ticket.story.service = route.choose()
-        self._desk.admit_under(ticket, ticket.story.service, route.rule)
+        self._dispatcher.admit_under(ticket, ticket.story.service, route.rule)
 
     def end_attempt(self, ticket: Ticket, result: Result) -> None:
         """Take the end of an attempt."""
-        self._desk.end_attempt(ticket, result)
+        self._dispatcher.end_attempt(ticket, result)
 
     def close_call(self, ticket: Ticket) -> None:
         """Forget a ticket whose worker has written its answer."""
-        self._desk.close_call(ticket)
+        self._dispatcher.close_call(ticket)
         self._log_call(ticket)
 
     def _log_call(self, ticket: Ticket) -> None:
@@ -341,7 +341,7 @@
         live = self._catalog.live()
         self._drop_connections(live)
         now = self._loop.time()
-        self._desk.perform(self._balancer.update_upstreams(live, now))
+        self._dispatcher.perform(self._balancer.update_upstreams(live, now))
         log(
             Event.ENDPOINTS_CHANGED,
             version=self._catalog.version,
@@ -378,7 +378,7 @@
         self._look_for_pause()
         self._release()
         self._asker.run_later()
-        self._desk.sweep()
+        self._dispatcher.sweep()
         self._connections.sweep()
 
     def _expire(self) -> None:
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -4,10 +4,10 @@
 from traceback import format_exc
 from typing import Protocol
 
-from nutmegchute_core.attendances import WATCH_FAR_S
-from nutmegchute_core.attendances import WATCH_NEAR_S
-from nutmegchute_core.attendances import WatchReply
-from nutmegchute_core.attendances import WatchRequest
+from nutmegchute_core.sessions import WATCH_FAR_S
+from nutmegchute_core.sessions import WATCH_NEAR_S
+from nutmegchute_core.sessions import WatchReply
+from nutmegchute_core.sessions import WatchRequest
 
 from .events import Event
 from .events import log
--- a/packages/fakes/nutmegchute_fakes/edges.py
+++ b/packages/fakes/nutmegchute_fakes/edges.py
@@ -10,8 +10,8 @@
 from nutmegchute_core.rules import read_services
 from nutmegchute_daemon.callers import CallHandler
 from nutmegchute_daemon.connections import Connections
-from nutmegchute_daemon.desks import CallDesk
-from nutmegchute_daemon.desks import SWEEP_S
+from nutmegchute_daemon.dispatchers import Dispatcher
+from nutmegchute_daemon.dispatchers import SWEEP_S
 from nutmegchute_daemon.metrics import Metrics
 from nutmegchute_daemon.readers import CALL_PATH
 from nutmegchute_daemon.senders import Sender
@@ -70,7 +70,7 @@
 
     def decide_by(self, balancer: Any) -> None:
         """Let another balancer decide from now on."""
-        self._asker.ask(self._build_desk, balancer)
+        self._asker.ask(self._build_dispatcher, balancer)
 
     def connect(self) -> socket.socket:
         """Open a caller's connection."""
@@ -98,7 +98,7 @@
     def stop(self) -> None:
         """Stop serving."""
         self._http.stop()
-        self.desk.stop()
+        self.dispatcher.stop()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
@@ -107,41 +107,41 @@
         balancer = Balancer(SEED)
         now = self._loop.time()
         balancer.configure(read_services(document), now)
-        self._build_desk(balancer)
-        self.desk.perform(balancer.update_upstreams(live, now))
+        self._build_dispatcher(balancer)
+        self.dispatcher.perform(balancer.update_upstreams(live, now))
         self._sweep()
 
-    def _build_desk(self, balancer: Balancer) -> None:
+    def _build_dispatcher(self, balancer: Balancer) -> None:
         self._balancer = balancer
-        self.desk = CallDesk(
+        self.dispatcher = Dispatcher(
             balancer=balancer,
             metrics=Metrics("127.0.0.1:9", "entry-1"),
             hedge=self.handler.hedge,
             ask_load=lambda probe: None,
             settle=self._settle,
         )
-        self.handler.desk = _Desk(self.desk)
+        self.handler.dispatcher = _CallTaker(self.dispatcher)
 
     def _settle(self, ticket: Ticket, outcome: str) -> None:
         self.settled.append(outcome)
 
     def _sweep(self) -> None:
         self._asker.run_later()
-        self.desk.sweep()
+        self.dispatcher.sweep()
         self._loop.call_later(SWEEP_S, self._sweep)
 
 
-class _Desk:
+class _CallTaker:
     """Admit every call; an entry asks its ledger first."""
 
-    def __init__(self, desk: CallDesk) -> None:
-        self._desk = desk
-        self.end_attempt = desk.end_attempt
-        self.close_call = desk.close_call
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self.end_attempt = dispatcher.end_attempt
+        self.close_call = dispatcher.close_call
 
     def open_call(self, ticket: Ticket) -> None:
         """Admit a call."""
-        self._desk.admit(ticket, ticket.arrival.deadline_s)
+        self._dispatcher.admit(ticket, ticket.arrival.deadline_s)
 
     def end_instance(self, instance: str, address: str) -> None:
         """Take word that an instance has left; here none have names."""
--- a/packages/fakes/nutmegchute_fakes/misfits.py
+++ b/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
@@ -15,19 +15,21 @@
 
 
 class Exchange:
-    """Hold one connection of a misfit and read requests from it."""
+    """Hold one connection of a upstream and read requests from it."""
 
-    __slots__ = ("_buffer", "_misfit", "_socket")
+    __slots__ = ("_buffer", "_upstream", "_socket")
 
-    def __init__(self, misfit: "Misfit", sock: socket.socket) -> None:
-        self._misfit = misfit
+    def __init__(
+        self, upstream: "FaultyUpstream", sock: socket.socket
+    ) -> None:
+        self._upstream = upstream
         self._socket = sock
         self._buffer = b""
 
     @property
-    def misfit(self) -> "Misfit":
+    def upstream(self) -> "FaultyUpstream":
         """Give the upstream this connection belongs to."""
-        return self._misfit
+        return self._upstream
 
     def read(self) -> bytes | None:
         """Return the next whole request; none says the peer has closed."""
@@ -43,7 +45,7 @@
             body = self._read_exactly(length)
         if body is None:
             return None
-        self._misfit.note(head + body)
+        self._upstream.note(head + body)
         return head + body
 
     def read_head(self) -> bytes | None:
@@ -66,7 +68,7 @@
         with contextlib.suppress(OSError):
             while self._socket.recv(READ_BYTES):
                 pass
-        self._misfit.closed.set()
+        self._upstream.closed.set()
 
     def _read_until(self, mark: bytes) -> bytes | None:
         while mark not in self._buffer:
@@ -92,7 +94,7 @@
 Behaviour = Callable[[Exchange], None]
 
 
-class Misfit:
+class FaultyUpstream:
     """Listen and treat each connection by a behaviour."""
 
     def __init__(self, behaviour: Behaviour) -> None:
@@ -260,7 +262,7 @@
 def turn_silent(exchange: Exchange) -> None:
     """Answer well, and when released take requests and say nothing."""
     while (request := exchange.read()) is not None:
-        if exchange.misfit.release.is_set():
+        if exchange.upstream.release.is_set():
             exchange.wait_for_close()
             return
         exchange.write(whole(request.split(b" ")[1]))
@@ -269,7 +271,7 @@
 def answer_late(exchange: Exchange) -> None:
     """Answer when released; the entry has given up by then."""
     while (request := exchange.read()) is not None:
-        exchange.misfit.release.wait()
+        exchange.upstream.release.wait()
         exchange.write(whole(request.split(b" ")[1]))
 
 
@@ -277,7 +279,7 @@
     """Send the head one byte at a time, without end."""
     exchange.read()
     exchange.write(OK + b"X-Slow: ")
-    while not exchange.misfit.release.wait(0.02):
+    while not exchange.upstream.release.wait(0.02):
         exchange.write(b"x")
 
 
@@ -285,7 +287,7 @@
     """Send a long body one byte at a time."""
     exchange.read()
     exchange.write(OK + b"Content-Length: 400000\r\n\r\n")
-    while not exchange.misfit.release.wait(0.02):
+    while not exchange.upstream.release.wait(0.02):
         exchange.write(b"x")
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,13 +12,13 @@
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
-from nutmegchute_fakes import misfits
+from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.edges import BODY_BYTES
 from nutmegchute_fakes.edges import drain
 from nutmegchute_fakes.edges import Edge
 from nutmegchute_fakes.edges import RESET
-from nutmegchute_fakes.misfits import Behaviour
-from nutmegchute_fakes.misfits import Misfit
+from nutmegchute_fakes.faulty_upstreams import Behaviour
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
 
 WAIT_S = 10.0
 NOT_RUN = b"Nutmegchute-Outcome: not-run"
@@ -31,13 +31,13 @@
     """Hold an edge and the upstreams behind it."""
 
     def __init__(self, *behaviours: Behaviour, **values: Any) -> None:
-        self.misfits = [Misfit(one) for one in behaviours]
-        self.edge = Edge([one.address for one in self.misfits], **values)
+        self.upstreams = [FaultyUpstream(one) for one in behaviours]
+        self.edge = Edge([one.address for one in self.upstreams], **values)
 
     @property
     def ran(self) -> int:
         """Count the requests that reached an upstream."""
-        return sum(len(one.requests) for one in self.misfits)
+        return sum(len(one.requests) for one in self.upstreams)
 
     def wait_until(self, what: Any) -> None:
         """Wait for something that must come true."""
@@ -49,7 +49,7 @@
 
     def stop(self) -> None:
         """Stop all."""
-        for one in self.misfits:
+        for one in self.upstreams:
             one.stop()
         self.edge.stop()
 
@@ -57,7 +57,7 @@
 @pytest.fixture(scope="module")
 def answering() -> Iterator[Scene]:
     """Give an edge before one upstream that answers well."""
-    scene = Scene(misfits.answer)
+    scene = Scene(faulty_upstreams.answer)
     yield scene
     scene.stop()
 
@@ -192,7 +192,7 @@
         "Connection: X-Hop\r\nX-Hop: gone\r\nKeep-Alive: 5\r\nTE: gzip\r\n"
     )
     answering.edge.call("/headers", more=more)
-    sent = answering.misfits[0].requests[-1]
+    sent = answering.upstreams[0].requests[-1]
     for line in (b"X-Twice: 1", b"X-Twice: 2", b"X_Token: a", b"X-Token: b"):
         assert line in sent
     for line in (b"gone", b"Keep-Alive", b"TE:", b"User-Agent"):
@@ -209,7 +209,7 @@
     """
     line = f"Nutmegchute-Attempt: {mark}\r\n"
     answering.edge.call("/deep", more=line)
-    assert line.encode() in answering.misfits[0].requests[-1]
+    assert line.encode() in answering.upstreams[0].requests[-1]
 
 
 def test_head_has_no_body(answering: Scene) -> None:
@@ -245,7 +245,7 @@
     """Short bodies are held, long ones pass through."""
     body = bytes(number % 251 for number in range(size))
     assert b" 200 " in answering.edge.call("/b", "POST", body)[:20]
-    sent = answering.misfits[0].requests[-1]
+    sent = answering.upstreams[0].requests[-1]
     assert sent.partition(b"\r\n\r\n")[2] == body
 
 
@@ -259,12 +259,12 @@
         + b"0\r\n\r\n"
     )
     assert b" 200 " in answer[:20]
-    assert answering.misfits[0].requests[-1].count(b"~") == 8 * 16384
+    assert answering.upstreams[0].requests[-1].count(b"~") == 8 * 16384
 
 
 def test_cut_answer_is_cut_for_the_caller(build: Any) -> None:
     """Half of a catalogue must not look like the whole."""
-    scene = build(misfits.half_a_long_body)
+    scene = build(faulty_upstreams.half_a_long_body)
     answer = scene.edge.call("/long")
     assert b"Content-Length: 400000" in answer
     assert len(answer) < 400000
@@ -277,7 +277,7 @@
     mark would make half a catalogue a whole one on a connection that
     goes on to serve.
     """
-    scene = build(misfits.half_the_chunks)
+    scene = build(faulty_upstreams.half_the_chunks)
     answer = scene.edge.say(HEAD + b"\r\n")
     assert b"5\r\nhalf!\r\n" in answer
     assert b"\r\n0\r\n" not in answer
@@ -285,27 +285,29 @@
 
 def test_lost_loan_is_unknown_and_sent_once(build: Any) -> None:
     """The loan's answer breaks; a second upstream is there and unused."""
-    scene = build(misfits.reset_after_head, misfits.reset_after_head)
+    scene = build(
+        faulty_upstreams.reset_after_head, faulty_upstreams.reset_after_head
+    )
     assert UNKNOWN in scene.edge.call("/loan", "POST", b"atlas")
     assert scene.ran == 1
 
 
 def test_lookup_whose_answer_breaks_is_answered(build: Any) -> None:
     """An idempotent call goes to another upstream, also when cut."""
-    scene = build(misfits.half_a_body, misfits.answer)
+    scene = build(faulty_upstreams.half_a_body, faulty_upstreams.answer)
     for _ in range(6):
         assert scene.edge.call("/shelf").endswith(b"/shelf")
 
 
 def test_shed_loan_runs_elsewhere(build: Any) -> None:
     """What was truly not run may be sent again."""
-    scene = build(misfits.shed, misfits.answer)
+    scene = build(faulty_upstreams.shed, faulty_upstreams.answer)
     for _ in range(4):
         assert scene.edge.call("/loan", "POST", b"x").endswith(b"/loan")
 
 
 @pytest.mark.parametrize(
-    "behaviour", [misfits.trickle_head, misfits.stay_silent]
+    "behaviour", [faulty_upstreams.trickle_head, faulty_upstreams.stay_silent]
 )
 def test_deadline_bounds_a_trickle(build: Any, behaviour: Behaviour) -> None:
     """Each byte restarts a read's time-out, so the whole is bounded too."""
@@ -315,7 +317,7 @@
 
 def test_deadline_bounds_a_trickled_body(build: Any) -> None:
     """The head came in time, the body would take hours: it is cut."""
-    scene = build(misfits.trickle_body, deadline_ms=300)
+    scene = build(faulty_upstreams.trickle_body, deadline_ms=300)
     answer = scene.edge.call("/long")
     assert b"Content-Length: 400000" in answer
     assert len(answer) < 10000
@@ -329,11 +331,11 @@
     The slot must come back long before the deadline, and the upstream
     must see its connection close, so that it can stop working.
     """
-    scene = build(misfits.stay_silent, deadline_ms=60000)
+    scene = build(faulty_upstreams.stay_silent, deadline_ms=60000)
     with scene.edge.connect() as sock:
         sock.sendall(HEAD + b"\r\n")
         scene.wait_until(lambda: scene.ran == 1)
-    assert scene.misfits[0].closed.wait(WAIT_S)
+    assert scene.upstreams[0].closed.wait(WAIT_S)
     scene.wait_until(lambda: scene.edge.in_flight() == 0)
     scene.wait_until(lambda: scene.edge.handler.active == 0)
 
@@ -344,7 +346,7 @@
     A call that waited unseen in the server's queue would eat its deadline
     there, and announcements behind it would come too late.
     """
-    scene = build(misfits.answer_late, threads=4, deadline_ms=60000)
+    scene = build(faulty_upstreams.answer_late, threads=4, deadline_ms=60000)
     held = [scene.edge.connect() for _ in range(3)]
     for sock in held:
         sock.sendall(HEAD + b"Connection: close\r\n\r\n")
@@ -352,7 +354,7 @@
     answer = scene.edge.call("/more")
     assert NOT_RUN in answer
     assert b"Retry-After: 1" in answer
-    scene.misfits[0].release.set()
+    scene.upstreams[0].release.set()
     for sock in held:
         assert b" 200 " in drain(sock)[:20]
         sock.close()
@@ -362,9 +364,9 @@
 def test_slow_reader_gets_the_whole_answer(build: Any) -> None:
     """Its slowness does not count against the upstream's time."""
 
-    def long_answer(exchange: misfits.Exchange) -> None:
+    def long_answer(exchange: faulty_upstreams.Exchange) -> None:
         exchange.read()
-        exchange.write(misfits.whole(b"z" * 8_000_000))
+        exchange.write(faulty_upstreams.whole(b"z" * 8_000_000))
 
     scene = build(long_answer, deadline_ms=300)
     with scene.edge.connect() as sock:
@@ -413,11 +415,11 @@
     beside it. Whichever answers first, the caller gets it at once, and
     the slower upstream sees its connection close, so that it can stop.
     """
-    behaviours = [misfits.answer, misfits.answer]
-    behaviours[slow] = misfits.stay_silent
+    behaviours = [faulty_upstreams.answer, faulty_upstreams.answer]
+    behaviours[slow] = faulty_upstreams.stay_silent
     scene = build(*behaviours)
-    endpoints = [one.address for one in scene.misfits]
+    endpoints = [one.address for one in scene.upstreams]
     scene.edge.decide_by(TwoSends(endpoints))
     assert scene.edge.call("/shelf").endswith(b"/shelf")
-    assert scene.misfits[slow].closed.wait(WAIT_S)
+    assert scene.upstreams[slow].closed.wait(WAIT_S)
     scene.wait_until(lambda: scene.edge.handler.active == 0)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -15,30 +15,30 @@
 from nutmegchute_daemon.connections import Exchange
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
-from nutmegchute_fakes import misfits
+from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.clusters import free_address
-from nutmegchute_fakes.misfits import Behaviour
-from nutmegchute_fakes.misfits import Misfit
+from nutmegchute_fakes.faulty_upstreams import Behaviour
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
 from urllib3 import HTTPHeaderDict
 
 LONG_S = 5.0
 SHORT_S = 0.2
 
-Start = Callable[[Behaviour], Misfit]
+Start = Callable[[Behaviour], FaultyUpstream]
 
 
 @pytest.fixture
 def start() -> Iterator[Start]:
-    """Start misfits and stop them at the end."""
-    running: list[Misfit] = []
+    """Start upstreams and stop them at the end."""
+    running: list[FaultyUpstream] = []
 
-    def one(behaviour: Behaviour) -> Misfit:
-        running.append(Misfit(behaviour))
+    def one(behaviour: Behaviour) -> FaultyUpstream:
+        running.append(FaultyUpstream(behaviour))
         return running[-1]
 
     yield one
-    for misfit in running:
-        misfit.stop()
+    for upstream in running:
+        upstream.stop()
 
 
 class Line:
@@ -83,7 +83,7 @@
 
 def test_shed_before_running_is_not_run(start: Start) -> None:
     """The upstream's own word before running is believed."""
-    assert Line(start(misfits.shed).address).send() == NOT_RUN
+    assert Line(start(faulty_upstreams.shed).address).send() == NOT_RUN
 
 
 def test_not_run_beside_an_answer_is_not_believed(start: Start) -> None:
@@ -93,7 +93,7 @@
     one has packed the book. The caller gets the answer, and no word of
     the entry's own that the upstream made up.
     """
-    line = Line(start(misfits.lie_about_not_run).address)
+    line = Line(start(faulty_upstreams.lie_about_not_run).address)
     assert line.send() == ANSWERED
     assert line.body() == b"lent"
     names = [name for name, _ in line.reply.headers()]
@@ -103,11 +103,11 @@
 @pytest.mark.parametrize(
     "behaviour",
     [
-        misfits.reset_at_once,
-        misfits.reset_after_head,
-        misfits.half_a_body,
-        misfits.early_hint,
-        misfits.contradict_lengths,
+        faulty_upstreams.reset_at_once,
+        faulty_upstreams.reset_after_head,
+        faulty_upstreams.half_a_body,
+        faulty_upstreams.early_hint,
+        faulty_upstreams.contradict_lengths,
     ],
 )
 def test_broken_answer_is_lost(start: Start, behaviour: Behaviour) -> None:
@@ -116,13 +116,14 @@
     The upstream has read the whole loan when its answer breaks. "Not run"
     would be a guess, and a wrong one has two libraries pack one book.
     """
-    misfit = start(behaviour)
-    assert Line(misfit.address).send() == LOST
-    assert len(misfit.requests) == 1
+    upstream = start(behaviour)
+    assert Line(upstream.address).send() == LOST
+    assert len(upstream.requests) == 1
 
 
 @pytest.mark.parametrize(
-    "behaviour", [misfits.half_a_long_body, misfits.half_the_chunks]
+    "behaviour",
+    [faulty_upstreams.half_a_long_body, faulty_upstreams.half_the_chunks],
 )
 def test_cut_of_a_long_answer_is_an_error(
     start: Start, behaviour: Behaviour
@@ -139,9 +140,9 @@
 
 def test_silent_upstream_is_lost_at_the_deadline(start: Start) -> None:
     """The request is with the upstream, so nobody knows."""
-    misfit = start(misfits.stay_silent)
-    assert Line(misfit.address).send(remaining_s=SHORT_S) == LOST
-    assert misfit.closed.wait(LONG_S)
+    upstream = start(faulty_upstreams.stay_silent)
+    assert Line(upstream.address).send(remaining_s=SHORT_S) == LOST
+    assert upstream.closed.wait(LONG_S)
 
 
 def test_late_answer_reaches_nobody(start: Start) -> None:
@@ -151,13 +152,13 @@
     second call is sent: it must get its own answer, so the first one's
     connection has to be closed and not pooled.
     """
-    misfit = start(misfits.answer_late)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.answer_late)
+    line = Line(upstream.address)
     assert line.send("/first", SHORT_S) == LOST
-    misfit.release.set()
+    upstream.release.set()
     assert line.send("/second") == ANSWERED
     assert line.body() == b"/second"
-    assert misfit.connections == 2
+    assert upstream.connections == 2
 
 
 def test_second_answer_reaches_nobody(start: Start) -> None:
@@ -166,24 +167,24 @@
     Left in the connection, the second would answer the next caller with
     another patron's loans. The connection is closed instead.
     """
-    misfit = start(misfits.two_answers)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.two_answers)
+    line = Line(upstream.address)
     for number in range(5):
         assert line.send(f"/own-{number}") == ANSWERED
         assert line.body() == f"/own-{number}".encode()
-    assert misfit.connections == 5
+    assert upstream.connections == 5
 
 
 def test_closed_idle_connection_is_not_used(start: Start) -> None:
     """An upstream closes while idle; the next loan goes on a new one."""
-    misfit = start(misfits.close_when_idle)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.close_when_idle)
+    line = Line(upstream.address)
     for _ in range(3):
         assert line.send() == ANSWERED
         assert line.body() == b"once"
-        assert misfit.left.wait(LONG_S)
-        misfit.left.clear()
-    assert len(misfit.requests) == misfit.connections == 3
+        assert upstream.left.wait(LONG_S)
+        upstream.left.clear()
+    assert len(upstream.requests) == upstream.connections == 3
 
 
 def test_closed_while_written_is_lost_and_not_resent(start: Start) -> None:
@@ -192,44 +193,44 @@
     Whether the upstream read it nobody can tell, so the outcome is
     "lost", and the library must not quietly send it again.
     """
-    misfit = start(misfits.close_as_written)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.close_as_written)
+    line = Line(upstream.address)
     assert line.send() == ANSWERED
     assert line.body() == b"once"
     assert line.send() == LOST
-    assert len(misfit.requests) == 2
+    assert len(upstream.requests) == 2
 
 
 def test_kept_connection_serves_again(start: Start) -> None:
     """Clean exchanges share one connection, chunked ones too."""
-    for behaviour in (misfits.answer, misfits.chunks):
-        misfit = start(behaviour)
-        line = Line(misfit.address)
+    for behaviour in (faulty_upstreams.answer, faulty_upstreams.chunks):
+        upstream = start(behaviour)
+        line = Line(upstream.address)
         for _ in range(3):
             assert line.send() == ANSWERED
             assert line.body()
-        assert misfit.connections == 1
+        assert upstream.connections == 1
 
 
 def test_end_reaches_a_waiting_upstream(start: Start) -> None:
     """A cancelled attempt ends at once and its upstream sees the close."""
-    misfit = start(misfits.stay_silent)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.stay_silent)
+    line = Line(upstream.address)
     outcomes: list[str] = []
     thread = threading.Thread(target=lambda: outcomes.append(line.send()))
     thread.start()
-    while not misfit.requests:
+    while not upstream.requests:
         threading.Event().wait(0.01)
     line.exchange.end()
     thread.join(LONG_S)
     assert outcomes == [CANCELLED]
-    assert misfit.closed.wait(LONG_S)
+    assert upstream.closed.wait(LONG_S)
 
 
 def test_end_after_the_answer_harms_no_other_call(start: Start) -> None:
     """An order to end that comes late must not reach the next exchange."""
-    misfit = start(misfits.answer)
-    line = Line(misfit.address)
+    upstream = start(faulty_upstreams.answer)
+    line = Line(upstream.address)
     assert line.send("/one") == ANSWERED
     old = line.exchange
     assert line.body() == b"/one"
@@ -237,12 +238,12 @@
     old.end()
     assert line.body() == b"/two"
     assert line.send("/three") == ANSWERED
-    assert misfit.connections == 1
+    assert upstream.connections == 1
 
 
 def test_answer_without_end_mark_is_not_called_framed(start: Start) -> None:
     """Only its close ends it, so a cut cannot be told from an end."""
-    line = Line(start(misfits.unframed).address)
+    line = Line(start(faulty_upstreams.unframed).address)
     assert line.send() == ANSWERED
     assert not line.reply.framed
     assert line.body() == b"until the end"
@@ -250,6 +251,6 @@
 
 def test_folded_header_stays_one_header(start: Start) -> None:
     """A folded line passed on as it came would become a second header."""
-    line = Line(start(misfits.split_header).address)
+    line = Line(start(faulty_upstreams.split_header).address)
     assert line.send() == ANSWERED
     assert ("X-Note", "a Set-Cookie: b") in line.reply.headers()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 import urllib3
-from nutmegchute_fakes import misfits
+from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.callers import ANSWERED
 from nutmegchute_fakes.callers import FakeCaller
 from nutmegchute_fakes.callers import REFUSED
@@ -19,7 +19,7 @@
 from nutmegchute_fakes.clusters import Process
 from nutmegchute_fakes.demo import declaration
 from nutmegchute_fakes.demo import declare
-from nutmegchute_fakes.misfits import Misfit
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
 
@@ -60,13 +60,13 @@
     return answer.headers.get("Nutmegchute-Outcome", ANSWERED)
 
 
-def hang(cluster: Cluster) -> Misfit:
+def hang(cluster: Cluster) -> FaultyUpstream:
     """Announce an upstream that takes calls and never answers."""
-    misfit = Misfit(misfits.stay_silent)
+    upstream = FaultyUpstream(faulty_upstreams.stay_silent)
     entry = cluster.entries[0]
     word = {
         "service": "catalogo",
-        "endpoint": misfit.address,
+        "endpoint": upstream.address,
         "availability_zone": "surco",
         "slots": 3,
         "incarnation": 1,
@@ -79,7 +79,7 @@
         return answer.status == 200
 
     cluster.wait_for("the announcement", taken)
-    return misfit
+    return upstream
 
 
 def test_stop_under_load_cuts_nothing(build: Any) -> None:
@@ -150,11 +150,11 @@
     limit_s = KEEP_S + 0.5 if by == "limit" else 60.0
     cluster = build(shutdown_limit_s=limit_s)
     entry = cluster.entries[0]
-    misfit = hang(cluster)
+    upstream = hang(cluster)
     pool = urllib3.PoolManager(retries=False, timeout=30.0)
     with ThreadPoolExecutor(1) as threads:
         hanging = threads.submit(call, pool, entry)
-        cluster.wait_for("the call", lambda: misfit.requests)
+        cluster.wait_for("the call", lambda: upstream.requests)
         entry.signal(signal.SIGTERM)
         if by == "second signal":
             cluster.wait_for(
@@ -164,4 +164,4 @@
             entry.signal(signal.SIGTERM)
         assert hanging.result() == "unknown"
     assert entry.wait() == 0
-    misfit.stop()
+    upstream.stop()
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -7,13 +7,13 @@
 import pytest
 from nutmegchute_core.routes import KEPT_BYTES
 from nutmegchute_core.routes import LARGE_KEPT_BYTES
-from nutmegchute_fakes import misfits
+from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.edges import BODY_BYTES
 from nutmegchute_fakes.edges import drain
 from nutmegchute_fakes.edges import Edge
-from nutmegchute_fakes.misfits import Behaviour
-from nutmegchute_fakes.misfits import Exchange
-from nutmegchute_fakes.misfits import Misfit
+from nutmegchute_fakes.faulty_upstreams import Behaviour
+from nutmegchute_fakes.faulty_upstreams import Exchange
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
 
 PHOTOS = bytes(range(256)) * 1000
 NOT_RUN = b"Nutmegchute-Outcome: not-run"
@@ -44,8 +44,8 @@
     """Hold an entry's edge and the upstreams behind it."""
 
     def __init__(self, kept: int, behaviours: tuple[Behaviour, ...]) -> None:
-        self.misfits = [Misfit(one) for one in behaviours]
-        self.edge = Edge([one.address for one in self.misfits])
+        self.upstreams = [FaultyUpstream(one) for one in behaviours]
+        self.edge = Edge([one.address for one in self.upstreams])
         self.edge.handler.kept = lambda host, path: kept
 
     def upload(self, body: bytes = PHOTOS) -> bytes:
@@ -54,12 +54,14 @@
 
     def bodies(self) -> list[bytes]:
         """List the bodies that came whole to an upstream."""
-        requests = [one for misfit in self.misfits for one in misfit.requests]
+        requests = [
+            one for upstream in self.upstreams for one in upstream.requests
+        ]
         return [request.partition(b"\r\n\r\n")[2] for request in requests]
 
     def stop(self) -> None:
         """Stop all."""
-        for one in self.misfits:
+        for one in self.upstreams:
             one.stop()
         self.edge.stop()
 
@@ -78,7 +80,9 @@
         scene.stop()
 
 
-@pytest.mark.parametrize("early", [misfits.shed, shed_early, shed_and_close])
+@pytest.mark.parametrize(
+    "early", [faulty_upstreams.shed, shed_early, shed_and_close]
+)
 def test_shed_upload_runs_elsewhere(build: Any, early: Behaviour) -> None:
     """Send a kept body once more after "not run", unchanged.
 
@@ -86,13 +90,13 @@
     closes with most of it unread. The caller sees one success; no endpoint
     runs it twice and none gets another's bytes.
     """
-    scene = build(early, early, misfits.answer)
+    scene = build(early, early, faulty_upstreams.answer)
     for _ in range(8):
         answer = scene.upload()
         if answer.startswith(b"HTTP/1.1 200"):
             break
     assert answer.startswith(b"HTTP/1.1 200"), answer[:200]
-    assert scene.misfits[2].requests
+    assert scene.upstreams[2].requests
     assert set(scene.bodies()) == {PHOTOS}
 
 
@@ -102,7 +106,9 @@
     The body passes through and cannot be had again. The caller, which has
     it, sends it once more.
     """
-    scene = build(misfits.shed, misfits.answer, kept=KEPT_BYTES)
+    scene = build(
+        faulty_upstreams.shed, faulty_upstreams.answer, kept=KEPT_BYTES
+    )
     answers = [scene.upload() for _ in range(6)]
     for answer in answers:
         ran = answer.startswith(b"HTTP/1.1 200")
@@ -116,13 +122,13 @@
     A caller on a slow link sends a body bit by bit. Sent on as it comes,
     it would hold one of the endpoint's few slots all the while.
     """
-    scene = build(misfits.answer)
+    scene = build(faulty_upstreams.answer)
     half = len(PHOTOS) // 2
     with scene.edge.connect() as caller:
         head = HEAD + b"Content-Length: %d\r\n\r\n" % len(PHOTOS)
         caller.sendall(head + PHOTOS[:half])
         threading.Event().wait(STEP_S)
-        assert scene.misfits[0].connections == 0
+        assert scene.upstreams[0].connections == 0
         caller.sendall(PHOTOS[half:])
         assert drain(caller).startswith(b"HTTP/1.1 200")
     assert scene.bodies() == [PHOTOS]
@@ -137,7 +143,7 @@
     The caller closes after two thirds. What came is no request, also where
     an endpoint has been sent its beginning.
     """
-    scene = build(misfits.answer, kept=kept)
+    scene = build(faulty_upstreams.answer, kept=kept)
     with scene.edge.connect() as caller:
         head = HEAD + b"Content-Length: %d\r\n\r\n" % len(PHOTOS)
         caller.sendall(head + PHOTOS[: len(PHOTOS) * 2 // 3])
@@ -148,7 +154,7 @@
 
 def test_chunked_upload_is_kept_as_well(build: Any) -> None:
     """Send a body without a length once more, byte for byte."""
-    scene = build(misfits.shed, misfits.answer)
+    scene = build(faulty_upstreams.shed, faulty_upstreams.answer)
     chunks = b"".join(
         b"%x\r\n%b\r\n" % (len(piece), piece)
         for piece in (PHOTOS[:100000], PHOTOS[100000:])
@@ -166,14 +172,16 @@
     The endpoint resets the connection once the body is in. Sent again, one
     bundle could be filed twice.
     """
-    scene = build(misfits.reset_at_once, misfits.reset_at_once)
+    scene = build(
+        faulty_upstreams.reset_at_once, faulty_upstreams.reset_at_once
+    )
     assert UNKNOWN in scene.upload()
     assert len(scene.bodies()) == 1
 
 
 def test_many_uploads_at_once(build: Any) -> None:
     """Serve bodies at the limit side by side, each whole and unmixed."""
-    scene = build(misfits.answer)
+    scene = build(faulty_upstreams.answer)
     bodies = [bytes([number]) * (BODY_BYTES - 1) for number in range(6)]
     answers: list[bytes] = []
 
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -4,10 +4,10 @@
 from typing import Any
 from typing import cast
 
-from nutmegchute_core.attendances import WATCH_NEAR_S
-from nutmegchute_core.attendances import WatchReply
-from nutmegchute_core.attendances import WatchRequest
 from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.sessions import WATCH_NEAR_S
+from nutmegchute_core.sessions import WatchReply
+from nutmegchute_core.sessions import WatchRequest
 from nutmegchute_daemon.links import Links
 from nutmegchute_daemon.watchers import FIRST_TIMEOUT_S
 from nutmegchute_daemon.watchers import WATCH_MARGIN_S
