--- a/packages/cli/nutmegchute_cli/__main__.py
+++ b/packages/cli/nutmegchute_cli/__main__.py
@@ -16,6 +16,7 @@
   nutmegchute replicas replace NAME NEW GRPC_ADDRESS HTTP_ADDRESS [options]
   nutmegchute check PATH... [options]
   nutmegchute explain REQUEST FILE... [options]
+  nutmegchute summarize FILE... [options]
   nutmegchute -h | --help
 
 Commands:
@@ -31,6 +32,7 @@
   replicas   List, add, remove or replace control replicas.
   check      Check settings and declarations without starting anything.
   explain    Tell from logs what became of a request, and why.
+  summarize  Tell from logs, span by span, what became of all requests.
 
 Options:
   --control=ADDRESSES  Control replicas' HTTP addresses, separated by
@@ -39,6 +41,7 @@
                        NUTMEGCHUTE_ENTRY.
   --wait-s=S           Seconds to wait for the end [default: 12].
   --limit=N            Audit records to list, 0 for all [default: 50].
+  --window-s=S         Seconds in a span of a summary [default: 2].
   --remove             Also remove branches that have no file in FOLDER.
   --json               Print JSON in place of a table.
   -h --help            Print this text.
@@ -71,6 +74,7 @@
 from . import explanations
 from . import listings
 from . import replicas
+from . import summaries
 from .errors import CliError
 from .errors import EXIT_DONE
 from .errors import EXIT_UNKNOWN
@@ -90,6 +94,7 @@
     "replicas": replicas.run,
     "check": checks.check,
     "explain": explanations.explain,
+    "summarize": summaries.summarize,
 }
 
 
--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -14,6 +14,7 @@
 
 Line = dict[str, Any]
 
+CALL_ENDED = "NC3016"
 CONFIG_APPLIED = "NC3001"
 ENDPOINTS_CHANGED = "NC3014"
 # A collector may put a time and a name before each line.
@@ -35,7 +36,7 @@
     name = options.text("REQUEST")
     lines = []
     for path in options.many("FILE"):
-        lines.extend(_read(Path(path)))
+        lines.extend(read_lines(Path(path)))
     lines.sort(key=lambda line: str(line.get("timestamp", "")))
     ends = [line for line in lines if line.get("request") == name]
     if not ends:
@@ -50,7 +51,11 @@
     return EXIT_DONE
 
 
-def _read(path: Path) -> list[Line]:
+def read_lines(path: Path) -> list[Line]:
+    """Return the lines of daemons in a file, in their order.
+
+    :raises UsageError: it cannot be read
+    """
     lines = []
     try:
         text = path.read_text(errors="replace")
--- a/packages/cli/nutmegchute_cli/options.py
+++ b/packages/cli/nutmegchute_cli/options.py
@@ -39,6 +39,17 @@
         """Give how long to wait for the end, in seconds."""
         return self._number("--wait-s")
 
+    @property
+    def window_s(self) -> float:
+        """Give the seconds in one span of a summary.
+
+        :raises UsageError: it is nothing
+        """
+        window_s = self._number("--window-s")
+        if window_s <= 0:
+            raise UsageError("--window-s must be above 0")
+        return window_s
+
     @property
     def limit(self) -> int:
         """Give the most records to list; 0 lists all."""
