--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -87,7 +87,7 @@
                 )
                 if self._extra is not None:
                     pool.limit_extra(*self._extra)
-                pool.limit_inquiries(*self._inquiry_limit)
+                pool.questions.limit(*self._inquiry_limit)
             else:
                 pool.reconfigure(service)
             pools[name] = pool
@@ -108,7 +108,7 @@
             return
         self._inquiry_limit = (per_endpoint, share)
         for pool in self._pools.values():
-            pool.limit_inquiries(per_endpoint, share)
+            pool.questions.limit(per_endpoint, share)
 
     def update_upstreams(
         self, announcements: list[Announcement], now: float
@@ -282,7 +282,7 @@
         actions: list[Action],
     ) -> bool:
         """Ask endpoints for a call; return whether it waits for answers."""
-        asked = pool.to_ask(inquiry, now)
+        asked = pool.questions.to_ask(inquiry, now)
         if not asked:
             return False
         inquiry.ask(asked, now + ANSWER_S)
@@ -307,7 +307,7 @@
                 continue
             if not inquiry.hear(address, told):
                 continue
-            if pool.suits(address, now):
+            if pool.questions.suits(address, now):
                 self._end_inquiry(call, now, actions)
                 continue
             if not inquiry.over:
@@ -323,7 +323,7 @@
         now: float,
         actions: list[Action],
     ) -> bool:
-        if not inquiry.rounds_left or pool.suffices(inquiry, now):
+        if not inquiry.rounds_left or pool.questions.suffices(inquiry, now):
             return False
         return self._ask(pool, call, inquiry, now, actions)
 
@@ -338,7 +338,7 @@
         pool = self._pools.get(call.service)
         if pool is not None:
             for address in inquiry.unanswered:
-                pool.note_silence(address, now)
+                pool.questions.note_silence(address, now)
             if self._ask_more(pool, call, inquiry, now, actions):
                 return
         self._end_inquiry(call, now, actions)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -13,8 +13,6 @@
 from .choosers import Chooser
 from .endpoints import Endpoint
 from .inquiries import FREE_SLOT
-from .inquiries import Inquiry
-from .inquiries import InquiryBudget
 from .inquiries import LAST_SLOT
 from .inquiries import NO_SLOT
 from .latencies import Mean
@@ -22,6 +20,7 @@
 from .limits import Window
 from .members import Announcement
 from .policies import Policy
+from .questions import Questions
 from .queues import WaitQueue
 from .rules import Service
 from .usuals import Sent
@@ -72,8 +71,6 @@
         "_extra",
         "_gap",
         "_half",
-        "_inquiries",
-        "_inquiry_budget",
         "_policy",
         "_probes",
         "_sent_at",
@@ -82,6 +79,7 @@
         "_usual",
         "_window",
         "_zone",
+        "questions",
         "queue",
     )
 
@@ -97,8 +95,7 @@
         self._zone = zone
         self._chooser = Chooser(random, policy, self._may_probe(service))
         self._extra = ExtraBudget()
-        self._inquiry_budget = InquiryBudget()
-        self._inquiries = (0.0, 1.0)
+        self.questions = Questions(self._chooser, policy)
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
         self._window = Window()
         self._half = Quantile(0.5)
@@ -148,58 +145,10 @@
         self._probes = probes
         self._chooser.probed = self._may_probe(service)
 
-    def limit_inquiries(self, per_endpoint: float, share: float) -> None:
-        """Take how often a second all entries may ask each endpoint."""
-        self._inquiries = (per_endpoint, share)
-        rate = per_endpoint * len(self._endpoints) * share
-        self._inquiry_budget.limit(rate)
-
     @property
     def asks(self) -> bool:
         """Tell whether endpoints are asked at all."""
-        return self.holds and self._inquiry_budget.rate > 0
-
-    def to_ask(self, inquiry: Inquiry, now: float) -> list[str]:
-        """Return whom to ask before a call is sent, as far as allowed."""
-        if not self._policy.inquiries:
-            return []
-        avoid = inquiry.avoid
-        found = self._chooser.to_ask(avoid, inquiry.near, now)
-        if not found and inquiry.near and not self._suffices(inquiry, now):
-            found = self._chooser.to_ask(avoid, False, now)
-        if not found or not self._inquiry_budget.spend(len(found), now):
-            return []
-        return [endpoint.address for endpoint in found]
-
-    def note_silence(self, address: str, now: float) -> None:
-        """Leave an endpoint alone that did not answer a question in time."""
-        endpoint = self._endpoints.get(address)
-        if endpoint is not None and not endpoint.muted(now):
-            self._mute(endpoint, now)
-
-    def suits(self, address: str, now: float) -> bool:
-        """Tell whether a call can begin at once, at pace, at an endpoint."""
-        return self._slot(address, now) == FREE_SLOT
-
-    def suffices(self, inquiry: Inquiry, now: float) -> bool:
-        """Tell whether what was found ends the questions."""
-        return not inquiry.near and self._suffices(inquiry, now)
-
-    def _suffices(self, inquiry: Inquiry, now: float) -> bool:
-        # Until it is known that work takes longer in a last slot, it is no
-        # reason to leave the availability zone.
-        if self._chooser.fullness.matters:
-            return False
-        for address in inquiry.asked:
-            if self._slot(address, now) == LAST_SLOT:
-                return True
-        return False
-
-    def _slot(self, address: str, now: float) -> int:
-        endpoint = self._endpoints.get(address)
-        return (
-            NO_SLOT if endpoint is None else self._chooser.slot(endpoint, now)
-        )
+        return self.holds and self.questions.allowed
 
     def limit_extra(self, share: float, burst: float) -> None:
         """Take this entry's part of the extra sends."""
@@ -238,7 +187,7 @@
         self._chooser.update(open_ones)
         share = slots / self._service.most_entries
         self._window.set_share(share, most_slots)
-        self.limit_inquiries(*self._inquiries)
+        self.questions.update(kept)
 
     def admit(self, call: Call, now: float) -> str | None:
         """Earn the call's share of extra sends; say why it is refused."""
@@ -341,7 +290,7 @@
         there in spite of its slowness; others would be late in it, and
         wait for one that others leave.
         """
-        slot = self._slot(address, now)
+        slot = self.questions.slot(address, now)
         if slot > NO_SLOT and self._yields(call, now):
             endpoint = self._endpoints[address]
             return endpoint.spare_slots > min(1, endpoint.slots - 1)
--- /dev/null
+++ b/packages/core/nutmegchute_core/questions.py
@@ -0,0 +1,83 @@
+"""Decide which endpoints of a service are asked for a call."""
+
+from .choosers import Chooser
+from .endpoints import Endpoint
+from .inquiries import FREE_SLOT
+from .inquiries import Inquiry
+from .inquiries import InquiryBudget
+from .inquiries import LAST_SLOT
+from .inquiries import NO_SLOT
+from .policies import Policy
+
+
+class Questions:
+    """Say whom to ask within what is allowed, and what answers are worth."""
+
+    __slots__ = ("_budget", "_chooser", "_endpoints", "_limit", "_policy")
+
+    def __init__(self, chooser: Chooser, policy: Policy) -> None:
+        self._chooser = chooser
+        self._policy = policy
+        self._budget = InquiryBudget()
+        self._limit = (0.0, 1.0)
+        self._endpoints: dict[str, Endpoint] = {}
+
+    @property
+    def allowed(self) -> bool:
+        """Tell whether any question may be asked at all."""
+        return self._budget.rate > 0
+
+    def update(self, endpoints: dict[str, Endpoint]) -> None:
+        """Take the endpoints by address."""
+        self._endpoints = endpoints
+        self.limit(*self._limit)
+
+    def limit(self, per_endpoint: float, share: float) -> None:
+        """Take how often a second all entries may ask each endpoint."""
+        self._limit = (per_endpoint, share)
+        self._budget.limit(per_endpoint * len(self._endpoints) * share)
+
+    def to_ask(self, inquiry: Inquiry, now: float) -> list[str]:
+        """Return whom to ask before a call is sent, as far as allowed."""
+        if not self._policy.inquiries:
+            return []
+        avoid = inquiry.avoid
+        found = self._chooser.to_ask(avoid, inquiry.near, now)
+        if not found and inquiry.near and not self._has_last(inquiry, now):
+            found = self._chooser.to_ask(avoid, False, now)
+        if not found or not self._budget.spend(len(found), now):
+            return []
+        return [endpoint.address for endpoint in found]
+
+    def note_silence(self, address: str, now: float) -> None:
+        """Leave an endpoint alone that did not answer in time."""
+        endpoint = self._endpoints.get(address)
+        if endpoint is None or endpoint.muted(now):
+            return
+        if self._policy.silence:
+            endpoint.mute(now)
+
+    def suits(self, address: str, now: float) -> bool:
+        """Tell whether a call can begin at once, at pace, at an endpoint."""
+        return self.slot(address, now) == FREE_SLOT
+
+    def suffices(self, inquiry: Inquiry, now: float) -> bool:
+        """Tell whether what was found ends the questions."""
+        return not inquiry.near and self._has_last(inquiry, now)
+
+    def slot(self, address: str, now: float) -> int:
+        """Tell what a call sent now is known to find at an address."""
+        endpoint = self._endpoints.get(address)
+        if endpoint is None:
+            return NO_SLOT
+        return self._chooser.slot(endpoint, now)
+
+    def _has_last(self, inquiry: Inquiry, now: float) -> bool:
+        # Until it is known that work takes longer in a last slot, it is no
+        # reason to leave the availability zone.
+        if self._chooser.fullness.matters:
+            return False
+        for address in inquiry.asked:
+            if self.slot(address, now) == LAST_SLOT:
+                return True
+        return False
