--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,7 @@
 """Drive the daemons by the platform's protocol over loopback."""
 
 import itertools
+import random
 import shutil
 import signal
 import threading
@@ -10,10 +11,17 @@
 from pathlib import Path
 from typing import Any
 
+import grpc
 import pytest
+from nutmegchute_daemon.claims import CLAIM
+from nutmegchute_daemon.deliveries import DELIVER
+from nutmegchute_daemon.groups import INTRODUCE
+from nutmegchute_daemon.methods import FOLLOW
+from nutmegchute_daemon.methods import WATCH
 from platform_standins import ask
 from platform_standins import Endpoint
 from platform_standins import HOST
+from platform_standins import POOL
 from platform_standins import Site
 from platform_standins import wait_for
 
@@ -329,6 +337,88 @@
         desk.stop()
 
 
+def _noise(seed: int) -> list[bytes]:
+    """Give bodies that no reader expects, the same ones for a seed."""
+    draw = random.Random(seed)
+    pieces = [
+        b"{}",
+        b"[]",
+        b"null",
+        b'"x"',
+        b"[" * 5000,
+        b'{"a":' * 2000,
+        b'{"version":"r5","services":7}',
+        b'{"version":"r5","virtualHosts":[null],"services":[]}',
+        b'{"born":[],"service":{},"state":0}',
+        b"\xff\xfe\x00",
+    ]
+    for _ in range(20):
+        size = draw.randrange(1, 400)
+        pieces.append(draw.randbytes(size))
+    return pieces
+
+
+def test_any_bytes_at_any_call_change_nothing(site: Site) -> None:
+    """Answer each call of the platform whatever its body is.
+
+    Another writer, or a broken one, sends bytes to every path. Each gets a
+    refusal with a reason; none is acknowledged, the daemon goes on and so
+    do the endpoint and the configuration that it knows.
+    """
+    desk = Endpoint("i-1", "desk")
+    beats = Beats(site, desk)
+    try:
+        _all_served(site)
+        control = site.control(0)
+        paths = [
+            f"http://{control}/Instances.Heartbeat/i-1",
+            f"http://{control}/Instances.Deregister/i-1",
+            f"http://{control}/Config.Replace",
+            f"http://{control}/Config.Update",
+        ]
+        for path in paths:
+            for body in _noise(7):
+                object_only = body.startswith(b"{") and b"born" not in body
+                if object_only and "Deregister" in path:
+                    # A farewell that does not tell its start is one.
+                    continue
+                answer = POOL.request("POST", path, body=body, redirect=False)
+                assert answer.status in (307, 400, 413), (path, body[:40])
+        for query in ("?zone=%ff", "?zone=%00&zone", "?%"):
+            url = f"http://{site.controls[0]}:7003/resolve{query}"
+            assert ask("GET", url).status == 200
+        _all_served(site)
+        read = f"http://{site.control(0)}/Config.Read"
+        assert ask("GET", read).json()["version"] == "r1"
+    finally:
+        beats.stop()
+
+
+def test_any_bytes_between_daemons_change_nothing(site: Site) -> None:
+    """Refuse what another daemon's exchanges cannot be.
+
+    A process of another version, or something else at that port, sends
+    bytes to every method. Control and routers go on serving.
+    """
+    desk = Endpoint("i-1", "desk")
+    beats = Beats(site, desk)
+    methods = (DELIVER, FOLLOW, WATCH, CLAIM, INTRODUCE)
+    try:
+        _all_served(site)
+        for ip in site.controls:
+            with grpc.insecure_channel(f"{ip}:7000") as channel:
+                for method in methods:
+                    call = channel.unary_unary(method.path)
+                    for body in _noise(9):
+                        with pytest.raises(grpc.RpcError) as raised:
+                            call(body, timeout=5.0)
+                        code = raised.value.code()
+                        assert code == grpc.StatusCode.INVALID_ARGUMENT
+        _all_served(site)
+    finally:
+        beats.stop()
+
+
 def _farewell(site: Site, name: str, body: Any) -> Any:
     url = f"http://{site.control(0)}/Instances.Deregister/{name}"
     return ask("POST", url, body)
