End earlier starts of an instance with its later one on entries

Cause: an entry that heard of the end of a later start only, and then from another replica of the earlier one, held the earlier one for live until it lapsed there. Found by reading; test_end_of_a_later_start_ends_the_earlier_ones fails without the change.

--- a/packages/core/nutmegchute_core/catalogs.py
+++ b/packages/core/nutmegchute_core/catalogs.py
@@ -108,6 +108,8 @@
         """Take word that a process is gone for good."""
         if process in self._ended:
             return False
+        # The end of a later start is the end of the earlier ones as well.
+        self._note_latest(process)
         _remember(self._ended, process, now)
         self._version += 1
         return True
@@ -161,6 +163,11 @@
                 found[announcement.key] = announcement
         return [found[key] for key in sorted(found)]
 
+    def _note_latest(self, process: Process) -> None:
+        instance, incarnation = process
+        latest = self._latest.get(instance, 0)
+        self._latest[instance] = max(latest, incarnation)
+
     def _outdated(self, process: Process) -> bool:
         instance, incarnation = process
         return incarnation < self._latest.get(instance, 0)
@@ -195,9 +202,7 @@
         self, source: Source, announcement: Announcement, now: float
     ) -> None:
         process = announcement.process
-        instance, incarnation = process
-        latest = self._latest.get(instance, 0)
-        self._latest[instance] = max(latest, incarnation)
+        self._note_latest(process)
         if announcement.state == DRAINING:
             _remember(self._draining, process, now)
         if process not in self._order:
--- a/tests/test_registries.py
+++ b/tests/test_registries.py
@@ -281,6 +281,22 @@
     assert states(catalog) == {"i1": UP}
 
 
+def test_end_of_a_later_start_ends_the_earlier_ones() -> None:
+    """Send nothing to a start whose successor has ended already.
+
+    An entry that has just started hears from one replica that the later
+    start has ended, and from another of the earlier one, which crashed.
+    """
+    catalog = Catalog()
+    later = Registry(2)
+    later.end(("i1", 9), 0.0)
+    tell(later, catalog, 0.0)
+    earlier = Registry(1)
+    earlier.take(word("i1", incarnation=5), 7, 0.0)
+    tell(earlier, catalog, 0.1)
+    assert catalog.live() == []
+
+
 def test_instance_that_moved_is_not_ended_at_its_old_address() -> None:
     """End only the process that was at the address which answered.
 
