Hold an incomplete sum of calls for what it is

Cause: a control replica that has just started knows few entries. Its sum gave the first entry that asked nearly all of the questions (by arithmetic 0.81 of them in place of 0.07), and each of the next ones as well, for up to a hold after control was restarted: the budget for questions could be exceeded. Found by reading the change.

Change: entries that are not in a sum are held to have as many calls as those in it.

--- a/packages/core/nutmegchute_core/demands.py
+++ b/packages/core/nutmegchute_core/demands.py
@@ -47,6 +47,10 @@
     rests on what this entry told, which is in every sum, and on the highest
     sum that a replica gave; ``entries`` must never be too low. So the shares
     of all entries come to one, but for what changed within a hold.
+
+    A replica that has just started has heard of a few entries only. Taken as
+    it is, its sum would give the first entry that asks nearly all of the
+    questions; entries not in it are held to have as many calls as others.
     """
 
     __slots__ = ("_totals", "told")
@@ -54,11 +58,12 @@
     def __init__(self) -> None:
         # Calls a second, as told last.
         self.told = 0.0
-        self._totals: dict[str, float] = {}
+        # Sums, and how many entries are in each.
+        self._totals: dict[str, tuple[float, int]] = {}
 
-    def hear(self, replica: str, total: float) -> None:
+    def hear(self, replica: str, total: float, entries: int) -> None:
         """Take the calls a second that a replica has heard of in all."""
-        self._totals[replica] = total
+        self._totals[replica] = (total, max(1, entries))
 
     def keep(self, replicas: list[str]) -> None:
         """Forget the replicas that are no more."""
@@ -69,7 +74,9 @@
     def share(self, entries: int) -> float:
         """Give this entry's share of the questions, from 0 to 1."""
         equal = 1.0 / max(1, entries)
-        total = max(self._totals.values(), default=0.0)
+        total = 0.0
+        for found, counted in self._totals.values():
+            total = max(total, found * max(1.0, entries / counted))
         if total <= 0.0 or self.told > total:
             return equal
         own = self.told / total
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -282,7 +282,7 @@
         if reply.replicas is not None:
             self._watchers.update(reply.replicas)
             self._shares.keep(self._watchers.addresses)
-        self._shares.hear(replica, reply.calls_per_s)
+        self._shares.hear(replica, reply.calls_per_s, reply.entries)
         if reply.entries > self._entries:
             self._entries = reply.entries
             self._share_extra()
