--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -468,7 +468,7 @@
         balancer.limit_extra(limit.share, limit.burst(len(weights)))
         shares = Shares()
         shares.told = weights[entry]
-        shares.hear("control", 1.0, len(weights))
+        shares.hear(1.0, len(weights))
         balancer.limit_inquiries(PROBES_PER_S, shares.share(len(weights)))
         deciders.append(balancer)
     return deciders
--- a/packages/core/nutmegchute_core/budgets.py
+++ b/packages/core/nutmegchute_core/budgets.py
@@ -13,6 +13,8 @@
 # Of the extra sends that a service allows beside the share, this much is
 # divided among the entries; the rest covers entries that have just started.
 SAVED_SHARE = 0.8
+# An entry that could not save up one extra send would never make any.
+LEAST_BURST = 1.0
 
 # Float sums of gaps must not let one probe more into a window.
 GAP_SLACK = 1e-6
@@ -92,7 +94,7 @@
 
     def burst(self, entries: int) -> float:
         """Give the most that one of so many entries may save up."""
-        return max(1.0, SAVED_SHARE * self._fixed / max(1, entries))
+        return max(LEAST_BURST, SAVED_SHARE * self._fixed / max(1, entries))
 
 
 class ProbeBudget:
--- a/packages/core/nutmegchute_core/catalogs.py
+++ b/packages/core/nutmegchute_core/catalogs.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
+from .histories import Delta
+from .histories import ENDED_KEPT_S
+from .histories import MOST_ENDED
 from .members import Announcement
 from .members import DRAINING
 from .members import Key
 from .members import Process
-from .registries import Delta
-from .registries import ENDED_KEPT_S
-from .registries import MOST_ENDED
 
 # A replica that restarts knows no endpoint until each has announced itself
 # again, to it or to another. What it told before holds for so long, or its
@@ -82,6 +82,21 @@
             return 0, 0
         return source.epoch, source.generation
 
+    @property
+    def marks(self) -> dict[str, tuple[int, int]]:
+        """Map the replicas to the epoch and generation held of each."""
+        return {replica: self.mark(replica) for replica in self._sources}
+
+    def vouch(self, silent: list[str], now: float) -> bool:
+        """Take word that all replicas but the silent ones are heard.
+
+        Return whether something changed.
+        """
+        for replica, source in self._sources.items():
+            if replica not in silent:
+                source.heard_at = now
+        return self.expire(now)
+
     def hear(self, replica: str, delta: Delta, now: float) -> bool:
         """Take a replica's word; return whether something changed."""
         source = self._sources.setdefault(replica, Source())
--- a/packages/core/nutmegchute_core/demands.py
+++ b/packages/core/nutmegchute_core/demands.py
@@ -44,8 +44,8 @@
     """Say, on an entry, which share of the questions is its own.
 
     Control replicas add up what entries tell of their calls. The share
-    rests on what this entry told, which is in every sum, and on the highest
-    sum that a replica gave; ``entries`` must never be too low. So the shares
+    rests on what this entry told, which is in the sum, and on the sum that
+    its replica gave last; ``entries`` must never be too low. So the shares
     of all entries come to one, but for what changed within a hold.
 
     A replica that has just started has heard of a few entries only. Taken as
@@ -53,30 +53,24 @@
     questions; entries not in it are held to have as many calls as others.
     """
 
-    __slots__ = ("_totals", "told")
+    __slots__ = ("_counted", "_total", "told")
 
     def __init__(self) -> None:
         # Calls a second, as told last.
         self.told = 0.0
-        # Sums, and how many entries are in each.
-        self._totals: dict[str, tuple[float, int]] = {}
+        self._total = 0.0
+        # How many entries are in the sum.
+        self._counted = 1
 
-    def hear(self, replica: str, total: float, entries: int) -> None:
-        """Take the calls a second that a replica has heard of in all."""
-        self._totals[replica] = (total, max(1, entries))
-
-    def keep(self, replicas: list[str]) -> None:
-        """Forget the replicas that are no more."""
-        for replica in list(self._totals):
-            if replica not in replicas:
-                del self._totals[replica]
+    def hear(self, total: float, entries: int) -> None:
+        """Take the calls a second that the replica has heard of in all."""
+        self._total = total
+        self._counted = max(1, entries)
 
     def share(self, entries: int) -> float:
         """Give this entry's share of the questions, from 0 to 1."""
         equal = 1.0 / max(1, entries)
-        total = 0.0
-        for found, counted in self._totals.values():
-            total = max(total, found * max(1.0, entries / counted))
+        total = self._total * max(1.0, entries / self._counted)
         if total <= 0.0 or self.told > total:
             return equal
         own = self.told / total
--- /dev/null
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -0,0 +1,219 @@
+"""Tell entries, from one control replica, what announces at any of them.
+
+Every entry asks one replica. A replica keeps what announces there, holds a
+copy of what announces at the others, and passes both on. An endpoint that
+leaves is acknowledged once every entry in touch with any replica has seen
+it: each replica confirms for its own entries.
+"""
+
+from .histories import Delta
+from .mirrors import Mark
+from .mirrors import NOTHING
+from .peers import PeerReply
+from .peers import PeerRequest
+from .peers import Peers
+from .peers import Seen
+from .registries import Registry
+from .sessions import choose_usable
+from .sessions import EntrySessions
+from .sessions import WatchRequest
+
+# A tree newer than any, of a replica that has no entries.
+NO_TREE = 2**62
+# A replica that has just started knows no entries of the others. Naming only
+# those that were quickest would send them the callers of all.
+GATHER_S = 0.7
+
+
+class Discovery:
+    """Hold what one replica knows of endpoints, entries and replicas.
+
+    ``own`` is its gRPC address; ``epoch`` differs at every start.
+    """
+
+    __slots__ = (
+        "_confirm",
+        "_own",
+        "_started_at",
+        "_turn",
+        "peers",
+        "registry",
+        "sessions",
+    )
+
+    def __init__(self, own: str, epoch: int, now: float) -> None:
+        self._own = own
+        self._started_at = now
+        self._confirm = 0
+        self._turn = 0
+        self.registry = Registry(epoch)
+        self.sessions = EntrySessions()
+        self.peers = Peers(own, now)
+
+    @property
+    def own(self) -> str:
+        """Give this replica's gRPC address."""
+        return self._own
+
+    @property
+    def mark(self) -> Mark:
+        """Give the epoch and generation of the own registry."""
+        return self.registry.epoch, self.registry.generation
+
+    def settled(self, now: float) -> bool:
+        """Tell whether what the other replicas know is in."""
+        if now - self._started_at >= GATHER_S:
+            return True
+        answered, asked = self.peers.answered()
+        return asked > 0 and answered == asked
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether half of the other replicas answered lately.
+
+        With this one they are a majority: what most know is known here.
+        """
+        answered, asked = self.peers.answered()
+        return 2 * answered >= asked
+
+    def hear_entry(self, request: WatchRequest, now: float) -> None:
+        """Take an entry's question."""
+        self.sessions.hear(
+            request.entry,
+            request.marks,
+            request.index,
+            request.hold_s,
+            now,
+            request.calls_per_s,
+        )
+
+    def has_news(self, request: WatchRequest, now: float) -> bool:
+        """Tell whether an entry lacks something of endpoints."""
+        if request.marks.get(self._own, NOTHING) != self.mark:
+            return True
+        for address, mirror in self.peers.mirrors(now).items():
+            if mirror.is_news(request.marks.get(address, NOTHING)):
+                return True
+        return False
+
+    def deltas(self, request: WatchRequest, now: float) -> dict[str, Delta]:
+        """Tell an entry what it lacks, by the replica it announces at."""
+        found = {}
+        own = request.marks.get(self._own, NOTHING)
+        if own != self.mark:
+            found[self._own] = self.registry.since(*own, now)
+        for address, mirror in self.peers.mirrors(now).items():
+            mark = request.marks.get(address, NOTHING)
+            if mirror.is_news(mark):
+                found[address] = mirror.since(mark, now)
+        return found
+
+    def silent(self, request: WatchRequest, now: float) -> list[str]:
+        """Name the replicas an entry knows of and this one does not hear."""
+        heard = {self._own, *self.peers.answering(now)}
+        return [one for one in request.marks if one not in heard]
+
+    def question(self, address: str, hold_s: float, now: float) -> PeerRequest:
+        """Build the question for another replica."""
+        peer = self.peers.find(address)
+        applied = self.sessions.applied(now).values()
+        return PeerRequest(
+            replica=self._own,
+            mark=NOTHING if peer is None else peer.mirror.mark,
+            sessions=0 if peer is None else peer.sessions,
+            confirm=0 if peer is None else peer.confirm,
+            hears=self.peers.heard(now),
+            applied=min(applied, default=NO_TREE),
+            hold_s=hold_s,
+        )
+
+    def has_peer_news(self, request: PeerRequest) -> bool:
+        """Tell whether another replica lacks something."""
+        if request.mark != self.mark or request.confirm < self._confirm:
+            return True
+        return request.sessions != self.sessions.generation
+
+    def peer_reply(self, request: PeerRequest, now: float) -> PeerReply:
+        """Tell another replica what it lacks."""
+        delta = None
+        if request.mark != self.mark:
+            delta = self.registry.since(*request.mark, now)
+        known = request.sessions
+        if request.mark[0] != self.registry.epoch:
+            known = 0
+        return PeerReply(
+            epoch=self.registry.epoch,
+            delta=delta,
+            sessions=self.sessions.generation,
+            entries=self.sessions.since(known),
+            calls_per_s=self.sessions.calls_per_s(now),
+            confirm=self._confirm,
+        )
+
+    def take(self, address: str, reply: PeerReply, now: float) -> bool:
+        """Take another replica's answer; return whether it is news."""
+        for state in reply.entries:
+            if state.attends:
+                self.sessions.moved(state.word.name)
+        return self.peers.take(address, reply, now)
+
+    def want_confirmed(self, generation: int) -> None:
+        """Ask the other replicas to confirm a generation."""
+        self._confirm = max(self._confirm, generation)
+
+    def behind(self, generation: int, now: float) -> list[str]:
+        """Name the entries and replicas that may not know a generation."""
+        mark = (self.registry.epoch, generation)
+        entries = self.sessions.behind(self._own, mark, now)
+        return [*entries, *self.peers.behind(generation, now)]
+
+    def confirmations(self, now: float) -> dict[str, Seen]:
+        """Give what can be confirmed now, by the replica that wants it."""
+        found = {}
+        for address in self.peers.addresses:
+            peer = self.peers.find(address)
+            if peer is None or peer.confirm <= peer.confirmed:
+                continue
+            epoch, generation = peer.mirror.mark
+            if generation < peer.confirm:
+                continue
+            if self.sessions.behind(address, (epoch, peer.confirm), now):
+                continue
+            found[address] = Seen(self._own, epoch, peer.confirm)
+        return found
+
+    def confirmed(self, address: str, seen: Seen) -> None:
+        """Take word that a confirmation arrived."""
+        peer = self.peers.find(address)
+        if peer is not None and peer.mirror.mark[0] == seen.epoch:
+            peer.confirmed = max(peer.confirmed, seen.generation)
+
+    def lagging(self, index: int, now: float) -> bool:
+        """Tell whether an entry in touch has an older tree in force."""
+        if any(one < index for one in self.sessions.applied(now).values()):
+            return True
+        return self.peers.lagging(index, now)
+
+    def count(self, now: float) -> int:
+        """Count the entries heard of lately by any replica."""
+        return len(self.sessions.names(now) | self.peers.names(now))
+
+    def calls_per_s(self, now: float) -> float:
+        """Add up what all entries have to place."""
+        return self.sessions.calls_per_s(now) + self.peers.calls_per_s(now)
+
+    def usable(self, zone: str | None, most: int, now: float) -> list[str]:
+        """Return the addresses that a caller in a zone should use."""
+        if not self.settled(now):
+            return []
+        self._turn += 1
+        words = {one.name: one for one in self.peers.attending(now)}
+        for word in self.sessions.attending(now):
+            words[word.name] = word
+        return choose_usable(list(words.values()), zone, most, self._turn)
+
+    def expire(self, now: float) -> bool:
+        """Drop who is silent; return whether any of it is news."""
+        self.peers.expire(now)
+        late = self.sessions.expire(now)
+        return self.registry.expire(now) or late
--- /dev/null
+++ b/packages/core/nutmegchute_core/homes.py
@@ -0,0 +1,100 @@
+"""Choose, on an entry, the control replica that it asks."""
+
+import xxhash
+
+from .sessions import ReplicaWord
+
+# A replica that did not answer, or is out of contact with the others, is
+# asked again after so long, if another can be asked meanwhile. A replica is
+# back within a second of a restart; asked by 60 entries at this pace it has
+# 30 questions a second more.
+AVOID_S = 2.0
+
+
+class Homes:
+    """Order the replicas and remember which are of no use now.
+
+    Replicas of the entry's availability zone go first: a question between
+    zones is dear. Entries of a zone spread over the replicas by name.
+    """
+
+    __slots__ = ("_avoid", "_home", "_known", "_name", "_seeds", "_zone")
+
+    def __init__(self, name: str, zone: str, seeds: list[str]) -> None:
+        self._name = name
+        self._zone = zone
+        self._seeds = seeds
+        self._known: list[ReplicaWord] = []
+        self._avoid: dict[str, float] = {}
+        self._home: str | None = None
+
+    @property
+    def home(self) -> str | None:
+        """Give the replica that answered last and is in contact."""
+        return self._home
+
+    @property
+    def addresses(self) -> list[str]:
+        """List the replicas, those to ask first in front."""
+        zones = {one.address: one.availability_zone for one in self._known}
+        addresses = list(zones) or self._seeds
+        return sorted(
+            addresses,
+            key=lambda one: (zones.get(one) != self._zone, self._rank(one)),
+        )
+
+    def seed(self, seeds: list[str]) -> None:
+        """Take other seeds, from settings that have changed."""
+        self._seeds = seeds
+        # Those known may all be gone by now; the seeds know the others.
+        known = {one.address for one in self._known}
+        for address in seeds:
+            if self._known and address not in known:
+                self._known.append(ReplicaWord(address, ""))
+
+    def update(self, replicas: list[ReplicaWord]) -> None:
+        """Take the replicas that the group consists of now."""
+        self._known = replicas
+        if self._home not in self.addresses:
+            self._home = None
+        for address in list(self._avoid):
+            if address not in self.addresses:
+                del self._avoid[address]
+
+    def choose(self, now: float) -> str:
+        """Return the replica to ask next.
+
+        Where it is not the home, it is one that would be better: it is
+        asked without a hold, and becomes the home if it is in contact.
+        """
+        best: str | None = None
+        for address in self.addresses:
+            if address == self._home:
+                return address
+            until = self._avoid.get(address, 0.0)
+            if until <= now:
+                return address
+            if best is None or until < self._avoid[best]:
+                best = address
+        assert best is not None
+        return best
+
+    def answered(self, address: str, current: bool, now: float) -> None:
+        """Take word that a replica answered, and whether in contact."""
+        if current:
+            self._avoid.pop(address, None)
+            self._home = address
+            return
+        self._drop(address, now)
+
+    def failed(self, address: str, now: float) -> None:
+        """Take word that a replica did not answer."""
+        self._drop(address, now)
+
+    def _drop(self, address: str, now: float) -> None:
+        self._avoid[address] = now + AVOID_S
+        if self._home == address:
+            self._home = None
+
+    def _rank(self, address: str) -> int:
+        return xxhash.xxh64_intdigest(f"{self._name} {address}".encode())
--- a/packages/core/nutmegchute_core/registries.py
+++ b/packages/core/nutmegchute_core/registries.py
@@ -4,10 +4,11 @@
 second or two. Entries ask what changed since the generation they hold.
 """
 
-from collections import OrderedDict
-
 import msgspec
 
+from .histories import Delta
+from .histories import History
+from .histories import MOST_ENDED
 from .members import Announcement
 from .members import DRAINING
 from .members import Process
@@ -16,11 +17,6 @@
 # one that is silent for longer has crashed. Entries notice a crash by its
 # failures long before, so this need not be short.
 ENDPOINT_LEASE_S = 4.0
-# How long the end of an instance is remembered, so that a word of it that
-# was under way meanwhile does not bring it back. A partition holds words
-# back for as long as it lasts and TCP goes on trying for a minute.
-ENDED_KEPT_S = 120.0
-MOST_ENDED = 8192
 MOST_INSTANCES = 4096
 
 # How long endpoints hold that were known before this replica started. Each
@@ -38,22 +34,6 @@
 FOREIGN = "foreign"
 
 
-class Delta(msgspec.Struct, frozen=True):
-    """Lead from generation ``base`` of a registry to ``generation``.
-
-    A base of 0 means that ``present`` is all there is. ``ended`` names
-    processes that will never come back, ``lapsed`` those that are silent
-    here and may live on elsewhere.
-    """
-
-    epoch: int
-    base: int
-    generation: int
-    present: list[Announcement] = []
-    ended: list[Process] = []
-    lapsed: list[Process] = []
-
-
 class Record:
     """Hold a process's newest word and when it came."""
 
@@ -66,17 +46,6 @@
         self.cold_until = 0.0
 
 
-class Removal:
-    """Hold when and in which generation a process went."""
-
-    __slots__ = ("at", "ended", "generation")
-
-    def __init__(self, at: float, generation: int, ended: bool) -> None:
-        self.at = at
-        self.generation = generation
-        self.ended = ended
-
-
 class Registry:
     """Take endpoints' words; tell what changed since a generation.
 
@@ -86,22 +55,18 @@
     """
 
     __slots__ = (
-        "_changes",
         "_epoch",
-        "_forgotten",
         "_generation",
+        "_history",
         "_latest",
         "_records",
-        "_removals",
     )
 
     def __init__(self, epoch: int) -> None:
         self._epoch = epoch
         self._generation = 1
-        self._forgotten = 1
+        self._history = History(self._generation)
         self._records: dict[Process, Record] = {}
-        self._changes: dict[Process, int] = {}
-        self._removals: OrderedDict[Process, Removal] = OrderedDict()
         # The latest incarnation heard of by instance, kept as long as a
         # record or the removal of that process.
         self._latest: dict[str, int] = {}
@@ -132,6 +97,10 @@
         """Tell whether a process announces here."""
         return process in self._records
 
+    def changed_in(self, process: Process) -> int:
+        """Give the generation in which a process changed or went last."""
+        return self._history.changed_in(process)
+
     def outdated(self, process: Process) -> bool:
         """Tell whether a later start of the instance is known."""
         instance, incarnation = process
@@ -148,8 +117,7 @@
         process = announcement.process
         if self.outdated(process):
             return OUTDATED
-        removal = self._removals.get(process)
-        if removal is not None and removal.ended:
+        if self._history.has_ended(process):
             return STALE
         before = self._generation
         record = self._records.get(process)
@@ -158,7 +126,6 @@
                 return FULL
             self._supersede(process, now)
             record = self._records[process] = Record(announcement)
-            self._removals.pop(process, None)
             self._change(process)
         elif record.announcement.key != announcement.key:
             return FOREIGN
@@ -192,8 +159,7 @@
         """Take a process's farewell; return whether it is news."""
         if self.outdated(process):
             return False
-        removal = self._removals.get(process)
-        if removal is not None and removal.ended:
+        if self._history.has_ended(process):
             return False
         self._supersede(process, now)
         self._remove(process, now, True)
@@ -211,39 +177,22 @@
             record = self._records[process]
             ended = record.announcement.state == DRAINING
             self._remove(process, now, ended)
-        while self._removals:
-            process, removal = next(iter(self._removals.items()))
-            young = now - removal.at <= ENDED_KEPT_S
-            if young and len(self._removals) <= MOST_ENDED:
-                break
-            del self._removals[process]
+        for process in self._history.forget(now, MOST_ENDED):
             if self.latest(process[0]) == process:
                 self._latest.pop(process[0], None)
-            self._forgotten = removal.generation
         return bool(silent)
 
     def since(self, epoch: int, generation: int, now: float) -> Delta:
         """Tell what changed since a generation of an epoch."""
-        base = generation
-        if epoch != self._epoch or generation < self._forgotten:
-            base = 0
-        present = []
-        for process, record in self._records.items():
-            if self._changes[process] > base:
-                present.append(_cold(record, now))
-        ended: list[Process] = []
-        lapsed: list[Process] = []
-        for process, removal in self._removals.items():
-            if removal.generation <= base:
-                continue
-            (ended if removal.ended else lapsed).append(process)
+        base = generation if epoch == self._epoch else 0
+        lead = self._history.since(base)
         return Delta(
             epoch=self._epoch,
-            base=base,
+            base=lead.base,
             generation=self._generation,
-            present=present,
-            ended=ended,
-            lapsed=lapsed,
+            present=[_cold(self._records[one], now) for one in lead.changed],
+            ended=lead.ended,
+            lapsed=lead.lapsed,
         )
 
     def _supersede(self, process: Process, now: float) -> None:
@@ -256,14 +205,12 @@
 
     def _change(self, process: Process) -> None:
         self._generation += 1
-        self._changes[process] = self._generation
+        self._history.change(process, self._generation)
 
     def _remove(self, process: Process, now: float, ended: bool) -> None:
         self._generation += 1
         self._records.pop(process, None)
-        self._changes.pop(process, None)
-        self._removals.pop(process, None)
-        self._removals[process] = Removal(now, self._generation, ended)
+        self._history.remove(process, self._generation, now, ended)
 
 
 def _differ(before: Announcement, after: Announcement) -> bool:
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -4,17 +4,19 @@
 
 from .directories import EntryWord
 from .fleets import FollowReply
-from .registries import Delta
-
-# How long a question is held when there is nothing new: an entry and a
-# replica at rest exchange one pair of messages in that time. Within an
-# availability zone bytes cost nothing and a silent connection is found soon;
-# between zones they are dear, and half a second more is lost with each.
-WATCH_NEAR_S = 1.0
-WATCH_FAR_S = 3.0
+from .histories import Delta
+from .mirrors import Mark
+from .mirrors import NOTHING
+
+# How long a question is held when there is nothing new. An entry asks one
+# replica only, so this and the margin bound how long it goes on by old news
+# after that replica froze: 1.4 s, where an endpoint that leaves and a change
+# of the configuration allow 2 s.
+WATCH_HOLD_S = 0.8
 # An entry asks again once its question was answered; one that is late by
-# this much is gone, frozen or cut off.
-SESSION_MARGIN_S = 0.5
+# this much is gone, frozen, cut off or asks another replica. It outlasts
+# what the entry itself waits beyond the hold.
+SESSION_MARGIN_S = 0.8
 # How long an entry counts among those that share the extra sends. Too high
 # a count only leaves a part of the budget unused.
 COUNTED_S = 60.0
@@ -23,18 +25,24 @@
 LEAST_OF_ZONE = 2
 
 
+class ReplicaWord(msgspec.Struct, frozen=True, array_like=True):
+    """Name a control replica as entries reach it."""
+
+    address: str
+    availability_zone: str
+
+
 class WatchRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask a control replica for what an entry does not know yet.
 
-    ``epoch`` and ``generation`` are those held of the replica's registry,
-    ``index`` that of the tree in force here, ``members`` that of the
-    membership known. The answer may be held for ``hold_s`` seconds.
-    ``calls_per_s`` is what the entry has to place.
+    ``marks`` maps replicas' addresses to the epoch and generation held of
+    their registries, ``index`` is that of the tree in force here,
+    ``members`` that of the membership known. The answer may be held for
+    ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place.
     """
 
     entry: EntryWord
-    epoch: int
-    generation: int
+    marks: dict[str, Mark]
     index: int
     members: int
     hold_s: float
@@ -44,19 +52,31 @@
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
     """Tell an entry what is new.
 
-    ``tree`` is None where nothing is newer, or where this replica has no
-    contact with a majority and may know an old tree only. ``replicas``
-    lists the gRPC addresses of all replicas, None where nothing changed.
-    ``zone`` is the replica's own. ``calls_per_s`` adds up what entries told.
+    ``deltas`` maps replicas' addresses to what changed at each. ``current``
+    says that this replica is in contact with the others; one that is not
+    may know an old state only, gives no tree, and an entry asks another.
+    ``replicas`` lists all replicas, None where nothing changed. ``silent``
+    names those that the entry knows of and this replica does not hear.
+    ``entries`` counts the entries of all replicas and ``calls_per_s`` adds
+    up what they told; ``counted`` says that none of them is left out.
     """
 
-    delta: Delta | None
+    deltas: dict[str, Delta]
     entries: int
     tree: FollowReply | None = None
     members: int = 0
-    replicas: list[str] | None = None
-    zone: str = ""
+    replicas: list[ReplicaWord] | None = None
+    silent: list[str] = []
     calls_per_s: float = 0.0
+    current: bool = True
+    counted: bool = True
+
+
+class EntryState(msgspec.Struct, frozen=True, array_like=True):
+    """Describe an entry and whether it asks the replica that says so."""
+
+    word: EntryWord
+    attends: bool
 
 
 class EntrySession:
@@ -64,53 +84,77 @@
 
     __slots__ = (
         "calls_per_s",
+        "changed",
         "closed",
         "due_at",
-        "generation",
         "heard_at",
+        "held",
         "index",
+        "marks",
         "word",
     )
 
     def __init__(self, word: EntryWord) -> None:
         self.word = word
-        self.generation = 0
+        self.marks: dict[str, Mark] = {}
         self.index = 0
         self.heard_at = 0.0
         self.calls_per_s = 0.0
         # When it asks again at the latest.
         self.due_at = 0.0
-        self.closed = False
+        self.closed = True
+        self.held = False
+        # The generation of the sessions in which other replicas must hear
+        # of this one anew.
+        self.changed = 0
+
+    def attends(self, now: float) -> bool:
+        """Tell whether the entry is in touch."""
+        return not self.closed and now <= self.due_at
+
+    def has_seen(self, replica: str, mark: Mark) -> bool:
+        """Tell whether the entry knows a generation of a registry."""
+        epoch, generation = self.marks.get(replica, NOTHING)
+        return epoch == mark[0] and generation >= mark[1]
 
 
 class EntrySessions:
-    """Record the entries that ask and which generation each has seen."""
+    """Record the entries that ask and what each has seen."""
 
-    __slots__ = ("_sessions",)
+    __slots__ = ("_generation", "_sessions")
 
     def __init__(self) -> None:
+        self._generation = 1
         self._sessions: dict[str, EntrySession] = {}
 
+    @property
+    def generation(self) -> int:
+        """Count the changes that other replicas are told, from 1."""
+        return self._generation
+
     def hear(
         self,
         word: EntryWord,
-        generation: int,
+        marks: dict[str, Mark],
         index: int,
         hold_s: float,
         now: float,
         calls_per_s: float = 0.0,
     ) -> None:
-        """Take an entry's word; ``generation`` is 0 for another epoch."""
+        """Take an entry's question."""
         session = self._sessions.get(word.name)
         if session is None:
             session = self._sessions[word.name] = EntrySession(word)
+        if session.closed or session.word != word:
+            self._note(session)
         session.word = word
-        session.generation = generation
+        session.marks = marks
         session.index = index
         session.heard_at = now
         session.due_at = now + hold_s + SESSION_MARGIN_S
         session.calls_per_s = calls_per_s
         session.closed = False
+        session.held = True
 
     def answered(self, name: str, now: float) -> None:
         """Take word that an entry's question got its answer."""
@@ -118,20 +162,47 @@
         if session is not None:
             due_at = now + SESSION_MARGIN_S
             session.due_at = min(session.due_at, due_at)
+            session.held = False
+
+    def moved(self, name: str) -> None:
+        """Take word that an entry asks another replica.
+
+        It is not waited for here any more, unless it has come back.
+        """
+        session = self._sessions.get(name)
+        if session is not None and not session.held:
+            self.close(name)
 
     def close(self, name: str) -> None:
         """Take word that an entry's connection ended."""
         session = self._sessions.get(name)
-        if session is not None:
+        if session is not None and not session.closed:
             session.closed = True
+            self._note(session)
+
+    def expire(self, now: float) -> bool:
+        """Close the sessions of entries that are late; tell if any was."""
+        before = self._generation
+        for name, session in list(self._sessions.items()):
+            if not session.attends(now):
+                self.close(name)
+            if now - session.heard_at > COUNTED_S:
+                del self._sessions[name]
+        return self._generation != before
 
-    def behind(self, generation: int, now: float) -> list[str]:
+    def since(self, generation: int) -> list[EntryState]:
+        """List the entries that changed since a generation."""
+        found = []
+        for session in self._sessions.values():
+            if session.changed > generation:
+                found.append(EntryState(session.word, not session.closed))
+        return found
+
+    def behind(self, replica: str, mark: Mark, now: float) -> list[str]:
         """Name the entries in touch that have not seen a generation."""
         found = []
         for name, session in self._sessions.items():
-            if session.closed or now > session.due_at:
-                continue
-            if session.generation < generation:
+            if session.attends(now) and not session.has_seen(replica, mark):
                 found.append(name)
         return found
 
@@ -139,42 +210,64 @@
         """Map the entries in touch to the tree each has in force."""
         found = {}
         for name, session in self._sessions.items():
-            if not session.closed and now <= session.due_at:
+            if session.attends(now):
                 found[name] = session.index
         return found
 
-    def count(self, now: float) -> int:
-        """Count the entries heard of lately, rather too many than too few."""
-        for name, session in list(self._sessions.items()):
-            if now - session.heard_at > COUNTED_S:
-                del self._sessions[name]
-        return len(self._sessions)
+    def names(self, now: float) -> set[str]:
+        """Name the entries heard of lately, rather too many than too few."""
+        found = set()
+        for name, session in self._sessions.items():
+            if now - session.heard_at <= COUNTED_S:
+                found.add(name)
+        return found
 
     def calls_per_s(self, now: float) -> float:
-        """Add up what the entries heard of lately have to place."""
-        self.count(now)
-        return sum(one.calls_per_s for one in self._sessions.values())
+        """Add up what the entries in touch have to place."""
+        total = 0.0
+        for session in self._sessions.values():
+            if session.attends(now):
+                total += session.calls_per_s
+        return total
 
     def any_open(self, now: float) -> bool:
         """Tell whether any entry is in touch."""
+        return any(one.attends(now) for one in self._sessions.values())
+
+    def attending(self, now: float) -> list[EntryWord]:
+        """List the entries in touch."""
+        found = []
         for session in self._sessions.values():
-            if not session.closed and now <= session.due_at:
-                return True
-        return False
-
-    def usable(self, zone: str | None, most: int, now: float) -> list[str]:
-        """Return the addresses that a caller in a zone should use."""
-        near: list[str] = []
-        others: list[str] = []
-        for session in self._sessions.values():
-            word = session.word
-            if word.draining or session.closed:
-                continue
-            if now > session.due_at:
-                continue
-            (near if word.availability_zone == zone else others).append(
-                word.address
-            )
-        if len(near) >= LEAST_OF_ZONE:
-            return near[:most]
-        return (near + others)[:most]
+            if session.attends(now):
+                found.append(session.word)
+        return found
+
+    def _note(self, session: EntrySession) -> None:
+        self._generation += 1
+        session.changed = self._generation
+
+
+def choose_usable(
+    words: list[EntryWord], zone: str | None, most: int, turn: int
+) -> list[str]:
+    """Return the addresses that a caller in a zone should use.
+
+    Where there are more than ``most``, each turn begins with another one.
+    """
+    near: list[str] = []
+    others: list[str] = []
+    for word in words:
+        if word.draining:
+            continue
+        same = word.availability_zone == zone
+        (near if same else others).append(word.address)
+    if len(near) >= LEAST_OF_ZONE:
+        return _some(near, most, turn)
+    return [*near, *_some(others, most - len(near), turn)]
+
+
+def _some(addresses: list[str], most: int, turn: int) -> list[str]:
+    if len(addresses) <= most:
+        return addresses
+    start = turn * most % len(addresses)
+    return (addresses[start:] + addresses[:start])[:most]
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -47,8 +47,8 @@
 from .events import log
 from .groups import Group
 from .methods import FOLLOW
-from .methods import WATCH
 from .operators import ControlPages
+from .peers import PeerExchange
 from .recollections import KEEP_S
 from .recollections import Recollection
 from .registrars import EXPIRE_S
@@ -122,9 +122,9 @@
         self._ledger_clock = LedgerClock()
         self._links.serve(CLAIM, self._on_claim)
         self.registrar = Registrar(
-            settings.availability_zone, self._in_contact, lambda: self._node
+            settings.grpc_address, self._in_contact, lambda: self._node
         )
-        self._links.serve(WATCH, self.registrar.watch)
+        self._peers = PeerExchange(self._links, self.registrar)
         self._recollection = Recollection(self._storage.disk, self.registrar)
         self._recollection.load()
         self._http.mount(open_pages(ControlPages(self, self._asker)))
@@ -163,9 +163,14 @@
         start_pages()
         self._tasks.append(self._loop.create_task(self._start()))
         self.every(TEND_S, self._tend)
-        self.every(EXPIRE_S, self.registrar.expire)
+        self._peers.start()
+        self.every(EXPIRE_S, self._expire)
         self.every(KEEP_S, self._recollection.keep)
 
+    def _expire(self) -> None:
+        self.registrar.expire()
+        self._peers.meet()
+
     async def finish(self) -> None:
         """Hand the lead over and turn the entries away."""
         node = self._node
@@ -194,6 +199,7 @@
 
     def close(self) -> None:
         """Close the pages and the disk."""
+        self._peers.stop()
         close_pages()
         self._storage.close()
 
@@ -433,6 +439,7 @@
         self._answer(self._followings.advance(node, self._loop.time()))
         if flushed.decided or flushed.restored:
             self.registrar.tell()
+            self._peers.meet()
         leads = node.replica.state == LEADER
         self._report_lead(node.replica.term if leads else None)
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -5,19 +5,23 @@
 from collections.abc import Callable
 
 import msgspec
-from nutmegchute_core.fleets import FollowReply
+from nutmegchute_core.discovery import Discovery
 from nutmegchute_core.followings import news_since
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import Process
 from nutmegchute_core.nodes import Node
+from nutmegchute_core.peers import Done
+from nutmegchute_core.peers import PEER_HOLD_S
+from nutmegchute_core.peers import PeerReply
+from nutmegchute_core.peers import PeerRequest
+from nutmegchute_core.peers import Seen
 from nutmegchute_core.registries import FOREIGN
 from nutmegchute_core.registries import FULL
 from nutmegchute_core.registries import OUTDATED
-from nutmegchute_core.registries import Registry
 from nutmegchute_core.registries import STALE
-from nutmegchute_core.sessions import EntrySessions
-from nutmegchute_core.sessions import WATCH_FAR_S
+from nutmegchute_core.sessions import ReplicaWord
+from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
 
@@ -31,10 +35,13 @@
 # An endpoint waits a second for the word that its leaving is known; it asks
 # the next replica when this one says in time that it cannot give it.
 CONFIRM_S = 0.8
-# A replica that has just started does not know the entries yet. Naming only
-# those that were quickest would send them the callers of all.
-GATHER_S = 0.7
 MOST_ENTRIES = 64
+# Entries and replicas are told at most once in so long of endpoints that
+# came or fell silent, and sooner of what an acknowledgement or a change
+# waits for. Each telling costs an exchange with every entry: 270 endpoints
+# that come within two seconds would cost 84,000.
+TELL_GAP_S = 0.1
+URGENT_GAP_S = 0.02
 # A writer that goes wrong may send many words a second; one line in so many
 # seconds tells of all.
 REFUSALS_TOLD_S = 10.0
@@ -53,7 +60,7 @@
 
 
 class News:
-    """Wake all that wait whenever there is something new."""
+    """Wake all that wait when there is something new."""
 
     __slots__ = ("_waiting",)
 
@@ -107,6 +114,41 @@
         self._count = 0
 
 
+class Bulletin:
+    """Gather news for a moment and then wake all that wait for it."""
+
+    __slots__ = ("_news", "_timer", "_told_at")
+
+    def __init__(self) -> None:
+        self._news = News()
+        self._timer: asyncio.TimerHandle | None = None
+        self._told_at = 0.0
+
+    @property
+    def gathering(self) -> bool:
+        """Tell whether there is news that will be told in a moment."""
+        return self._timer is not None
+
+    def note(self, gap_s: float) -> None:
+        """Tell of news, no sooner than so long after the last time."""
+        loop = asyncio.get_running_loop()
+        due_at = max(loop.time(), self._told_at + gap_s)
+        if self._timer is not None:
+            if self._timer.when() <= due_at:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due_at, self._tell)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for news, at most so long."""
+        await self._news.wait(timeout_s)
+
+    def _tell(self) -> None:
+        self._timer = None
+        self._told_at = asyncio.get_running_loop().time()
+        self._news.tell()
+
+
 class Registrar:
     """Hold what one control replica knows of endpoints and entries.
 
@@ -115,75 +157,88 @@
     """
 
     __slots__ = (
-        "_sessions",
+        "_bulletin",
+        "_discovery",
         "_in_contact",
-        "_news",
         "_node",
         "_refusals",
-        "_registry",
         "_seen",
-        "_started_at",
-        "_zone",
     )
 
     def __init__(
         self,
-        zone: str,
+        own: str,
         in_contact: Callable[[], bool],
         node: Callable[[], Node | None],
     ) -> None:
-        self._zone = zone
+        epoch = secrets.randbits(EPOCH_BITS)
+        self._discovery = Discovery(own, epoch, boot_time())
         self._in_contact = in_contact
         self._node = node
-        self._registry = Registry(secrets.randbits(EPOCH_BITS))
-        self._sessions = EntrySessions()
         self._refusals = Refusals()
-        self._news = News()
+        self._bulletin = Bulletin()
         self._seen = News()
-        self._started_at = boot_time()
+
+    @property
+    def discovery(self) -> Discovery:
+        """Give what this replica knows of endpoints and entries."""
+        return self._discovery
 
     @property
     def instances(self) -> int:
         """Count the instances that announce here."""
-        return len(self._registry)
+        return len(self._discovery.registry)
 
     @property
     def entries(self) -> int:
-        """Count the entries heard of lately."""
-        return self._sessions.count(boot_time())
+        """Count the entries heard of lately by any replica."""
+        return self._discovery.count(boot_time())
 
     def applied(self) -> dict[str, int]:
-        """Map each entry in touch to the tree that it has in force."""
-        return self._sessions.applied(boot_time())
+        """Map each entry that asks here to the tree it has in force."""
+        return self._discovery.sessions.applied(boot_time())
 
     def lagging(self, index: int) -> bool:
         """Tell whether an entry in touch has an older tree in force."""
-        return any(one < index for one in self.applied().values())
+        return self._discovery.lagging(index, boot_time())
 
     def tell(self) -> None:
         """Wake the entries' questions: the tree or the group changed."""
-        self._news.tell()
+        self._meet_replicas()
+        self._bulletin.note(URGENT_GAP_S)
 
     def expire(self) -> None:
-        """Drop the instances that have fallen silent."""
-        self._refusals.tell(boot_time())
-        if self._registry.expire(boot_time()):
-            self._news.tell()
+        """Drop the instances and entries that have fallen silent."""
+        now = boot_time()
+        self._refusals.tell(now)
+        self._meet_replicas()
+        if self._discovery.peers.look(now):
+            log(Event.PAUSED, "warning")
+        if self._discovery.expire(now):
+            self._bulletin.note(TELL_GAP_S)
+
+    def _meet_replicas(self) -> None:
+        node = self._node()
+        if node is None:
+            return
+        members = node.replica.membership.members
+        addresses = [one.grpc_address for one in members]
+        self._discovery.peers.update(addresses, boot_time())
 
     @property
     def generation(self) -> int:
         """Count the changes of what announces here."""
-        return self._registry.generation
+        return self._discovery.registry.generation
 
     def present(self) -> list[Announcement]:
         """List what announces here."""
-        return self._registry.present(boot_time())
+        return self._discovery.registry.present(boot_time())
 
     def recall(self, announcements: list[Announcement]) -> None:
         """Take the endpoints that were known before this start."""
         now = boot_time()
         for announcement in announcements:
-            self._registry.recall(announcement, now)
+            self._discovery.registry.recall(announcement, now)
 
     def note_refused(self, reason: str) -> None:
         """Count what cannot be taken for an endpoint's word."""
@@ -211,19 +266,21 @@
         :raises NotConfirmedError: ask another replica
         """
         now = boot_time()
-        if not self._in_contact() and not self._sessions.any_open(now):
+        if not self._in_contact() and not self._discovery.sessions.any_open(
+            now
+        ):
             raise NotConfirmedError("neither replicas nor entries in reach")
-        known = self._registry.knows(announcement.process)
+        known = self._discovery.registry.knows(announcement.process)
         if not known and not self._declared(announcement.service):
             # Whoever wrote this is no endpoint of ours. Taken, it would end
             # the process that has this instance's name.
             raise self._refuse("service is not declared")
-        before = self._registry.generation
-        outcome = self._registry.take(announcement, sequence, now)
+        before = self._discovery.registry.generation
+        outcome = self._discovery.registry.take(announcement, sequence, now)
         refusal = REFUSALS.get(outcome)
         if refusal is not None:
             raise self._refuse(refusal)
-        if outcome != STALE and self._registry.generation != before:
+        if outcome != STALE and self._discovery.registry.generation != before:
             log(
                 Event.INSTANCE_HEARD,
                 instance=announcement.instance,
@@ -233,7 +290,7 @@
                 state=announcement.state,
                 sequence=sequence,
             )
-            self._news.tell()
+            self._bulletin.note(TELL_GAP_S)
         if announcement.state == DRAINING:
             await self._confirm(announcement.process)
 
@@ -244,19 +301,18 @@
 
         :raises NotConfirmedError: ask another replica
         """
-        process = self._registry.latest(instance)
+        process = self._discovery.registry.latest(instance)
         if incarnation is not None:
             process = (instance, incarnation)
-        if self._registry.outdated(process):
+        if self._discovery.registry.outdated(process):
             # Held up by a partition: the instance has started again.
             raise self._refuse(REFUSALS[OUTDATED])
-        if self._registry.end(process, boot_time()):
+        if self._discovery.registry.end(process, boot_time()):
             log(
                 Event.INSTANCE_ENDED,
                 instance=instance,
                 incarnation=process[1],
             )
-            self._news.tell()
         await self._confirm(process)
 
     def nearest(self, zone: str) -> str | None:
@@ -275,42 +331,68 @@
 
     def resolve(self, zone: str | None) -> list[str]:
         """Return the entries that a caller in a zone should use."""
-        now = boot_time()
-        if now - self._started_at < GATHER_S:
-            return []
-        return self._sessions.usable(zone, MOST_ENTRIES, now)
+        return self._discovery.usable(zone, MOST_ENTRIES, boot_time())
 
     async def watch(self, request: WatchRequest) -> WatchReply:
         """Answer an entry's question, at once where there is news."""
-        name = request.entry.name
-        seen = request.generation
-        if request.epoch != self._registry.epoch:
-            seen = 0
+        discovery = self._discovery
         now = boot_time()
-        self._sessions.hear(
-            request.entry,
-            seen,
-            request.index,
-            request.hold_s,
-            now,
-            request.calls_per_s,
-        )
+        known = discovery.sessions.generation
+        discovery.hear_entry(request, now)
+        if discovery.sessions.generation != known:
+            self._bulletin.note(TELL_GAP_S)
         self._seen.tell()
-        hold_until = now + min(WATCH_FAR_S, request.hold_s)
+        hold_until = now + min(WATCH_HOLD_S, request.hold_s)
         try:
             while not self._has_news(request):
                 left_s = hold_until - boot_time()
                 if left_s <= 0:
                     break
-                await self._news.wait(left_s)
+                await self._bulletin.wait(left_s)
         except asyncio.CancelledError:
             # Its connection is gone, most likely with the entry: callers
             # are not sent there until it asks again.
-            self._sessions.close(name)
+            discovery.sessions.close(request.entry.name)
+            self._bulletin.note(TELL_GAP_S)
             raise
-        self._sessions.answered(name, boot_time())
+        discovery.sessions.answered(request.entry.name, boot_time())
         return self._reply(request)
 
+    async def peer(self, request: PeerRequest) -> PeerReply:
+        """Answer another replica's question, at once where there is news."""
+        discovery = self._discovery
+        now = boot_time()
+        discovery.peers.hear(request, now)
+        hold_until = now + min(PEER_HOLD_S, request.hold_s)
+        while self._bulletin.gathering or not discovery.has_peer_news(request):
+            left_s = hold_until - boot_time()
+            if left_s <= 0:
+                break
+            await self._bulletin.wait(left_s)
+        return discovery.peer_reply(request, boot_time())
+
+    async def seen(self, seen: Seen) -> Done:
+        """Take another replica's confirmation."""
+        discovery = self._discovery
+        discovery.peers.hear_seen(seen, discovery.registry.epoch, boot_time())
+        self._seen.tell()
+        return Done()
+
+    def take(self, address: str, reply: PeerReply) -> None:
+        """Take another replica's answer."""
+        discovery = self._discovery
+        wanted = reply.confirm
+        peer = discovery.peers.find(address)
+        known = 0 if peer is None else peer.confirm
+        if discovery.take(address, reply, boot_time()):
+            urgent = wanted > known
+            self._bulletin.note(URGENT_GAP_S if urgent else TELL_GAP_S)
+        self._seen.tell()
+
+    async def wait_seen(self, timeout_s: float) -> None:
+        """Wait until an entry or a replica has said what it knows."""
+        await self._seen.wait(timeout_s)
+
     async def _confirm(self, process: Process) -> None:
         """Wait until each entry in touch knows that a process leaves.
 
@@ -319,14 +401,18 @@
 
         :raises NotConfirmedError: some entry did not say so in time
         """
-        generation = self._registry.generation
+        discovery = self._discovery
+        generation = discovery.registry.changed_in(process)
+        discovery.want_confirmed(generation)
+        self._bulletin.note(URGENT_GAP_S)
         give_up_at = boot_time() + CONFIRM_S
         while True:
             now = boot_time()
+            discovery.peers.look(now)
             if not self._in_contact():
                 # Entries on the other side of a cut know nothing of it.
                 raise NotConfirmedError("no majority of replicas in reach")
-            behind = self._sessions.behind(generation, now)
+            behind = discovery.behind(generation, now)
             if not behind:
                 return
             if now >= give_up_at:
@@ -334,51 +420,79 @@
                     Event.DRAIN_UNCONFIRMED,
                     "warning",
                     instance=process[0],
-                    entries=behind,
+                    behind=behind,
                 )
                 raise NotConfirmedError("not every entry has confirmed")
             await self._seen.wait(give_up_at - now)
 
+    @property
+    def _is_current(self) -> bool:
+        """Tell whether entries can rely on what this replica says."""
+        if self._node() is None or not self._in_contact():
+            return False
+        return self._discovery.caught_up
+
     def _has_news(self, request: WatchRequest) -> bool:
-        mark = (self._registry.epoch, self._registry.generation)
-        if (request.epoch, request.generation) != mark:
+        if self._bulletin.gathering:
+            return False
+        if self._discovery.has_news(request, boot_time()):
             return True
         node = self._node()
         if node is None or not self._in_contact():
-            return False
+            # The entry may find a replica that is in contact.
+            return True
         if node.machine.tree.index > request.index:
             return True
         return node.replica.log.membership_index > request.members
 
+    def _refers(self, request: WatchRequest) -> bool:
+        """Tell whether an entry should first hear of a nearer replica.
+
+        At its start it asks any seed. Told all endpoints by one of another
+        zone, 250 entries would take 7.5 MB between zones after each loss
+        of power.
+        """
+        if request.members >= 0:
+            return False
+        nearest = self.nearest(request.entry.availability_zone)
+        return nearest is not None and not self._is_near(request)
+
+    def _is_near(self, request: WatchRequest) -> bool:
+        node = self._node()
+        if node is None:
+            return False
+        for member in node.replica.membership.members:
+            if member.grpc_address == self._discovery.own:
+                zone = request.entry.availability_zone
+                return member.availability_zone == zone
+        return False
+
     def _reply(self, request: WatchRequest) -> WatchReply:
-        registry = self._registry
-        delta = None
-        if (request.epoch, request.generation) != (
-            registry.epoch,
-            registry.generation,
-        ):
-            delta = registry.since(
-                request.epoch, request.generation, boot_time()
-            )
+        discovery = self._discovery
+        now = boot_time()
+        refers = self._refers(request)
         reply = WatchReply(
-            delta,
+            {} if refers else discovery.deltas(request, now),
             self.entries,
             members=request.members,
-            zone=self._zone,
-            calls_per_s=self._sessions.calls_per_s(boot_time()),
+            silent=discovery.silent(request, now),
+            calls_per_s=discovery.calls_per_s(now),
+            current=self._is_current,
+            counted=discovery.settled(now),
         )
         node = self._node()
         if node is None or not self._in_contact():
             return reply
-        tree: FollowReply | None = news_since(node, request.index, True)
         members = node.replica.log.membership_index
         replicas = None
         if members > request.members:
-            membership = node.replica.membership
-            replicas = [one.grpc_address for one in membership.members]
+            replicas = []
+            for one in node.replica.membership.members:
+                word = ReplicaWord(one.grpc_address, one.availability_zone)
+                replicas.append(word)
         return msgspec.structs.replace(
             reply,
-            tree=tree,
+            tree=None if refers else news_since(node, request.index, True),
             members=max(members, request.members),
             replicas=replicas,
         )
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -10,6 +10,7 @@
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.budgets import ExtraLimit
+from nutmegchute_core.budgets import LEAST_BURST
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
@@ -17,6 +18,7 @@
 from nutmegchute_core.demands import Rate
 from nutmegchute_core.demands import Shares
 from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.homes import Homes
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Process
 from nutmegchute_core.pauses import Pause
@@ -45,7 +47,7 @@
 from .settings import Settings
 from .tickets import Ticket
 from .trees import TreeCopy
-from .watchers import Watchers
+from .watchers import Watcher
 
 DRAIN_TICK_S = 0.05
 EXPIRE_S = 0.5
@@ -82,14 +84,24 @@
         self._phase = random.random()
         self._members = -1
         self._entries = 1
+        # Until a replica has counted all, this entry saves up hardly any
+        # extra sends: with the first replica's few, each would take the
+        # whole budget for its own.
+        self._counted = False
         self._rate = Rate()
         self._shares = Shares()
         self._leaving = False
+        # A replica in contact with the others has told what it knows.
+        self._in_touch = False
         self._pause = Pause(boot_time())
         # Calls that wait for word of control, and since when.
         self._held: list[tuple[float, Ticket]] = []
         self._hold_until = boot_time() + UNCONFIGURED_HOLD_S
-        self._watchers = Watchers(settings.seeds, self._links, self)
+        self._watcher = Watcher(
+            Homes(settings.name, settings.availability_zone, settings.seeds),
+            self._links,
+            self,
+        )
         self._connections = Connections()
         self._processes: dict[str, Process] = {}
         self._handler = CallHandler(
@@ -124,7 +136,7 @@
 
     def begin(self) -> None:
         """Start the periodic work."""
-        self._watchers.start()
+        self._watcher.start()
         self.every(SWEEP_S, self._sweep)
         self.every(EXPIRE_S, self._expire)
 
@@ -142,13 +154,13 @@
         """Tell whether calls can be served here."""
         if self._leaving or self._table is None:
             return False
-        return self._catalog.complete
+        return self._in_touch and self._catalog.complete
 
     async def finish(self) -> None:
         """Leave the directory, serve those who still come, end the calls."""
         self._leaving = True
         log(Event.DRAINING)
-        self._watchers.poke()
+        self._watcher.poke()
         # Callers keep an answer of the directory for a while. Those who
         # come meanwhile are served; each answer closes its connection.
         self._http.close_politely()
@@ -168,14 +180,14 @@
 
     def close(self) -> None:
         """Let go of the helping threads."""
-        self._watchers.stop()
+        self._watcher.stop()
         self._dispatcher.stop()
         self._prober.stop()
 
     def reload(self, settings: Settings) -> None:
         """Take seeds and limits from settings that have changed."""
         super().reload(settings)
-        self._watchers.seed(settings.seeds)
+        self._watcher.seed(settings.seeds)
         self._share_extra()
         self._share_inquiries()
 
@@ -249,14 +261,8 @@
             log(Event.INSTANCE_GONE, instance=instance)
             self._update_upstreams()
 
-    @property
-    def availability_zone(self) -> str:
-        """Name this entry's availability zone."""
-        return self._settings.availability_zone
-
-    def question(self, replica: str, hold_s: float) -> WatchRequest:
+    def question(self, hold_s: float) -> WatchRequest:
         """Build the question for a control replica."""
-        epoch, generation = self._catalog.mark(replica)
         word = EntryWord(
             self._settings.name,
             self._settings.http_address,
@@ -266,8 +272,7 @@
         self._shares.told = round(self._rate.per_s(boot_time()), 1)
         return WatchRequest(
             word,
-            epoch,
-            generation,
+            self._catalog.marks,
             self._tree.index,
             self._members,
             hold_s,
@@ -277,33 +282,40 @@
     def hear(self, replica: str, reply: WatchReply) -> None:
         """Take a control replica's answer."""
         ready = self.ready
-        self._pause.hear(replica)
+        # What was under way while this process stood still is old.
+        stale = self._look_for_pause()
+        if reply.current and not stale:
+            self._pause.hear()
+            self._in_touch = True
         self._members = max(self._members, reply.members)
         if reply.replicas is not None:
-            self._watchers.update(reply.replicas)
-            self._shares.keep(self._watchers.addresses)
-        self._shares.hear(replica, reply.calls_per_s, reply.entries)
-        if reply.entries > self._entries:
-            self._entries = reply.entries
-            self._share_extra()
-        self._share_inquiries()
+            self._watcher.update(reply.replicas)
+        self._count(reply)
         if reply.tree is not None and self._tree.take(reply.tree):
             self._apply()
-        changed = reply.delta is not None and self._catalog.hear(
-            replica, reply.delta, boot_time()
-        )
+        changed = self._catalog.vouch(reply.silent, boot_time())
+        for source, delta in reply.deltas.items():
+            changed |= self._catalog.hear(source, delta, boot_time())
         if changed:
             self._update_upstreams()
         if self.ready != ready:
-            self._watchers.poke()
+            self._watcher.poke()
         self._release()
 
-    def _look_for_pause(self) -> None:
-        paused_s = self._pause.look(boot_time(), self._watchers.addresses)
+    def _count(self, reply: WatchReply) -> None:
+        self._shares.hear(reply.calls_per_s, reply.entries)
+        self._entries = max(self._entries, reply.entries)
+        self._counted |= reply.counted
+        self._share_extra()
+        self._share_inquiries()
+
+    def _look_for_pause(self) -> bool:
+        paused_s = self._pause.look(boot_time())
         if paused_s is None:
-            return
+            return False
         log(Event.PAUSED, "warning", paused_s=round(paused_s, 3))
-        self._watchers.poke()
+        self._watcher.poke()
+        return True
 
     def _release(self) -> None:
         if not self._held or self._must_hold():
@@ -372,7 +384,8 @@
         limit = ExtraLimit(
             self._settings.extra_ratio, self._settings.extra_fixed
         )
-        self._balancer.limit_extra(limit.share, limit.burst(self._entries))
+        burst = limit.burst(self._entries) if self._counted else LEAST_BURST
+        self._balancer.limit_extra(limit.share, burst)
 
     def _sweep(self) -> None:
         self._look_for_pause()
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -1,32 +1,32 @@
-"""Ask each control replica for what changed, on an entry."""
+"""Ask a control replica for what changed, on an entry."""
 
 import asyncio
 from traceback import format_exc
 from typing import Protocol
 
-from nutmegchute_core.sessions import WATCH_FAR_S
-from nutmegchute_core.sessions import WATCH_NEAR_S
+from nutmegchute_core.homes import Homes
+from nutmegchute_core.sessions import ReplicaWord
+from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
 
+from .clocks import boot_time
 from .events import Event
 from .events import log
 from .links import Links
 from .methods import WATCH
 
 # What a held question may take beyond the hold before its connection counts
-# as silent and is opened anew: a way there and back and a busy replica.
+# as silent and another replica is asked: a way there and back and a busy
+# replica.
 WATCH_MARGIN_S = 0.6
-# A replica that refuses connections is asked again after so long; it is back
-# within a second of a restart.
+# The pause before another replica is asked, growing while none answers.
 RETRY_S = 0.15
-# One that does not answer at all is asked more rarely as time goes on.
 RETRY_MOST_S = 1.0
-# Before a replica's first answer, which is not held, and for so many tries.
-# After a loss of power an entry may be back before control is, and the first
-# packet to a vm without power is lost: TCP sends it again after a second. In
-# a margin as long as above entries stood 0.4 s without a configuration that
-# others had.
+# Before any replica's first answer, and for so many tries. After a loss of
+# power an entry may be back before control is, and the first packet to a vm
+# without power is lost: TCP sends it again after a second. In a margin as
+# long as above entries stood 0.4 s without a configuration that others had.
 FIRST_TIMEOUT_S = 0.2
 FIRST_RETRY_S = 0.05
 FIRST_TRIES = 20
@@ -35,23 +35,20 @@
 class Asking(Protocol):
     """Describe the entry that watches."""
 
-    @property
-    def availability_zone(self) -> str:
-        """Name the entry's availability zone."""
-
-    def question(self, replica: str, hold_s: float) -> WatchRequest:
-        """Build the question for a replica."""
+    def question(self, hold_s: float) -> WatchRequest:
+        """Build the question."""
 
     def hear(self, replica: str, reply: WatchReply) -> None:
         """Take a replica's answer."""
 
 
 class Watcher:
-    """Hold an open question at one control replica."""
+    """Hold an open question at one control replica at a time."""
 
     __slots__ = (
-        "_address",
         "_asking",
+        "_failures",
+        "_homes",
         "_links",
         "_lost",
         "_pending",
@@ -59,15 +56,28 @@
         "_task",
     )
 
-    def __init__(self, address: str, links: Links, asking: Asking) -> None:
-        self._address = address
+    def __init__(self, homes: Homes, links: Links, asking: Asking) -> None:
+        self._homes = homes
         self._links = links
         self._asking = asking
         self._lost = False
         self._reached = False
+        self._failures = 0
         self._pending: asyncio.Task[WatchReply | None] | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
         self._task = asyncio.ensure_future(self._run())
 
+    def seed(self, seeds: list[str]) -> None:
+        """Take other seeds, from settings that have changed."""
+        self._homes.seed(seeds)
+
+    def update(self, replicas: list[ReplicaWord]) -> None:
+        """Take the replicas that the group consists of now."""
+        self._homes.update(replicas)
+
     def poke(self) -> None:
         """Ask anew at once: this entry has something to say."""
         if self._pending is not None:
@@ -75,121 +85,82 @@
 
     def stop(self) -> None:
         """Ask no more."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def _run(self) -> None:
-        hold_s = 0.0
-        failures = 0
         while True:
-            reply = await self._ask(hold_s, self._timeout_s(hold_s, failures))
-            if reply is not None:
-                self._reached = True
-                near = reply.zone == self._asking.availability_zone
-                hold_s = WATCH_NEAR_S if near else WATCH_FAR_S
-                failures = 0
-                self._report(lost=False)
-                self._hear(reply)
+            address = self._homes.choose(boot_time())
+            hold_s = WATCH_HOLD_S if address == self._homes.home else 0.0
+            timeout_s = self._timeout_s(hold_s)
+            reply = await self._ask(address, hold_s, timeout_s)
+            if reply is None:
+                await self._fail(address)
                 continue
-            failures += 1
-            hold_s = 0.0
-            self._report(lost=True)
-            self._links.drop(self._address)
-            await asyncio.sleep(self._pause_s(failures))
+            self._reached = True
+            self._homes.answered(address, reply.current, boot_time())
+            self._report(address, lost=not reply.current)
+            self._hear(address, reply)
+            if reply.current:
+                self._failures = 0
+                continue
+            # Where none is in contact, each answers at once.
+            await asyncio.sleep(RETRY_S)
+
+    async def _fail(self, address: str) -> None:
+        self._failures += 1
+        self._homes.failed(address, boot_time())
+        self._report(address, lost=True)
+        self._links.drop(address)
+        if self._homes.home is None:
+            await asyncio.sleep(self._pause_s())
 
-    def _is_first(self, failures: int) -> bool:
-        return not self._reached and failures <= FIRST_TRIES
+    @property
+    def _is_first(self) -> bool:
+        return not self._reached and self._failures <= FIRST_TRIES
 
-    def _timeout_s(self, hold_s: float, failures: int) -> float:
-        if self._is_first(failures):
+    def _timeout_s(self, hold_s: float) -> float:
+        if self._is_first:
             return FIRST_TIMEOUT_S
         return WATCH_MARGIN_S + hold_s
 
-    def _pause_s(self, failures: int) -> float:
-        if self._is_first(failures):
+    def _pause_s(self) -> float:
+        if self._is_first:
             return FIRST_RETRY_S
-        return min(RETRY_MOST_S, RETRY_S * failures)
+        # Another replica is asked next: the first of them without delay.
+        return min(RETRY_MOST_S, RETRY_S * (self._failures - 1))
 
-    def _hear(self, reply: WatchReply) -> None:
+    def _hear(self, address: str, reply: WatchReply) -> None:
         try:
-            self._asking.hear(self._address, reply)
+            self._asking.hear(address, reply)
         except Exception:
             # Were the watcher to end with it, this entry would keep its
             # configuration and endpoints for good and serve on by them.
             log(
                 Event.WORD_FAILED,
                 "error",
-                address=self._address,
+                address=address,
                 trace=format_exc(),
             )
 
-    async def _ask(self, hold_s: float, timeout_s: float) -> WatchReply | None:
+    async def _ask(
+        self, address: str, hold_s: float, timeout_s: float
+    ) -> WatchReply | None:
         while True:
-            request = self._asking.question(self._address, hold_s)
+            request = self._asking.question(hold_s)
             self._pending = asyncio.ensure_future(
-                self._links.ask(self._address, WATCH, request, timeout_s)
+                self._links.ask(address, WATCH, request, timeout_s)
             )
             await asyncio.wait([self._pending])
             if not self._pending.cancelled():
                 return self._pending.result()
             # Cancelled by a poke: the same question with other words.
 
-    def _report(self, lost: bool) -> None:
+    def _report(self, address: str, lost: bool) -> None:
         if lost == self._lost:
             return
         self._lost = lost
         if lost:
-            log(Event.CONTROL_LOST, "warning", address=self._address)
+            log(Event.CONTROL_LOST, "warning", address=address)
         else:
-            log(Event.CONTROL_REACHED, address=self._address)
-
-
-class Watchers:
-    """Watch every control replica known."""
-
-    __slots__ = ("_asking", "_links", "_seeds", "_told", "_watchers")
-
-    def __init__(self, seeds: list[str], links: Links, asking: Asking) -> None:
-        self._seeds = seeds
-        self._links = links
-        self._asking = asking
-        self._told: list[str] = []
-        self._watchers: dict[str, Watcher] = {}
-
-    @property
-    def addresses(self) -> list[str]:
-        """List the replicas that are watched."""
-        return list(self._watchers)
-
-    def start(self) -> None:
-        """Begin with the replicas that the settings name."""
-        self._watch(self._seeds)
-
-    def seed(self, seeds: list[str]) -> None:
-        """Take other seeds, from settings that have changed."""
-        self._seeds = seeds
-        self._watch([*self._told, *seeds])
-
-    def update(self, replicas: list[str]) -> None:
-        """Watch the replicas that the group consists of now."""
-        self._told = replicas
-        self._watch(replicas)
-
-    def poke(self) -> None:
-        """Ask every replica anew at once."""
-        for watcher in self._watchers.values():
-            watcher.poke()
-
-    def stop(self) -> None:
-        """Ask no more."""
-        self._watch([])
-
-    def _watch(self, addresses: list[str]) -> None:
-        for address in list(self._watchers):
-            if address not in addresses:
-                self._watchers.pop(address).stop()
-        for address in addresses:
-            if address in self._watchers:
-                continue
-            self._watchers[address] = Watcher(
-                address, self._links, self._asking
-            )
+            log(Event.CONTROL_REACHED, address=address)
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,93 @@
+"""Choose the control replica that an entry asks."""
+
+from nutmegchute_core.homes import AVOID_S
+from nutmegchute_core.homes import Homes
+from nutmegchute_core.sessions import ReplicaWord
+
+FAR = ReplicaWord("10.1.0.1:7000", "lima")
+NEAR = ReplicaWord("10.2.0.1:7000", "surco")
+OTHER = ReplicaWord("10.3.0.1:7000", "cusco")
+
+
+def homes() -> Homes:
+    """Know three replicas and ask the near one."""
+    found = Homes("r1", "surco", [FAR.address])
+    assert found.choose(0.0) == FAR.address
+    found.answered(FAR.address, True, 0.0)
+    found.update([FAR, NEAR, OTHER])
+    assert found.choose(0.0) == NEAR.address
+    found.answered(NEAR.address, True, 0.0)
+    return found
+
+
+def test_replica_of_the_zone_is_asked_first() -> None:
+    """Move to the replica of the own zone once it is known."""
+    assert homes().home == NEAR.address
+
+
+def test_another_replica_is_asked_when_the_home_is_silent() -> None:
+    """Ask another replica at once, and the near one again when it is back.
+
+    The home freezes. Its entries must not go on by what it told last: an
+    endpoint that leaves is acknowledged two seconds later without them.
+    """
+    found = homes()
+    found.failed(NEAR.address, 1.0)
+    assert found.home is None
+    second = found.choose(1.0)
+    assert second != NEAR.address
+    found.answered(second, True, 1.0)
+    assert found.choose(1.0 + AVOID_S / 2) == second
+    assert found.choose(1.0 + AVOID_S) == NEAR.address
+    assert found.home == second
+
+
+def test_replica_out_of_contact_is_left() -> None:
+    """Leave a home that answers but hears no majority.
+
+    It is cut off from the other replicas and knows neither who leaves nor
+    the newest configuration.
+    """
+    found = homes()
+    found.answered(NEAR.address, False, 1.0)
+    assert found.home is None
+    assert found.choose(1.0) != NEAR.address
+
+
+def test_all_are_asked_in_turn_while_none_is_of_use() -> None:
+    """Ask each replica again and again while control is lost."""
+    found = homes()
+    asked = []
+    for number in range(6):
+        address = found.choose(1.0 + number / 10)
+        found.failed(address, 1.0 + number / 10)
+        asked.append(address)
+    assert asked[:3] == asked[3:]
+    assert len(set(asked)) == 3
+
+
+def test_entries_of_a_zone_without_replica_spread() -> None:
+    """Divide the entries of a zone among the replicas of others."""
+    counts: dict[str, int] = {}
+    for number in range(60):
+        found = Homes(f"r{number}", "piura", [])
+        found.update([FAR, NEAR, OTHER])
+        address = found.choose(0.0)
+        counts[address] = counts.get(address, 0) + 1
+    assert len(counts) == 3
+    assert min(counts.values()) >= 10
+
+
+def test_replica_that_was_removed_is_not_asked() -> None:
+    """Forget a home that does not belong to the group any more."""
+    found = homes()
+    found.update([FAR, OTHER])
+    assert found.home is None
+    assert found.choose(1.0) != NEAR.address
+
+
+def test_other_seeds_are_tried_beside_the_replicas_known() -> None:
+    """Find a group that was replaced while this entry was cut off."""
+    found = homes()
+    found.seed(["10.9.0.1:7000"])
+    assert "10.9.0.1:7000" in found.addresses
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,147 @@
+"""Run a loop on virtual time, and daemons' exchanges on a made-up network."""
+
+import asyncio
+import selectors
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+from nutmegchute_daemon.links import Method
+
+NEAR_S = 0.0002
+FAR_S = 0.0009
+# Headers of an exchange, both ways: HTTP/2 frames, TCP and IP.
+OVERHEAD_BYTES = 400
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class VirtualSelector(selectors.DefaultSelector):
+    """Let time pass where the loop would wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        """Return what is ready at once, after time has passed."""
+        if timeout is not None and timeout > 0:
+            self.now += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Take the time from the selector."""
+
+    def __init__(self) -> None:
+        self._virtual = VirtualSelector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Give the virtual time in seconds."""
+        return self._virtual.now
+
+
+def run_virtual(main: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine to its end on virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main)
+
+
+class Network:
+    """Carry exchanges between hosts; cut and freeze them."""
+
+    def __init__(self, zones: dict[str, str]) -> None:
+        self._zones = zones
+        self._handlers: dict[tuple[str, str], Any] = {}
+        self._cut: set[frozenset[str]] = set()
+        self._stopped: set[str] = set()
+        self._changed = asyncio.Event()
+        self.messages = 0
+        self.far_bytes = 0
+
+    def cut(self, one: str, other: str) -> None:
+        """Hold back everything between two hosts."""
+        self._cut.add(frozenset((one, other)))
+
+    def stop(self, host: str) -> None:
+        """Freeze a host: nothing reaches it or leaves it."""
+        self._stopped.add(host)
+
+    def heal(self) -> None:
+        """End all cuts and freezes; what was held back arrives."""
+        self._cut.clear()
+        self._stopped.clear()
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def is_open(self, one: str, other: str) -> bool:
+        """Tell whether two hosts reach each other."""
+        if one in self._stopped or other in self._stopped:
+            return False
+        return frozenset((one, other)) not in self._cut
+
+    def serve(
+        self, host: str, method: Method, handler: Callable[[Any], Any]
+    ) -> None:
+        """Answer a method at a host."""
+        self._handlers[host, method.path] = handler
+
+    async def carry(self, source: str, target: str, data: bytes) -> None:
+        """Bring a message from one host to another."""
+        while not self.is_open(source, target):
+            await self._changed.wait()
+        self.messages += 1
+        near = self._zones[source] == self._zones[target]
+        if not near:
+            self.far_bytes += len(data) + OVERHEAD_BYTES // 2
+        await asyncio.sleep(NEAR_S if near else FAR_S)
+
+    async def exchange(
+        self, source: str, target: str, method: Method, request: Any
+    ) -> Any:
+        """Send a request; return the reply as the other side meant it."""
+        handler = self._handlers[target, method.path]
+        data = _ENCODER.encode(request)
+        await self.carry(source, target, data)
+        answering = asyncio.ensure_future(handler(method.decode_request(data)))
+        try:
+            await asyncio.wait([answering])
+        except asyncio.CancelledError:
+            # The asker closed its connection; the other side sees it if
+            # the network still carries that.
+            if self.is_open(source, target):
+                answering.cancel()
+            raise
+        reply = _ENCODER.encode(answering.result())
+        await self.carry(target, source, reply)
+        return method.decode_reply(reply)
+
+
+class VirtualLinks:
+    """Stand for the links of one host."""
+
+    def __init__(self, host: str, network: Network) -> None:
+        self._host = host
+        self._network = network
+
+    def serve(
+        self, method: Method, handler: Callable[[Any], Awaitable[Any]]
+    ) -> None:
+        """Answer a method by a coroutine."""
+        self._network.serve(self._host, method, handler)
+
+    async def ask(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any | None:
+        """Ask another host; None says that no answer came in time."""
+        exchange = self._network.exchange(self._host, address, method, request)
+        try:
+            return await asyncio.wait_for(exchange, timeout_s)
+        except TimeoutError:
+            return None
+
+    def drop(self, address: str) -> None:
+        """Close the connection, which holds no state here."""
