--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,12 +1,15 @@
 #!/bin/sh
 # Install the packages and what they need below target/, by pip alone.
-# Nothing is done where neither a pin nor a source has changed since.
+# Nothing is done where neither a pin nor a source has changed since. That is
+# told by content: in a copy of a checkout whose target/ came along, the times
+# of the files say nothing, and days were played with the code of before.
 set -eu
 sources="packages/core packages/daemon platform"
 stamp=target/built
-if [ -e "$stamp" ] && [ -z "$(find constraints.txt deploy $sources \
-  -newer "$stamp" -type f ! -path '*/__pycache__/*' ! -path '*/build/*' \
-  ! -path '*.egg-info/*' | head -n 1)" ]; then
+digest=$(find constraints.txt deploy/build.sh deploy/requirements.txt \
+  $sources -type f ! -path '*/__pycache__/*' ! -path '*/build/*' \
+  ! -path '*.egg-info/*' | LC_ALL=C sort | xargs sha256sum | sha256sum)
+if [ -e "$stamp" ] && [ "$(cat "$stamp")" = "$digest" ]; then
   exit 0
 fi
 mkdir -p target
@@ -26,4 +29,4 @@
     --target target/deps "./target/sources/$source"
 done
 python3 -m compileall -q target/deps || true
-touch "$stamp"
+echo "$digest" > "$stamp"
