--- a/packages/core/nutmegchute_core/directories.py
+++ b/packages/core/nutmegchute_core/directories.py
@@ -10,7 +10,7 @@
 MAX_ENTRIES = 64
 
 
-class EntryWord(msgspec.Struct, frozen=True):
+class EntryInfo(msgspec.Struct, frozen=True):
     """Describe one entry as callers may use it."""
 
     name: str
@@ -51,15 +51,15 @@
 
     __slots__ = ("_credits", "_demand", "_heard", "_phase", "_self")
 
-    def __init__(self, own: EntryWord, phase: float = 0.0) -> None:
+    def __init__(self, own: EntryInfo, phase: float = 0.0) -> None:
         self._self = own
         self._phase = phase
-        self._heard: dict[str, tuple[EntryWord, dict[str, float], float]] = {}
+        self._heard: dict[str, tuple[EntryInfo, dict[str, float], float]] = {}
         self._demand = Demand()
         self._credits: dict[str | None, dict[str, float]] = {}
 
     def hear(
-        self, word: EntryWord, demand: dict[str, float], dated_at: float
+        self, word: EntryInfo, demand: dict[str, float], dated_at: float
     ) -> None:
         """Take an entry's word about itself, true at ``dated_at``."""
         if word.name == self._self.name:
@@ -86,7 +86,7 @@
         self._self = msgspec.structs.replace(self._self, draining=True)
 
     @property
-    def own(self) -> EntryWord:
+    def own(self) -> EntryInfo:
         """Describe this entry itself."""
         return self._self
 
@@ -95,7 +95,7 @@
         counts = self._demand.counts(now)
         return {zone: round(count, 1) for zone, count in counts.items()}
 
-    def usable(self, now: float) -> list[EntryWord]:
+    def usable(self, now: float) -> list[EntryInfo]:
         """List the entries that callers may be given, by name."""
         words = [] if self._self.draining else [self._self]
         for word, _, dated_at in self._heard.values():
@@ -106,7 +106,7 @@
 
     def answer(
         self, availability_zone: str | None, most: int, now: float
-    ) -> list[EntryWord]:
+    ) -> list[EntryInfo]:
         """Choose up to ``most`` entries for one caller.
 
         The caller's zone comes first as far as its entries' fair share of
@@ -121,7 +121,7 @@
         return self._take(words, weights, zone, most)
 
     def _weights(
-        self, words: list[EntryWord], zone: str | None, now: float
+        self, words: list[EntryInfo], zone: str | None, now: float
     ) -> dict[str, float]:
         if zone is None:
             return {word.name: 1.0 for word in words}
@@ -143,7 +143,7 @@
         return weights
 
     def _shares(
-        self, words: list[EntryWord], now: float
+        self, words: list[EntryInfo], now: float
     ) -> tuple[dict[str, float], dict[str, float]]:
         room: dict[str, float] = {}
         for word in words:
@@ -159,11 +159,11 @@
 
     def _take(
         self,
-        words: list[EntryWord],
+        words: list[EntryInfo],
         weights: dict[str, float],
         zone: str | None,
         most: int,
-    ) -> list[EntryWord]:
+    ) -> list[EntryInfo]:
         # Smooth weighted round robin: every entry earns its weight with
         # each answer and pays for being named, so that no run of answers
         # strays from the weights by more than one. The phase keeps the
--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -154,7 +154,7 @@
         """Take another replica's answer; return whether it is news."""
         for state in reply.entries:
             if state.attends:
-                self.sessions.moved(state.word.name)
+                self.sessions.moved(state.info.name)
         return self.peers.take(address, reply, now)
 
     def want_confirmed(self, generation: int) -> None:
@@ -208,8 +208,8 @@
             return []
         self._turn += 1
         words = {one.name: one for one in self.peers.attending(now)}
-        for word in self.sessions.attending(now):
-            words[word.name] = word
+        for info in self.sessions.attending(now):
+            words[info.name] = info
         return choose_usable(list(words.values()), zone, most, self._turn)
 
     def expire(self, now: float) -> bool:
--- a/packages/core/nutmegchute_core/peers.py
+++ b/packages/core/nutmegchute_core/peers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .directories import EntryWord
+from .directories import EntryInfo
 from .histories import Delta
 from .mirrors import Mark
 from .mirrors import Mirror
@@ -195,11 +195,11 @@
         if reply.epoch != peer.mirror.mark[0]:
             peer.confirmed = 0
             for known in peer.entries.values():
-                known.state = EntryState(known.state.word, False)
+                known.state = EntryState(known.state.info, False)
         peer.confirm = reply.confirm
         peer.sessions = reply.sessions
         for state in reply.entries:
-            peer.entries[state.word.name] = KnownEntry(state, now)
+            peer.entries[state.info.name] = KnownEntry(state, now)
         if reply.delta is None:
             return False
         return peer.mirror.take(reply.delta, now)
@@ -252,7 +252,7 @@
                 found[address] = peer.mirror
         return found
 
-    def attending(self, now: float) -> list[EntryWord]:
+    def attending(self, now: float) -> list[EntryInfo]:
         """List the entries that ask the replicas that answer."""
         found = []
         for peer in self._peers.values():
@@ -260,7 +260,7 @@
                 continue
             for known in peer.entries.values():
                 if known.state.attends:
-                    found.append(known.state.word)
+                    found.append(known.state.info)
         return found
 
     def names(self, now: float) -> set[str]:
--- a/packages/core/nutmegchute_core/homes.py
+++ b/packages/core/nutmegchute_core/replica_choosers.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from .sessions import ReplicaWord
+from .sessions import ReplicaInfo
 
 # A replica that did not answer, or is out of contact with the others, is
 # asked again after so long, if another can be asked meanwhile. A replica is
@@ -11,7 +11,7 @@
 AVOID_S = 2.0
 
 
-class Homes:
+class ReplicaChooser:
     """Order the replicas and remember which are of no use now.
 
     Replicas of the entry's availability zone go first: a question between
@@ -39,7 +39,7 @@
         self._own = own
         self._zone = zone
         self._seeds = seeds
-        self._known: list[ReplicaWord] = []
+        self._known: list[ReplicaInfo] = []
         self._avoid: dict[str, float] = {}
         self._home: str | None = None
 
@@ -69,9 +69,9 @@
         known = {one.address for one in self._known}
         for address in seeds:
             if self._known and address not in known:
-                self._known.append(ReplicaWord(address, ""))
+                self._known.append(ReplicaInfo(address, ""))
 
-    def update(self, replicas: list[ReplicaWord]) -> None:
+    def update(self, replicas: list[ReplicaInfo]) -> None:
         """Take the replicas that the group consists of now."""
         self._known = replicas
         if self._home not in self.addresses:
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .directories import EntryWord
+from .directories import EntryInfo
 from .fleets import FollowReply
 from .histories import Delta
 from .mirrors import Mark
@@ -25,7 +25,7 @@
 LEAST_OF_ZONE = 2
 
 
-class ReplicaWord(msgspec.Struct, frozen=True, array_like=True):
+class ReplicaInfo(msgspec.Struct, frozen=True, array_like=True):
     """Name a control replica as entries reach it."""
 
     address: str
@@ -41,7 +41,7 @@
     ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place.
     """
 
-    entry: EntryWord
+    entry: EntryInfo
     marks: dict[str, Mark]
     index: int
     members: int
@@ -65,7 +65,7 @@
     entries: int
     tree: FollowReply | None = None
     members: int = 0
-    replicas: list[ReplicaWord] | None = None
+    replicas: list[ReplicaInfo] | None = None
     silent: list[str] = []
     calls_per_s: float = 0.0
     current: bool = True
@@ -75,7 +75,7 @@
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
     """Describe an entry and whether it asks the replica that says so."""
 
-    word: EntryWord
+    info: EntryInfo
     attends: bool
 
 
@@ -91,11 +91,11 @@
         "held",
         "index",
         "marks",
-        "word",
+        "info",
     )
 
-    def __init__(self, word: EntryWord) -> None:
-        self.word = word
+    def __init__(self, info: EntryInfo) -> None:
+        self.info = info
         self.marks: dict[str, Mark] = {}
         self.index = 0
         self.heard_at = 0.0
@@ -134,7 +134,7 @@
 
     def hear(
         self,
-        word: EntryWord,
+        info: EntryInfo,
         marks: dict[str, Mark],
         index: int,
         hold_s: float,
@@ -142,12 +142,12 @@
         calls_per_s: float = 0.0,
     ) -> None:
         """Take an entry's question."""
-        session = self._sessions.get(word.name)
+        session = self._sessions.get(info.name)
         if session is None:
-            session = self._sessions[word.name] = EntrySession(word)
-        if session.closed or session.word != word:
+            session = self._sessions[info.name] = EntrySession(info)
+        if session.closed or session.info != info:
             self._note(session)
-        session.word = word
+        session.info = info
         session.marks = marks
         session.index = index
         session.heard_at = now
@@ -195,7 +195,7 @@
         found = []
         for session in self._sessions.values():
             if session.changed > generation:
-                found.append(EntryState(session.word, not session.closed))
+                found.append(EntryState(session.info, not session.closed))
         return found
 
     def behind(self, replica: str, mark: Mark, now: float) -> list[str]:
@@ -234,12 +234,12 @@
         """Tell whether any entry is in touch."""
         return any(one.attends(now) for one in self._sessions.values())
 
-    def attending(self, now: float) -> list[EntryWord]:
+    def attending(self, now: float) -> list[EntryInfo]:
         """List the entries in touch."""
         found = []
         for session in self._sessions.values():
             if session.attends(now):
-                found.append(session.word)
+                found.append(session.info)
         return found
 
     def _note(self, session: EntrySession) -> None:
@@ -248,7 +248,7 @@
 
 
 def choose_usable(
-    words: list[EntryWord], zone: str | None, most: int, turn: int
+    words: list[EntryInfo], zone: str | None, most: int, turn: int
 ) -> list[str]:
     """Return the addresses that a caller in a zone should use.
 
@@ -256,11 +256,11 @@
     """
     near: list[str] = []
     others: list[str] = []
-    for word in words:
-        if word.draining:
+    for info in words:
+        if info.draining:
             continue
-        same = word.availability_zone == zone
-        (near if same else others).append(word.address)
+        same = info.availability_zone == zone
+        (near if same else others).append(info.address)
     if len(near) >= LEAST_OF_ZONE:
         return _some(near, most, turn)
     return [*near, *_some(others, most - len(near), turn)]
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -16,7 +16,7 @@
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import Settlement
 from nutmegchute_core.directories import Directory
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rosters import Roster
@@ -63,7 +63,7 @@
     def prepare(self) -> None:
         """Build the decisions' state and mount the callers' side."""
         settings = self._settings
-        own = EntryWord(
+        own = EntryInfo(
             settings.name, settings.http_address, settings.availability_zone
         )
         self._balancer = Balancer(
@@ -241,7 +241,7 @@
         self._gossiper.refresh()
         return lease
 
-    def usable_entries(self, zone: str | None) -> list[EntryWord]:
+    def usable_entries(self, zone: str | None) -> list[EntryInfo]:
         """Choose the entries that a caller should use."""
         return self._directory.answer(
             zone, self._settings.entries_answer, boot_time()
--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from nutmegchute_core.directories import Directory
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Vouch
 from nutmegchute_core.rosters import Roster
@@ -27,7 +27,7 @@
     ``demand`` maps availability zones to the callers that asked lately.
     """
 
-    word: EntryWord
+    word: EntryInfo
     grpc_address: str
     demand: dict[str, float]
     vouch: Vouch
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/notifiers.py
@@ -0,0 +1,63 @@
+"""Wake coroutines on the loop when something has changed."""
+
+import asyncio
+
+
+class Notifier:
+    """Wake all that wait when something has changed."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def notify(self) -> None:
+        """Wake everybody."""
+        waiting, self._waiting = self._waiting, set()
+        for future in waiting:
+            if not future.done():
+                future.set_result(None)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for a change, at most so long."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.add(future)
+        try:
+            await asyncio.wait([future], timeout=timeout_s)
+        finally:
+            self._waiting.discard(future)
+
+
+class BatchNotifier:
+    """Gather changes for a moment, then wake all that wait for one."""
+
+    __slots__ = ("_notifier", "_timer", "_notified_at")
+
+    def __init__(self) -> None:
+        self._notifier = Notifier()
+        self._timer: asyncio.TimerHandle | None = None
+        self._notified_at = 0.0
+
+    @property
+    def pending(self) -> bool:
+        """Tell whether all will be woken in a moment."""
+        return self._timer is not None
+
+    def notify(self, gap_s: float) -> None:
+        """Wake them, no sooner than so long after the last time."""
+        loop = asyncio.get_running_loop()
+        due_at = max(loop.time(), self._notified_at + gap_s)
+        if self._timer is not None:
+            if self._timer.when() <= due_at:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due_at, self._fire)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for a change, at most so long."""
+        await self._notifier.wait(timeout_s)
+
+    def _fire(self) -> None:
+        self._timer = None
+        self._notified_at = asyncio.get_running_loop().time()
+        self._notifier.notify()
--- a/packages/daemon/nutmegchute_daemon/pages.py
+++ b/packages/daemon/nutmegchute_daemon/pages.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 import cherrypy
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 
 from .drains import DrainPage
 from .handlers import as_json
@@ -14,7 +14,7 @@
 class Answerer(Protocol):
     """Describe what the entry's loop answers to pages."""
 
-    def usable_entries(self, zone: str | None) -> list[EntryWord]:
+    def usable_entries(self, zone: str | None) -> list[EntryInfo]:
         """Choose the entries that a caller should use."""
 
     def status(self) -> dict[str, Any]:
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -20,7 +20,7 @@
 from nutmegchute_core.registries import FULL
 from nutmegchute_core.registries import OUTDATED
 from nutmegchute_core.registries import STALE
-from nutmegchute_core.sessions import ReplicaWord
+from nutmegchute_core.sessions import ReplicaInfo
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
@@ -29,6 +29,9 @@
 from .errors import DaemonError
 from .events import Event
 from .events import log
+from .notifiers import BatchNotifier
+from .notifiers import Notifier
+from .refusals import Refusals
 
 EPOCH_BITS = 48
 EXPIRE_S = 0.25
@@ -42,9 +45,6 @@
 # that come within two seconds would cost 84,000.
 TELL_GAP_S = 0.1
 URGENT_GAP_S = 0.02
-# A writer that goes wrong may send many words a second; one line in so many
-# seconds tells of all.
-REFUSALS_TOLD_S = 10.0
 
 
 # Why a word is not taken, and so not acknowledged.
@@ -59,96 +59,6 @@
     """Say that this replica cannot vouch for what it was told."""
 
 
-class News:
-    """Wake all that wait when there is something new."""
-
-    __slots__ = ("_waiting",)
-
-    def __init__(self) -> None:
-        self._waiting: set[asyncio.Future[None]] = set()
-
-    def tell(self) -> None:
-        """Wake everybody."""
-        waiting, self._waiting = self._waiting, set()
-        for future in waiting:
-            if not future.done():
-                future.set_result(None)
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait for news, at most so long."""
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.add(future)
-        try:
-            await asyncio.wait([future], timeout=timeout_s)
-        finally:
-            self._waiting.discard(future)
-
-
-class Refusals:
-    """Log words that were refused, however many come, in one line a while."""
-
-    __slots__ = ("_count", "_reason", "_told_at")
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._reason = ""
-        self._told_at = -REFUSALS_TOLD_S
-
-    def note(self, reason: str, now: float) -> None:
-        """Count one; the first after a while is logged at once."""
-        self._count += 1
-        self._reason = reason
-        self.tell(now)
-
-    def tell(self, now: float) -> None:
-        """Log what was counted, if it is time."""
-        if not self._count or now - self._told_at < REFUSALS_TOLD_S:
-            return
-        log(
-            Event.WORDS_REFUSED,
-            "warning",
-            words=self._count,
-            reason=self._reason,
-        )
-        self._told_at = now
-        self._count = 0
-
-
-class Bulletin:
-    """Gather news for a moment and then wake all that wait for it."""
-
-    __slots__ = ("_news", "_timer", "_told_at")
-
-    def __init__(self) -> None:
-        self._news = News()
-        self._timer: asyncio.TimerHandle | None = None
-        self._told_at = 0.0
-
-    @property
-    def gathering(self) -> bool:
-        """Tell whether there is news that will be told in a moment."""
-        return self._timer is not None
-
-    def note(self, gap_s: float) -> None:
-        """Tell of news, no sooner than so long after the last time."""
-        loop = asyncio.get_running_loop()
-        due_at = max(loop.time(), self._told_at + gap_s)
-        if self._timer is not None:
-            if self._timer.when() <= due_at:
-                return
-            self._timer.cancel()
-        self._timer = loop.call_at(due_at, self._tell)
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait for news, at most so long."""
-        await self._news.wait(timeout_s)
-
-    def _tell(self) -> None:
-        self._timer = None
-        self._told_at = asyncio.get_running_loop().time()
-        self._news.tell()
-
-
 class Registrar:
     """Hold what one control replica knows of endpoints and entries.
 
@@ -157,7 +67,7 @@
     """
 
     __slots__ = (
-        "_bulletin",
+        "_changes",
         "_discovery",
         "_in_contact",
         "_node",
@@ -176,8 +86,8 @@
         self._in_contact = in_contact
         self._node = node
         self._refusals = Refusals()
-        self._bulletin = Bulletin()
-        self._seen = News()
+        self._changes = BatchNotifier()
+        self._seen = Notifier()
 
     @property
     def discovery(self) -> Discovery:
@@ -205,7 +115,7 @@
     def tell(self) -> None:
         """Wake the entries' questions: the tree or the group changed."""
         self._meet_replicas()
-        self._bulletin.note(URGENT_GAP_S)
+        self._changes.notify(URGENT_GAP_S)
 
     def expire(self) -> None:
         """Drop the instances and entries that have fallen silent."""
@@ -215,7 +125,7 @@
         if self._discovery.peers.look(now):
             log(Event.PAUSED, "warning")
         if self._discovery.expire(now):
-            self._bulletin.note(TELL_GAP_S)
+            self._changes.notify(TELL_GAP_S)
 
     def _meet_replicas(self) -> None:
         node = self._node()
@@ -290,7 +200,7 @@
                 state=announcement.state,
                 sequence=sequence,
             )
-            self._bulletin.note(TELL_GAP_S)
+            self._changes.notify(TELL_GAP_S)
         if announcement.state == DRAINING:
             await self._confirm(announcement.process)
 
@@ -340,20 +250,20 @@
         known = discovery.sessions.generation
         discovery.hear_entry(request, now)
         if discovery.sessions.generation != known:
-            self._bulletin.note(TELL_GAP_S)
-        self._seen.tell()
+            self._changes.notify(TELL_GAP_S)
+        self._seen.notify()
         hold_until = now + min(WATCH_HOLD_S, request.hold_s)
         try:
             while not self._has_news(request):
                 left_s = hold_until - boot_time()
                 if left_s <= 0:
                     break
-                await self._bulletin.wait(left_s)
+                await self._changes.wait(left_s)
         except asyncio.CancelledError:
             # Its connection is gone, most likely with the entry: callers
             # are not sent there until it asks again.
             discovery.sessions.close(request.entry.name)
-            self._bulletin.note(TELL_GAP_S)
+            self._changes.notify(TELL_GAP_S)
             raise
         discovery.sessions.answered(request.entry.name, boot_time())
         return self._reply(request)
@@ -364,18 +274,18 @@
         now = boot_time()
         discovery.peers.hear(request, now)
         hold_until = now + min(PEER_HOLD_S, request.hold_s)
-        while self._bulletin.gathering or not discovery.has_peer_news(request):
+        while self._changes.pending or not discovery.has_peer_news(request):
             left_s = hold_until - boot_time()
             if left_s <= 0:
                 break
-            await self._bulletin.wait(left_s)
+            await self._changes.wait(left_s)
         return discovery.peer_reply(request, boot_time())
 
     async def seen(self, seen: Seen) -> Done:
         """Take another replica's confirmation."""
         discovery = self._discovery
         discovery.peers.hear_seen(seen, discovery.registry.epoch, boot_time())
-        self._seen.tell()
+        self._seen.notify()
         return Done()
 
     def take(self, address: str, reply: PeerReply) -> None:
@@ -386,8 +296,8 @@
         known = 0 if peer is None else peer.confirm
         if discovery.take(address, reply, boot_time()):
             urgent = wanted > known
-            self._bulletin.note(URGENT_GAP_S if urgent else TELL_GAP_S)
-        self._seen.tell()
+            self._changes.notify(URGENT_GAP_S if urgent else TELL_GAP_S)
+        self._seen.notify()
 
     async def wait_seen(self, timeout_s: float) -> None:
         """Wait until an entry or a replica has said what it knows."""
@@ -404,7 +314,7 @@
         discovery = self._discovery
         generation = discovery.registry.changed_in(process)
         discovery.want_confirmed(generation)
-        self._bulletin.note(URGENT_GAP_S)
+        self._changes.notify(URGENT_GAP_S)
         give_up_at = boot_time() + CONFIRM_S
         while True:
             now = boot_time()
@@ -433,7 +343,7 @@
         return self._discovery.caught_up
 
     def _has_news(self, request: WatchRequest) -> bool:
-        if self._bulletin.gathering:
+        if self._changes.pending:
             return False
         if self._discovery.has_news(request, boot_time()):
             return True
@@ -488,7 +398,7 @@
         if members > request.members:
             replicas = []
             for one in node.replica.membership.members:
-                word = ReplicaWord(one.grpc_address, one.availability_zone)
+                word = ReplicaInfo(one.grpc_address, one.availability_zone)
                 replicas.append(word)
         return msgspec.structs.replace(
             reply,
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -17,11 +17,11 @@
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.demands import Rate
 from nutmegchute_core.demands import Shares
-from nutmegchute_core.directories import EntryWord
-from nutmegchute_core.homes import Homes
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Process
 from nutmegchute_core.pauses import Pause
+from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.routes import KEPT_BYTES
 from nutmegchute_core.routes import read_routes
 from nutmegchute_core.routes import RouteTable
@@ -98,7 +98,7 @@
         self._held: list[tuple[float, Ticket]] = []
         self._hold_until = boot_time() + UNCONFIGURED_HOLD_S
         self._watcher = Watcher(
-            Homes(
+            ReplicaChooser(
                 settings.name,
                 settings.availability_zone,
                 settings.seeds,
@@ -268,7 +268,7 @@
 
     def question(self, hold_s: float) -> WatchRequest:
         """Build the question for a control replica."""
-        word = EntryWord(
+        word = EntryInfo(
             self._settings.name,
             self._settings.http_address,
             self._settings.availability_zone,
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -4,8 +4,8 @@
 from traceback import format_exc
 from typing import Protocol
 
-from nutmegchute_core.homes import Homes
-from nutmegchute_core.sessions import ReplicaWord
+from nutmegchute_core.replica_choosers import ReplicaChooser
+from nutmegchute_core.sessions import ReplicaInfo
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
@@ -51,7 +51,7 @@
     __slots__ = (
         "_asking",
         "_failures",
-        "_homes",
+        "_chooser",
         "_links",
         "_lost",
         "_pending",
@@ -59,8 +59,10 @@
         "_task",
     )
 
-    def __init__(self, homes: Homes, links: Links, asking: Asking) -> None:
-        self._homes = homes
+    def __init__(
+        self, chooser: ReplicaChooser, links: Links, asking: Asking
+    ) -> None:
+        self._chooser = chooser
         self._links = links
         self._asking = asking
         self._lost = False
@@ -75,11 +77,11 @@
 
     def seed(self, seeds: list[str]) -> None:
         """Take other seeds, from settings that have changed."""
-        self._homes.seed(seeds)
+        self._chooser.seed(seeds)
 
-    def update(self, replicas: list[ReplicaWord]) -> None:
+    def update(self, replicas: list[ReplicaInfo]) -> None:
         """Take the replicas that the group consists of now."""
-        self._homes.update(replicas)
+        self._chooser.update(replicas)
 
     def poke(self) -> None:
         """Ask anew at once: this entry has something to say."""
@@ -93,8 +95,8 @@
 
     async def _run(self) -> None:
         while True:
-            address = self._homes.choose(boot_time())
-            hold_s = WATCH_HOLD_S if address == self._homes.home else 0.0
+            address = self._chooser.choose(boot_time())
+            hold_s = WATCH_HOLD_S if address == self._chooser.home else 0.0
             reply = None
             if await self._connect(address):
                 reply = await self._ask(address, hold_s)
@@ -102,7 +104,7 @@
                 await self._fail(address)
                 continue
             self._reached = True
-            self._homes.answered(address, reply.current, boot_time())
+            self._chooser.answered(address, reply.current, boot_time())
             self._report(address, lost=not reply.current)
             self._hear(address, reply)
             if reply.current:
@@ -113,10 +115,10 @@
 
     async def _fail(self, address: str) -> None:
         self._failures += 1
-        self._homes.failed(address, boot_time())
+        self._chooser.failed(address, boot_time())
         self._report(address, lost=True)
         self._links.drop(address)
-        if self._homes.home is None:
+        if self._chooser.home is None:
             await asyncio.sleep(self._pause_s())
 
     @property
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -54,7 +54,7 @@
     calls = tmp_path / "calls"
     assert build(checkout, calls) > 0
     assert build(checkout, calls) == 0
-    changed = checkout / SOURCES[0] / "nutmegchute_core" / "homes.py"
+    changed = checkout / SOURCES[0] / "nutmegchute_core" / "peers.py"
     changed.write_text(changed.read_text() + "\n")
     os.utime(changed, (LONG_AGO_S, LONG_AGO_S))
     assert build(checkout, calls) > 0
--- a/tests/test_directories.py
+++ b/tests/test_directories.py
@@ -5,7 +5,7 @@
 import pytest
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import ENTRY_LEASE_S
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 
 ENTRIES = 16
 CALLERS = 500
@@ -17,9 +17,9 @@
 UNEVEN = {"miraflores": 0.8, "san-isidro": 0.1, "surco": 0.1}
 
 
-def word(number: int, zone: str, draining: bool = False) -> EntryWord:
+def word(number: int, zone: str, draining: bool = False) -> EntryInfo:
     """Build an entry's word."""
-    return EntryWord(f"entry-{number}", f"10.0.0.{number}:80", zone, draining)
+    return EntryInfo(f"entry-{number}", f"10.0.0.{number}:80", zone, draining)
 
 
 class Town:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,12 +13,12 @@
 
 import pytest
 from nutmegchute_core.catalogs import Catalog
-from nutmegchute_core.directories import EntryWord
-from nutmegchute_core.homes import Homes
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
 from nutmegchute_core.memberships import Member
+from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
 from nutmegchute_daemon import peers as peers_module
@@ -137,12 +137,12 @@
         self.went_back = False
         self._members = -1
         links = cast(Links, VirtualLinks(name, world.network))
-        homes = Homes(name, zone, world.seeds)
-        self.watcher = Watcher(homes, links, self)
+        chooser = ReplicaChooser(name, zone, world.seeds)
+        self.watcher = Watcher(chooser, links, self)
 
     def question(self, hold_s: float) -> WatchRequest:
         """Build the question."""
-        word = EntryWord(self.name, f"{self.name}:80", self.zone)
+        word = EntryInfo(self.name, f"{self.name}:80", self.zone)
         marks = self.catalog.marks
         return WatchRequest(word, marks, self.index, self._members, hold_s)
 
--- a/tests/test_gossips.py
+++ b/tests/test_gossips.py
@@ -5,7 +5,7 @@
 
 import pytest
 from nutmegchute_core.directories import Directory
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rosters import Roster
 from nutmegchute_daemon import gossips
@@ -59,7 +59,7 @@
         address = f"10.0.1.{number}:1"
         self.name = f"entry-{number}"
         self.roster = Roster(1000 * (number + 1))
-        self.directory = Directory(EntryWord(self.name, address, "surco"))
+        self.directory = Directory(EntryInfo(self.name, address, "surco"))
         self.live: list[Announcement] = []
         links: Any = FakeLinks(network, SEEDS[number])
         settings = Settings(
--- a/tests/test_homes.py
+++ b/tests/test_replica_choosers.py
@@ -1,17 +1,17 @@
 """Choose the control replica that an entry asks."""
 
-from nutmegchute_core.homes import AVOID_S
-from nutmegchute_core.homes import Homes
-from nutmegchute_core.sessions import ReplicaWord
+from nutmegchute_core.replica_choosers import AVOID_S
+from nutmegchute_core.replica_choosers import ReplicaChooser
+from nutmegchute_core.sessions import ReplicaInfo
 
-FAR = ReplicaWord("10.1.0.1:7000", "lima")
-NEAR = ReplicaWord("10.2.0.1:7000", "surco")
-OTHER = ReplicaWord("10.3.0.1:7000", "cusco")
+FAR = ReplicaInfo("10.1.0.1:7000", "lima")
+NEAR = ReplicaInfo("10.2.0.1:7000", "surco")
+OTHER = ReplicaInfo("10.3.0.1:7000", "cusco")
 
 
-def homes() -> Homes:
+def at_home() -> ReplicaChooser:
     """Know three replicas and ask the near one."""
-    found = Homes("r1", "surco", [FAR.address])
+    found = ReplicaChooser("r1", "surco", [FAR.address])
     assert found.choose(0.0) == FAR.address
     found.answered(FAR.address, True, 0.0)
     found.update([FAR, NEAR, OTHER])
@@ -22,7 +22,7 @@
 
 def test_replica_of_the_zone_is_asked_first() -> None:
     """Move to the replica of the own zone once it is known."""
-    assert homes().home == NEAR.address
+    assert at_home().home == NEAR.address
 
 
 def test_seed_with_a_like_address_is_asked_first() -> None:
@@ -34,7 +34,7 @@
     """
     seeds = ["10.1.0.9:7000", "10.2.0.4:7000", "10.3.0.8:7000"]
     for number in range(9):
-        found = Homes(f"r{number}", "surco", seeds, "10.2.0.77:7000")
+        found = ReplicaChooser(f"r{number}", "surco", seeds, "10.2.0.77:7000")
         assert found.choose(0.0) == "10.2.0.4:7000"
         found.failed("10.2.0.4:7000", 0.0)
         assert found.choose(0.0) in (seeds[0], seeds[2])
@@ -46,7 +46,7 @@
     The home freezes. Its entries must not go on by what it told last: an
     endpoint that leaves is acknowledged two seconds later without them.
     """
-    found = homes()
+    found = at_home()
     found.failed(NEAR.address, 1.0)
     assert found.home is None
     second = found.choose(1.0)
@@ -63,7 +63,7 @@
     It is cut off from the other replicas and knows neither who leaves nor
     the newest configuration.
     """
-    found = homes()
+    found = at_home()
     found.answered(NEAR.address, False, 1.0)
     assert found.home is None
     assert found.choose(1.0) != NEAR.address
@@ -71,7 +71,7 @@
 
 def test_all_are_asked_in_turn_while_none_is_of_use() -> None:
     """Ask each replica again and again while control is lost."""
-    found = homes()
+    found = at_home()
     asked = []
     for number in range(6):
         address = found.choose(1.0 + number / 10)
@@ -85,7 +85,7 @@
     """Divide the entries of a zone among the replicas of others."""
     counts: dict[str, int] = {}
     for number in range(60):
-        found = Homes(f"r{number}", "piura", [])
+        found = ReplicaChooser(f"r{number}", "piura", [])
         found.update([FAR, NEAR, OTHER])
         address = found.choose(0.0)
         counts[address] = counts.get(address, 0) + 1
@@ -95,7 +95,7 @@
 
 def test_replica_that_was_removed_is_not_asked() -> None:
     """Forget a home that does not belong to the group any more."""
-    found = homes()
+    found = at_home()
     found.update([FAR, OTHER])
     assert found.home is None
     assert found.choose(1.0) != NEAR.address
@@ -103,6 +103,6 @@
 
 def test_other_seeds_are_tried_beside_the_replicas_known() -> None:
     """Find a group that was replaced while this entry was cut off."""
-    found = homes()
+    found = at_home()
     found.seed(["10.9.0.1:7000"])
     assert "10.9.0.1:7000" in found.addresses
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,6 +1,6 @@
 """Know which entries ask, what they know, and whom callers may use."""
 
-from nutmegchute_core.directories import EntryWord
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.sessions import choose_usable
 from nutmegchute_core.sessions import COUNTED_S
 from nutmegchute_core.sessions import EntrySessions
@@ -11,9 +11,9 @@
 EPOCH = 77
 
 
-def entry(name: str, zone: str = "surco", draining: bool = False) -> EntryWord:
+def entry(name: str, zone: str = "surco", draining: bool = False) -> EntryInfo:
     """Build an entry's word."""
-    return EntryWord(name, f"{name}:80", zone, draining)
+    return EntryInfo(name, f"{name}:80", zone, draining)
 
 
 def seen(generation: int) -> dict[str, tuple[int, int]]:
@@ -152,4 +152,4 @@
     assert sessions.since(known) == []
     assert sessions.expire(HOLD_S + SESSION_MARGIN_S + 0.1)
     late = sessions.since(known)
-    assert [(one.word.name, one.attends) for one in late] == [("b", False)]
+    assert [(one.info.name, one.attends) for one in late] == [("b", False)]
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -4,8 +4,8 @@
 from typing import Any
 from typing import cast
 
-from nutmegchute_core.directories import EntryWord
-from nutmegchute_core.homes import Homes
+from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
@@ -57,7 +57,7 @@
 
     def question(self, hold_s: float) -> WatchRequest:
         """Build a question."""
-        word = EntryWord("r1", "10.1.0.9:80", ZONE)
+        word = EntryInfo("r1", "10.1.0.9:80", ZONE)
         return WatchRequest(word, {}, 0, 0, hold_s)
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -69,8 +69,8 @@
 
     async def run() -> FakeLinks:
         links = FakeLinks(*answers)
-        homes = Homes("r1", ZONE, [ADDRESS])
-        watcher = Watcher(homes, cast(Links, links), Asking())
+        chooser = ReplicaChooser("r1", ZONE, [ADDRESS])
+        watcher = Watcher(chooser, cast(Links, links), Asking())
         watcher.start()
         await links.done.wait()
         watcher.stop()
