Refuse a change of named items that names no base

Finding: test_any_bytes_at_any_call_change_nothing failed once in a whole run (412 for {"version":"r5","services":7} at Config.Update) and passed alone three times. Traced: the body was read as a change on version 0. A replica that does not lead sends it on (307), the leader answers with a conflict; the test fails whenever the first replica leads.

Test: without a cluster, failing before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -380,3 +380,15 @@
 def test_the_folder_hides_no_module() -> None:
     """Keep Python's own module of the folder's name in reach."""
     assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+def test_change_that_names_no_base_cannot_be_read() -> None:
+    """Refuse a change of named items that builds on nothing.
+
+    A writer leaves out the version that its change builds on. At a replica
+    that does not lead it was sent on, and at the leader it lost against a
+    version that nobody else had named, as if an operator had been quicker.
+    """
+    for body in (b'{"version":"r5","services":7}', b'{"version":"r5"}'):
+        with pytest.raises(DeclarationError):
+            read_partial(body, 0.0)
