--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -35,8 +35,8 @@
 
 EPOCH_BITS = 48
 EXPIRE_S = 0.25
-# An endpoint waits a second for the word that its leaving is known; it asks
-# the next replica when this one says in time that it cannot give it.
+# An endpoint waits a second until its leaving is acknowledged; it asks the
+# next replica when this one says in time that it cannot do that.
 CONFIRM_S = 0.8
 MOST_ENTRIES = 64
 # Entries and replicas are told at most once in so long of endpoints that
@@ -47,7 +47,7 @@
 URGENT_GAP_S = 0.02
 
 
-# Why a word is not taken, and so not acknowledged.
+# Why an announcement is not taken, and so not acknowledged.
 REFUSALS = {
     FOREIGN: "this process has another service or address",
     FULL: "too many instances",
@@ -306,7 +306,7 @@
     async def _confirm(self, process: Process) -> None:
         """Wait until each entry in touch knows that a process leaves.
 
-        An acknowledged leaving binds all entries. One that missed the word
+        An acknowledged leaving binds all entries. One that does not know
         would send calls to a process that is about to exit.
 
         :raises NotConfirmedError: some entry did not say so in time
@@ -362,7 +362,7 @@
         zone, 250 entries would take 7.5 MB between zones after each loss
         of power.
         """
-        if request.members >= 0:
+        if request.members >= 0 or not self._is_current:
             return False
         nearest = self.nearest(request.entry.availability_zone)
         return nearest is not None and not self._is_near(request)
@@ -398,8 +398,8 @@
         if members > request.members:
             replicas = []
             for one in node.replica.membership.members:
-                word = ReplicaInfo(one.grpc_address, one.availability_zone)
-                replicas.append(word)
+                info = ReplicaInfo(one.grpc_address, one.availability_zone)
+                replicas.append(info)
         return msgspec.structs.replace(
             reply,
             tree=None if refers else news_since(node, request.index, True),
