Name the replicas to an entry also while out of contact

An entry that starts is sent on as before, and is now given the list of replicas by one out of contact as well, which knows no tree to give.

--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -362,7 +362,7 @@
         zone, 250 entries would take 7.5 MB between zones after each loss
         of power.
         """
-        if request.members >= 0 or not self._is_current:
+        if request.members >= 0:
             return False
         nearest = self.nearest(request.entry.availability_zone)
         return nearest is not None and not self._is_near(request)
@@ -391,18 +391,25 @@
             counted=discovery.settled(now),
         )
         node = self._node()
-        if node is None or not self._in_contact():
+        if node is None:
             return reply
-        members = node.replica.log.membership_index
-        replicas = None
-        if members > request.members:
-            replicas = []
-            for one in node.replica.membership.members:
-                info = ReplicaInfo(one.grpc_address, one.availability_zone)
-                replicas.append(info)
-        return msgspec.structs.replace(
+        reply = msgspec.structs.replace(
             reply,
-            tree=None if refers else news_since(node, request.index, True),
-            members=max(members, request.members),
-            replicas=replicas,
+            members=max(node.replica.log.membership_index, request.members),
+            replicas=_replicas(node, request.members),
         )
+        if refers or not self._in_contact():
+            # Out of contact it may know an old tree only.
+            return reply
+        tree = news_since(node, request.index, True)
+        return msgspec.structs.replace(reply, tree=tree)
+
+
+def _replicas(node: Node, known: int) -> list[ReplicaInfo] | None:
+    """List the replicas, if the group changed since a log index."""
+    if node.replica.log.membership_index <= known:
+        return None
+    found = []
+    for one in node.replica.membership.members:
+        found.append(ReplicaInfo(one.grpc_address, one.availability_zone))
+    return found
