Take a dropped channel for no answer, not for the end of the asker

Cause: agreement, questions between replicas and confirmations share a channel. A message of agreement that times out drops it, gRPC cancels the held question, and the cancellation ended the loop that asks for good.

--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -137,6 +137,15 @@
             # A reply of another form, from another version, is no answer
             # either; raised, it would end the caller's loop for good.
             return None
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # The channel was dropped by another exchange with that daemon.
+            # Raised, it would end a loop that asks again and again: after a
+            # cut two replicas never told one another anything any more, and
+            # neither could acknowledge an endpoint's leaving.
+            return None
 
     async def open(self, address: str, timeout_s: float) -> bool:
         """Connect to a daemon; tell whether it took the connection."""
