Go on where a channel is dropped while it connects

Cause: after a cut a replica first waits for a connection. The channel is dropped meanwhile by a message of agreement, gRPC says that it is closed, and that ended the loop that asks, as a held question's end had done.

Change: it counts as not connected; and a loop that has ended for any reason is begun anew. Test: test_links.py, failing before (UsageError).

--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -138,8 +138,7 @@
             # either; raised, it would end the caller's loop for good.
             return None
         except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
+            if _is_cancelled():
                 raise
             # The channel was dropped by another exchange with that daemon.
             # Raised, it would end a loop that asks again and again: after a
@@ -152,7 +151,12 @@
         channel = self._channel(address)
         try:
             await asyncio.wait_for(channel.channel_ready(), timeout_s)
-        except TimeoutError:
+        except (TimeoutError, grpc.aio.UsageError):
+            return False
+        except asyncio.CancelledError:
+            if _is_cancelled():
+                raise
+            # Dropped meanwhile, as above.
             return False
         return True
 
@@ -194,3 +198,9 @@
         await self._server.stop(grace_s)
         for channel in self._channels.values():
             await channel.close()
+
+
+def _is_cancelled() -> bool:
+    """Tell whether the present task itself was cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/packages/daemon/nutmegchute_daemon/peers.py
+++ b/packages/daemon/nutmegchute_daemon/peers.py
@@ -59,7 +59,8 @@
             if address not in addresses:
                 self._asking.pop(address).cancel()
         for address in addresses:
-            if address not in self._asking:
+            asking = self._asking.get(address)
+            if asking is None or asking.done():
                 self._asking[address] = asyncio.ensure_future(
                     self._ask(address)
                 )
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -61,3 +61,24 @@
     """Let a task that is cancelled end, whatever it waits for."""
     with pytest.raises(asyncio.CancelledError):
         asyncio.run(ask_and(cancel=True))
+
+
+def test_channel_dropped_while_it_connects_is_not_open() -> None:
+    """Go on where another exchange drops a channel that is connecting."""
+
+    async def open_and_drop() -> bool:
+        with socket.socket() as silent:
+            # It never accepts, and so no channel to it is ever ready.
+            silent.bind(("127.0.0.1", 0))
+            silent.listen()
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            client = Links()
+            opening = asyncio.ensure_future(client.open(address, ANSWER_S))
+            await asyncio.sleep(0.1)
+            client.drop(address)
+            try:
+                return await asyncio.wait_for(opening, ANSWER_S / 2)
+            finally:
+                await client.stop(0)
+
+    assert asyncio.run(open_and_drop()) is False
