Log which replicas vote, and which votes are missing when none leads

Logs named an added replica, but neither its promotion nor how many voters there were, and after a restart without a leader nothing at all: from them a voter that is gone for good, votes that collide and a replica that cannot be taken in looked alike. NC2019 lists voters, learners and the majority at each change and start; NC2020 names, every five seconds without a leader, who would vote. Gauge voters.

--- a/packages/core/nutmegchute_core/memberships.py
+++ b/packages/core/nutmegchute_core/memberships.py
@@ -32,6 +32,11 @@
         """List the identities that vote."""
         return [one.identity for one in self.members if one.voter]
 
+    @property
+    def learners(self) -> list[str]:
+        """List the identities that only learn."""
+        return [one.identity for one in self.members if not one.voter]
+
     @property
     def quorum(self) -> int:
         """Give the size of a majority of the voters."""
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -146,6 +146,11 @@
         """Give the newest membership in the log."""
         return self._log.membership
 
+    @property
+    def votes(self) -> set[str]:
+        """Give the identities that voted for it when it stood last."""
+        return set(self._votes)
+
     @property
     def ready(self) -> bool:
         """Tell whether this leader knows all that was committed before."""
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -49,6 +49,7 @@
 from .methods import FOLLOW
 from .operators import ControlPages
 from .peers import PeerExchange
+from .quorums import QuorumReport
 from .recollections import KEEP_S
 from .recollections import Recollection
 from .registrars import EXPIRE_S
@@ -112,6 +113,7 @@
         self._ticket = 0
         self._waits = Waits(self._loop)
         self._led_term: int | None = None
+        self._quorum_report = QuorumReport(self._loop.time())
         self._timer: asyncio.TimerHandle | None = None
         self._flush_due = False
         self._deliveries = Deliveries(
@@ -190,7 +192,11 @@
         if node is None:
             return {"leads": 0.0}
         leads = node.replica.state == LEADER
-        found = {"leads": float(leads), "commit": float(node.replica.commit)}
+        found = {
+            "leads": float(leads),
+            "commit": float(node.replica.commit),
+            "voters": float(len(node.replica.membership.voters)),
+        }
         if leads:
             index = node.machine.tree.index
             applied = self._followings.fleet.applied().values()
@@ -442,6 +448,7 @@
             self._peers.meet()
         leads = node.replica.state == LEADER
         self._report_lead(node.replica.term if leads else None)
+        self._quorum_report.note(node.replica, self._loop.time())
 
     def _report_lead(self, term: int | None) -> None:
         if term == self._led_term:
@@ -523,6 +530,7 @@
         node = self._node
         if node is None:
             return
+        self._quorum_report.note(node.replica, self._loop.time())
         membership = node.replica.membership
         if membership.find(self._group.identity) is None:
             await self._group.introduce()
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -52,6 +52,8 @@
     DRAIN_UNCONFIRMED = ("NC2015", "entries did not confirm a leaving")
     RECALLED = ("NC2017", "endpoints of before the start recalled")
     RECALL_FAILED = ("NC2018", "endpoints could not be kept or recalled")
+    VOTERS_CHANGED = ("NC2019", "voting replicas changed")
+    LEADERLESS = ("NC2020", "no replica leads")
     WORDS_REFUSED = ("NC2016", "words about endpoints refused")
     CALL_ENDED = ("NC3016", "call ended")
     RELOADED = ("NC1008", "settings read again")
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -35,6 +35,7 @@
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
     "commit": (GAUGE, "log index"),
+    "voters": (GAUGE, "replicas"),
     "entries_behind": (GAUGE, "entries"),
 }
 
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/quorums.py
@@ -0,0 +1,56 @@
+"""Report which control replicas vote, and why none leads."""
+
+from nutmegchute_core.memberships import Membership
+from nutmegchute_core.replicas import Replica
+
+from .events import Event
+from .events import log
+
+# Longer than any election; repeated so often while it lasts.
+LEADERLESS_S = 5.0
+
+
+class QuorumReport:
+    """Log changes of the voters, and the votes that are missing."""
+
+    __slots__ = ("_lacking_since", "_membership")
+
+    def __init__(self, now: float) -> None:
+        self._membership = Membership()
+        self._lacking_since = now
+
+    def note(self, replica: Replica, now: float) -> None:
+        """Look at a replica's membership and at whether one leads."""
+        membership = replica.membership
+        if membership != self._membership:
+            self._membership = membership
+            log(
+                Event.VOTERS_CHANGED,
+                voters=_names(membership, membership.voters),
+                learners=_names(membership, membership.learners),
+                majority=membership.quorum,
+                index=replica.log.membership_index,
+            )
+        if not membership.voters or replica.in_contact(now):
+            self._lacking_since = now
+            return
+        if now - self._lacking_since < LEADERLESS_S:
+            return
+        self._lacking_since = now
+        log(
+            Event.LEADERLESS,
+            "warning",
+            voters=_names(membership, membership.voters),
+            granted=_names(membership, sorted(replica.votes)),
+            majority=membership.quorum,
+            term=replica.term,
+            last_index=replica.last_index,
+        )
+
+
+def _names(membership: Membership, identities: list[str]) -> list[str]:
+    found = []
+    for identity in identities:
+        member = membership.find(identity)
+        found.append(member.name if member is not None else identity)
+    return found
--- /dev/null
+++ b/tests/test_quorums.py
@@ -0,0 +1,84 @@
+"""Test that the logs show which replicas vote and why none leads."""
+
+from collections.abc import Iterator
+
+import pytest
+from nutmegchute_core.logs import Log
+from nutmegchute_core.memberships import Member
+from nutmegchute_core.memberships import Membership
+from nutmegchute_core.messages import HardState
+from nutmegchute_core.messages import Snapshot
+from nutmegchute_core.messages import VoteReply
+from nutmegchute_core.replicas import Replica
+from nutmegchute_daemon import quorums
+from nutmegchute_daemon.events import Event
+from nutmegchute_daemon.quorums import LEADERLESS_S
+from nutmegchute_daemon.quorums import QuorumReport
+
+MEMBERS = Membership(
+    [Member(f"{name}.1", name) for name in "abcd"]
+    + [Member("e.1", "e", voter=False)]
+)
+
+Lines = list[tuple[Event, dict[str, object]]]
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> Iterator[Lines]:
+    """Collect what is logged."""
+    found: Lines = []
+
+    def log(event: Event, level: str = "info", **fields: object) -> None:
+        found.append((event, fields))
+
+    monkeypatch.setattr(quorums, "log", log)
+    yield found
+
+
+def replica() -> Replica:
+    """Start replica "a" of a group of four voters and a learner."""
+    log = Log(Snapshot(membership=MEMBERS), [])
+    return Replica("a.1", HardState(3, None), log, 0.0, 1)
+
+
+def test_voters_are_told_once(lines: Lines) -> None:
+    """Log the voters after a start, and again only when they change."""
+    report = QuorumReport(0.0)
+    report.note(replica(), 0.1)
+    report.note(replica(), 0.2)
+    assert lines == [
+        (
+            Event.VOTERS_CHANGED,
+            {
+                "voters": ["a", "b", "c", "d"],
+                "learners": ["e"],
+                "majority": 3,
+                "index": 0,
+            },
+        )
+    ]
+
+
+def test_missing_votes_are_told(lines: Lines) -> None:
+    """Name who would vote, where two of four voters do not answer.
+
+    The replica stands again and again. From its log alone nobody could
+    tell whether the others refuse, are gone, or do not count as voters.
+    """
+    one = replica()
+    one.tick(1.0)
+    one.receive(VoteReply("b.1", "a.1", 4, True, True), 1.0)
+    report = QuorumReport(0.0)
+    report.note(one, 1.0)
+    report.note(one, LEADERLESS_S)
+    report.note(one, LEADERLESS_S + 0.5)
+    told = [fields for event, fields in lines if event is Event.LEADERLESS]
+    assert told == [
+        {
+            "voters": ["a", "b", "c", "d"],
+            "granted": ["a", "b"],
+            "majority": 3,
+            "term": 3,
+            "last_index": 0,
+        }
+    ]
