Replay a replaced replica, a lost disk and a loss of power: none leads

Callers saw every request refused with "no configuration yet" and operators no configuration, for ever, after all power and one disk were lost. The fake group now changes itself as the daemon does, by the same due_change and Outsiders, which moved out of the daemon unchanged.

--- a/packages/core/nutmegchute_core/admissions.py
+++ b/packages/core/nutmegchute_core/admissions.py
@@ -7,6 +7,7 @@
 from .memberships import Member
 from .memberships import Membership
 from .memberships import ReplicaWish
+from .replicas import Replica
 
 # A namesake that introduces itself under a new identity proves that the old
 # identity's disk is gone; this only rules out words that were under way.
@@ -20,6 +21,18 @@
 REMOVED_SILENT_S = 15.0
 
 
+def due_change(
+    replica: Replica, waiting: dict[str, Member], now: float
+) -> ReplicaWish | None:
+    """Return the next change that a leader should make, if one is due."""
+    silent_s = {}
+    for member in replica.membership.members:
+        heard_at = replica.heard_at(member.identity)
+        if heard_at is not None:
+            silent_s[member.identity] = now - heard_at
+    return next_change(replica.membership, waiting, silent_s)
+
+
 def next_change(
     membership: Membership,
     waiting: dict[str, Member],
--- /dev/null
+++ b/packages/core/nutmegchute_core/outsiders.py
@@ -0,0 +1,38 @@
+"""Remember which replicas ask to be taken into the group."""
+
+from .formations import Introduction
+from .memberships import Member
+from .memberships import Membership
+
+# A replica that waits introduces itself far more often.
+OUTSIDER_S = 5.0
+
+
+class Outsiders:
+    """Hold who introduced itself lately."""
+
+    __slots__ = ("_heard",)
+
+    def __init__(self) -> None:
+        self._heard: dict[str, tuple[Member, float]] = {}
+
+    def hear(self, introduction: Introduction, now: float) -> None:
+        """Take an introduction.
+
+        Founders introduce themselves as well, but before they belong to
+        the group; once removed they would seem to ask to come back.
+        """
+        if introduction.group is None:
+            return
+        member = introduction.member
+        self._heard[member.name] = (member, now)
+
+    def waiting(self, membership: Membership, now: float) -> dict[str, Member]:
+        """Map names to the replicas that wait to become members."""
+        found = {}
+        for name, (member, heard_at) in self._heard.items():
+            if now - heard_at > OUTSIDER_S:
+                continue
+            if membership.find(member.identity) is None:
+                found[name] = member
+        return found
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from nutmegchute_core.admissions import next_change
+from nutmegchute_core.admissions import due_change
 from nutmegchute_core.claims import ClaimAnswers
 from nutmegchute_core.claims import ClaimBatch
 from nutmegchute_core.claims import ClaimReply
@@ -248,7 +248,7 @@
         node = self._lead()
         replica = node.replica
         membership = wish.apply(
-            replica.membership, self._waiting_outside(node)
+            replica.membership, self._group.waiting(replica.membership)
         )
         change = Reconfigure(
             membership, operator, wish.describe(), time.time()
@@ -333,13 +333,14 @@
         if node is None:
             return {"leader": None, "replicas": [], "waiting": []}
         now = self._loop.time()
+        membership = node.replica.membership
         rows = []
-        for member in node.replica.membership.members:
+        for member in membership.members:
             rows.append(describe_member(node.replica, member, now))
         return {
             "leader": self._leader_name(),
             "replicas": rows,
-            "waiting": list(self._waiting_outside(node).values()),
+            "waiting": list(self._group.waiting(membership).values()),
         }
 
     def leader_address(self) -> str | None:
@@ -545,18 +546,12 @@
 
     async def _change_group(self, node: Node) -> None:
         membership = node.replica.membership
-        waiting = self._waiting_outside(node)
+        waiting = self._group.waiting(membership)
         if not self._settings.seeds:
             # Where an operator lists the replicas, only those come in.
             names = {member.name for member in membership.members}
             waiting = {one: waiting[one] for one in waiting if one in names}
-        now = self._loop.time()
-        silent_s = {}
-        for member in membership.members:
-            heard_at = node.replica.heard_at(member.identity)
-            if heard_at is not None:
-                silent_s[member.identity] = now - heard_at
-        wish = next_change(membership, waiting, silent_s)
+        wish = due_change(node.replica, waiting, self._loop.time())
         if wish is not None:
             await self.reconfigure(wish, "control")
 
@@ -565,13 +560,6 @@
             return False
         return self._node.replica.in_contact(self._loop.time())
 
-    def _waiting_outside(self, node: Node) -> dict[str, Member]:
-        found = {}
-        for name, member in self._group.outsiders().items():
-            if node.replica.membership.find(member.identity) is None:
-                found[name] = member
-        return found
-
     async def _on_follow(self, request: FollowRequest) -> FollowReply:
         if self._node is None:
             return FollowReply(None, None, False)
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -6,6 +6,7 @@
 from nutmegchute_core.formations import Introduction
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.memberships import Membership
+from nutmegchute_core.outsiders import Outsiders
 
 from .events import Event
 from .events import log
@@ -18,7 +19,6 @@
 INTRODUCE = Method("Replication", "Introduce", Introduction, Introduction)
 
 FORM_S = 0.1
-OUTSIDER_S = 5.0
 
 
 class Group:
@@ -56,7 +56,7 @@
         # between its first start and the group's forming must still found.
         founders = settings.replicas if identity.founding else []
         self._formation = Formation(self._member, founders)
-        self._outsiders: dict[str, tuple[Member, float]] = {}
+        self._outsiders = Outsiders()
         links.serve(INTRODUCE, self._on_introduce)
 
     @property
@@ -100,14 +100,10 @@
             if reply is not None:
                 self._formation.hear(reply)
 
-    def outsiders(self) -> dict[str, Member]:
-        """Map names to replicas that lately introduced themselves."""
+    def waiting(self, membership: Membership) -> dict[str, Member]:
+        """Map names to the replicas that wait to become members."""
         now = asyncio.get_running_loop().time()
-        found = {}
-        for name, (member, heard_at) in self._outsiders.items():
-            if now - heard_at <= OUTSIDER_S:
-                found[name] = member
-        return found
+        return self._outsiders.waiting(membership, now)
 
     def _keep(self, found: Introduction) -> None:
         identity = Identity(
@@ -120,13 +116,9 @@
         log(event, group=found.group, identity=self.identity)
 
     async def _on_introduce(self, introduction: Introduction) -> Introduction:
-        now = asyncio.get_running_loop().time()
-        member = introduction.member
         self._formation.hear(introduction)
-        # Founders introduce themselves as well, but before they belong to
-        # the group; once removed they would seem to ask to come back.
-        if introduction.group is not None:
-            self._outsiders[member.name] = (member, now)
+        now = asyncio.get_running_loop().time()
+        self._outsiders.hear(introduction, now)
         return self._word()
 
     def _word(self) -> Introduction:
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any
 
+from nutmegchute_core.admissions import due_change
 from nutmegchute_core.errors import CoreError
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.fleets import FollowReply
@@ -21,7 +22,9 @@
 from nutmegchute_core.messages import LogEntry
 from nutmegchute_core.messages import Message
 from nutmegchute_core.nodes import Node
+from nutmegchute_core.outsiders import Outsiders
 from nutmegchute_core.replicas import LEADER
+from nutmegchute_core.replicas import Replica
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
 from nutmegchute_daemon.errors import StorageError
@@ -32,6 +35,8 @@
 from .disks import PowerCutError
 
 INTRODUCE_S = 0.5
+TEND_S = 0.5
+HAND_OVER_S = 0.3
 RECOVER_S = 1.0
 FOLLOW_S = 0.3
 FOLLOW_TIMEOUT_S = 4.8
@@ -89,8 +94,11 @@
 class FakeReplica:
     """Run one node as the control daemon does."""
 
-    def __init__(self, world: "World", name: str, seed: int) -> None:
+    def __init__(
+        self, world: "World", name: str, seed: int, seeds: list[str]
+    ) -> None:
         self._world = world
+        self._seeds = seeds
         self._seed = seed
         self.name = name
         self.disk = FakeDisk(seed)
@@ -103,7 +111,7 @@
         self._questions: dict[int, Callable[[FollowReply], None]] = {}
         self._followings = Followings()
         self._ticket = 0
-        self._outsiders: dict[str, Member] = {}
+        self._outsiders = Outsiders()
 
     @property
     def leads(self) -> bool:
@@ -125,6 +133,15 @@
         self._followings = Followings()
         self.disk.crash()
 
+    def stop(self) -> None:
+        """End as a daemon does that is told to."""
+        if self.node is None:
+            self.kill()
+            return
+        self.node.replica.hand_over(self._world.now)
+        self._guard(self._flush)
+        self._world.after(HAND_OVER_S, self.kill)
+
     def thaw(self) -> bool:
         """Tell whether the process runs."""
         return self.up and self._world.now >= self.frozen_until
@@ -165,30 +182,54 @@
         self.node.replica.receive(message, self._world.now)
         self._guard(self._flush)
 
-    def introduced(self, word: Introduction) -> None:
-        """Take another replica's introduction."""
+    def introduced(self, word: Introduction, source: "FakeReplica") -> None:
+        """Take another replica's introduction and answer with its own."""
+        if not self.up:
+            return
         self._formation.hear(word)
-        self._outsiders[word.member.name] = word.member
+        self._outsiders.hear(word, self._world.now)
+        own = self._introduction()
+        self._world.send(
+            self.name, source.name, lambda: source.hear_introduction(own)
+        )
+
+    def hear_introduction(self, word: Introduction) -> None:
+        """Take the answer to an introduction."""
+        if self.up:
+            self._formation.hear(word)
 
     def replace(self, name: str) -> None:
         """Take the outsider of a name in, in place of its namesake."""
+        self._change_group(ReplicaWish("replace", name))
+
+    def _tend(self, start: int) -> None:
+        if start != self.starts or not self.up:
+            return
+        self._world.after(TEND_S, lambda: self._tend(start))
+        if self.node is None or not self.thaw():
+            return
+        replica = self.node.replica
+        if not replica.ready:
+            return
+        wish = due_change(replica, self._asking(replica), self._world.now)
+        if wish is not None:
+            self._change_group(wish)
+
+    def _change_group(self, wish: ReplicaWish) -> None:
         if self.node is None:
             return
         replica = self.node.replica
-        waiting = {
-            one: member
-            for one, member in self._outsiders.items()
-            if replica.membership.find(member.identity) is None
-        }
-        wish = ReplicaWish("replace", name)
         try:
-            membership = wish.apply(replica.membership, waiting)
-            change = Reconfigure(membership, "test", name)
+            membership = wish.apply(replica.membership, self._asking(replica))
+            change = Reconfigure(membership, "test", wish.describe())
             replica.reconfigure(change, self._world.now)
         except CoreError:
             return
         self._guard(self._flush)
 
+    def _asking(self, replica: Replica) -> dict[str, Member]:
+        return self._outsiders.waiting(replica.membership, self._world.now)
+
     def _load(self) -> None:
         self._storage = Storage(self.disk)  # type: ignore[arg-type]
         identity = self._storage.identity()
@@ -203,6 +244,8 @@
         else:
             self._form()
         self._introduce(self.starts)
+        if self._world.tended:
+            self._tend(self.starts)
 
     def _start_node(self) -> None:
         founder = self._identity.genesis.find(self._identity.identity)
@@ -233,19 +276,23 @@
             return
         if self.node is None:
             self._guard(self._form)
-        member = Member(self._identity.identity, self.name, self.name)
-        word = Introduction(
-            member, self._identity.group, self._identity.genesis
-        )
-        for other in self._world.replicas.values():
-            if other is self:
+        own = self._introduction()
+        for name in self._seeds:
+            if name == self.name:
                 continue
+            other = self._world.replicas[name]
             self._world.send(
                 self.name,
-                other.name,
-                lambda one=other: one.up and one.introduced(word),
+                name,
+                lambda one=other: one.introduced(own, self),
             )
 
+    def _introduction(self) -> Introduction:
+        member = Member(self._identity.identity, self.name, self.name)
+        return Introduction(
+            member, self._identity.group, self._identity.genesis
+        )
+
     def _guard(self, action: Callable[[], None]) -> None:
         try:
             action()
@@ -369,9 +416,16 @@
 
 
 class World:
-    """Hold replicas, entries, a network with faults, and the clock."""
+    """Hold replicas, entries, a network with faults, and the clock.
+
+    In a ``tended`` one the leader changes the group without an operator.
+    """
 
-    def __init__(self, size: int, entries: int, seed: int) -> None:
+    def __init__(
+        self, size: int, entries: int, seed: int, tended: bool = False
+    ) -> None:
+        self.tended = tended
+        self._seed = seed
         self.random = Random(seed)
         self.now = 0.0
         self.names = [f"control-{n}" for n in range(1, size + 1)]
@@ -383,7 +437,7 @@
         self._events: list[tuple[float, int, Callable[[], Any]]] = []
         self._sequence = 0
         self.replicas = {
-            name: FakeReplica(self, name, seed + number)
+            name: FakeReplica(self, name, seed + number, self.names)
             for number, name in enumerate(self.names)
         }
         self.entries = [
@@ -392,6 +446,15 @@
         for replica in self.replicas.values():
             replica.start()
 
+    def add(self, seeds: list[str]) -> FakeReplica:
+        """Start a vm more, with an empty disk; it is told some replicas."""
+        number = len(self.replicas)
+        name = f"control-{number + 1}"
+        replica = FakeReplica(self, name, self._seed + number, seeds)
+        self.replicas[name] = replica
+        replica.start()
+        return replica
+
     def at(self, time: float, action: Callable[[], Any]) -> None:
         """Do something at a time."""
         self._sequence += 1
--- /dev/null
+++ b/tests/test_replacements.py
@@ -0,0 +1,141 @@
+"""Replace control replicas by others, then lose a disk and all power."""
+
+import pytest
+from nutmegchute_core.trees import ACCEPTED
+from nutmegchute_core.trees import Change
+from nutmegchute_fakes.replicas import FakeReplica
+from nutmegchute_fakes.replicas import World
+from support import rule
+from support import team
+
+pytestmark = pytest.mark.known_red
+
+# A replica that has started may be needed after this time.
+CATCH_UP_S = 4.0
+DOWN_S = 0.6
+# Routers wait without a configuration until a replica leads.
+RECOVERY_S = 5.0
+
+
+class Operator:
+    """Change one branch again and again, and know what was accepted."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.accepted = 0
+
+    def change(self) -> FakeReplica:
+        """Have a change accepted; return the replica that said so."""
+        world = self._world
+        base = self.accepted
+        change = Change(
+            change_id=f"change-{base}",
+            operator="ana",
+            bases={"lending": base},
+            documents={"lending": team(catalogo=[rule(deadline_ms=base + 1)])},
+            at_unix_s=0.0,
+        )
+        leader = world.leader()
+
+        def told() -> bool:
+            nonlocal leader
+            if change.change_id not in world.oracle.told:
+                leader = world.leader()
+                world.change(change)
+            return change.change_id in world.oracle.told
+
+        assert world.run_until(told, 10.0)
+        assert world.oracle.told[change.change_id].outcome == ACCEPTED
+        assert leader is not None
+        self.accepted += 1
+        return leader
+
+
+def ready(world: World) -> bool:
+    """Tell whether a leader knows all that was committed."""
+    leader = world.leader()
+    if leader is None or leader.node is None:
+        return False
+    return leader.node.replica.ready
+
+
+def lose_disk_and_power(
+    world: World, lost: FakeReplica, gone: list[FakeReplica]
+) -> None:
+    """Lose all power and one disk; all but those that are gone return."""
+    for replica in world.replicas.values():
+        replica.kill()
+    lost.disk.lose()
+    world.run(DOWN_S)
+    for replica in world.replicas.values():
+        if replica not in gone:
+            replica.start()
+
+
+def check_recovered(world: World, accepted: int) -> None:
+    """Find a leader soon that knows every accepted change."""
+    assert world.run_until(lambda: ready(world), RECOVERY_S), "none leads"
+    leader = world.leader()
+    assert leader is not None
+    assert leader.node is not None
+    assert leader.node.machine.tree.revisions == {"lending": accepted}
+    world.oracle.replay()
+
+
+@pytest.mark.parametrize("after_s", [0.5, 4.0, 8.0, 13.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_replaced_replica_does_not_count(seed: int, after_s: float) -> None:
+    """A replica is replaced by another, then a disk and all power are lost.
+
+    Callers see every request refused for ever, and operators cannot read
+    the configuration. The newcomer is taken in while the one that it
+    replaces still runs, and this one then stops for good; it went on
+    counting, so of four voters one was gone, one had lost what it knew, and
+    two are no majority::
+
+        20.86 NC2008 detail "add core-gujranwala-2"
+        23.95 NC1002 daemon stopping (core-gujranwala-1)
+        40.24 NC2004 replica "core-gujranwala-1" (core-faisalabad-1)
+    """
+    world = World(3, entries=0, seed=seed, tended=True)
+    assert world.run_until(lambda: ready(world), 5.0)
+    operator = Operator(world)
+    operator.change()
+    world.add(world.names)
+    world.run(CATCH_UP_S)
+    gone = world.replicas[world.names[seed % 3]]
+    gone.stop()
+    world.run(after_s)
+    lost = operator.change()
+    lose_disk_and_power(world, lost, [gone])
+    check_recovered(world, operator.accepted)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_replaced_replica_does_not_count_under_new_leaders(seed: int) -> None:
+    """Leaders change before a replaced replica has been silent for long.
+
+    The caller sees what the test above tells. Each new leader begins to
+    count the silence anew, so the replaced replica still voted 22 seconds
+    after it had stopped::
+
+         9.77 NC1003 daemon stopped (core-faisalabad-1)
+        23.43 NC2001 term 3 (core-faisalabad-2, after a loss of power)
+        33.64 NC2004 replica "core-faisalabad-1" (core-lahore-1)
+    """
+    world = World(3, entries=0, seed=seed, tended=True)
+    assert world.run_until(lambda: ready(world), 5.0)
+    operator = Operator(world)
+    world.add(world.names)
+    world.run(CATCH_UP_S)
+    gone = world.replicas[world.names[seed % 3]]
+    gone.stop()
+    world.run(12.0)
+    leader = operator.change()
+    leader.kill()
+    world.run(DOWN_S)
+    leader.start()
+    world.run(9.0)
+    lost = operator.change()
+    lose_disk_and_power(world, lost, [gone])
+    check_recovered(world, operator.accepted)
