Let a replica that waits find the leader

Two ways in which a group stayed a replica short, found by looking for the cause of the unserved calls elsewhere. The leader alone takes members in. A newcomer whose settings name followers only was never heard of there. One that was left out while it was away reads in its own log that it votes, and waited for heartbeats that nobody sends. Either way the next lost disk finds the group one short.

Introductions now name the leader, and a replica that hears no leader introduces itself, also to the members that its log knows. Answers no longer wait for the timeout of a replica without power.

--- a/packages/core/nutmegchute_core/formations.py
+++ b/packages/core/nutmegchute_core/formations.py
@@ -8,11 +8,16 @@
 
 
 class Introduction(msgspec.Struct, frozen=True):
-    """Say who a replica is and, once formed, how its group began."""
+    """Say who a replica is and, once formed, how its group began.
+
+    ``leader`` is the gRPC address of the leader, where one is known: it
+    alone takes members in, and a newcomer may be told of followers only.
+    """
 
     member: Member
     group: str | None = None
     genesis: Membership = Membership()
+    leader: str = ""
 
 
 class Formation:
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -170,6 +170,16 @@
             return self._heartbeat_at
         return self._election_at
 
+    def is_outside(self, now: float) -> bool:
+        """Tell whether this replica may have to ask to be taken in.
+
+        One that was left out while it was away still reads in its own log
+        that it belongs to the group; that no leader sends to it tells.
+        """
+        if self.membership.find(self._identity) is None:
+            return True
+        return not self.in_contact(now)
+
     def heard_at(self, identity: str) -> float | None:
         """Tell when this leader last heard from a replica."""
         if self._leadership is None:
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -103,8 +103,10 @@
                     founding=settings.founding,
                 )
                 self._storage.keep_identity(identity)
-            self._group = Group(settings, self._links, self._storage, identity)
             self._node: Node | None = None
+            self._group = Group(
+                settings, self._links, self._storage, identity, self._leader
+            )
             if identity.group is not None:
                 self._node = self._load()
         except StorageError as error:
@@ -542,9 +544,8 @@
         if node is None:
             return
         self._quorum_report.note(node.replica, self._loop.time())
-        membership = node.replica.membership
-        if membership.find(self._group.identity) is None:
-            await self._group.introduce()
+        if node.replica.is_outside(self._loop.time()):
+            await self._group.introduce(node.replica.membership.members)
         if not node.replica.ready:
             return
         self._followings.forget_silent(node, self._loop.time())
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -1,6 +1,7 @@
 """Meet the other control replicas: form a group, join it, be taken in."""
 
 import asyncio
+from collections.abc import Callable
 
 from nutmegchute_core.formations import Formation
 from nutmegchute_core.formations import Introduction
@@ -19,14 +20,19 @@
 INTRODUCE = Method("Replication", "Introduce", Introduction, Introduction)
 
 FORM_S = 0.1
+# A replica without power answers nothing; the others' answers do not wait
+# for the end of its timeout.
+ANSWER_S = 0.2
 
 
 class Group:
     """Know this replica's identity and who introduced itself."""
 
     __slots__ = (
+        "_asking",
         "_formation",
         "_identity",
+        "_leader",
         "_links",
         "_member",
         "_outsiders",
@@ -40,7 +46,10 @@
         links: Links,
         storage: Storage,
         identity: Identity,
+        leader: Callable[[], Member | None],
     ) -> None:
+        self._leader = leader
+        self._asking: dict[str, asyncio.Task[None]] = {}
         self._settings = settings
         self._links = links
         self._storage = storage
@@ -89,16 +98,36 @@
                 continue
             self._keep(found)
 
-    async def introduce(self) -> None:
-        """Introduce this replica to all listed ones."""
-        asks = []
-        for address in self._settings.replicas:
-            if address == self._settings.grpc_address:
-                continue
-            asks.append(self._links.ask(address, INTRODUCE, self._word()))
-        for reply in await asyncio.gather(*asks):
-            if reply is not None:
-                self._formation.hear(reply)
+    async def introduce(self, members: list[Member] | None = None) -> None:
+        """Introduce this replica to all listed ones and to the leader.
+
+        ``members`` are those that its own log knows: the listed ones may
+        have been replaced since.
+        """
+        addresses = list(self._settings.replicas)
+        for member in members or []:
+            addresses.append(member.grpc_address)
+        for address in addresses:
+            self._introduce_to(address, refer=True)
+        if self._asking:
+            await asyncio.wait(self._asking.values(), timeout=ANSWER_S)
+
+    def _introduce_to(self, address: str, refer: bool) -> None:
+        if address in self._asking or address == self._member.grpc_address:
+            return
+        task = asyncio.create_task(self._ask(address, refer))
+        self._asking[address] = task
+        task.add_done_callback(lambda _: self._asking.pop(address, None))
+
+    async def _ask(self, address: str, refer: bool) -> None:
+        reply = await self._links.ask(address, INTRODUCE, self._word())
+        if reply is None:
+            return
+        self._formation.hear(reply)
+        if refer and reply.leader:
+            # Once: two that take each other for the leader would refer to
+            # one another without end.
+            self._introduce_to(reply.leader, refer=False)
 
     def waiting(self, membership: Membership) -> dict[str, Member]:
         """Map names to the replicas that wait to become members."""
@@ -122,8 +151,10 @@
         return self._word()
 
     def _word(self) -> Introduction:
+        leader = self._leader()
         return Introduction(
             member=self._member,
             group=self._identity.group,
             genesis=self._identity.genesis,
+            leader="" if leader is None else leader.grpc_address,
         )
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -199,7 +199,9 @@
         self.node.replica.receive(message, self._world.now)
         self._guard(self._flush)
 
-    def introduced(self, word: Introduction, source: "FakeReplica") -> None:
+    def introduced(
+        self, word: Introduction, source: "FakeReplica", refer: bool
+    ) -> None:
         """Take another replica's introduction and answer with its own."""
         if not self.up:
             return
@@ -207,13 +209,18 @@
         self._outsiders.hear(word, self._world.now)
         own = self._introduction()
         self._world.send(
-            self.name, source.name, lambda: source.hear_introduction(own)
+            self.name,
+            source.name,
+            lambda: source.hear_introduction(own, refer),
         )
 
-    def hear_introduction(self, word: Introduction) -> None:
+    def hear_introduction(self, word: Introduction, refer: bool) -> None:
         """Take the answer to an introduction."""
-        if self.up:
-            self._formation.hear(word)
+        if not self.up:
+            return
+        self._formation.hear(word)
+        if refer and word.leader:
+            self._introduce_to(word.leader, False)
 
     def replace(self, name: str) -> None:
         """Take the outsider of a name in, in place of its namesake."""
@@ -293,23 +300,40 @@
             return
         if self.node is None:
             self._guard(self._form)
+        names = list(self._seeds)
+        if self.node is not None:
+            replica = self.node.replica
+            if not replica.is_outside(self._world.now):
+                return
+            names += [one.name for one in replica.membership.members]
+        for name in dict.fromkeys(names):
+            self._introduce_to(name, True)
+
+    def _introduce_to(self, name: str, refer: bool) -> None:
+        if name == self.name:
+            return
         own = self._introduction()
-        for name in self._seeds:
-            if name == self.name:
-                continue
-            other = self._world.replicas[name]
-            self._world.send(
-                self.name,
-                name,
-                lambda one=other: one.introduced(own, self),
-            )
+        other = self._world.replicas[name]
+        self._world.send(
+            self.name, name, lambda: other.introduced(own, self, refer)
+        )
 
     def _introduction(self) -> Introduction:
         member = Member(self._identity.identity, self.name, self.name)
         return Introduction(
-            member, self._identity.group, self._identity.genesis
+            member,
+            self._identity.group,
+            self._identity.genesis,
+            self._leader_name(),
         )
 
+    def _leader_name(self) -> str:
+        if self.node is None:
+            return ""
+        replica = self.node.replica
+        leader = replica.membership.find(replica.leader)
+        return leader.name if leader is not None else ""
+
     def _guard(self, action: Callable[[], None]) -> None:
         try:
             action()
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -142,3 +142,48 @@
     lost = operator.change()
     lose_disk_and_power(world, lost, [gone])
     check_recovered(world, operator.accepted)
+
+
+def members(world: World) -> set[str]:
+    """Name the members that the leader knows."""
+    leader = world.leader()
+    if leader is None or leader.node is None:
+        return set()
+    return {one.name for one in leader.node.replica.membership.members}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_newcomer_is_told_of_one_follower_only(seed: int) -> None:
+    """A newcomer's settings name a replica that does not lead.
+
+    It introduces itself there, and the leader, which alone takes members
+    in, never hears of it; the replica that it replaces is lost without a
+    successor.
+    """
+    world = World(3, entries=0, seed=seed, tended=True)
+    assert world.run_until(lambda: ready(world), 5.0)
+    leader = world.leader()
+    follower = next(
+        one for one in world.replicas.values() if one is not leader
+    )
+    newcomer = world.add([follower.name])
+    assert world.run_until(lambda: newcomer.name in members(world), CATCH_UP_S)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_left_out_replica_comes_back(seed: int) -> None:
+    """A replica is away so long that the group goes on without it.
+
+    Its own log still says that it votes, so it waits for heartbeats that
+    nobody sends, and counts for nobody. A lost disk later finds the group
+    one replica short.
+    """
+    world = World(3, entries=0, seed=seed, tended=True)
+    assert world.run_until(lambda: ready(world), 5.0)
+    world.add(world.names)
+    world.run(CATCH_UP_S)
+    away = world.replicas[world.names[seed % 3]]
+    away.kill()
+    assert world.run_until(lambda: away.name not in members(world), 20.0)
+    away.start()
+    assert world.run_until(lambda: away.name in members(world), CATCH_UP_S)
