Tell a replica without its disk where the group is

Whoever sends it messages sees from the empty answer that it has no group, introduces itself, and says where the leader is.

--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -121,7 +121,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._flush_due = False
         self._deliveries = Deliveries(
-            self._links, self._find_member, self._take_replies
+            self._links,
+            self._find_member,
+            self._take_replies,
+            self._group.meet,
         )
         self._links.serve(DELIVER, self._on_deliver)
         self._links.serve(FOLLOW, self._on_follow)
--- a/packages/daemon/nutmegchute_daemon/deliveries.py
+++ b/packages/daemon/nutmegchute_daemon/deliveries.py
@@ -18,23 +18,33 @@
 
 FindMember = Callable[[str], Member | None]
 Receive = Callable[[list[Message]], None]
+Meet = Callable[[str], None]
 
 
 class Deliveries:
-    """Send batches and hand the replies back; note who is unreachable."""
+    """Send batches and hand the replies back; note who is unreachable.
+
+    ``meet`` is told the addresses at which a replica without a group runs.
+    """
 
     __slots__ = (
         "_find_member",
         "_links",
+        "_meet",
         "_receive",
         "_tasks",
         "_unreachable",
     )
 
     def __init__(
-        self, links: Links, find_member: FindMember, receive: Receive
+        self,
+        links: Links,
+        find_member: FindMember,
+        receive: Receive,
+        meet: Meet,
     ) -> None:
         self._links = links
+        self._meet = meet
         self._find_member = find_member
         self._receive = receive
         self._unreachable: set[str] = set()
@@ -65,6 +75,8 @@
         if member.name in self._unreachable:
             self._unreachable.discard(member.name)
             log(Event.PEER_REACHED, replica=member.name)
+        if not reply.group:
+            self._meet(member.grpc_address)
         self._receive(reply.messages)
 
 
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -31,6 +31,7 @@
     __slots__ = (
         "_asking",
         "_formation",
+        "_heard_leader",
         "_identity",
         "_leader",
         "_links",
@@ -50,6 +51,8 @@
     ) -> None:
         self._leader = leader
         self._asking: dict[str, asyncio.Task[None]] = {}
+        # Where a member said last that the leader is.
+        self._heard_leader = ""
         self._settings = settings
         self._links = links
         self._storage = storage
@@ -104,7 +107,7 @@
         ``members`` are those that its own log knows: the listed ones may
         have been replaced since.
         """
-        addresses = list(self._settings.replicas)
+        addresses = [*self._settings.replicas, self._heard_leader]
         for member in members or []:
             addresses.append(member.grpc_address)
         for address in addresses:
@@ -112,8 +115,16 @@
         if self._asking:
             await asyncio.wait(self._asking.values(), timeout=ANSWER_S)
 
+    def meet(self, address: str) -> None:
+        """Introduce this replica to one that has lost its disk.
+
+        All that its settings list may have been replaced since; then it
+        would ask in vain.
+        """
+        self._introduce_to(address, refer=False)
+
     def _introduce_to(self, address: str, refer: bool) -> None:
-        if address in self._asking or address == self._member.grpc_address:
+        if address in ("", self._member.grpc_address, *self._asking):
             return
         task = asyncio.create_task(self._ask(address, refer))
         self._asking[address] = task
@@ -124,7 +135,7 @@
         if reply is None:
             return
         self._formation.hear(reply)
-        if refer and reply.leader:
+        if refer:
             # Once: two that take each other for the leader would refer to
             # one another without end.
             self._introduce_to(reply.leader, refer=False)
@@ -146,6 +157,8 @@
 
     async def _on_introduce(self, introduction: Introduction) -> Introduction:
         self._formation.hear(introduction)
+        if introduction.group is not None:
+            self._heard_leader = introduction.leader
         now = asyncio.get_running_loop().time()
         self._outsiders.hear(introduction, now)
         return self._word()
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -114,6 +114,7 @@
         self._followings = Followings()
         self._ticket = 0
         self._outsiders = Outsiders()
+        self._heard_leader = ""
 
     @property
     def leads(self) -> bool:
@@ -192,6 +193,14 @@
             return False
         return self._followings.in_force(index, self.node, self._world.now)
 
+    def take(self, message: Message, sender: "FakeReplica") -> None:
+        """Take a message and its sender, who learns of an empty disk."""
+        if self._identity.group is None:
+            self._world.send(
+                self.name, sender.name, lambda: sender.meet(self.name)
+            )
+        self.receive(message)
+
     def receive(self, message: Message) -> None:
         """Take a message from another replica."""
         if self.node is None:
@@ -206,6 +215,8 @@
         if not self.up:
             return
         self._formation.hear(word)
+        if word.group is not None:
+            self._heard_leader = word.leader
         self._outsiders.hear(word, self._world.now)
         own = self._introduction()
         self._world.send(
@@ -219,7 +230,7 @@
         if not self.up:
             return
         self._formation.hear(word)
-        if refer and word.leader:
+        if refer:
             self._introduce_to(word.leader, False)
 
     def replace(self, name: str) -> None:
@@ -300,7 +311,7 @@
             return
         if self.node is None:
             self._guard(self._form)
-        names = list(self._seeds)
+        names = [*self._seeds, self._heard_leader]
         if self.node is not None:
             replica = self.node.replica
             if not replica.is_outside(self._world.now):
@@ -309,8 +320,13 @@
         for name in dict.fromkeys(names):
             self._introduce_to(name, True)
 
+    def meet(self, name: str) -> None:
+        """Introduce this replica to one that has lost its disk."""
+        if self.up:
+            self._introduce_to(name, False)
+
     def _introduce_to(self, name: str, refer: bool) -> None:
-        if name == self.name:
+        if name in ("", self.name):
             return
         own = self._introduction()
         other = self._world.replicas[name]
@@ -538,7 +554,8 @@
         name = message.target.split(".")[0]
         replica = self.replicas.get(name)
         if replica is not None:
-            self.send(source, name, lambda: replica.receive(message))
+            sender = self.replicas[source]
+            self.send(source, name, lambda: replica.take(message, sender))
 
     def leader(self) -> FakeReplica | None:
         """Return the leader of the highest term, if any."""
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -1,5 +1,9 @@
 """Replace control replicas by others, then lose a disk and all power."""
 
+import os
+from collections.abc import Callable
+from random import Random
+
 import pytest
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Change
@@ -57,13 +61,14 @@
     return leader.node.replica.ready
 
 
-def lose_disk_and_power(
-    world: World, lost: FakeReplica, gone: list[FakeReplica]
+def lose_disks_and_power(
+    world: World, lost: list[FakeReplica], gone: list[FakeReplica]
 ) -> None:
-    """Lose all power and one disk; all but those that are gone return."""
+    """Lose all power and some disks; all but those gone return."""
     for replica in world.replicas.values():
         replica.kill()
-    lost.disk.lose()
+    for replica in lost:
+        replica.disk.lose()
     world.run(DOWN_S)
     for replica in world.replicas.values():
         if replica not in gone:
@@ -110,7 +115,7 @@
     gone.stop()
     world.run(after_s)
     lost = operator.change()
-    lose_disk_and_power(world, lost, [gone])
+    lose_disks_and_power(world, [lost], [gone])
     check_recovered(world, operator.accepted)
 
 
@@ -140,7 +145,7 @@
     leader.start()
     world.run(9.0)
     lost = operator.change()
-    lose_disk_and_power(world, lost, [gone])
+    lose_disks_and_power(world, [lost], [gone])
     check_recovered(world, operator.accepted)
 
 
@@ -187,3 +192,136 @@
     assert world.run_until(lambda: away.name not in members(world), 20.0)
     away.start()
     assert world.run_until(lambda: away.name in members(world), CATCH_UP_S)
+
+
+class Series:
+    """Take replicas away and bring others, as many at once as are borne."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.world = World(size, entries=0, seed=seed, tended=True)
+        self.operator = Operator(self.world)
+        self.gone: list[FakeReplica] = []
+        self._borne = size // 2
+
+    def run(self, steps: int) -> None:
+        """Do things by chance; whoever returned is given time."""
+        assert self.world.run_until(lambda: ready(self.world), 5.0)
+        actions: list[Callable[[], None]] = [
+            self.replace_planned,
+            self.replace_lost,
+            self.lose_disks,
+            self.restart,
+            self.roll,
+            self.freeze,
+            self.isolate,
+        ]
+        for _ in range(steps):
+            self.random.choice(actions)()
+            self.world.run(CATCH_UP_S)
+            self.operator.change()
+
+    def victims(self) -> list[FakeReplica]:
+        """Choose replicas that may be lost at the same time."""
+        there = [
+            one for one in self.world.replicas.values() if one not in self.gone
+        ]
+        return self.random.sample(there, self.random.randint(1, self._borne))
+
+    def add(self) -> None:
+        """Start a vm with an empty disk that is told some members."""
+        there = [
+            one.name
+            for one in self.world.replicas.values()
+            if one not in self.gone
+        ]
+        count = min(3, len(there))
+        self.world.add(self.random.sample(there, count))
+
+    def replace_planned(self) -> None:
+        """Start other vms first, then stop those that they replace."""
+        victims = self.victims()
+        for _ in victims:
+            self.add()
+        self.world.run(CATCH_UP_S)
+        for replica in victims:
+            replica.stop()
+        self.gone += victims
+
+    def replace_lost(self) -> None:
+        """Lose vms for good; others come later."""
+        victims = self.victims()
+        for replica in victims:
+            replica.kill()
+        self.gone += victims
+        self.world.run(self.random.choice([1.0, 2.0, 8.0]))
+        for _ in victims:
+            self.add()
+
+    def lose_disks(self) -> None:
+        """Lose disks with all that is on them."""
+        victims = self.victims()
+        for replica in victims:
+            replica.kill()
+            replica.disk.lose()
+        self.world.run(self.random.choice([0.5, 3.0, 8.0]))
+        for replica in victims:
+            replica.start()
+
+    def restart(self) -> None:
+        """Stop replicas, or kill them, and start them again."""
+        victims = self.victims()
+        planned = self.random.random() < 0.5
+        for replica in victims:
+            if planned:
+                replica.stop()
+            else:
+                replica.kill()
+        self.world.run(self.random.choice([1.5, 4.0, 9.0]))
+        for replica in victims:
+            if replica.up:
+                replica.kill()
+            replica.start()
+
+    def roll(self) -> None:
+        """Stop and start all in turn, without time between."""
+        for replica in list(self.world.replicas.values()):
+            if replica in self.gone:
+                continue
+            replica.stop()
+            self.world.run(1.5)
+            if replica.up:
+                replica.kill()
+            replica.start()
+
+    def freeze(self) -> None:
+        """Let replicas stand still and wake again."""
+        for replica in self.victims():
+            replica.frozen_until = self.world.now + 6.0
+        self.world.run(6.0)
+
+    def isolate(self) -> None:
+        """Cut replicas off from all others and join them again."""
+        for replica in self.victims():
+            for other in self.world.replicas:
+                self.world.cuts.add((replica.name, other))
+                self.world.cuts.add((other, replica.name))
+        self.world.run(self.random.choice([2.0, 9.0]))
+        self.world.cuts = set()
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("seed", range(int(os.environ.get("SEEDS", "12"))))
+def test_no_series_leaves_a_group_short(seed: int, size: int) -> None:
+    """Replacements, restarts, cuts and lost disks follow one another.
+
+    At no moment more replicas are lost than the group has to bear, and
+    whoever returns has four seconds. Then as many disks as it has to bear
+    and all power are lost: callers must be served again, by a group that
+    knows every accepted change.
+    """
+    series = Series(size, seed)
+    series.run(8)
+    lost = series.victims()
+    lose_disks_and_power(series.world, lost, series.gone)
+    check_recovered(series.world, series.operator.accepted)
