Take the listed replicas of reread settings while a replica waits

A control replica kept the list of its start: one that waited to be taken in while the listed replicas were replaced asked the old ones for ever, whatever its reread settings said, and the group stayed one short.

--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -176,6 +176,11 @@
         self.every(EXPIRE_S, self._expire)
         self.every(KEEP_S, self._recollection.keep)
 
+    def reload(self, settings: Settings) -> None:
+        """Take the listed replicas from settings that have changed."""
+        super().reload(settings)
+        self._group.reload(settings)
+
     def _expire(self) -> None:
         self.registrar.expire()
         self._peers.meet()
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -88,6 +88,10 @@
         founder = genesis.find(self.identity) is not None
         return genesis if founder else Membership()
 
+    def reload(self, settings: Settings) -> None:
+        """Take the listed replicas of settings that have changed."""
+        self._settings = settings
+
     async def form(self) -> None:
         """Wait until a group is formed or joined, and remember it.
 
