Go on with periodic work after an unexpected error

An error in periodic work ended its task for good and without a line until the daemon's end. Control takes in replicas by such work, so one error would leave its group one short for ever. The error is logged (NC1010) and the work done again at its next turn.

--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -11,6 +11,8 @@
 from .exchanges import StrictRequest
 from .links import Links
 from .metrics import Metrics
+from .periods import repeat
+from .periods import Work
 from .reports import REPORT_S
 from .reports import Reporter
 from .servers import HttpServer
@@ -122,9 +124,9 @@
         self._listeners[place] = server
         return server
 
-    def every(self, period_s: float, function: object) -> None:
-        """Run a function or coroutine function again and again."""
-        task = self._loop.create_task(self._repeat(period_s, function))
+    def every(self, period_s: float, work: Work) -> None:
+        """Do some work again and again, by a function or a coroutine."""
+        task = self._loop.create_task(repeat(period_s, work))
         self._tasks.append(task)
 
     def _on_signal(self) -> None:
@@ -163,14 +165,6 @@
         # Time for the last answers to be written.
         await asyncio.sleep(CUT_S)
 
-    async def _repeat(self, period_s: float, function: object) -> None:
-        assert callable(function)
-        while True:
-            pending = function()
-            if asyncio.iscoroutine(pending):
-                await pending
-            await asyncio.sleep(period_s)
-
     def _serve_metrics(self) -> None:
         server = self.add_listener(
             "metrics_address", self._settings.metrics_address, METRICS_THREADS
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -23,6 +23,7 @@
     SETTING_DOUBTFUL = ("NC1005", "setting is likely a mistake")
     LINES_LOST = ("NC1009", "log lines lost")
     WORK_CUT = ("NC1007", "daemon stops with work in flight")
+    WORK_FAILED = ("NC1010", "periodic work failed")
     DRAIN_ASKED = ("NC1006", "operator asked the entry to drain")
     LED = ("NC2001", "replica leads")
     FOLLOWED = ("NC2002", "replica follows")
