Send endpoints to no replica of their zone that is silent

While a replaced control replica is still listed, each heartbeat's answer named its address, and an endpoint that leaves lost a second there before it told another replica. The answer names a replica only while it is heard. The test names the silent one before and none after.

--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -226,7 +226,7 @@
         await self._confirm(process)
 
     def nearest(self, zone: str) -> str | None:
-        """Return the address of a replica in a zone, if there is one.
+        """Return the address of a replica in a zone, if one is heard.
 
         Endpoints that announce themselves within their availability zone
         send no bytes between zones.
@@ -234,8 +234,14 @@
         node = self._node()
         if node is None:
             return None
+        discovery = self._discovery
+        # A replica that was replaced stays listed for a while. Endpoints
+        # sent there would wait a second before each announcement arrives.
+        heard = {discovery.own, *discovery.peers.heard(boot_time())}
         for member in node.replica.membership.members:
-            if member.availability_zone == zone:
+            if member.availability_zone != zone:
+                continue
+            if member.grpc_address in heard:
                 return member.http_address
         return None
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -18,6 +18,7 @@
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
 from nutmegchute_core.memberships import Member
+from nutmegchute_core.peers import SILENT_S
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
@@ -234,6 +235,7 @@
                     identity=address,
                     name=address,
                     grpc_address=address,
+                    http_address=f"http-{address}",
                     availability_zone=homes[address],
                 )
             )
@@ -607,6 +609,29 @@
     play(small, story)
 
 
+def test_endpoints_are_sent_to_no_replica_that_is_silent() -> None:
+    """Name a replica of the endpoint's zone only while it is heard.
+
+    A replaced replica is listed for some seconds more. Sent there with
+    each heartbeat, an endpoint that leaves loses a second every time
+    before it tells another replica.
+    """
+
+    async def story(world: World) -> None:
+        await world.start(6.0)
+        asked, other = world.replicas[:2]
+        zone = world.members[1].availability_zone
+        nearest = asked.registrar.nearest
+        assert nearest(zone) == world.members[1].http_address
+        world.freeze(other.address)
+        await asyncio.sleep(SILENT_S)
+        assert nearest(zone) is None
+        own = world.members[0]
+        assert nearest(own.availability_zone) == own.http_address
+
+    play(small, story)
+
+
 def test_hundreds_of_entries_are_told_little() -> None:
     """Tell 312 entries of 270 endpoints with few messages and bytes.
 
