Leave listed replicas out by an operator only

Where an operator lists the replicas, a learner that was silent for five seconds would have been left out and, since only listed names come in, not come back. The rule for listed groups now stands in one place and is tested.

--- a/packages/core/nutmegchute_core/admissions.py
+++ b/packages/core/nutmegchute_core/admissions.py
@@ -19,7 +19,7 @@
 
 
 def due_change(
-    replica: Replica, waiting: dict[str, Member], now: float
+    replica: Replica, waiting: dict[str, Member], now: float, listed: bool
 ) -> ReplicaWish | None:
     """Return the next change that a leader should make, if one is due."""
     silent_s = {}
@@ -27,26 +27,33 @@
         heard_at = replica.heard_at(member.identity)
         if heard_at is not None:
             silent_s[member.identity] = now - heard_at
-    return next_change(replica.membership, waiting, silent_s)
+    return next_change(replica.membership, waiting, silent_s, listed)
 
 
 def next_change(
     membership: Membership,
     waiting: dict[str, Member],
     silent_s: dict[str, float],
+    listed: bool = False,
 ) -> ReplicaWish | None:
     """Return the next change of the membership, if one is due.
 
     ``waiting`` maps names to those that ask to be taken in, ``silent_s``
     the identities of the others to how long they have been silent. One
-    change at a time, so that any two majorities share a replica.
+    change at a time, so that any two majorities share a replica. Where an
+    operator lists the replicas, ``listed``, only an operator brings names
+    in or leaves them out.
     """
     for name in sorted(waiting):
         old = membership.named(name)
         if old is None:
+            if listed:
+                continue
             return ReplicaWish("add", name)
         if silent_s.get(old.identity, 0.0) >= NAMESAKE_SILENT_S:
             return ReplicaWish("replace", name)
+    if listed:
+        return None
     for member in membership.members:
         if member.voter:
             continue
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -564,13 +564,9 @@
             return
 
     async def _change_group(self, node: Node) -> None:
-        membership = node.replica.membership
-        waiting = self._group.waiting(membership)
-        if not self._settings.seeds:
-            # Where an operator lists the replicas, only those come in.
-            names = {member.name for member in membership.members}
-            waiting = {one: waiting[one] for one in waiting if one in names}
-        wish = due_change(node.replica, waiting, self._loop.time())
+        waiting = self._group.waiting(node.replica.membership)
+        listed = not self._settings.seeds
+        wish = due_change(node.replica, waiting, self._loop.time(), listed)
         if wish is not None:
             await self.reconfigure(wish, "control")
 
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -246,7 +246,9 @@
         replica = self.node.replica
         if not replica.ready:
             return
-        wish = due_change(replica, self._asking(replica), self._world.now)
+        wish = due_change(
+            replica, self._asking(replica), self._world.now, False
+        )
         if wish is not None:
             self._change_group(wish)
 
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -50,3 +50,18 @@
     wish = next_change(group, {}, {"d.1": REMOVED_SILENT_S})
     assert wish is not None
     assert wish.apply(group, {}) == THREE
+
+
+def test_listed_replicas_come_and_go_by_an_operator() -> None:
+    """Take in no new name and leave none out where an operator lists them.
+
+    One that was off for long returns under its name, and would find
+    itself a stranger. A lost disk is no such case: it returns by itself.
+    """
+    group = Membership([*THREE.members, member("d", voter=False)])
+    silent_s = {"d.1": 900.0, "c.1": 1.5}
+    waiting = {"e": member("e")}
+    assert next_change(group, waiting, silent_s, listed=True) is None
+    waiting["c"] = member("c", 2)
+    wish = next_change(group, waiting, silent_s, listed=True)
+    assert wish is not None and wish.name == "c"
