--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -13,9 +13,6 @@
 from nutmegchute_core.commands import Command
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.errors import ReconfigurationError
-from nutmegchute_core.fleets import FollowReply
-from nutmegchute_core.fleets import FollowRequest
-from nutmegchute_core.followings import Followings
 from nutmegchute_core.machines import Machine
 from nutmegchute_core.machines import Outcome
 from nutmegchute_core.memberships import Member
@@ -45,6 +42,7 @@
 from .errors import StorageError
 from .events import Event
 from .events import log
+from .follow_servers import FollowServer
 from .groups import Group
 from .methods import FOLLOW
 from .operators import ControlPages
@@ -112,9 +110,9 @@
         except StorageError as error:
             raise StartError(f"data_folder: {error}") from error
         self._problem: str | None = None
-        self._followings = Followings()
-        self._questions: dict[int, asyncio.Future[FollowReply]] = {}
-        self._ticket = 0
+        self._follows = FollowServer(
+            self._loop, lambda: self._node, self._flush_soon
+        )
         self._waits = Waits(self._loop)
         self._led_term: int | None = None
         self._quorum_report = QuorumReport(self._loop.time())
@@ -127,7 +125,7 @@
             self._group.meet,
         )
         self._links.serve(DELIVER, self._on_deliver)
-        self._links.serve(FOLLOW, self._on_follow)
+        self._links.serve(FOLLOW, self._follows.ask)
         self._ledger_clock = LedgerClock()
         self._links.serve(CLAIM, self._on_claim)
         self.registrar = Registrar(
@@ -197,7 +195,7 @@
             await self._retire(node)
         if self._timer is not None:
             self._timer.cancel()
-        self._turn_away_all()
+        self._follows.turn_away_all()
 
     async def _retire(self, node: Node) -> None:
         end = self._loop.time() + RETIRE_S
@@ -219,7 +217,7 @@
         }
         if leads:
             index = node.machine.tree.index
-            applied = self._followings.fleet.applied().values()
+            applied = self._follows.applied.values()
             found["entries_behind"] = sum(one < index for one in applied)
         return found
 
@@ -339,7 +337,7 @@
             "snapshot": node.replica.log.snapshot.index,
             "index": index,
             "entries": {
-                **self._followings.fleet.applied(),
+                **self._follows.applied,
                 **self.registrar.applied(),
             },
             "enrolled": sorted(self.machine.entries),
@@ -408,7 +406,7 @@
             return False
         if self.registrar.lagging(index):
             return False
-        return self._followings.in_force(index, self._node, self._loop.time())
+        return self._follows.in_force(index, self._node)
 
     async def _decision(self, index: int, term: int) -> Outcome:
         self._flush_soon()
@@ -463,7 +461,7 @@
             self._waits.decide(decided)
         if flushed.restored:
             self._waits.lose()
-        self._answer(self._followings.advance(node, self._loop.time()))
+        self._follows.advance(node)
         if flushed.decided or flushed.restored:
             self.registrar.tell()
             self._peers.meet()
@@ -542,8 +540,7 @@
         self._problem = str(error)
         log(Event.STORAGE_FAILED, "error", problem=str(error))
         self._waits.lose()
-        self._turn_away_all()
-        self._followings = Followings()
+        self._follows.reset()
         self._report_lead(None)
         await asyncio.sleep(RECOVER_S)
 
@@ -556,7 +553,7 @@
             await self._group.introduce(node.replica.membership.members)
         if not node.replica.ready:
             return
-        self._followings.forget_silent(node, self._loop.time())
+        self._follows.forget_silent(node)
         try:
             await self._change_group(node)
         except (NotLeaderError, ReconfigurationError, TimeoutError):
@@ -574,30 +571,3 @@
         if self._node is None:
             return False
         return self._node.replica.in_contact(self._loop.time())
-
-    async def _on_follow(self, request: FollowRequest) -> FollowReply:
-        if self._node is None:
-            return FollowReply(None, None, False)
-        self._ticket += 1
-        ticket = self._ticket
-        now = self._loop.time()
-        reply = self._followings.ask(ticket, request, self._node, now)
-        self._flush_soon()
-        if reply is not None:
-            return reply
-        future: asyncio.Future[FollowReply] = self._loop.create_future()
-        self._questions[ticket] = future
-        try:
-            return await future
-        finally:
-            self._questions.pop(ticket, None)
-
-    def _answer(self, answers: dict[int, FollowReply]) -> None:
-        for ticket, reply in answers.items():
-            future = self._questions.get(ticket)
-            if future is not None and not future.done():
-                future.set_result(reply)
-
-    def _turn_away_all(self) -> None:
-        away = FollowReply(None, None, False)
-        self._answer(dict.fromkeys(self._questions, away))
