--- a/packages/core/nutmegchute_core/memberships.py
+++ b/packages/core/nutmegchute_core/memberships.py
@@ -76,6 +76,17 @@
         """Let a voter only learn."""
         return self._with_vote(identity, False)
 
+    def describe_votes(self, before: "Membership") -> str:
+        """Say who votes that did not before, and who no more."""
+        changed = set(before.voters) ^ set(self.voters)
+        words = []
+        for member in self.members:
+            if member.identity not in changed:
+                continue
+            verb = "votes" if member.voter else "votes no more"
+            words.append(f"{member.name} {verb}")
+        return ", ".join(words)
+
     def _with_vote(self, identity: str, voter: bool) -> "Membership":
         members = []
         for member in self.members:
--- a/packages/core/nutmegchute_core/messages.py
+++ b/packages/core/nutmegchute_core/messages.py
@@ -136,3 +136,43 @@
 
     group: str
     messages: list[Message]
+
+
+def vote_reply(request: VoteRequest, term: int, granted: bool) -> VoteReply:
+    """Answer a question for a vote."""
+    return VoteReply(
+        source=request.target,
+        target=request.source,
+        term=term,
+        granted=granted,
+        pre=request.pre,
+    )
+
+
+def append_reply(
+    request: AppendRequest, term: int, agreed: bool, match_index: int
+) -> AppendReply:
+    """Answer what log entries were sent."""
+    return AppendReply(
+        source=request.target,
+        target=request.source,
+        term=term,
+        round=request.round,
+        agreed=agreed,
+        match_index=match_index,
+    )
+
+
+def install_reply(
+    request: InstallRequest, term: int, received: int, done: bool
+) -> InstallReply:
+    """Answer a piece of a snapshot."""
+    return InstallReply(
+        source=request.target,
+        target=request.source,
+        term=term,
+        round=request.round,
+        index=request.index,
+        received=received,
+        done=done,
+    )
--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -14,16 +14,19 @@
 from .logs import Log
 from .memberships import Membership
 from .memberships import Reconfigure
+from .messages import append_reply
 from .messages import AppendReply
 from .messages import AppendRequest
 from .messages import HandOver
 from .messages import HardState
+from .messages import install_reply
 from .messages import InstallReply
 from .messages import InstallRequest
 from .messages import LogEntry
 from .messages import Message
 from .messages import Retire
 from .messages import Snapshot
+from .messages import vote_reply
 from .messages import VoteReply
 from .messages import VoteRequest
 from .voters import LEAST_VOTERS
@@ -377,7 +380,7 @@
         change = Reconfigure(
             membership=membership,
             operator="control",
-            detail=_describe(self.membership, membership),
+            detail=membership.describe_votes(self.membership),
         )
         self.reconfigure(change, now)
 
@@ -454,7 +457,7 @@
         if not request.handed_over and (self._state == LEADER or alive):
             # A leader that a quorum hears must not lose its term to a
             # replica that does not hear it.
-            self._reply_vote(request, self.term, False)
+            self._messages.append(vote_reply(request, self.term, False))
             return
         if not request.pre and request.term > self.term:
             self._follow(request.term, now)
@@ -463,27 +466,14 @@
         if request.pre:
             granted = fresh and request.term > self.term
             term = request.term if granted else self.term
-            self._reply_vote(request, term, granted)
+            self._messages.append(vote_reply(request, term, granted))
             return
         free = self._hard_state.voted_for in (None, request.source)
         granted = request.term == self.term and fresh and free
         if granted:
             self._save(HardState(self.term, request.source))
             self._reset_election(now)
-        self._reply_vote(request, self.term, granted)
-
-    def _reply_vote(
-        self, request: VoteRequest, term: int, granted: bool
-    ) -> None:
-        self._messages.append(
-            VoteReply(
-                source=self._identity,
-                target=request.source,
-                term=term,
-                granted=granted,
-                pre=request.pre,
-            )
-        )
+        self._messages.append(vote_reply(request, self.term, granted))
 
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         if not reply.granted:
@@ -498,23 +488,25 @@
         self._count_votes(now)
 
     def _on_append_request(self, request: AppendRequest, now: float) -> None:
-        if request.term < self.term:
-            self._reply_append(request, False, 0)
-            return
-        self._hear_leader(request.source, now)
+        agreed, match = False, 0
+        if request.term >= self.term:
+            self._hear_leader(request.source, now)
+            agreed, match = self._take_entries(request)
+        self._messages.append(append_reply(request, self.term, agreed, match))
+
+    def _take_entries(self, request: AppendRequest) -> tuple[bool, int]:
+        """Return whether the logs agree, and up to where they do or may."""
         previous = request.previous_index
         if previous < self._log.snapshot.index:
             # All up to the snapshot is committed, so the leader has it.
-            self._reply_append(request, False, self._log.snapshot.index)
-            return
+            return False, self._log.snapshot.index
         if self._log.term_at(previous) != request.previous_term:
             hint = min(self.last_index, previous - 1)
-            self._reply_append(request, False, max(hint, self._commit))
-            return
+            return False, max(hint, self._commit)
         self._merge(request.entries)
         match = previous + len(request.entries)
         self._commit = max(self._commit, min(request.commit, match))
-        self._reply_append(request, True, match)
+        return True, match
 
     def _on_append_reply(self, reply: AppendReply, now: float) -> None:
         leadership = self._leadership
@@ -529,28 +521,32 @@
             self._change_voters(leadership, now)
 
     def _on_install_request(self, request: InstallRequest, now: float) -> None:
-        if request.term < self.term:
-            self._reply_install(request, 0, False)
-            return
-        self._hear_leader(request.source, now)
+        received, done = 0, False
+        if request.term >= self.term:
+            self._hear_leader(request.source, now)
+            received, done = self._take_piece(request)
+        self._messages.append(
+            install_reply(request, self.term, received, done)
+        )
+
+    def _take_piece(self, request: InstallRequest) -> tuple[int, bool]:
+        """Return how many bytes are there, and whether these are all."""
         if request.index <= self._commit:
             self._install = None
-            self._reply_install(request, request.total, True)
-            return
+            return request.total, True
         if self._install is None or not self._install.matches(request):
             self._install = Install(request)
         self._install.take(request)
         snapshot = self._install.finished()
         if snapshot is None:
-            self._reply_install(request, self._install.received, False)
-            return
+            return self._install.received, False
         self._log = Log(snapshot, [])
         self._unsaved_from = None
         self._commit = snapshot.index
         self._applied = snapshot.index
         self._installed = snapshot
         self._install = None
-        self._reply_install(request, request.total, True)
+        return request.total, True
 
     def _on_install_reply(self, reply: InstallReply, now: float) -> None:
         leadership = self._leadership
@@ -608,35 +604,6 @@
                 self._leadership.message_for(peer, self._commit)
             )
 
-    def _reply_append(
-        self, request: AppendRequest, agreed: bool, match: int
-    ) -> None:
-        self._messages.append(
-            AppendReply(
-                source=self._identity,
-                target=request.source,
-                term=self.term,
-                round=request.round,
-                agreed=agreed,
-                match_index=match,
-            )
-        )
-
-    def _reply_install(
-        self, request: InstallRequest, received: int, done: bool
-    ) -> None:
-        self._messages.append(
-            InstallReply(
-                source=self._identity,
-                target=request.source,
-                term=self.term,
-                round=request.round,
-                index=request.index,
-                received=received,
-                done=done,
-            )
-        )
-
     def _follow(self, term: int, now: float) -> None:
         if self._state == LEADER:
             self._reset_election(now)
@@ -667,13 +634,3 @@
         self._state = REPLICA_CHART.step(self._state, event)
         if self._state != LEADER:
             self._leadership = None
-
-
-def _describe(before: Membership, after: Membership) -> str:
-    changed = set(before.voters) ^ set(after.voters)
-    words = []
-    for member in after.members:
-        if member.identity in changed:
-            verb = "votes" if member.voter else "votes no more"
-            words.append(f"{member.name} {verb}")
-    return ", ".join(words)
