--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/agreements.py
@@ -0,0 +1,465 @@
+"""Run this vm's replica: its disk, its messages and its clock."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from collections.abc import Coroutine
+
+from nutmegchute_core.admissions import due_change
+from nutmegchute_core.claims import ClaimAnswers
+from nutmegchute_core.claims import ClaimBatch
+from nutmegchute_core.claims import ClaimReply
+from nutmegchute_core.claims import ClaimRequest
+from nutmegchute_core.commands import Command
+from nutmegchute_core.errors import NotLeaderError
+from nutmegchute_core.errors import ReconfigurationError
+from nutmegchute_core.machines import Outcome
+from nutmegchute_core.memberships import Member
+from nutmegchute_core.memberships import Membership
+from nutmegchute_core.memberships import Reconfigure
+from nutmegchute_core.memberships import ReplicaWish
+from nutmegchute_core.messages import Delivery
+from nutmegchute_core.messages import Message
+from nutmegchute_core.nodes import Flushed
+from nutmegchute_core.nodes import Node
+from nutmegchute_core.replicas import LEADER
+from nutmegchute_core.trees import Answer
+from nutmegchute_core.trees import Change
+from nutmegchute_core.trees import Tree
+
+from .claims import CLAIM
+from .claims import LedgerClock
+from .deliveries import DELIVER
+from .deliveries import Deliveries
+from .errors import StorageError
+from .events import Event
+from .events import log
+from .follow_servers import FollowServer
+from .groups import Group
+from .links import Links
+from .methods import FOLLOW
+from .quorums import QuorumReport
+from .settings import Settings
+from .storages import Identity
+from .storages import open_storage
+from .storages import Storage
+from .waits import Waits
+
+PROPOSE_TIMEOUT_S = 3.0
+HAND_OVER_S = 0.3
+HAND_OVER_TICK_S = 0.01
+RETIRE_S = 1.0
+RETIRE_TICK_S = 0.05
+RECOVER_S = 1.0
+READ_S = 0.9
+READ_TICK_S = 0.01
+IDENTITY_BYTES = 6
+
+Spawn = Callable[[Coroutine[None, None, None]], None]
+
+
+class Agreement:
+    """Agree with the other replicas on one log, and read it.
+
+    ``spawn`` runs a coroutine until the daemon stops; ``changed`` is called
+    when something was decided here.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        links: Links,
+        spawn: Spawn,
+        changed: Callable[[], None],
+    ) -> None:
+        """Open the disk.
+
+        :raises StorageError: it cannot be read
+        """
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._spawn = spawn
+        self._changed = changed
+        self._node: Node | None = None
+        assert settings.data_folder is not None
+        self._storage = open_storage(settings.data_folder)
+        identity = _open_identity(self._storage, settings)
+        self._group = Group(
+            settings, links, self._storage, identity, lambda: self.leader
+        )
+        if identity.group is not None:
+            self._node = self._load()
+        self._problem: str | None = None
+        self._follows = FollowServer(
+            self._loop, lambda: self._node, self._flush_soon
+        )
+        self._waits = Waits(self._loop)
+        self._led_term: int | None = None
+        self._quorum_report = QuorumReport(self._loop.time())
+        self._stopping = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._flush_due = False
+        self._ledger_clock = LedgerClock()
+        self._deliveries = Deliveries(
+            links, self._find_member, self._take_replies, self._group.meet
+        )
+        links.serve(DELIVER, self._on_deliver)
+        links.serve(FOLLOW, self._follows.ask)
+        links.serve(CLAIM, self._on_claim)
+
+    @property
+    def node(self) -> Node | None:
+        """Give the replica, once it is loaded."""
+        return self._node
+
+    @property
+    def storage(self) -> Storage:
+        """Give what the disk holds."""
+        return self._storage
+
+    @property
+    def follows(self) -> FollowServer:
+        """Give what holds the questions of entries that follow."""
+        return self._follows
+
+    @property
+    def problem(self) -> str | None:
+        """Say why the disk refuses, if it does."""
+        return self._problem
+
+    @property
+    def leader(self) -> Member | None:
+        """Give the leader, as far as this replica knows it."""
+        if self._node is None:
+            return None
+        replica = self._node.replica
+        return replica.membership.find(replica.leader)
+
+    @property
+    def leader_name(self) -> str | None:
+        """Name the leader, as far as this replica knows it."""
+        leader = self.leader
+        return leader.name if leader is not None else None
+
+    def in_contact(self) -> bool:
+        """Tell whether a majority was in reach lately."""
+        if self._node is None:
+            return False
+        return self._node.replica.in_contact(self._loop.time())
+
+    def reload(self, settings: Settings) -> None:
+        """Take the listed replicas from settings that have changed."""
+        self._settings = settings
+        self._group.reload(settings)
+
+    def waiting(self) -> dict[str, Member]:
+        """Map names to the replicas that ask to be taken in."""
+        if self._node is None:
+            return {}
+        return self._group.waiting(self._node.replica.membership)
+
+    async def stop(self) -> None:
+        """Hand over the lead and the vote, and turn the entries away."""
+        node = self._node
+        if node is not None:
+            node.replica.hand_over(self._loop.time())
+            self._flush()
+            end = self._loop.time() + HAND_OVER_S
+            while node.replica.state == LEADER and self._loop.time() < end:
+                await asyncio.sleep(HAND_OVER_TICK_S)
+            await self._retire(node)
+        self._stopping = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._follows.turn_away_all()
+
+    def close(self) -> None:
+        """Close the disk."""
+        self._storage.close()
+
+    async def propose(self, command: Command) -> Outcome:
+        """Put a command into the log and wait for what became of it.
+
+        The wait is for the log's place, so it works for every command.
+
+        :raises NotLeaderError: ask the leader instead; nothing was done
+        :raises TimeoutError: the outcome is not known
+        """
+        index, term = self._lead().propose(command)
+        return await self._decision(index, term)
+
+    async def change(self, change: Change) -> Answer:
+        """Propose a change and wait for what became of it.
+
+        :raises NotLeaderError: ask the leader instead
+        :raises TimeoutError: the outcome is not known; resend the change
+        """
+        answer = await self.propose(change)
+        assert isinstance(answer, Answer)
+        log(
+            Event.CHANGE_DECIDED,
+            change_id=answer.change_id,
+            outcome=answer.outcome,
+            index=answer.index,
+        )
+        return answer
+
+    async def reconfigure(
+        self, wish: ReplicaWish, operator: str
+    ) -> Membership:
+        """Add, replace or remove a replica by name.
+
+        :raises NotLeaderError: ask the leader instead
+        :raises ReconfigurationError: it cannot be done now
+        :raises TimeoutError: the outcome is not known
+        """
+        node = self._lead()
+        replica = node.replica
+        membership = wish.apply(replica.membership, self.waiting())
+        change = Reconfigure(
+            membership, operator, wish.describe(), time.time()
+        )
+        index = replica.reconfigure(change, self._loop.time())
+        await self._decision(index, replica.term)
+        log(
+            Event.REPLICAS_CHANGED,
+            detail=wish.describe(),
+            operator=operator,
+        )
+        return membership
+
+    async def read(self) -> Tree:
+        """Return the tree, confirmed as the newest by a majority.
+
+        :raises NotLeaderError: ask the leader instead
+        :raises TimeoutError: nobody can be sure now
+        """
+        node = self._lead()
+        term = node.replica.term
+        wanted = node.replica.begin_read()
+        give_up_at = self._loop.time() + READ_S
+        while not (node.replica.ready and node.replica.confirmed >= wanted):
+            if self._loop.time() >= give_up_at:
+                raise TimeoutError
+            await asyncio.sleep(READ_TICK_S)
+            if self._node is not node or node.replica.term != term:
+                raise NotLeaderError(None)
+        if node.replica.state != LEADER:
+            raise NotLeaderError(self.leader_name)
+        return node.machine.tree
+
+    async def _on_claim(self, request: ClaimRequest) -> ClaimReply:
+        try:
+            term = self._lead().replica.term
+            now = self._loop.time()
+            elapsed_s = self._ledger_clock.elapsed_s(term, now)
+            outcome = await self.propose(ClaimBatch(elapsed_s, request))
+        except (NotLeaderError, TimeoutError):
+            return ClaimReply(self.leader_name, None)
+        assert isinstance(outcome, ClaimAnswers)
+        return ClaimReply(None, outcome.answers)
+
+    async def start(self) -> None:
+        """Meet the other replicas, then start the replica's clock."""
+        while self._node is None:
+            try:
+                await self._group.form()
+                self._node = self._load()
+            except StorageError as error:
+                await self._fall_ill(error)
+        self._arm()
+
+    def _load(self) -> Node:
+        return Node(
+            identity=self._group.identity,
+            stored=self._storage.load(self._group.genesis),
+            store=self._storage,
+            now=self._loop.time(),
+            seed=secrets.randbits(32),
+        )
+
+    def _lead(self) -> Node:
+        if self._node is None:
+            raise NotLeaderError(None)
+        if self._node.replica.state != LEADER:
+            raise NotLeaderError(self.leader_name)
+        return self._node
+
+    async def _retire(self, node: Node) -> None:
+        end = self._loop.time() + RETIRE_S
+        while node.replica.is_dispensable and self._loop.time() < end:
+            node.replica.retire()
+            self._flush()
+            await asyncio.sleep(RETIRE_TICK_S)
+
+    async def _decision(self, index: int, term: int) -> Outcome:
+        self._flush_soon()
+        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            return await self._waits.decision(index, term)
+
+    def _tick(self) -> None:
+        self._timer = None
+        if self._node is None:
+            return
+        self._node.replica.tick(self._loop.time())
+        self._flush()
+
+    def _arm(self) -> None:
+        if self._node is None or self._stopping:
+            return
+        wake_at = self._node.replica.wake_at
+        if self._timer is not None:
+            if self._timer.when() <= wake_at:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(wake_at, self._tick)
+
+    def _flush_soon(self) -> None:
+        # All proposals that arrive while a sync runs are flushed together
+        # by the next one: group commit.
+        if self._flush_due:
+            return
+        self._flush_due = True
+        self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._send(self._flush_node())
+
+    def _flush_node(self) -> list[Message]:
+        self._flush_due = False
+        node = self._node
+        if node is None:
+            return []
+        try:
+            flushed = node.flush()
+        except StorageError as error:
+            self._node = None
+            self._spawn(self._recover(error))
+            return []
+        self._settle(node, flushed)
+        self._arm()
+        return flushed.messages
+
+    def _settle(self, node: Node, flushed: Flushed) -> None:
+        for decided in flushed.decided:
+            self._waits.decide(decided)
+        if flushed.restored:
+            self._waits.lose()
+        self._follows.advance(node)
+        if flushed.decided or flushed.restored:
+            self._changed()
+        leads = node.replica.state == LEADER
+        self._report_lead(node.replica.term if leads else None)
+        self._quorum_report.note(node.replica, self._loop.time())
+
+    def _report_lead(self, term: int | None) -> None:
+        if term == self._led_term:
+            return
+        self._led_term = term
+        if term is None:
+            log(Event.FOLLOWED)
+        else:
+            log(Event.LED, term=term)
+
+    def _send(self, messages: list[Message]) -> None:
+        if not messages:
+            return
+        group = self._group.group
+        assert group is not None
+        self._deliveries.send(group, messages)
+
+    def _find_member(self, identity: str) -> Member | None:
+        if self._node is None:
+            return None
+        return self._node.replica.membership.find(identity)
+
+    def _take_replies(self, messages: list[Message]) -> None:
+        self._receive(messages)
+        if messages:
+            self._flush()
+
+    async def _on_deliver(self, delivery: Delivery) -> Delivery:
+        group = self._group.group or ""
+        if delivery.group != group or self._node is None:
+            if group and delivery.group != group:
+                log(Event.GROUP_DIFFERS, "error", group=delivery.group)
+            return Delivery(group, [])
+        self._receive(delivery.messages)
+        source = delivery.messages[0].source
+        back = []
+        others = []
+        for message in self._flush_node():
+            if message.target == source:
+                back.append(message)
+            else:
+                others.append(message)
+        self._send(others)
+        return Delivery(group, back)
+
+    def _receive(self, messages: list[Message]) -> None:
+        if self._node is None:
+            return
+        now = self._loop.time()
+        for message in messages:
+            self._node.replica.receive(message, now)
+
+    async def _recover(self, error: StorageError) -> None:
+        await self._fall_ill(error)
+        while self._node is None:
+            try:
+                self._storage.recover()
+                self._node = self._load()
+            except StorageError as again:
+                self._problem = str(again)
+                await asyncio.sleep(RECOVER_S)
+        self._problem = None
+        log(Event.STORAGE_RECOVERED)
+        self._arm()
+
+    async def _fall_ill(self, error: StorageError) -> None:
+        # What was promised in memory may not be on the disk. Standing
+        # still until all is loaded from it again equals a crash, which
+        # agreement survives; going on would not.
+        self._problem = str(error)
+        log(Event.STORAGE_FAILED, "error", problem=str(error))
+        self._waits.lose()
+        self._follows.reset()
+        self._report_lead(None)
+        await asyncio.sleep(RECOVER_S)
+
+    async def tend(self) -> None:
+        """Look whether the group has to change, and who has to ask."""
+        node = self._node
+        if node is None:
+            return
+        self._quorum_report.note(node.replica, self._loop.time())
+        if node.replica.is_outside(self._loop.time()):
+            await self._group.introduce(node.replica.membership.members)
+        if not node.replica.ready:
+            return
+        self._follows.forget_silent(node)
+        try:
+            await self._change_group(node)
+        except (NotLeaderError, ReconfigurationError, TimeoutError):
+            # The next leader, or the next turn, does it.
+            return
+
+    async def _change_group(self, node: Node) -> None:
+        listed = not self._settings.seeds
+        now = self._loop.time()
+        wish = due_change(node.replica, self.waiting(), now, listed)
+        if wish is not None:
+            await self.reconfigure(wish, "control")
+
+
+def _open_identity(storage: Storage, settings: Settings) -> Identity:
+    """Read this replica's identity, or make one on an empty disk."""
+    identity = storage.identity()
+    if identity is None:
+        identity = Identity(
+            f"{settings.name}.{secrets.token_hex(IDENTITY_BYTES)}",
+            founding=settings.founding,
+        )
+        storage.keep_identity(identity)
+    return identity
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections.abc import Coroutine
 
 from returns.result import Failure
 
@@ -126,8 +127,11 @@
 
     def every(self, period_s: float, work: Work) -> None:
         """Do some work again and again, by a function or a coroutine."""
-        task = self._loop.create_task(repeat(period_s, work))
-        self._tasks.append(task)
+        self.spawn(repeat(period_s, work))
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run a coroutine until the daemon stops."""
+        self._tasks.append(self._loop.create_task(work))
 
     def _on_signal(self) -> None:
         # An operator's drain followed by the service manager's signal is
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -9,21 +9,18 @@
 
 import cherrypy
 import msgspec
-from nutmegchute_core.commands import Command
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.errors import ReconfigurationError
 from nutmegchute_core.machines import Machine
-from nutmegchute_core.machines import Outcome
 from nutmegchute_core.memberships import Member
-from nutmegchute_core.memberships import Membership
 from nutmegchute_core.memberships import ReplicaWish
 from nutmegchute_core.trees import ACCEPTED
-from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import AuditRecord
 from nutmegchute_core.trees import Change
 from nutmegchute_core.trees import passes_schema
 from nutmegchute_core.trees import Refusal
 
+from .agreements import Agreement
 from .handlers import as_json
 from .handlers import require_operator
 from .servers import LoopAsker
@@ -69,12 +66,17 @@
 class Control(Protocol):
     """Name what the pages ask of the control role."""
 
-    _settings: Settings
-    _loop: asyncio.AbstractEventLoop
+    @property
+    def settings(self) -> Settings:
+        """Give the settings in force."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """Give the loop that all state belongs to."""
 
     @property
-    def problem(self) -> str | None:
-        """Say why the disk refuses, if it does."""
+    def agreement(self) -> Agreement:
+        """Give what this replica agrees on with the others."""
 
     @property
     def machine(self) -> Machine:
@@ -89,17 +91,6 @@
     def leader_address(self) -> str | None:
         """Give the address where operators reach the leader."""
 
-    async def propose(self, command: Command) -> Outcome:
-        """Put a command into the log."""
-
-    async def change(self, change: Change) -> Answer:
-        """Propose a change."""
-
-    async def reconfigure(
-        self, wish: ReplicaWish, operator: str
-    ) -> Membership:
-        """Add, replace or remove a replica."""
-
 
 class ControlPages:
     """Answer operators; docs/control.rst gives the forms."""
@@ -125,7 +116,7 @@
             # for its answer and the audit trail.
             checked=passes_schema(request.documents),
         )
-        answer = self._run(self._daemon.change(change), "/changes")
+        answer = self._run(self._daemon.agreement.change(change), "/changes")
         return as_json(answer)
 
     @cherrypy.expose
@@ -144,7 +135,8 @@
             )
         wish = ReplicaWish(**msgspec.structs.asdict(request))
         membership = self._run(
-            self._daemon.reconfigure(wish, operator.name), "/replicas"
+            self._daemon.agreement.reconfigure(wish, operator.name),
+            "/replicas",
         )
         detail = f"{wish.describe()}: done"
         if request.action != "remove":
@@ -190,7 +182,7 @@
         return [one for one in records if one.index > after][:most]
 
     def _operator(self) -> Operator:
-        return require_operator(self._daemon._settings, self._asker)
+        return require_operator(self._daemon.settings, self._asker)
 
     def _check_branches(
         self, operator: Operator, request: ChangeRequest
@@ -210,11 +202,11 @@
             detail=detail,
             at_unix_s=time.time(),
         )
-        self._run(self._daemon.propose(refusal), "/changes")
+        self._run(self._daemon.agreement.propose(refusal), "/changes")
         raise cherrypy.HTTPError(403, detail)
 
     def _run(self, action: Coroutine[Any, Any, Any], path: str) -> Any:
-        future = asyncio.run_coroutine_threadsafe(action, self._daemon._loop)
+        future = asyncio.run_coroutine_threadsafe(action, self._daemon.loop)
         try:
             return future.result()
         except NotLeaderError:
@@ -230,7 +222,7 @@
         address = self._asker.ask(self._daemon.leader_address)
         if address is not None:
             raise cherrypy.HTTPRedirect(f"http://{address}{path}", 307)
-        problem = self._asker.ask(lambda: self._daemon.problem)
+        problem = self._asker.ask(lambda: self._daemon.agreement.problem)
         reason = problem or "no leader; nothing was done, try again"
         raise cherrypy.HTTPError(503, reason)
 
