--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -12,8 +12,9 @@
 from support import rule
 from support import team
 
-# A replica that has started may be needed after this time.
-CATCH_UP_S = 4.0
+# A replica may be needed four seconds after its vm is back; loading the
+# program takes one of them.
+CATCH_UP_S = 3.0
 DOWN_S = 0.6
 # Routers wait without a configuration until a replica leads.
 RECOVERY_S = 5.0
