--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -373,3 +373,49 @@
         assert record["to_revisions"] == {"lending": 0}
     finally:
         cluster.stop()
+
+
+def test_stopped_replica_hands_its_vote_over(tmp_path: Path) -> None:
+    """A replica is replaced by another one, then a disk and all power go.
+
+    The operator waits for a change that is never taken: the replaced
+    replica went on counting, so with it and the one without its disk gone,
+    the two that are left of four were no majority.
+    """
+    cluster = Cluster(tmp_path, ["a", "b", "c"])
+    try:
+        cluster.start(controls=3, entries=0)
+        change(cluster, "before", 0)
+        cluster.add_control("control-4")
+        newcomer = cluster.controls[-1]
+        wish = {"action": "add", "name": newcomer.name}
+
+        def added() -> bool:
+            leader = cluster.leader()
+            return leader is not None and post(leader, "/replicas", wish)[
+                0
+            ] in (200, 409)
+
+        def caught_up() -> bool:
+            for row in replicas(cluster)["replicas"]:
+                if row["name"] == newcomer.name:
+                    return bool(row["match_index"])
+            added()
+            return False
+
+        cluster.wait_for("the newcomer to catch up", caught_up)
+        replaced = cluster.wait_for("a leader", cluster.leader)
+        replaced.signal(signal.SIGTERM)
+        assert replaced.wait() == 0
+        answer = change(cluster, "after", 1)
+        left = [one for one in cluster.controls if one is not replaced]
+        for process in left:
+            process.kill()
+        lost, *others = left
+        shutil.rmtree(tmp_path / lost.name)
+        for process in others:
+            process.restart()
+        assert change(cluster, "after", 1) == answer
+        assert change(cluster, "last", 2)["outcome"] == "accepted"
+    finally:
+        cluster.stop()
