--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -135,7 +135,9 @@
         task.add_done_callback(lambda _: self._asking.pop(address, None))
 
     async def _ask(self, address: str, refer: bool) -> None:
-        reply = await self._links.ask(address, INTRODUCE, self._word())
+        reply = await self._links.ask(
+            address, INTRODUCE, self._own_introduction()
+        )
         if reply is None:
             return
         self._formation.hear(reply)
@@ -165,9 +167,9 @@
             self._heard_leader = introduction.leader
         now = asyncio.get_running_loop().time()
         self._outsiders.hear(introduction, now)
-        return self._word()
+        return self._own_introduction()
 
-    def _word(self) -> Introduction:
+    def _own_introduction(self) -> Introduction:
         leader = self._leader()
         return Introduction(
             member=self._member,
