Tell a replica without its disk of the leader once there is one

Who asked it for a vote introduced itself without knowing of a leader; from then on it had a group and knew nobody in it, as all that its settings list were gone. The group stayed one short, and the next loss left none to lead.

It now asks the member that called, and whoever sends it messages meant for the identity that it lost is answered as by an empty disk, so the leader itself introduces itself again and again. The series gains disks lost where others missed changes, and restarts behind a cut.

--- a/packages/daemon/nutmegchute_daemon/agreements.py
+++ b/packages/daemon/nutmegchute_daemon/agreements.py
@@ -385,6 +385,11 @@
             if group and delivery.group != group:
                 log(Event.GROUP_DIFFERS, "error", group=delivery.group)
             return Delivery(group, [])
+        if delivery.messages[0].target != self._group.identity:
+            # Meant for the identity whose disk was lost. Without an answer
+            # the sender would not know, and this replica perhaps not where
+            # the leader is: all that its settings list may be gone.
+            return Delivery("", [])
         self._receive(delivery.messages)
         source = delivery.messages[0].source
         back = []
--- a/packages/daemon/nutmegchute_daemon/deliveries.py
+++ b/packages/daemon/nutmegchute_daemon/deliveries.py
@@ -24,7 +24,8 @@
 class Deliveries:
     """Send batches and hand the replies back; note who is unreachable.
 
-    ``meet`` is told the addresses at which a replica without a group runs.
+    ``meet`` is told the addresses at which another replica runs than the
+    one that was meant; its answer names no group.
     """
 
     __slots__ = (
--- a/packages/daemon/nutmegchute_daemon/groups.py
+++ b/packages/daemon/nutmegchute_daemon/groups.py
@@ -51,7 +51,8 @@
     ) -> None:
         self._leader = leader
         self._asking: dict[str, asyncio.Task[None]] = {}
-        # Where a member said last that the leader is.
+        # Where a member said last that the leader is; without one, where
+        # this member is, which may know of one later.
         self._heard_leader = ""
         self._settings = settings
         self._links = links
@@ -164,7 +165,8 @@
     async def _on_introduce(self, introduction: Introduction) -> Introduction:
         self._formation.hear(introduction)
         if introduction.group is not None:
-            self._heard_leader = introduction.leader
+            leader = introduction.leader
+            self._heard_leader = leader or introduction.member.grpc_address
         now = asyncio.get_running_loop().time()
         self._outsiders.hear(introduction, now)
         return self._own_introduction()
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -194,8 +194,8 @@
         return self._followings.in_force(index, self.node, self._world.now)
 
     def take(self, message: Message, sender: "FakeReplica") -> None:
-        """Take a message and its sender, who learns of an empty disk."""
-        if self._identity.group is None:
+        """Take a message and its sender, who learns of a lost disk."""
+        if message.target != self._identity.identity:
             self._world.send(
                 self.name, sender.name, lambda: sender.meet(self.name)
             )
@@ -216,7 +216,7 @@
             return
         self._formation.hear(word)
         if word.group is not None:
-            self._heard_leader = word.leader
+            self._heard_leader = word.leader or word.member.name
         self._outsiders.hear(word, self._world.now)
         own = self._introduction()
         self._world.send(
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -141,6 +141,20 @@
     asyncio.run(run())
 
 
+def test_member_without_a_leader_shows_the_way_as_well() -> None:
+    """Ask the member itself that called while no replica led."""
+
+    async def run() -> None:
+        links = FakeLinks({"10.1.0.2:7000": introduction("b")})
+        one = group(links, "10.1.0.1:7000")
+        await links.handler(introduction("b"))
+        await one.form()
+        await one.introduce()
+        assert "10.1.0.2:7000" in links.asked
+
+    asyncio.run(run())
+
+
 def test_listed_replicas_are_read_again() -> None:
     """Ask the replicas of the settings in force, not those of the start.
 
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from nutmegchute_core.messages import HandOver
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Change
 from nutmegchute_fakes.replicas import FakeReplica
@@ -16,6 +17,8 @@
 # program takes one of them.
 CATCH_UP_S = 3.0
 DOWN_S = 0.6
+# A vm is back while the others elect, and it meets them in the election.
+VM_BACK_S = 0.51
 # Routers wait without a configuration until a replica leads.
 RECOVERY_S = 5.0
 
@@ -195,6 +198,50 @@
     assert world.run_until(lambda: away.name in members(world), CATCH_UP_S)
 
 
+@pytest.mark.parametrize("seed", [0, 1, 2, 8, 12])
+def test_leader_without_its_disk_finds_its_successor(seed: int) -> None:
+    """A leader loses its disk, and all that its settings list are gone.
+
+    It is back while the others elect: whoever asks it for a vote sees that
+    it has no group, introduces itself, and knows of no leader yet. Told of
+    the group and of nobody in it, it would wait for ever, and the next
+    loss would stop all changes.
+    """
+    world = World(3, entries=0, seed=seed, tended=True)
+    assert world.run_until(lambda: ready(world), 5.0)
+    last = world.replicas[world.names[1]]
+    for name in (world.names[0], world.names[2]):
+        world.add(world.names)
+        world.run(CATCH_UP_S)
+        world.replicas[name].stop()
+        world.run(CATCH_UP_S)
+    leader = world.leader()
+    assert leader is not None
+    assert leader.node is not None
+    assert last.node is not None
+    if leader is not last:
+        lead = leader.node.replica
+        own = last.node.replica.identity
+        last.receive(HandOver(lead.identity, own, lead.term))
+        world.run(1.0)
+    assert world.leader() is last
+    lost = last.node.replica.identity
+    last.kill()
+    last.disk.lose()
+    world.run(VM_BACK_S)
+    last.start()
+
+    def votes() -> bool:
+        leader = world.leader()
+        if leader is None or leader.node is None:
+            return False
+        membership = leader.node.replica.membership
+        member = membership.named(last.name)
+        return member is not None and member.voter and member.identity != lost
+
+    assert world.run_until(votes, CATCH_UP_S)
+
+
 class Series:
     """Take replicas away and bring others, as many at once as are borne."""
 
@@ -216,28 +263,31 @@
             self.roll,
             self.freeze,
             self.isolate,
+            self.leave_behind,
+            self.restart_behind_a_cut,
         ]
         for _ in range(steps):
             self.random.choice(actions)()
             self.world.run(CATCH_UP_S)
             self.operator.change()
 
+    def there(self) -> list[FakeReplica]:
+        """List the replicas that are not gone for good."""
+        found = []
+        for replica in self.world.replicas.values():
+            if replica not in self.gone:
+                found.append(replica)
+        return found
+
     def victims(self) -> list[FakeReplica]:
         """Choose replicas that may be lost at the same time."""
-        there = [
-            one for one in self.world.replicas.values() if one not in self.gone
-        ]
-        return self.random.sample(there, self.random.randint(1, self._borne))
+        count = self.random.randint(1, self._borne)
+        return self.random.sample(self.there(), count)
 
     def add(self) -> None:
         """Start a vm with an empty disk that is told some members."""
-        there = [
-            one.name
-            for one in self.world.replicas.values()
-            if one not in self.gone
-        ]
-        count = min(3, len(there))
-        self.world.add(self.random.sample(there, count))
+        names = [one.name for one in self.there()]
+        self.world.add(self.random.sample(names, min(3, len(names))))
 
     def replace_planned(self) -> None:
         """Start other vms first, then stop those that they replace."""
@@ -286,9 +336,7 @@
 
     def roll(self) -> None:
         """Stop and start all in turn, without time between."""
-        for replica in list(self.world.replicas.values()):
-            if replica in self.gone:
-                continue
+        for replica in self.there():
             replica.stop()
             self.world.run(1.5)
             if replica.up:
@@ -303,12 +351,46 @@
 
     def isolate(self) -> None:
         """Cut replicas off from all others and join them again."""
-        for replica in self.victims():
+        self.cut(self.victims())
+        self.world.run(self.random.choice([2.0, 9.0]))
+        self.world.cuts = set()
+
+    def leave_behind(self) -> None:
+        """Lose a disk where changes are known, and join who missed them."""
+        behind = self.victims()
+        self.cut(behind)
+        self.world.run(self.random.choice([2.0, 6.0]))
+        self.operator.change()
+        others = [one for one in self.there() if one not in behind]
+        for replica in others:
+            replica.kill()
+        others[0].disk.lose()
+        self.world.cuts = set()
+        self.world.run(self.random.choice([0.5, 3.0]))
+        for replica in others:
+            replica.start()
+
+    def restart_behind_a_cut(self) -> None:
+        """Restart replicas that are cut off, and later all others."""
+        behind = self.victims()
+        self.cut(behind)
+        self.world.run(self.random.choice([2.0, 7.0]))
+        for replica in behind:
+            replica.kill()
+            replica.start()
+        self.world.run(2.0)
+        self.world.cuts = set()
+        for replica in self.there():
+            if replica not in behind:
+                replica.kill()
+                replica.start()
+
+    def cut(self, replicas: list[FakeReplica]) -> None:
+        """Cut replicas off from all others, and from one another."""
+        for replica in replicas:
             for other in self.world.replicas:
                 self.world.cuts.add((replica.name, other))
                 self.world.cuts.add((other, replica.name))
-        self.world.run(self.random.choice([2.0, 9.0]))
-        self.world.cuts = set()
 
 
 @pytest.mark.parametrize("size", [3, 5])
