Repeat the order to take over until it is followed

It went down as leader with its vote; an election's silence and a second later it no longer counted, and a disk lost in these three seconds left no majority. The order is repeated while the replica leads, and the vote is handed over after it.

--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -274,13 +274,17 @@
             return True
         return len(membership.voters) > LEAST_VOTERS
 
-    def retire(self) -> None:
+    def retire(self, now: float) -> None:
         """Ask the leader to let another vote; this replica stops.
 
         Else a lost disk of another one, while this one is down, would
-        leave no majority; if it never comes back, for ever.
+        leave no majority; if it never comes back, for ever. A leader hands
+        over first, again if the order got lost.
         """
-        if self._leader is None or self._leader == self._identity:
+        if self._leadership is not None:
+            self.hand_over(now)
+            return
+        if self._leader is None:
             return
         self._messages.append(Retire(self._identity, self._leader, self.term))
 
--- a/packages/daemon/nutmegchute_daemon/agreements.py
+++ b/packages/daemon/nutmegchute_daemon/agreements.py
@@ -48,7 +48,7 @@
 
 PROPOSE_TIMEOUT_S = 3.0
 HAND_OVER_S = 0.3
-HAND_OVER_TICK_S = 0.01
+HAND_OVER_TICK_S = 0.02
 RETIRE_S = 1.0
 RETIRE_TICK_S = 0.05
 RECOVER_S = 1.0
@@ -163,11 +163,7 @@
         """Hand over the lead and the vote, and turn the entries away."""
         node = self._node
         if node is not None:
-            node.replica.hand_over(self._loop.time())
-            self._flush()
-            end = self._loop.time() + HAND_OVER_S
-            while node.replica.state == LEADER and self._loop.time() < end:
-                await asyncio.sleep(HAND_OVER_TICK_S)
+            await self._hand_over(node)
             await self._retire(node)
         self._stopping = True
         if self._timer is not None:
@@ -286,10 +282,17 @@
             raise NotLeaderError(self.leader_name)
         return self._node
 
+    async def _hand_over(self, node: Node) -> None:
+        end = self._loop.time() + HAND_OVER_S
+        while node.replica.state == LEADER and self._loop.time() < end:
+            node.replica.hand_over(self._loop.time())
+            self._flush()
+            await asyncio.sleep(HAND_OVER_TICK_S)
+
     async def _retire(self, node: Node) -> None:
         end = self._loop.time() + RETIRE_S
         while node.replica.is_dispensable and self._loop.time() < end:
-            node.replica.retire()
+            node.replica.retire(self._loop.time())
             self._flush()
             await asyncio.sleep(RETIRE_TICK_S)
 
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -156,7 +156,7 @@
         if late or not replica.is_dispensable:
             self.kill()
             return
-        replica.retire()
+        replica.retire(self._world.now)
         self._guard(self._flush)
         self._world.after(RETIRE_TICK_S, lambda: self._retire(start, since))
 
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -198,6 +198,32 @@
     assert world.run_until(lambda: away.name in members(world), CATCH_UP_S)
 
 
+def test_order_to_take_over_gets_lost() -> None:
+    """A leader that is replaced stops, and nobody hears its order to lead.
+
+    It went down as leader. The others noticed that after an election's
+    silence, and then counted the silence of a replica that had said that
+    it goes: a disk lost in these three seconds left no majority for ever.
+    """
+    world = World(3, entries=0, seed=1, tended=True)
+    world.loss = 0.0
+    assert world.run_until(lambda: ready(world), 5.0)
+    operator = Operator(world)
+    world.add(world.names)
+    world.run(CATCH_UP_S)
+    gone = world.leader()
+    assert gone is not None
+    cuts = {(gone.name, other) for other in world.replicas}
+    world.cuts = set(cuts)
+    gone.stop()
+    world.run(0.1)
+    world.cuts = set()
+    world.run(1.5)
+    lost = operator.change()
+    lose_disks_and_power(world, [lost], [gone])
+    check_recovered(world, operator.accepted)
+
+
 @pytest.mark.parametrize("seed", [0, 1, 2, 8, 12])
 def test_leader_without_its_disk_finds_its_successor(seed: int) -> None:
     """A leader loses its disk, and all that its settings list are gone.
