Wait for no replica that is gone before routers are told a tree

A replica tells routers a tree once half of the others have answered since its start. One that is gone and still listed was counted among them: with another one lost, two that agree of four would have refused routers until an operator removed it (1 of 3 others answered). One that others hear still counts.

--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -64,16 +64,15 @@
         """Tell whether what the other replicas know is in."""
         if now - self._started_at >= GATHER_S:
             return True
-        answered, asked = self.peers.answered()
+        answered, asked = self.peers.answered(now)
         return asked > 0 and answered == asked
 
-    @property
-    def caught_up(self) -> bool:
+    def caught_up(self, now: float) -> bool:
         """Tell whether half of the other replicas answered lately.
 
         With this one they are a majority: what most know is known here.
         """
-        answered, asked = self.peers.answered()
+        answered, asked = self.peers.answered(now)
         return 2 * answered >= asked
 
     def hear_entry(self, request: WatchRequest, now: float) -> None:
--- a/packages/core/nutmegchute_core/peers.py
+++ b/packages/core/nutmegchute_core/peers.py
@@ -237,12 +237,21 @@
                 found.append(address)
         return found
 
-    def answered(self) -> tuple[int, int]:
-        """Count who answered since the last pause, and all others."""
+    def answered(self, now: float) -> tuple[int, int]:
+        """Count who answered since the last pause, and all that are there.
+
+        One that was replaced and is still listed would be waited for as
+        long as it is; with another one lost, entries were refused a tree
+        on which the rest agrees.
+        """
         answered = 0
-        for peer in self._peers.values():
+        asked = 0
+        for address, peer in self._peers.items():
+            if self._is_gone(address, now):
+                continue
+            asked += 1
             answered += peer.answered_at is not None
-        return answered, len(self._peers)
+        return answered, asked
 
     def mirrors(self, now: float) -> dict[str, Mirror]:
         """Map the replicas that were heard lately to their mirrors."""
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -346,7 +346,7 @@
         """Tell whether entries can rely on what this replica says."""
         if self._node() is None or not self._in_contact():
             return False
-        return self._discovery.caught_up
+        return self._discovery.caught_up(boot_time())
 
     def _has_news(self, request: WatchRequest) -> bool:
         if self._changes.pending:
