Log what a request asks and how an attempt was lost

The logs of an incident could not tell whether calls that were lost at many endpoints were one request that its caller sent again, or many that met endpoints that ended for another reason. NC3016 now bears a fingerprint, which is the same for each try of a caller, and each lost attempt how it was lost: closed by the endpoint, timed out, or a malformed answer.

--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -135,7 +135,8 @@
     ``stretch`` is how many times as long as usual work takes there now.
     ``failed`` marks an answer that says the endpoint itself is broken (a
     5xx status that is not "not run"). ``shed`` marks a "not run" that the
-    endpoint said; without it the call did not reach the endpoint.
+    endpoint said; without it the call did not reach the endpoint. ``loss``
+    tells how a lost attempt was lost.
     """
 
     __slots__ = (
@@ -144,6 +145,7 @@
         "failed",
         "latency_s",
         "load",
+        "loss",
         "outcome",
         "shed",
         "stretch",
@@ -159,7 +161,9 @@
         failed: bool = False,
         stretch: float | None = None,
         shed: bool = False,
+        loss: str = "",
     ) -> None:
+        self.loss = loss
         self.shed = shed
         self.stretch = stretch
         self.call_id = call_id
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -232,6 +232,7 @@
             failed=reply.failed,
             stretch=reply.stretch,
             shed=reply.shed,
+            loss=reply.loss,
         )
         self._asker.tell(self.dispatcher.end_attempt, ticket, result)
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -128,6 +128,8 @@
             send["ms"] = round(result.latency_s * 1000, 1)
             send["load"] = result.load
             send["then"] = result.stretch
+            if result.loss:
+                send["loss"] = result.loss
         self.perform(self._balancer.finish(result, self._loop.time()))
 
     def take_probe(
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -249,6 +249,7 @@
         log(
             Event.CALL_ENDED,
             request=ticket.name,
+            fingerprint=ticket.fingerprint,
             route=story.route,
             service=story.service,
             outcome=story.outcome,
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -12,6 +12,8 @@
 from nutmegchute_core.calls import NOT_RUN
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
+from urllib3.exceptions import ProtocolError
+from urllib3.exceptions import TimeoutError as HTTPTimeoutError
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
@@ -45,6 +47,11 @@
     }
 )
 
+# How an attempt was lost, for the log.
+CLOSED = "closed"
+TIMED_OUT = "timed out"
+MALFORMED = "malformed answer"
+
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FOLD = re.compile(r"[\r\n]+[ \t]*")
 
@@ -115,11 +122,14 @@
         "_start",
         "_wait_s",
         "_whole",
+        "loss",
         "misdirected",
     )
 
-    def __init__(self, outcome: str, latency_s: float) -> None:
+    def __init__(self, outcome: str, latency_s: float, loss: str = "") -> None:
         self.misdirected = False
+        # How the attempt was lost; empty where it was not.
+        self.loss = loss
         self._outcome = outcome
         self._latency_s = latency_s
         self._response: HTTPResponse | None = None
@@ -350,13 +360,15 @@
             HTTPError,
             OSError,
             http.client.HTTPException,
-        ):
+        ) as error:
             # From the first byte written the request may have run, also
             # where writing itself failed.
             exchange.detach()
             connection.close()
-            outcome = CANCELLED if exchange.ended else LOST
-            return Reply(outcome, time.monotonic() - started)
+            latency_s = time.monotonic() - started
+            if exchange.ended:
+                return Reply(CANCELLED, latency_s)
+            return Reply(LOST, latency_s, _loss(error))
         return reply
 
     def _connect(self, endpoint: str, remaining_s: float) -> Connection | None:
@@ -439,6 +451,16 @@
         return reply
 
 
+def _loss(error: Exception) -> str:
+    """Say what an error tells of how an attempt was lost."""
+    cause = error.__cause__ if isinstance(error, CutAnswerError) else error
+    if isinstance(cause, (TimeoutError, HTTPTimeoutError)):
+        return TIMED_OUT
+    if isinstance(cause, (OSError, ProtocolError)):
+        return CLOSED
+    return MALFORMED
+
+
 def named_by_connection(value: str) -> set[str]:
     """Return the headers that the Connection header names as its own."""
     return {word.strip().lower() for word in value.split(",") if word.strip()}
--- a/packages/daemon/nutmegchute_daemon/tickets.py
+++ b/packages/daemon/nutmegchute_daemon/tickets.py
@@ -8,6 +8,7 @@
 from nutmegchute_core.claims import Claim
 
 from .connections import Exchange
+from .fingerprints import fingerprint
 from .senders import Reply
 from .senders import Request
 
@@ -113,6 +114,7 @@
         "claim",
         "claimed",
         "exchanges",
+        "fingerprint",
         "name",
         "request",
         "socket_number",
@@ -136,6 +138,8 @@
         self.claimed = False
         self.status = 0
         self.request = request
+        # Says what the request asks, also where it comes again.
+        self.fingerprint = fingerprint(arrival.host, arrival.service, request)
         self.socket_number = socket_number
         self.call_id = 0
         # Written and read by the loop alone.
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -13,8 +13,11 @@
 from nutmegchute_daemon.answers import CutAnswerError
 from nutmegchute_daemon.connections import Connections
 from nutmegchute_daemon.connections import Exchange
+from nutmegchute_daemon.senders import CLOSED
+from nutmegchute_daemon.senders import MALFORMED
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
+from nutmegchute_daemon.senders import TIMED_OUT
 from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.clusters import free_address
 from nutmegchute_fakes.faulty_upstreams import Behaviour
@@ -121,6 +124,24 @@
     assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize(
+    ("behaviour", "loss"),
+    [
+        (faulty_upstreams.reset_at_once, CLOSED),
+        (faulty_upstreams.half_a_body, CLOSED),
+        (faulty_upstreams.early_hint, MALFORMED),
+        (faulty_upstreams.stay_silent, TIMED_OUT),
+    ],
+)
+def test_how_an_attempt_was_lost(
+    start: Start, behaviour: Behaviour, loss: str
+) -> None:
+    """Tell a closed connection from a wait that was given up."""
+    line = Line(start(behaviour).address)
+    assert line.send(remaining_s=SHORT_S) == LOST
+    assert line.reply.loss == loss
+
+
 @pytest.mark.parametrize(
     "behaviour",
     [faulty_upstreams.half_a_long_body, faulty_upstreams.half_the_chunks],
