--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -68,6 +68,9 @@
         self.state = "ready"
         self.sequence = 0
         self.connections: list[socket.socket] = []
+        # Tells by path and body whether a request ends this process.
+        self.crashes: Callable[[str, bytes], bool] = lambda path, body: False
+        self.crashed = threading.Event()
         host, _, port = (address or "127.0.0.1:0").rpartition(":")
         self._server = ThreadingHTTPServer(
             (host, int(port)), _handler_of(self)
@@ -119,7 +122,7 @@
 
         def do_GET(self) -> None:  # noqa: N802
             length = int(self.headers.get("Content-Length", 0))
-            self.rfile.read(length)
+            content = self.rfile.read(length)
             if self.path == "/healthz":
                 self._say(200, b"")
                 return
@@ -132,6 +135,11 @@
                 self._say(503, b"", Not_Executed="1")
                 return
             endpoint.ran[name] += 1
+            if endpoint.crashes(self.path, content):
+                endpoint.crashed.set()
+                self.close_connection = True
+                endpoint.stop()
+                return
             if endpoint.mode == "lose":
                 self.connection.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
