Quarantine a request that crashes the endpoints that run it

Cause: nothing tied the attempts of one request together. Retries are counted by call and by service, and an endpoint's end was only a failed send.

Why it works: a trial is granted to one call over all entries, so that after the first crash each further one is a proof, and the second proof is known to the log before the trial's caller hears of it.

--- a/packages/cli/nutmegchute_cli/__main__.py
+++ b/packages/cli/nutmegchute_cli/__main__.py
@@ -14,6 +14,8 @@
   nutmegchute replicas add NAME GRPC_ADDRESS HTTP_ADDRESS [options]
   nutmegchute replicas remove NAME [options]
   nutmegchute replicas replace NAME NEW GRPC_ADDRESS HTTP_ADDRESS [options]
+  nutmegchute quarantine [options]
+  nutmegchute quarantine lift SERVICE FINGERPRINT [options]
   nutmegchute check PATH... [options]
   nutmegchute explain REQUEST FILE... [options]
   nutmegchute summarize FILE... [options]
@@ -30,6 +32,7 @@
   apply      Send the declarations in FOLDER; safe to repeat.
   drain      Take the entry named by --entry out of service.
   replicas   List, add, remove or replace control replicas.
+  quarantine List requests that crash endpoints, or lift one's quarantine.
   check      Check settings and declarations without starting anything.
   explain    Tell from logs what became of a request, and why.
   summarize  Tell from logs, span by span, what became of all requests.
@@ -73,6 +76,7 @@
 from . import drains
 from . import explanations
 from . import listings
+from . import quarantines
 from . import replicas
 from . import summaries
 from .errors import CliError
@@ -92,6 +96,7 @@
     "apply": changes.apply,
     "drain": drains.drain,
     "replicas": replicas.run,
+    "quarantine": quarantines.run,
     "check": checks.check,
     "explain": explanations.explain,
     "summarize": summaries.summarize,
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -22,17 +22,34 @@
 from .policies import Policy
 from .pools import CROWDED_RETRY_S
 from .pools import Pool
+from .quarantines import FREE
+from .quarantines import Key
+from .quarantines import QUARANTINED
+from .quarantines import QuarantineNews
+from .quarantines import Report
+from .quarantines import Ruling
+from .quarantines import TrialEnd
+from .quarantines import TrialRequest
+from .quarantines import TRY
+from .quarantines import WAIT
+from .quarantines import WAIT_S
 from .rules import Rule
 from .rules import Service
+from .suspects import Suspects
 from .timers import AGAIN
 from .timers import ASKED
 from .timers import EXPIRY
 from .timers import HEDGE
+from .timers import SEEK
 from .timers import Timers
+from .trials import Trials
 
 ADMITTED = "admitted"
 QUEUED = "queued"
 MOST_STUCK = 4
+TOKEN_BITS = 62
+CRASHES = "crashes the endpoints that run it"
+TOO_MANY_SUSPECTS = "too many suspects wait"
 
 
 class Balancer:
@@ -48,7 +65,9 @@
         "_policy",
         "_pools",
         "_random",
+        "_suspects",
         "_timers",
+        "_trials",
     )
 
     def __init__(
@@ -67,6 +86,17 @@
         self._extra: tuple[float, float] | None = None
         self._inquiries: dict[int, Inquiry] = {}
         self._inquiry_limit = (0.0, 1.0)
+        self._suspects = Suspects()
+        self._trials = Trials()
+
+    @property
+    def quarantine(self) -> int:
+        """Give the log index of the cases known."""
+        return self._suspects.index
+
+    def reports(self) -> list[Report]:
+        """Take what control must hear of requests that crash endpoints."""
+        return self._suspects.drain()
 
     @property
     def in_flight(self) -> int:
@@ -133,9 +163,11 @@
         now: float,
         caller_deadline_s: float | None = None,
         attempt: int = 1,
+        fingerprint: str = "",
     ) -> tuple[int, list[Action]]:
         """Admit a call; return its id and the first actions.
 
+        ``fingerprint`` is the same where the request comes again.
         ``attempt`` is the number the call arrived with. Over 1, a layer
         above is retrying already and the call earns no retry here: each
         of 16 layers sending twice would make 65,536 calls of one.
@@ -143,7 +175,7 @@
         pool = self._pools.get(service)
         rule = None if pool is None else pool.service.rule_for(method, path)
         return self.arrive_under(
-            service, rule, now, caller_deadline_s, attempt
+            service, rule, now, caller_deadline_s, attempt, fingerprint
         )
 
     def arrive_under(
@@ -153,6 +185,7 @@
         now: float,
         caller_deadline_s: float | None = None,
         attempt: int = 1,
+        fingerprint: str = "",
     ) -> tuple[int, list[Action]]:
         """Admit a call whose rule is known, as ``arrive`` does."""
         call_id = self._next_id
@@ -165,13 +198,17 @@
         deadline_s = rule.deadline_s
         if caller_deadline_s is not None:
             deadline_s = min(deadline_s, caller_deadline_s)
-        call = Call(call_id, service, rule, now, deadline_s, attempt > 1)
+        call = Call(
+            call_id, service, rule, now, deadline_s, attempt > 1, fingerprint
+        )
         self._calls[call_id] = call
         pool.note_deadline(call, caller_deadline_s)
         reason = pool.admit(call, now)
         if reason is not None:
             return call_id, [self._give_up(pool, call, reason)]
         actions: list[Action] = []
+        if self._restrict(pool, call, now, actions):
+            return call_id, actions
         if self._ask(pool, call, Inquiry([]), now, actions):
             return call_id, actions
         self._enqueue(pool, call)
@@ -189,15 +226,57 @@
             return []
         call.outstanding.discard(result.attempt)
         pool = self._pools.get(call.service)
+        actions: list[Action] = []
+        self._learn_guilt(pool, call, result, now, actions)
         if pool is not None:
             pool.take_result(call, result, now)
-        actions: list[Action] = []
         self._conclude(pool, call, result, now, actions)
         if pool is not None:
             self._dispatch(pool, now, actions)
             self._guard(pool, call)
         return actions
 
+    def take_quarantine(
+        self, news: QuarantineNews, now: float
+    ) -> list[Action]:
+        """Take the requests that may crash endpoints, as control tells."""
+        actions: list[Action] = []
+        if not self._suspects.take(news, now):
+            return actions
+        for key in self._trials.keys:
+            ruling = self._suspects.look(key, now)
+            if ruling.outcome != WAIT:
+                self._release(key, ruling, now, actions)
+        return actions
+
+    def take_ruling(
+        self, request: TrialRequest, ruling: Ruling | None, now: float
+    ) -> list[Action]:
+        """Take the answer to a trial request; None: there was none."""
+        actions: list[Action] = []
+        key = request.service, request.fingerprint
+        token = request.token
+        asked = self._trials.answer(token)
+        if asked is None:
+            if ruling is not None and ruling.outcome == TRY:
+                # The call ended meanwhile.
+                self._suspects.add(TrialEnd(*key, token, False))
+            return actions
+        _, call_id = asked
+        if ruling is None:
+            ruling = self._suspects.decide(key, now)
+        if ruling.outcome == WAIT:
+            self._trials.wait(key)
+            self._timers.add(now + ruling.after_s, SEEK, call_id)
+        elif ruling.outcome == TRY:
+            self._begin_trial(call_id, token, ruling.alone, now, actions)
+        else:
+            if ruling.outcome == FREE:
+                self._suspects.clear(key)
+            self._trials.wait(key)
+            self._release(key, ruling, now, actions)
+        return actions
+
     def take_probe(
         self,
         service: str,
@@ -226,6 +305,7 @@
         actions: list[Action] = []
         pool = self._pools.get(call.service)
         self._cancel(pool, call, now, actions)
+        self._end_trial(call)
         if pool is not None:
             pool.queue.remove(call_id)
             self._dispatch(pool, now, actions)
@@ -263,6 +343,8 @@
                 self._end_round(call, now, actions)
             elif kind == AGAIN:
                 self._ask_again(call, now, actions)
+            elif kind == SEEK:
+                self._seek(call.key, now)
         for name, pool in self._pools.items():
             if pool.queue:
                 self._dispatch(pool, now, actions)
@@ -391,9 +473,11 @@
         pool = self._pools.get(call.service)
         if pool is None or call.state != QUEUED:
             return
+        if self._trials.holds(call.key, call.call_id):
+            return
         if self._send_away(pool, call, False, now, actions):
             return
-        if pool.queue.first(now) != call.call_id:
+        if pool.queue.first(now) != call.call_id and not call.alone:
             self._ask_later(pool, call, now)
             return
         inquiry = Inquiry(list(call.attempts.values()), held=True)
@@ -491,13 +575,15 @@
                     self._give_up(pool, call, "cannot be answered in time")
                 )
                 continue
+            if self._restrict(pool, call, now, actions):
+                continue
             endpoint = pool.choose(call, now)
             if not self._may_go(pool, call, endpoint, call_id == freed, now):
                 break
             pool.queue.remove(call_id)
             if endpoint is None:
                 stuck.append(call)
-                if not call.attempts:
+                if not call.attempts and not call.alone:
                     break
                 # A retry avoids where it failed; a call behind it may
                 # go there and must not wait for the retry's deadline.
@@ -519,7 +605,9 @@
         now: float,
     ) -> bool:
         if endpoint is None:
-            return pool.has_room()
+            return call.alone or pool.has_room()
+        if call.alone:
+            return True
         return pool.may_send(call, endpoint, freed, now)
 
     def _guard(self, pool: Pool, call: Call) -> None:
@@ -547,7 +635,7 @@
         pool = self._pools.get(call.service)
         if pool is None or len(call.outstanding) != 1:
             return
-        if not pool.may_hedge(call, now):
+        if not pool.may_hedge(call, now) or self._is_restricted(call, now):
             return
         inquiry = Inquiry(list(call.attempts.values()), True)
         if not self._ask(pool, call, inquiry, now, actions):
@@ -557,6 +645,8 @@
         pool = self._pools.get(call.service)
         if pool is None or len(call.outstanding) != 1:
             return
+        if self._is_restricted(call, now):
+            return
         address = pool.choose_hedge(call, now)
         if address is None:
             return
@@ -592,6 +682,7 @@
         retry_after_s: float | None = None,
     ) -> Action:
         del self._calls[call.call_id]
+        self._end_trial(call)
         if call.may_have_run:
             # An earlier attempt was lost after bytes had left: "not run"
             # could be false, and a loan repeated on its word would run
@@ -602,3 +693,118 @@
         if retry_after_s is None:
             retry_after_s = 0.0 if pool is None else pool.retry_after_s
         return Refuse(call.call_id, reason, retry_after_s)
+
+    def _is_restricted(self, call: Call, now: float) -> bool:
+        """Tell whether a call may go on trial only, or not at all."""
+        if not self._suspects.any:
+            return False
+        return self._suspects.look(call.key, now).outcome != FREE
+
+    def _restrict(
+        self, pool: Pool, call: Call, now: float, actions: list[Action]
+    ) -> bool:
+        """Hold or refuse a call that may not simply go; tell if it was."""
+        if call.trial or not self._is_restricted(call, now):
+            return False
+        pool.queue.remove(call.call_id)
+        ruling = self._suspects.look(call.key, now)
+        if ruling.outcome == QUARANTINED:
+            actions.append(self._give_up(pool, call, CRASHES, ruling.after_s))
+            return True
+        if not self._trials.hold(call.key, call.call_id):
+            actions.append(
+                self._give_up(pool, call, TOO_MANY_SUSPECTS, WAIT_S)
+            )
+            return True
+        if call.state == ADMITTED:
+            call.step("queue")
+        self._guard(pool, call)
+        self._seek(call.key, now)
+        return True
+
+    def _seek(self, key: Key, now: float) -> None:
+        """Ask control whether a call of a suspect may go."""
+        call_id = self._trials.next(key)
+        if call_id is None:
+            return
+        token = self._random.getrandbits(TOKEN_BITS) + 1
+        left_s = max(0.0, self._calls[call_id].deadline_at - now)
+        self._trials.ask(key, call_id, token)
+        self._suspects.add(TrialRequest(*key, token, left_s))
+
+    def _begin_trial(
+        self,
+        call_id: int,
+        token: int,
+        alone: bool,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        call = self._calls[call_id]
+        self._trials.begin(call.key, call_id)
+        call.trial = token
+        call.alone = alone
+        self._let_go(call, now, actions)
+
+    def _release(
+        self, key: Key, ruling: Ruling, now: float, actions: list[Action]
+    ) -> None:
+        """Let all calls of a request go, or refuse them."""
+        for call_id in self._trials.release(key):
+            call = self._calls[call_id]
+            if ruling.outcome == FREE:
+                self._let_go(call, now, actions)
+                continue
+            pool = self._pools.get(call.service)
+            actions.append(self._give_up(pool, call, CRASHES, ruling.after_s))
+
+    def _let_go(self, call: Call, now: float, actions: list[Action]) -> None:
+        """Queue a call that was held."""
+        pool = self._pools.get(call.service)
+        if pool is None:
+            actions.append(self._give_up(None, call, "unknown service"))
+            return
+        self._enqueue(pool, call)
+        if pool.holds:
+            self._timers.add(now, AGAIN, call.call_id)
+        self._dispatch(pool, now, actions)
+
+    def _learn_guilt(
+        self,
+        pool: Pool | None,
+        call: Call,
+        result: Result,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        """Learn from an attempt's end whether a request crashes endpoints."""
+        trial, call.trial = call.trial, 0
+        call.alone = False
+        key = call.key
+        if result.crashed and pool is not None:
+            process = pool.process_of(call, result.attempt)
+            sent_at = call.sent_at(result.attempt)
+            self._suspects.note_crash(key, process, trial, sent_at, now)
+        elif result.outcome == ANSWERED and not result.failed:
+            self._suspects.note_answer(key)
+            self._release(key, Ruling(FREE), now, actions)
+        elif trial:
+            self._suspects.add(TrialEnd(*key, trial, True))
+            self._suspects.end_trial(key)
+        if trial:
+            self._trials.end(key, call.call_id)
+            self._seek(key, now)
+
+    def _end_trial(self, call: Call) -> None:
+        """Forget a call that has ended without an answer."""
+        key = call.key
+        self._trials.end(key, call.call_id)
+        other = self._trials.next(key)
+        if other is not None:
+            self._timers.add(call.arrived_at, SEEK, other)
+        if not call.trial:
+            return
+        sent = call.state != QUEUED
+        self._suspects.add(TrialEnd(*key, call.trial, sent))
+        self._suspects.end_trial(key)
+        call.trial = 0
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -136,12 +136,14 @@
     ``failed`` marks an answer that says the endpoint itself is broken (a
     5xx status that is not "not run"). ``shed`` marks a "not run" that the
     endpoint said; without it the call did not reach the endpoint. ``loss``
-    tells how a lost attempt was lost.
+    tells how a lost attempt was lost, ``crashed`` that the endpoint's process
+    is known to have ended with it.
     """
 
     __slots__ = (
         "attempt",
         "call_id",
+        "crashed",
         "failed",
         "latency_s",
         "load",
@@ -162,8 +164,10 @@
         stretch: float | None = None,
         shed: bool = False,
         loss: str = "",
+        crashed: bool = False,
     ) -> None:
         self.loss = loss
+        self.crashed = crashed
         self.shed = shed
         self.stretch = stretch
         self.call_id = call_id
@@ -188,10 +192,13 @@
         "_sent_at",
         "_service",
         "_state",
+        "alone",
+        "fingerprint",
         "is_first_try",
         "may_have_run",
         "objective_at",
         "outstanding",
+        "trial",
     )
 
     def __init__(
@@ -202,8 +209,14 @@
         arrived_at: float,
         deadline_s: float,
         is_retry: bool = False,
+        fingerprint: str = "",
     ) -> None:
         self._is_retry = is_retry
+        self.fingerprint = fingerprint
+        # The token by which a suspect may be sent once, or 0, and whether
+        # only to an endpoint that runs nothing else.
+        self.trial = 0
+        self.alone = False
         self._chart: Chart = CALL_CHART
         self._call_id = call_id
         self._service = service
@@ -235,6 +248,11 @@
         """Give the rule the call falls under."""
         return self._rule
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Give what names the request at any entry."""
+        return self._service, self.fingerprint
+
     @property
     def is_retry(self) -> bool:
         """Tell whether a layer above sends the call for a second time."""
--- a/packages/core/nutmegchute_core/commands.py
+++ b/packages/core/nutmegchute_core/commands.py
@@ -6,6 +6,8 @@
 from .fleets import Enroll
 from .fleets import Withdraw
 from .memberships import Reconfigure
+from .quarantines import Lift
+from .quarantines import QuarantineBatch
 from .trees import Change
 from .trees import Refusal
 
@@ -15,5 +17,13 @@
 
 
 Command = (
-    Change | Refusal | Reconfigure | Enroll | Withdraw | ClaimBatch | NoOp
+    Change
+    | Refusal
+    | Reconfigure
+    | Enroll
+    | Withdraw
+    | ClaimBatch
+    | QuarantineBatch
+    | Lift
+    | NoOp
 )
--- a/packages/core/nutmegchute_core/fleets.py
+++ b/packages/core/nutmegchute_core/fleets.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .patches import Step
+from .quarantines import QuarantineNews
 
 # How long an entry acts on a tree after it last asked a leader. It outlasts
 # one lost question (hold, time-out, retry) and leaves room for a failover
@@ -18,12 +19,16 @@
 
 
 class FollowRequest(msgspec.Struct, frozen=True):
-    """Ask for the tree when it is newer than what the entry applied."""
+    """Ask for the tree when it is newer than what the entry applied.
+
+    ``quarantine`` is the index of the cases that it knows.
+    """
 
     entry: str
     index: int
     leaving: bool = False
     hold: bool = True
+    quarantine: int = 0
 
 
 class FollowReply(msgspec.Struct, frozen=True):
@@ -34,7 +39,8 @@
     place ``steps`` may lead there, a fraction of the bytes where branches
     hold thousands of items and a change one of them.
     Only a ``current`` reply comes from a leader that a quorum confirmed
-    after the question arrived; no other may be acted on.
+    after the question arrived; no other may be acted on. ``quarantine``
+    lists the requests that crash endpoints, where that is news.
     """
 
     leader: str | None
@@ -44,6 +50,7 @@
     revisions: dict[str, int] = {}
     documents: dict[str, Any] | None = None
     steps: list[Step] | None = None
+    quarantine: QuarantineNews | None = None
 
 
 class Enroll(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/nutmegchute_core/followings.py
+++ b/packages/core/nutmegchute_core/followings.py
@@ -9,6 +9,7 @@
 from .fleets import HOLD_S
 from .fleets import Withdraw
 from .nodes import Node
+from .quarantines import QuarantineNews
 from .replicas import LEADER
 
 # An entry silent for so long is gone; it enrolls anew should it return.
@@ -78,11 +79,11 @@
         for ticket, question in list(self._open.items()):
             if not self._is_confirmed(question, node):
                 continue
-            newer = node.machine.tree.index > question.request.index
+            newer = _is_news(node, question.request)
             if not newer and now < question.hold_until:
                 continue
             del self._open[ticket]
-            answers[ticket] = _tell(node, question.request.index)
+            answers[ticket] = _tell(node, question.request)
         return answers
 
     def in_force(self, index: int, node: Node, now: float) -> bool:
@@ -150,10 +151,24 @@
     )
 
 
-def _tell(node: Node, known: int) -> FollowReply:
+def _is_news(node: Node, request: FollowRequest) -> bool:
+    machine = node.machine
+    if machine.tree.index > request.index:
+        return True
+    return machine.quarantine.index > request.quarantine
+
+
+def _tell(node: Node, request: FollowRequest) -> FollowReply:
     leader = node.replica.membership.find(node.replica.identity)
     name = leader.name if leader is not None else None
-    news = news_since(node, known)
-    if news is None:
-        return FollowReply(name, None, True, node.machine.tree.index)
-    return msgspec.structs.replace(news, leader=name)
+    reply = news_since(node, request.index)
+    if reply is None:
+        reply = FollowReply(name, None, True, node.machine.tree.index)
+    quarantine = quarantine_since(node, request.quarantine)
+    return msgspec.structs.replace(reply, leader=name, quarantine=quarantine)
+
+
+def quarantine_since(node: Node, known: int) -> QuarantineNews | None:
+    """List the cases, if they changed since a log index."""
+    quarantine = node.machine.quarantine
+    return quarantine.since(known) if quarantine.index > known else None
--- a/packages/core/nutmegchute_core/machines.py
+++ b/packages/core/nutmegchute_core/machines.py
@@ -13,13 +13,19 @@
 from .ledgers import LedgerState
 from .memberships import Reconfigure
 from .messages import LogEntry
+from .quarantines import Lift
+from .quarantines import Lifted
+from .quarantines import Quarantine
+from .quarantines import QuarantineBatch
+from .quarantines import QuarantineState
+from .quarantines import Rulings
 from .trees import Answer
 from .trees import Change
 from .trees import Refusal
 from .trees import Tree
 from .trees import TreeState
 
-Outcome = Answer | ClaimAnswers | None
+Outcome = Answer | ClaimAnswers | Rulings | Lifted | None
 
 
 class MachineState(msgspec.Struct, frozen=True):
@@ -32,17 +38,19 @@
     tree: TreeState = TreeState()
     entries: list[str] = []
     ledger: LedgerState = LedgerState()
+    quarantine: QuarantineState = QuarantineState()
 
 
 class Machine:
     """Hold the replicated state; equal logs give equal machines."""
 
-    __slots__ = ("_applied", "_entries", "_ledger", "_tree")
+    __slots__ = ("_applied", "_entries", "_ledger", "_quarantine", "_tree")
 
     def __init__(self) -> None:
         self._tree = Tree()
         self._entries: set[str] = set()
         self._ledger = Ledger()
+        self._quarantine = Quarantine()
         self._applied = 0
 
     @property
@@ -60,6 +68,11 @@
         """Give the claims on idempotency keys."""
         return self._ledger
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """Give the requests that may crash endpoints."""
+        return self._quarantine
+
     @property
     def applied(self) -> int:
         """Give the index of the last entry applied."""
@@ -77,6 +90,7 @@
             tree=self._tree.snapshot(),
             entries=sorted(self._entries),
             ledger=self._ledger.snapshot(),
+            quarantine=self._quarantine.snapshot(),
         )
 
     def restore(self, state: MachineState) -> None:
@@ -85,6 +99,7 @@
         self._tree.restore(state.tree)
         self._entries = set(state.entries)
         self._ledger.restore(state.ledger)
+        self._quarantine.restore(state.quarantine)
 
     @singledispatchmethod
     def _apply(self, command: object, index: int) -> Outcome:
@@ -114,6 +129,23 @@
     def _(self, command: ClaimBatch, index: int) -> Outcome:
         return self._ledger.apply(command)
 
+    @_apply.register
+    def _(self, command: QuarantineBatch, index: int) -> Outcome:
+        return self._quarantine.apply(index, command)
+
+    @_apply.register
+    def _(self, command: Lift, index: int) -> Outcome:
+        lifted = self._quarantine.lift(index, command)
+        if lifted.found:
+            detail = f"quarantine lifted: {command.fingerprint}"
+            self._tree.note(
+                index,
+                command.operator,
+                f"{detail} of {command.service}",
+                command.at_unix_s,
+            )
+        return lifted
+
     @_apply.register
     def _(self, command: Enroll, index: int) -> Outcome:
         self._entries.add(command.entry)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -57,6 +57,8 @@
 # the most that a pause may count for.
 FIRST_GAP_S = 0.05
 GAP_MOST_S = 1.0
+# An endpoint that told of no calls so lately is taken to run none.
+IDLE_REPORT_S = 0.05
 # Routes come and go with the configuration; what is learned of those that
 # went must not be kept for ever.
 MOST_RULES = 1024
@@ -321,6 +323,8 @@
 
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
+        if call.alone:
+            return self._choose_idle(call, now)
         avoid = list(call.attempts.values())
         within_s = call.objective_at - now
         endpoint = self._chooser.choose(
@@ -328,6 +332,31 @@
         )
         return None if endpoint is None else endpoint.address
 
+    def _choose_idle(self, call: Call, now: float) -> str | None:
+        """Return an endpoint that runs nothing, as far as is known."""
+        for address, endpoint in self._endpoints.items():
+            if address in call.attempts.values() or endpoint.draining:
+                continue
+            if endpoint.in_flight or endpoint.muted(now):
+                continue
+            if now < endpoint.ejected_until:
+                continue
+            if not self._chooser.tells:
+                return address
+            age_s = endpoint.report_age_s(now)
+            if age_s is None or age_s > IDLE_REPORT_S:
+                continue
+            if endpoint.reported_others == 0:
+                return address
+        return None
+
+    def process_of(self, call: Call, attempt: int) -> str:
+        """Name the start of an endpoint that an attempt was sent to."""
+        sent = self._under_way[call.call_id, attempt]
+        announcement = sent.endpoint.announcement
+        name = announcement.instance or announcement.endpoint
+        return f"{name}#{announcement.incarnation}"
+
     def instance_at(self, address: str) -> str:
         """Name the instance known at an address; empty where unnamed."""
         endpoint = self._endpoints.get(address)
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -7,6 +7,7 @@
 from .histories import Delta
 from .mirrors import Mark
 from .mirrors import NOTHING
+from .quarantines import QuarantineNews
 
 # How long a question is held when there is nothing new. An entry asks one
 # replica only, so this and the margin bound how long it goes on by old news
@@ -44,7 +45,8 @@
     ``marks`` maps replicas' addresses to the epoch and generation held of
     their registries, ``index`` is that of the tree in force here,
     ``members`` that of the membership known. The answer may be held for
-    ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place.
+    ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place,
+    ``quarantine`` the index of the cases that it knows.
     """
 
     entry: EntryInfo
@@ -53,6 +55,7 @@
     members: int
     hold_s: float
     calls_per_s: float = 0.0
+    quarantine: int = 0
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -65,6 +68,7 @@
     names those that the entry knows of and this replica does not hear.
     ``entries`` counts the entries of all replicas and ``calls_per_s`` adds
     up what they told; ``counted`` says that none of them is left out.
+    ``quarantine`` lists the requests that crash endpoints, where it is news.
     """
 
     deltas: dict[str, Delta]
@@ -76,6 +80,7 @@
     calls_per_s: float = 0.0
     current: bool = True
     counted: bool = True
+    quarantine: QuarantineNews | None = None
 
 
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/nutmegchute_core/timers.py
+++ b/packages/core/nutmegchute_core/timers.py
@@ -6,6 +6,7 @@
 ASKED = "asked"
 EXPIRY = "expiry"
 HEDGE = "hedge"
+SEEK = "seek"
 
 
 class Timers:
--- a/packages/daemon/nutmegchute_daemon/agreements.py
+++ b/packages/daemon/nutmegchute_daemon/agreements.py
@@ -23,6 +23,12 @@
 from nutmegchute_core.messages import Message
 from nutmegchute_core.nodes import Flushed
 from nutmegchute_core.nodes import Node
+from nutmegchute_core.quarantines import Lift
+from nutmegchute_core.quarantines import Lifted
+from nutmegchute_core.quarantines import QuarantineBatch
+from nutmegchute_core.quarantines import QuarantineReply
+from nutmegchute_core.quarantines import QuarantineRequest
+from nutmegchute_core.quarantines import Rulings
 from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
@@ -39,6 +45,7 @@
 from .groups import Group
 from .links import Links
 from .methods import FOLLOW
+from .quarantines import REPORT
 from .quorums import QuorumReport
 from .settings import Settings
 from .storages import Identity
@@ -101,12 +108,14 @@
         self._timer: asyncio.TimerHandle | None = None
         self._flush_due = False
         self._ledger_clock = LedgerClock()
+        self._quarantine_clock = LedgerClock()
         self._deliveries = Deliveries(
             links, self._find_member, self._take_replies, self._group.meet
         )
         links.serve(DELIVER, self._on_deliver)
         links.serve(FOLLOW, self._follows.ask)
         links.serve(CLAIM, self._on_claim)
+        links.serve(REPORT, self._on_report)
 
     @property
     def node(self) -> Node | None:
@@ -256,6 +265,46 @@
         assert isinstance(outcome, ClaimAnswers)
         return ClaimReply(None, outcome.answers)
 
+    async def _on_report(self, request: QuarantineRequest) -> QuarantineReply:
+        try:
+            term = self._lead().replica.term
+            elapsed_s = self._quarantine_clock.elapsed_s(
+                term, self._loop.time()
+            )
+            outcome = await self.propose(QuarantineBatch(elapsed_s, request))
+        except (NotLeaderError, TimeoutError):
+            leader = self.leader
+            address = None if leader is None else leader.grpc_address
+            return QuarantineReply(address, None)
+        assert isinstance(outcome, Rulings)
+        for one in outcome.quarantined:
+            log(
+                Event.QUARANTINED,
+                "warning",
+                service=one.service,
+                fingerprint=one.fingerprint,
+                processes=one.processes,
+                lasts_s=one.left_s,
+            )
+        return QuarantineReply(None, outcome.rulings)
+
+    async def lift(self, order: Lift) -> bool:
+        """Forget a request that crashed endpoints; tell if it was known.
+
+        :raises NotLeaderError: ask the leader instead
+        :raises TimeoutError: the outcome is not known
+        """
+        outcome = await self.propose(order)
+        assert isinstance(outcome, Lifted)
+        if outcome.found:
+            log(
+                Event.QUARANTINE_LIFTED,
+                service=order.service,
+                fingerprint=order.fingerprint,
+                operator=order.operator,
+            )
+        return outcome.found
+
     async def start(self) -> None:
         """Meet the other replicas, then start the replica's clock."""
         while self._node is None:
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -33,6 +33,7 @@
 from .protocols import UNKNOWN
 from .readers import BadRequestError
 from .readers import MAX_DEADLINE_MS
+from .senders import CLOSED
 from .senders import Reply
 from .senders import Request
 from .senders import Sender
@@ -233,6 +234,8 @@
             stretch=reply.stretch,
             shed=reply.shed,
             loss=reply.loss,
+            crashed=reply.loss == CLOSED
+            and self._sender.refuses(send.endpoint),
         )
         self._asker.tell(self.dispatcher.end_attempt, ticket, result)
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
@@ -20,6 +21,10 @@
 from nutmegchute_core.claims import NOT_RUN as NEVER_RAN
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
+from nutmegchute_core.quarantines import QuarantineNews
+from nutmegchute_core.quarantines import Report
+from nutmegchute_core.quarantines import Ruling
+from nutmegchute_core.quarantines import TrialRequest
 from nutmegchute_core.rules import Rule
 
 from .connections import Exchange
@@ -37,6 +42,7 @@
 Hedge = Callable[[Ticket, Send, Exchange], None]
 AskLoad = Callable[[Probe], None]
 Settle = Callable[[Ticket, str], None]
+Reports = Callable[[list[Report]], None]
 
 
 class Dispatcher:
@@ -56,6 +62,7 @@
         "_settle",
         "_tickets",
         "_timer",
+        "report",
     )
 
     def __init__(
@@ -80,6 +87,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._armed_at = 0.0
         self._hedging = 0
+        # Takes what control must hear of requests that crash endpoints.
+        self.report: Reports
         self._cutting = False
         self._hedges = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
@@ -94,6 +103,7 @@
             now,
             deadline_s,
             arrival.attempt,
+            ticket.fingerprint,
         )
         self._open(ticket, call_id, actions, now)
 
@@ -102,7 +112,12 @@
         arrival = ticket.arrival
         now = self._loop.time()
         call_id, actions = self._balancer.arrive_under(
-            service, rule, now, arrival.deadline_s, arrival.attempt
+            service,
+            rule,
+            now,
+            arrival.deadline_s,
+            arrival.attempt,
+            ticket.fingerprint,
         )
         self._open(ticket, call_id, actions, now)
 
@@ -130,8 +145,28 @@
             send["then"] = result.stretch
             if result.loss:
                 send["loss"] = result.loss
+            if result.crashed:
+                self._report_crash(ticket, send)
         self.perform(self._balancer.finish(result, self._loop.time()))
 
+    def take_quarantine(self, news: QuarantineNews) -> None:
+        """Take the requests that may crash endpoints, as control tells."""
+        log(
+            Event.QUARANTINE_APPLIED,
+            index=news.index,
+            cases=[[one.fingerprint, one.state] for one in news.cases],
+            ended=[fingerprint for _, fingerprint in news.ended],
+        )
+        now = self._loop.time()
+        self.perform(self._balancer.take_quarantine(news, now))
+
+    def take_ruling(
+        self, request: TrialRequest, ruling: Ruling | None
+    ) -> None:
+        """Take control's answer to a trial request; None: there is none."""
+        now = self._loop.time()
+        self.perform(self._balancer.take_ruling(request, ruling, now))
+
     def take_probe(
         self,
         probe: Probe,
@@ -188,6 +223,9 @@
                 self._settle(ticket, UNKNOWN)
                 self._metrics.count("unknown")
                 log(Event.CALL_LOST, "warning", reason=action.reason)
+        reports = self._balancer.reports()
+        if reports:
+            self.report(reports)
         self._arm()
 
     def sweep(self) -> None:
@@ -229,6 +267,19 @@
         """Let go of the hedging threads."""
         self._hedges.shutdown(wait=False, cancel_futures=True)
 
+    def _report_crash(self, ticket: Ticket, send: dict[str, Any]) -> None:
+        send["crashed"] = True
+        self._metrics.count("crashes")
+        log(
+            Event.ENDPOINT_CRASHED,
+            "warning",
+            request=ticket.name,
+            fingerprint=ticket.fingerprint,
+            service=ticket.story.service or ticket.arrival.service,
+            endpoint=send["to"],
+            instance=send["instance"],
+        )
+
     def _send(self, ticket: Ticket, send: Send) -> None:
         exchange = Exchange()
         ticket.exchanges[send.attempt] = exchange
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -46,6 +46,7 @@
 from .pages import EntryPages
 from .probes import LOAD_PATH
 from .probes import Prober
+from .quarantines import QuarantineReporter
 from .readers import CALL_PATH
 from .senders import Sender
 from .tickets import Ticket
@@ -102,6 +103,13 @@
             settle=self._settle,
         )
         self._prober.take = self._dispatcher.take_probe
+        self._follower.on_quarantine = self._dispatcher.take_quarantine
+        self._reporter = QuarantineReporter(
+            self._links,
+            lambda: [one.grpc_address for one in self._settings.control],
+            self._dispatcher.take_ruling,
+        )
+        self._dispatcher.report = self._reporter.submit
         self._handler.dispatcher = self
         pages = EntryPages(self, self._asker, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._asker, self.stop)
@@ -117,6 +125,7 @@
         self.every(GOSSIP_TICK_S, self._gossiper.tick)
         self.every(0, self._follower.follow)
         self.every(0, self._claimer.run)
+        self.every(0, self._reporter.run)
 
     def gauges(self) -> dict[str, float]:
         """Give what tells whether this entry can serve."""
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -60,6 +60,11 @@
     RELOADED = ("NC1008", "settings read again")
     WORD_FAILED = ("NC3017", "control's word could not be taken")
     PAUSED = ("NC3018", "entry stood still")
+    ENDPOINT_CRASHED = ("NC3021", "endpoint ended under a request")
+    QUARANTINE_UNREACHABLE = ("NC3022", "no leader takes reports of crashes")
+    QUARANTINE_APPLIED = ("NC3023", "requests to hold back changed")
+    QUARANTINED = ("NC2021", "request quarantined")
+    QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
     LEASE_LAPSED = ("NC3010", "no leader confirms the configuration")
     LEASE_RENEWED = ("NC3011", "a leader confirms the configuration again")
 
--- a/packages/daemon/nutmegchute_daemon/followers.py
+++ b/packages/daemon/nutmegchute_daemon/followers.py
@@ -11,6 +11,7 @@
 from nutmegchute_core.fleets import HOLD_S
 from nutmegchute_core.fleets import RelayReply
 from nutmegchute_core.fleets import Standing
+from nutmegchute_core.quarantines import QuarantineNews
 
 from .events import Event
 from .events import log
@@ -43,6 +44,8 @@
         "_target",
         "_tree",
         "_turn",
+        "on_quarantine",
+        "_quarantine",
     )
 
     def __init__(
@@ -62,6 +65,9 @@
         self._turn = 0
         self._lapsed = False
         self._tree = TreeCopy()
+        # Takes the requests that may crash endpoints, where they changed.
+        self.on_quarantine: Callable[[QuarantineNews], None]
+        self._quarantine = 0
         links.serve(RELAY, self._on_relay)
 
     @property
@@ -161,7 +167,12 @@
 
     def _request(self, hold: bool) -> FollowRequest:
         hold = hold and self._standing.may_hold(_clock())
-        return FollowRequest(self._settings.name, self.index, hold=hold)
+        return FollowRequest(
+            self._settings.name,
+            self.index,
+            hold=hold,
+            quarantine=self._quarantine,
+        )
 
     def _next_replica(self) -> str:
         replicas = self._settings.control
@@ -178,6 +189,9 @@
                 )
             )
             log(Event.CONFIG_APPLIED, index=self.index)
+        if reply.quarantine is not None:
+            self._quarantine = reply.quarantine.index
+            self.on_quarantine(reply.quarantine)
         self._standing.renew(asked_at)
         self._report_lease()
 
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -27,6 +27,7 @@
     "refused": (COUNTER, "calls"),
     "unknown": (COUNTER, "calls"),
     "abandoned": (COUNTER, "calls"),
+    "crashes": (COUNTER, "attempts"),
     "hedges": (COUNTER, "attempts"),
     "probes": (COUNTER, "probes"),
     "in_flight": (GAUGE, "calls"),
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -14,6 +14,8 @@
 from nutmegchute_core.machines import Machine
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.memberships import ReplicaWish
+from nutmegchute_core.quarantines import Evidence
+from nutmegchute_core.quarantines import Lift
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import AuditRecord
 from nutmegchute_core.trees import Change
@@ -63,6 +65,20 @@
     members: list[Member]
 
 
+class LiftRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Give the form of an order to forget a request that crashed."""
+
+    service: str
+    fingerprint: str
+
+
+class LiftAnswer(msgspec.Struct, frozen=True):
+    """Tell an operator what became of it."""
+
+    outcome: str
+    detail: str
+
+
 class Control(Protocol):
     """Name what the pages ask of the control role."""
 
@@ -162,6 +178,24 @@
             raise cherrypy.HTTPError(400, "limit is at least 1")
         return as_json(self._asker.ask(self._audit, after, most))
 
+    @cherrypy.expose
+    def quarantine(self) -> bytes:
+        """Show the requests that may crash endpoints, or forget one."""
+        if cherrypy.request.method != "POST":
+            return as_json(self._asker.ask(self._cases))
+        operator = self._operator()
+        request = _decode(LiftRequest)
+        if not operator.may_change(EVERY_BRANCH):
+            raise cherrypy.HTTPError(
+                403, f"{operator.name} may not lift a quarantine"
+            )
+        order = Lift(
+            request.service, request.fingerprint, operator.name, time.time()
+        )
+        if self._run(self._daemon.agreement.lift(order), "/quarantine"):
+            return as_json(LiftAnswer(ACCEPTED, "lifted"))
+        return as_json(LiftAnswer("unknown", "no such request is held back"))
+
     @cherrypy.expose
     def status(self) -> bytes:
         """Describe this replica."""
@@ -181,6 +215,9 @@
             return records[-most:]
         return [one for one in records if one.index > after][:most]
 
+    def _cases(self) -> list[Evidence]:
+        return self._daemon.machine.quarantine.evidence()
+
     def _operator(self) -> Operator:
         return require_operator(self._daemon.settings, self._asker)
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -7,6 +7,7 @@
 import msgspec
 from nutmegchute_core.discovery import Discovery
 from nutmegchute_core.followings import news_since
+from nutmegchute_core.followings import quarantine_since
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import Process
@@ -359,6 +360,8 @@
             return True
         if node.machine.tree.index > request.index:
             return True
+        if node.machine.quarantine.index > request.quarantine:
+            return True
         return node.replica.log.membership_index > request.members
 
     def _refers(self, request: WatchRequest) -> bool:
@@ -407,8 +410,11 @@
         if refers or not self._in_contact():
             # Out of contact it may know an old tree only.
             return reply
-        tree = news_since(node, request.index, True)
-        return msgspec.structs.replace(reply, tree=tree)
+        return msgspec.structs.replace(
+            reply,
+            tree=news_since(node, request.index, True),
+            quarantine=quarantine_since(node, request.quarantine),
+        )
 
 
 def _replicas(node: Node, known: int) -> list[ReplicaInfo] | None:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -43,6 +43,7 @@
 from .exchanges import StrictRequest
 from .forms import CallForm
 from .probes import Prober
+from .quarantines import QuarantineReporter
 from .senders import Sender
 from .settings import Settings
 from .tickets import Ticket
@@ -109,6 +110,7 @@
         )
         self._connections = Connections()
         self._processes: dict[str, Process] = {}
+        self._replicas: list[str] = []
         self._handler = CallHandler(
             asker=self._asker,
             sender=Sender(self._connections, self._form),
@@ -127,6 +129,12 @@
             ask_load=self._prober.ask,
             settle=_settle_nothing,
         )
+        self._reporter = QuarantineReporter(
+            self._links,
+            lambda: self._replicas,
+            self._dispatcher.take_ruling,
+        )
+        self._dispatcher.report = self._reporter.submit
         self._prober.take = self._dispatcher.take_probe
         self._handler.dispatcher = self
         self._handler.kept = self._kept_bytes
@@ -144,6 +152,7 @@
         self._watcher.start()
         self.every(SWEEP_S, self._sweep)
         self.every(EXPIRE_S, self._expire)
+        self.every(0, self._reporter.run)
 
     def gauges(self) -> dict[str, float]:
         """Give what tells whether this entry can serve."""
@@ -283,6 +292,7 @@
             self._members,
             hold_s,
             self._shares.told,
+            self._balancer.quarantine,
         )
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -296,9 +306,12 @@
         self._members = max(self._members, reply.members)
         if reply.replicas is not None:
             self._watcher.update(reply.replicas)
+            self._replicas = [one.address for one in reply.replicas]
         self._count(reply)
         if reply.tree is not None and self._tree.take(reply.tree):
             self._apply()
+        if reply.quarantine is not None:
+            self._dispatcher.take_quarantine(reply.quarantine)
         changed = self._catalog.vouch(reply.silent, boot_time())
         for source, delta in reply.deltas.items():
             changed |= self._catalog.hear(source, delta, boot_time())
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -12,6 +12,7 @@
 from nutmegchute_core.calls import NOT_RUN
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
 from urllib3.exceptions import ProtocolError
 from urllib3.exceptions import TimeoutError as HTTPTimeoutError
 from urllib3.response import HTTPResponse
@@ -26,6 +27,7 @@
 from .errors import DaemonError
 
 CONNECT_TIMEOUT_S = 0.25
+REFUSAL_TIMEOUT_S = 0.1
 BUFFER_BYTES = 65536
 LEAST_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
@@ -371,6 +373,23 @@
             return Reply(LOST, latency_s, _loss(error))
         return reply
 
+    def refuses(self, endpoint: str) -> bool:
+        """Tell whether nothing listens at an endpoint's address any more.
+
+        A connection that was closed does not show that its endpoint ended:
+        one that is full, or loses an answer, closes connections as well.
+        """
+        connection = self._connections.open(endpoint, REFUSAL_TIMEOUT_S)
+        try:
+            connection.connect()
+        except NewConnectionError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        except (HTTPError, OSError):
+            return False
+        finally:
+            connection.close()
+        return False
+
     def _connect(self, endpoint: str, remaining_s: float) -> Connection | None:
         connection = self._connections.take(endpoint)
         if connection is not None:
--- a/packages/fakes/nutmegchute_fakes/controls.py
+++ b/packages/fakes/nutmegchute_fakes/controls.py
@@ -31,6 +31,7 @@
         self.entries: dict[str, int] = {}
         self.waiting: list[dict[str, Any]] = []
         self.replicas: list[dict[str, Any]] = []
+        self.quarantine: list[dict[str, Any]] = []
         self.posts: list[tuple[str, Any]] = []
         self.intrude: Callable[[], object] = lambda: None
         self._index = 0
@@ -77,6 +78,7 @@
                 "replicas": self.replicas,
                 "waiting": self.waiting,
             },
+            "/quarantine": self.quarantine,
             "/status": {
                 "name": "control-1",
                 "state": self.state,
@@ -102,6 +104,15 @@
             self.intrude()
         self.posts.append((path, body))
         answer: Any = {"outcome": "accepted", "detail": "done"}
+        if path == "/quarantine":
+            before = len(self.quarantine)
+            self.quarantine = [
+                one
+                for one in self.quarantine
+                if one["fingerprint"] != body["fingerprint"]
+            ]
+            if len(self.quarantine) == before:
+                answer = {"outcome": "unknown", "detail": "no such request"}
         if path == "/changes":
             self._index += 1
             change = Change(operator=operator, at_unix_s=0.0, **body)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -286,6 +286,23 @@
     ]
 
 
+def test_quarantine_is_lifted(run: Run, control: FakeControl) -> None:
+    """List a request that crashes endpoints, and forget it once."""
+    case = {
+        "service": "desk",
+        "fingerprint": "f1",
+        "state": "quarantined",
+        "left_s": 3600.0,
+        "processes": ["i-1#0"],
+    }
+    control.quarantine = [case]
+    assert msgspec.json.decode(run("quarantine", "--json")[1]) == [case]
+    assert "f1" in run("quarantine")[1]
+    assert run("quarantine", "lift", "desk", "f1")[0] == 0
+    assert control.quarantine == []
+    assert run("quarantine", "lift", "desk", "f1")[0] == 1
+
+
 def test_replicas_are_replaced(run: Run, control: FakeControl) -> None:
     """Send the lost name, the new name and its addresses."""
     words = ("replace", "control-1", "control-4")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -117,7 +118,7 @@
     service = Service(site)
     try:
         for number in range(ROUTERS):
-            wait_for(lambda n=number: _served(site, n), f"router {number}")
+            wait_for(partial(_served, site, number), f"router {number}")
         tries = itertools.count()
         until = float("inf")
         while time.monotonic() < until:
@@ -129,7 +130,7 @@
         again = [at for at in service.crashes if at > late]
         assert len(again) <= MOST_RETRIES
         for number in range(ROUTERS):
-            wait_for(lambda n=number: _served(site, n), f"router {number}")
+            wait_for(partial(_served, site, number), f"router {number}")
     finally:
         service.stop()
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,6 +19,7 @@
 from nutmegchute_core.members import UP
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.peers import SILENT_S
+from nutmegchute_core.quarantines import Quarantine
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
@@ -69,6 +70,7 @@
     def __init__(self, address: str, world: "World") -> None:
         self.address = address
         self.tree = Tree()
+        self.quarantine = Quarantine()
         self._world = world
         self._contact_at = 0.0
         self.registrar = Registrar(
@@ -108,7 +110,9 @@
     def _node(self) -> SimpleNamespace:
         members = self._world.members
         return SimpleNamespace(
-            machine=SimpleNamespace(tree=self.tree),
+            machine=SimpleNamespace(
+                tree=self.tree, quarantine=self.quarantine
+            ),
             replica=SimpleNamespace(
                 membership=SimpleNamespace(members=members),
                 log=SimpleNamespace(membership_index=1),
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -30,5 +30,7 @@
         _digest(target="/loan/1?x=2"),
         _digest(body=b"atlas"),
         _digest(host="b.example"),
+        _digest(Authorization="Basic bWVtYmVy"),
+        _digest(Cookie="member=1"),
     ]
     assert len({_digest(), *others}) == 1 + len(others)
