Crash upstreams by a request in the soak, the tests of both interfaces and storms

make soak sends a request each 0.4 s that ends the upstream that runs it; its oracle finds one that goes on. The model plays such a request together with kills, flapping endpoints, entries that start anew and leaders that change.

--- a/packages/fakes/nutmegchute_fakes/faults.py
+++ b/packages/fakes/nutmegchute_fakes/faults.py
@@ -18,6 +18,7 @@
 DOWN_S = (0.5, 4.0)
 STOP_S = 15.0
 STEP_S = 0.05
+CRASHED_S = 0.5
 RETRY_S = 1.0
 # Faults of controls are rarer, so that much runs with a quorum as well.
 DRAWS = (
@@ -123,6 +124,7 @@
         started = time.monotonic()
         while self._faults or self._mends:
             self._now = time.monotonic() - started
+            self._note_crashes()
             self._mend()
             if self._faults and self._faults[0].at_s <= self._now:
                 self._break(self._faults.pop(0))
@@ -146,6 +148,15 @@
         mend_at = self._now + fault.down_s
         self._mends.append(Repair(process, fault.deed, mend_at))
 
+    def _note_crashes(self) -> None:
+        """See to upstreams that ended by themselves."""
+        for process in self._processes["upstream"]:
+            if process.running or process.name in self._busy:
+                continue
+            self._busy.add(process.name)
+            back_at = self._now + CRASHED_S
+            self._mends.append(Repair(process, KILL, back_at))
+
     def _mend(self) -> None:
         waiting = []
         for repair in self._mends:
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -17,8 +17,10 @@
   lost           a lookup never answered, or said to have run and did not
   crossed        another request's answer, or not the whole one
   false-not-run  an attempt that was refused "not run" and ran
+  crashed-on     a request that ends upstreams went on to reach them
 """
 
+import contextlib
 import shutil
 import subprocess
 import sys
@@ -48,6 +50,7 @@
 from .faults import Fault
 from .faults import Player
 from .faults import schedule
+from .upstreams import CRASH_PATH
 
 ZONES = ["miraflores", "san-isidro", "surco"]
 CONTROLS = 3
@@ -60,6 +63,13 @@
 LOAN_TRIES = 12
 LATE_S = 3.0
 MAX_SEED = 10**6
+# A request that ends each upstream that runs it comes this often. Once three
+# have ended it may reach a few more, and for so long while control is broken.
+CRASH_GAP_S = 0.4
+CRASH_NAME = "crash"
+CRASHES_TO_KNOW = 3
+MOST_CRASHES = 3
+KNOWN_S = 15.0
 
 LOOKUP = "lookup"
 KEYED = "keyed-loan"
@@ -185,6 +195,10 @@
             started = time.monotonic()
             playing = threading.Thread(target=player.run, daemon=True)
             playing.start()
+            crashing = threading.Thread(
+                target=self._crash, args=(playing,), daemon=True
+            )
+            crashing.start()
             callers = [self._caller(number) for number in range(CALLERS)]
             free = list(callers)
             for number in range(count):
@@ -192,8 +206,20 @@
                 time.sleep(max(0.0, due - time.monotonic()))
                 pool.submit(self._call, free, number)
             playing.join()
+            crashing.join()
         time.sleep(LATE_S)
 
+    def _crash(self, playing: threading.Thread) -> None:
+        """Send a request that ends upstreams, while faults are played."""
+        caller = self._caller(0)
+        number = 0
+        while playing.is_alive():
+            name = f"{CRASH_NAME}-{number}"
+            with contextlib.suppress(NoEntryError):
+                caller.shoot(name, "prestamos", "GET", CRASH_PATH)
+            number += 1
+            time.sleep(CRASH_GAP_S)
+
     def _caller(self, number: int) -> FakeCaller:
         seeds = [one.address for one in self._cluster.entries]
         turn = number % len(seeds)
@@ -268,9 +294,13 @@
 
     def _judge(self) -> bool:
         ran: list[str] = []
+        crashes: list[float] = []
         for path in sorted(self._folder.glob("ran-*")):
             for line in path.read_text().splitlines():
-                ran.append(line.split()[-1])
+                words = line.split()
+                ran.append(words[-1])
+                if words[-1].startswith(CRASH_NAME):
+                    crashes.append(float(words[0]))
         verdict = Verdict(self._told, ran)
         print(f"{len(self._told)} requests: {verdict.summary()}")
         found = {
@@ -278,6 +308,7 @@
             "lost": verdict.lost(),
             "crossed": verdict.crossed(),
             "false-not-run": verdict.false_not_run(),
+            "crashed-on": crashed_on(crashes),
         }
         for name, places in found.items():
             for place in places[:5]:
@@ -294,6 +325,18 @@
         return "never told"
 
 
+def crashed_on(crashes: list[float]) -> list[str]:
+    """Name the ends of upstreams that a quarantine should have kept off."""
+    crashes = sorted(crashes)
+    if len(crashes) < CRASHES_TO_KNOW:
+        return []
+    known_at = crashes[CRASHES_TO_KNOW - 1] + KNOWN_S
+    late = [at for at in crashes if at > known_at]
+    if len(late) <= MOST_CRASHES:
+        return []
+    return [f"{CRASH_NAME}.{at - crashes[0]:.1f}" for at in late]
+
+
 def main() -> int:
     """Run a soak; the status tells whether the oracle found nothing."""
     arguments = docopt(__doc__)
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -14,8 +14,11 @@
   --service-ms=MS      Time one call takes [default: 2].
   --key=KEY            Key the service's announcements must show.
   --record=PATH        File to append to what ran; it outlives a kill.
+
+A call to CRASH_PATH ends the process.
 """
 
+import os
 import signal
 import threading
 import time
@@ -35,6 +38,8 @@
 EXTRA_THREADS = 8
 PATIENCE = 4
 KEEP_ALIVE_CONNECTIONS = 1024
+CRASH_PATH = "/crash"
+CRASH_STATUS = 70
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -149,6 +154,8 @@
             identity = environ.get("HTTP_X_REQUEST_ID", "")
             with self._lock:
                 self._note(identity, environ)
+                if environ["PATH_INFO"] == CRASH_PATH:
+                    os._exit(CRASH_STATUS)
                 self._busy -= 1
                 load = self._busy
         answer = {
--- a/tests/test_crash_storms.py
+++ b/tests/test_crash_storms.py
@@ -197,3 +197,44 @@
     assert len(model.ended[BAD]) <= 3 + 1
     found = _innocent(model)
     assert found["answered"] >= 0.6 * sum(found.values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_crashing_request_within_a_storm(seed: int) -> None:
+    """Guard the bound where endpoints end for other reasons as well.
+
+    A crashing request comes all the time; all endpoints are killed twice, a
+    quarter of them flap, and entries start anew.
+    """
+    model = Model(17, 17, seed, _is_bad)
+    until = 30.0
+    model.every(0.01, until, _names("popular", LOOKUPS))
+    model.every(RETRY_S, until, _bad)
+    for at in (2.0, 12.0):
+        for place in model.places:
+            model.at(at, partial(model.end, place))
+    for turn in range(25):
+        for place in model.places[:4]:
+            model.at(1.0 + turn, partial(model.end, place, back_s=0.5))
+    for entry in range(17):
+        model.at(8.0 + entry * 0.5, partial(model.restart, entry))
+    model.run(until + 4.0)
+    assert model.late(BAD, CONTACT_S) <= MOST_LATE
+    assert model.quarantine.count == 1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_leader_changes_while_a_request_is_on_trial(seed: int) -> None:
+    """Guard against a count that begins anew with each leader."""
+    model = Model(17, 17, seed, _is_bad)
+    _load(model, 25.0)
+    model.every(RETRY_S, 25.0, _bad)
+
+    def lead(leads: bool) -> None:
+        model.control = leads
+
+    for turn in range(12):
+        model.at(0.2 + turn * 0.9, partial(lead, False))
+        model.at(0.6 + turn * 0.9, partial(lead, True))
+    model.run(29.0)
+    assert model.late(BAD, CONTACT_S) <= MOST_LATE
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,6 +9,13 @@
 from typing import Any
 
 import pytest
+from nutmegchute_fakes.clusters import Cluster
+from nutmegchute_fakes.clusters import OPERATOR_KEY
+from nutmegchute_fakes.clusters import Process
+from nutmegchute_fakes.demo import declaration
+from nutmegchute_fakes.demo import declare
+from nutmegchute_fakes.upstreams import CRASH_PATH
+from platform_standins import ask
 from platform_standins import Endpoint
 from platform_standins import HOST
 from platform_standins import Site
@@ -25,6 +32,7 @@
 CONTACT_S = 3.0
 # How long a caller goes on after that.
 GOES_ON_S = 4.0
+CRASHING = "crashing"
 
 NAMES = itertools.count()
 
@@ -147,3 +155,81 @@
 def _served(site: Site, number: int) -> bool:
     answer = site.request("/look/well", _name(), number)
     return answer is not None and answer.status == 200
+
+
+class CrashingCluster:
+    """Run entries and upstreams, and start anew what has crashed."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.cluster = Cluster(folder, ["miraflores", "surco"])
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start and configure everything."""
+        self.cluster.start(3, ROUTERS, entries_keep_s=1.0)
+        controls = [one.address for one in self.cluster.controls]
+        declare(self.folder, declaration(2000), controls, OPERATOR_KEY)
+        for number in range(ENDPOINTS):
+            record = self.folder / f"ran-{number}"
+            self.cluster.add_upstream("prestamos", record=record)
+        for entry in self.cluster.entries:
+            self.cluster.wait_for(entry.name, partial(self._knows_all, entry))
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End everything."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self.cluster.stop()
+
+    def crashes(self) -> list[float]:
+        """List when an upstream ran the crashing request."""
+        found = []
+        for path in self.folder.glob("ran-*"):
+            for line in path.read_text().splitlines():
+                at, _, _, name = line.split()
+                if name.startswith(CRASHING):
+                    found.append(float(at))
+        return sorted(found)
+
+    def _knows_all(self, entry: Process) -> bool:
+        status = self.cluster.ask(entry)
+        return status is not None and len(status["upstreams"]) == ENDPOINTS
+
+    def _run(self) -> None:
+        while not self._stopped.wait(RETURN_S):
+            for upstream in self.cluster.upstreams:
+                if not upstream.running:
+                    upstream.restart()
+
+
+def test_crashing_request_sent_again_by_every_entry(tmp_path: Path) -> None:
+    """Guard the product's own interface against the same."""
+    crashing = CrashingCluster(tmp_path)
+    try:
+        crashing.start()
+        entries = crashing.cluster.entries
+        tries = itertools.count()
+        until = float("inf")
+        while time.time() < until:
+            number = next(tries)
+            entry = entries[number % ROUTERS].address
+            name = f"{CRASHING}-{number}"
+            url = f"http://{entry}/call/prestamos{CRASH_PATH}"
+            ask("GET", url, X_Request_Id=name)
+            seen = crashing.crashes()
+            if until == float("inf") and len(seen) >= 3:
+                until = time.time() + CONTACT_S + GOES_ON_S
+            time.sleep(RETRY_S)
+        seen = crashing.crashes()
+        again = [at for at in seen if at > seen[2] + CONTACT_S]
+        assert len(again) <= MOST_RETRIES
+        for one in entries:
+            url = f"http://{one.address}/call/prestamos/shelf"
+            answer = wait_for(partial(ask, "GET", url), "a lookup")
+            assert answer.status == 200
+    finally:
+        crashing.stop()
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -142,6 +142,16 @@
     assert line.reply.loss == loss
 
 
+def test_closed_connection_is_no_crash(start: Start) -> None:
+    """Guard against taking an endpoint that lives on for a crashed one."""
+    upstream = start(faulty_upstreams.reset_at_once)
+    line = Line(upstream.address)
+    assert line.send() == LOST
+    assert line.reply.loss == CLOSED
+    assert not line.sender.refuses(upstream.address)
+    assert line.sender.refuses(free_address())
+
+
 @pytest.mark.parametrize(
     "behaviour",
     [faulty_upstreams.half_a_long_body, faulty_upstreams.half_the_chunks],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,9 @@
 from nutmegchute_fakes.callers import UNKNOWN
 from nutmegchute_fakes.callers import WRONG
 from nutmegchute_fakes.faults import schedule
+from nutmegchute_fakes.soak import crashed_on
 from nutmegchute_fakes.soak import KEYED
+from nutmegchute_fakes.soak import KNOWN_S
 from nutmegchute_fakes.soak import LOOKUP
 from nutmegchute_fakes.soak import Told
 from nutmegchute_fakes.soak import Verdict
@@ -55,3 +57,12 @@
     assert one == again
     assert one != other
     assert len(one) > 20
+
+
+def test_the_oracle_finds_a_request_that_goes_on_crashing() -> None:
+    """Allow three ends of upstreams, and three more a while after."""
+    first = [100.0, 100.1, 100.2]
+    late = [100.2 + KNOWN_S + second for second in range(1, 5)]
+    assert crashed_on([]) == []
+    assert crashed_on([*first, *late[:3]]) == []
+    assert len(crashed_on([*late, *first])) == len(late)
