End a call whose endpoint crashed after its service was declared anew

Callers would have waited until their own deadline: a service that leaves the configuration and comes back has a new pool, which does not know the attempt, and asking it for the endpoint's process raised KeyError on the loop. Found by reading; the test fails with KeyError on the code before.

--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -351,8 +351,13 @@
         return None
 
     def process_of(self, call: Call, attempt: int) -> str:
-        """Name the start of an endpoint that an attempt was sent to."""
-        sent = self._under_way[call.call_id, attempt]
+        """Name the start of an endpoint that an attempt was sent to.
+
+        Empty where the service was gone from the configuration meanwhile.
+        """
+        sent = self._under_way.get((call.call_id, attempt))
+        if sent is None:
+            return ""
         announcement = sent.endpoint.announcement
         name = announcement.instance or announcement.endpoint
         return f"{name}#{announcement.incarnation}"
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -161,3 +161,15 @@
         actions = balancer.finish(result, 0.001)
         outcomes.append([type(one) for one in actions])
     assert outcomes == [[Send], [Refuse], [Send]]
+
+
+def test_crash_under_a_call_of_a_service_that_was_declared_anew() -> None:
+    """Guard against a call whose end is never told to its caller."""
+    balancer = build("a:1")
+    send = arrive(balancer, "POST")
+    balancer.configure({}, now=0.1)
+    document = team(catalogo=[LOAN, rule()])
+    balancer.configure(read_services({"lending": document}), now=0.2)
+    result = Result(send.call_id, send.attempt, LOST, 0.3, crashed=True)
+    actions = balancer.finish(result, 0.3)
+    assert any(isinstance(one, Lose) for one in actions)
