--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -18,36 +18,31 @@
 from .inquiries import ANSWER_S
 from .inquiries import ASK_AGAIN_S
 from .inquiries import Inquiry
+from .isolations import Isolation
+from .isolations import Release
 from .members import Announcement
 from .policies import Policy
 from .pools import CROWDED_RETRY_S
 from .pools import Pool
 from .quarantines import FREE
-from .quarantines import Key
 from .quarantines import QUARANTINED
 from .quarantines import QuarantineNews
 from .quarantines import Report
 from .quarantines import Ruling
-from .quarantines import TrialEnd
 from .quarantines import TrialRequest
-from .quarantines import TRY
-from .quarantines import WAIT
 from .quarantines import WAIT_S
 from .rules import Rule
 from .rules import Service
-from .suspects import Suspects
 from .timers import AGAIN
 from .timers import ASKED
 from .timers import EXPIRY
 from .timers import HEDGE
 from .timers import SEEK
 from .timers import Timers
-from .trials import Trials
 
 ADMITTED = "admitted"
 QUEUED = "queued"
 MOST_STUCK = 4
-TOKEN_BITS = 62
 CRASHES = "crashes the endpoints that run it"
 TOO_MANY_SUSPECTS = "too many suspects wait"
 
@@ -61,13 +56,12 @@
         "_extra",
         "_inquiries",
         "_inquiry_limit",
+        "_isolation",
         "_next_id",
         "_policy",
         "_pools",
         "_random",
-        "_suspects",
         "_timers",
-        "_trials",
     )
 
     def __init__(
@@ -86,17 +80,16 @@
         self._extra: tuple[float, float] | None = None
         self._inquiries: dict[int, Inquiry] = {}
         self._inquiry_limit = (0.0, 1.0)
-        self._suspects = Suspects()
-        self._trials = Trials()
+        self._isolation = Isolation(self._random, self._timers)
 
     @property
     def quarantine(self) -> int:
         """Give the log index of the cases known."""
-        return self._suspects.index
+        return self._isolation.index
 
     def reports(self) -> list[Report]:
         """Take what control must hear of requests that crash endpoints."""
-        return self._suspects.drain()
+        return self._isolation.reports()
 
     @property
     def in_flight(self) -> int:
@@ -227,9 +220,13 @@
         call.outstanding.discard(result.attempt)
         pool = self._pools.get(call.service)
         actions: list[Action] = []
-        self._learn_guilt(pool, call, result, now, actions)
         if pool is not None:
+            process = ""
+            if result.crashed:
+                process = pool.process_of(call, result.attempt)
+            releases = self._isolation.learn(call, result, process, now)
             pool.take_result(call, result, now)
+            self._let_go(releases, now, actions)
         self._conclude(pool, call, result, now, actions)
         if pool is not None:
             self._dispatch(pool, now, actions)
@@ -241,12 +238,7 @@
     ) -> list[Action]:
         """Take the requests that may crash endpoints, as control tells."""
         actions: list[Action] = []
-        if not self._suspects.take(news, now):
-            return actions
-        for key in self._trials.keys:
-            ruling = self._suspects.look(key, now)
-            if ruling.outcome != WAIT:
-                self._release(key, ruling, now, actions)
+        self._let_go(self._isolation.take_news(news, now), now, actions)
         return actions
 
     def take_ruling(
@@ -254,27 +246,8 @@
     ) -> list[Action]:
         """Take the answer to a trial request; None: there was none."""
         actions: list[Action] = []
-        key = request.service, request.fingerprint
-        token = request.token
-        asked = self._trials.answer(token)
-        if asked is None:
-            if ruling is not None and ruling.outcome == TRY:
-                # The call ended meanwhile.
-                self._suspects.add(TrialEnd(*key, token, False))
-            return actions
-        _, call_id = asked
-        if ruling is None:
-            ruling = self._suspects.decide(key, now)
-        if ruling.outcome == WAIT:
-            self._trials.wait(key)
-            self._timers.add(now + ruling.after_s, SEEK, call_id)
-        elif ruling.outcome == TRY:
-            self._begin_trial(call_id, token, ruling.alone, now, actions)
-        else:
-            if ruling.outcome == FREE:
-                self._suspects.clear(key)
-            self._trials.wait(key)
-            self._release(key, ruling, now, actions)
+        releases = self._isolation.take_ruling(request, ruling, now)
+        self._let_go(releases, now, actions)
         return actions
 
     def take_probe(
@@ -305,7 +278,7 @@
         actions: list[Action] = []
         pool = self._pools.get(call.service)
         self._cancel(pool, call, now, actions)
-        self._end_trial(call)
+        self._isolation.forget(call, call.state != QUEUED)
         if pool is not None:
             pool.queue.remove(call_id)
             self._dispatch(pool, now, actions)
@@ -344,7 +317,7 @@
             elif kind == AGAIN:
                 self._ask_again(call, now, actions)
             elif kind == SEEK:
-                self._seek(call.key, now)
+                self._isolation.seek(call.key, now)
         for name, pool in self._pools.items():
             if pool.queue:
                 self._dispatch(pool, now, actions)
@@ -473,7 +446,7 @@
         pool = self._pools.get(call.service)
         if pool is None or call.state != QUEUED:
             return
-        if self._trials.holds(call.key, call.call_id):
+        if self._isolation.holds(call):
             return
         if self._send_away(pool, call, False, now, actions):
             return
@@ -635,7 +608,7 @@
         pool = self._pools.get(call.service)
         if pool is None or len(call.outstanding) != 1:
             return
-        if not pool.may_hedge(call, now) or self._is_restricted(call, now):
+        if not pool.may_hedge(call, now) or self._may_have_crashed(call, now):
             return
         inquiry = Inquiry(list(call.attempts.values()), True)
         if not self._ask(pool, call, inquiry, now, actions):
@@ -645,7 +618,7 @@
         pool = self._pools.get(call.service)
         if pool is None or len(call.outstanding) != 1:
             return
-        if self._is_restricted(call, now):
+        if self._may_have_crashed(call, now):
             return
         address = pool.choose_hedge(call, now)
         if address is None:
@@ -682,7 +655,7 @@
         retry_after_s: float | None = None,
     ) -> Action:
         del self._calls[call.call_id]
-        self._end_trial(call)
+        self._isolation.forget(call, call.state != QUEUED)
         if call.may_have_run:
             # An earlier attempt was lost after bytes had left: "not run"
             # could be false, and a loan repeated on its word would run
@@ -694,24 +667,24 @@
             retry_after_s = 0.0 if pool is None else pool.retry_after_s
         return Refuse(call.call_id, reason, retry_after_s)
 
-    def _is_restricted(self, call: Call, now: float) -> bool:
-        """Tell whether a call may go on trial only, or not at all."""
-        if not self._suspects.any:
-            return False
-        return self._suspects.look(call.key, now).outcome != FREE
+    def _may_have_crashed(self, call: Call, now: float) -> bool:
+        """Tell whether a call is a suspect's; those are sent once a time."""
+        if call.trial:
+            return True
+        return self._isolation.look(call, now).outcome != FREE
 
     def _restrict(
         self, pool: Pool, call: Call, now: float, actions: list[Action]
     ) -> bool:
         """Hold or refuse a call that may not simply go; tell if it was."""
-        if call.trial or not self._is_restricted(call, now):
+        ruling = self._isolation.look(call, now)
+        if ruling.outcome == FREE:
             return False
         pool.queue.remove(call.call_id)
-        ruling = self._suspects.look(call.key, now)
         if ruling.outcome == QUARANTINED:
             actions.append(self._give_up(pool, call, CRASHES, ruling.after_s))
             return True
-        if not self._trials.hold(call.key, call.call_id):
+        if not self._isolation.hold(call, now):
             actions.append(
                 self._give_up(pool, call, TOO_MANY_SUSPECTS, WAIT_S)
             )
@@ -719,92 +692,23 @@
         if call.state == ADMITTED:
             call.step("queue")
         self._guard(pool, call)
-        self._seek(call.key, now)
         return True
 
-    def _seek(self, key: Key, now: float) -> None:
-        """Ask control whether a call of a suspect may go."""
-        call_id = self._trials.next(key)
-        if call_id is None:
-            return
-        token = self._random.getrandbits(TOKEN_BITS) + 1
-        left_s = max(0.0, self._calls[call_id].deadline_at - now)
-        self._trials.ask(key, call_id, token)
-        self._suspects.add(TrialRequest(*key, token, left_s))
-
-    def _begin_trial(
-        self,
-        call_id: int,
-        token: int,
-        alone: bool,
-        now: float,
-        actions: list[Action],
+    def _let_go(
+        self, releases: list[Release], now: float, actions: list[Action]
     ) -> None:
-        call = self._calls[call_id]
-        self._trials.begin(call.key, call_id)
-        call.trial = token
-        call.alone = alone
-        self._let_go(call, now, actions)
-
-    def _release(
-        self, key: Key, ruling: Ruling, now: float, actions: list[Action]
-    ) -> None:
-        """Let all calls of a request go, or refuse them."""
-        for call_id in self._trials.release(key):
-            call = self._calls[call_id]
-            if ruling.outcome == FREE:
-                self._let_go(call, now, actions)
-                continue
+        """Queue the calls that were held, or refuse them."""
+        for release in releases:
+            call = release.call
             pool = self._pools.get(call.service)
-            actions.append(self._give_up(pool, call, CRASHES, ruling.after_s))
-
-    def _let_go(self, call: Call, now: float, actions: list[Action]) -> None:
-        """Queue a call that was held."""
-        pool = self._pools.get(call.service)
-        if pool is None:
-            actions.append(self._give_up(None, call, "unknown service"))
-            return
-        self._enqueue(pool, call)
-        if pool.holds:
-            self._timers.add(now, AGAIN, call.call_id)
-        self._dispatch(pool, now, actions)
-
-    def _learn_guilt(
-        self,
-        pool: Pool | None,
-        call: Call,
-        result: Result,
-        now: float,
-        actions: list[Action],
-    ) -> None:
-        """Learn from an attempt's end whether a request crashes endpoints."""
-        trial, call.trial = call.trial, 0
-        call.alone = False
-        key = call.key
-        if result.crashed and pool is not None:
-            process = pool.process_of(call, result.attempt)
-            sent_at = call.sent_at(result.attempt)
-            self._suspects.note_crash(key, process, trial, sent_at, now)
-        elif result.outcome == ANSWERED and not result.failed:
-            self._suspects.note_answer(key)
-            self._release(key, Ruling(FREE), now, actions)
-        elif trial:
-            self._suspects.add(TrialEnd(*key, trial, True))
-            self._suspects.end_trial(key)
-        if trial:
-            self._trials.end(key, call.call_id)
-            self._seek(key, now)
-
-    def _end_trial(self, call: Call) -> None:
-        """Forget a call that has ended without an answer."""
-        key = call.key
-        self._trials.end(key, call.call_id)
-        other = self._trials.next(key)
-        if other is not None:
-            self._timers.add(call.arrived_at, SEEK, other)
-        if not call.trial:
-            return
-        sent = call.state != QUEUED
-        self._suspects.add(TrialEnd(*key, call.trial, sent))
-        self._suspects.end_trial(key)
-        call.trial = 0
+            if pool is None:
+                actions.append(self._give_up(None, call, "unknown service"))
+                continue
+            if release.ruling.outcome == QUARANTINED:
+                after_s = release.ruling.after_s
+                actions.append(self._give_up(pool, call, CRASHES, after_s))
+                continue
+            self._enqueue(pool, call)
+            if pool.holds:
+                self._timers.add(now, AGAIN, call.call_id)
+            self._dispatch(pool, now, actions)
--- a/packages/core/nutmegchute_core/trials.py
+++ b/packages/core/nutmegchute_core/trials.py
@@ -1,5 +1,6 @@
 """Hold, on one entry, the calls of suspects until one may be tried."""
 
+from .calls import Call
 from .quarantines import Key
 
 # Calls of suspects that wait for one service; more of them are refused, or
@@ -14,43 +15,44 @@
 
     def __init__(self) -> None:
         # The calls that wait, by request, the oldest first.
-        self._held: dict[Key, dict[int, None]] = {}
+        self._held: dict[Key, dict[int, Call]] = {}
         # The call that asks for a trial or is on trial.
         self._busy: dict[Key, int] = {}
-        self._tokens: dict[int, tuple[Key, int]] = {}
+        # The calls that ask, by the token of their request.
+        self._tokens: dict[int, Call] = {}
 
     @property
     def keys(self) -> list[Key]:
         """List the requests of which calls wait."""
         return list(self._held)
 
-    def holds(self, key: Key, call_id: int) -> bool:
+    def holds(self, call: Call) -> bool:
         """Tell whether a call waits."""
-        return call_id in self._held.get(key, ())
+        return call.call_id in self._held.get(call.key, ())
 
-    def hold(self, key: Key, call_id: int) -> bool:
+    def hold(self, call: Call) -> bool:
         """Let a call wait; False says that too many do."""
         waiting = 0
         for (service, _), calls in self._held.items():
-            if service == key[0]:
+            if service == call.service:
                 waiting += len(calls)
         if waiting >= MOST_HELD:
             return False
-        self._held.setdefault(key, {})[call_id] = None
+        self._held.setdefault(call.key, {})[call.call_id] = call
         return True
 
-    def next(self, key: Key) -> int | None:
+    def next(self, key: Key) -> Call | None:
         """Return the call that should ask for a trial, if any."""
         if key in self._busy:
             return None
-        return next(iter(self._held.get(key, ())), None)
+        return next(iter(self._held.get(key, {}).values()), None)
 
-    def ask(self, key: Key, call_id: int, token: int) -> None:
+    def ask(self, call: Call, token: int) -> None:
         """Note that a call asks for a trial."""
-        self._busy[key] = call_id
-        self._tokens[token] = key, call_id
+        self._busy[call.key] = call.call_id
+        self._tokens[token] = call
 
-    def answer(self, token: int) -> tuple[Key, int] | None:
+    def answer(self, token: int) -> Call | None:
         """Take the end of a question; None: its call has ended."""
         return self._tokens.pop(token, None)
 
@@ -58,33 +60,33 @@
         """Note that nobody asks: another entry tries."""
         self._busy.pop(key, None)
 
-    def begin(self, key: Key, call_id: int) -> None:
+    def begin(self, call: Call) -> None:
         """Note that a call which waited is on trial."""
-        self._drop_held(key, call_id)
+        self._drop_held(call)
 
-    def release(self, key: Key) -> list[int]:
+    def release(self, key: Key) -> list[Call]:
         """Return all calls that wait, and hold them no more."""
-        calls = list(self._held.pop(key, ()))
+        calls = self._held.pop(key, {})
         if self._busy.get(key) in calls:
             self._forget(key)
-        return calls
+        return list(calls.values())
 
-    def end(self, key: Key, call_id: int) -> None:
+    def end(self, call: Call) -> None:
         """Forget a call that has ended or is on trial no more."""
-        self._drop_held(key, call_id)
-        if self._busy.get(key) == call_id:
-            self._forget(key)
+        self._drop_held(call)
+        if self._busy.get(call.key) == call.call_id:
+            self._forget(call.key)
 
     def _forget(self, key: Key) -> None:
         del self._busy[key]
-        for token, (asked, _) in list(self._tokens.items()):
-            if asked == key:
+        for token, call in list(self._tokens.items()):
+            if call.key == key:
                 del self._tokens[token]
 
-    def _drop_held(self, key: Key, call_id: int) -> None:
-        calls = self._held.get(key)
+    def _drop_held(self, call: Call) -> None:
+        calls = self._held.get(call.key)
         if calls is None:
             return
-        calls.pop(call_id, None)
+        calls.pop(call.call_id, None)
         if not calls:
-            del self._held[key]
+            del self._held[call.key]
--- a/packages/daemon/nutmegchute_daemon/agreements.py
+++ b/packages/daemon/nutmegchute_daemon/agreements.py
@@ -23,12 +23,6 @@
 from nutmegchute_core.messages import Message
 from nutmegchute_core.nodes import Flushed
 from nutmegchute_core.nodes import Node
-from nutmegchute_core.quarantines import Lift
-from nutmegchute_core.quarantines import Lifted
-from nutmegchute_core.quarantines import QuarantineBatch
-from nutmegchute_core.quarantines import QuarantineReply
-from nutmegchute_core.quarantines import QuarantineRequest
-from nutmegchute_core.quarantines import Rulings
 from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
@@ -45,7 +39,6 @@
 from .groups import Group
 from .links import Links
 from .methods import FOLLOW
-from .quarantines import REPORT
 from .quorums import QuorumReport
 from .settings import Settings
 from .storages import Identity
@@ -108,14 +101,12 @@
         self._timer: asyncio.TimerHandle | None = None
         self._flush_due = False
         self._ledger_clock = LedgerClock()
-        self._quarantine_clock = LedgerClock()
         self._deliveries = Deliveries(
             links, self._find_member, self._take_replies, self._group.meet
         )
         links.serve(DELIVER, self._on_deliver)
         links.serve(FOLLOW, self._follows.ask)
         links.serve(CLAIM, self._on_claim)
-        links.serve(REPORT, self._on_report)
 
     @property
     def node(self) -> Node | None:
@@ -151,6 +142,14 @@
         leader = self.leader
         return leader.name if leader is not None else None
 
+    @property
+    def term(self) -> int:
+        """Give the term that this replica leads.
+
+        :raises NotLeaderError: another replica leads, or none
+        """
+        return self._lead().replica.term
+
     def in_contact(self) -> bool:
         """Tell whether a majority was in reach lately."""
         if self._node is None:
@@ -256,55 +255,14 @@
 
     async def _on_claim(self, request: ClaimRequest) -> ClaimReply:
         try:
-            term = self._lead().replica.term
             now = self._loop.time()
-            elapsed_s = self._ledger_clock.elapsed_s(term, now)
+            elapsed_s = self._ledger_clock.elapsed_s(self.term, now)
             outcome = await self.propose(ClaimBatch(elapsed_s, request))
         except (NotLeaderError, TimeoutError):
             return ClaimReply(self.leader_name, None)
         assert isinstance(outcome, ClaimAnswers)
         return ClaimReply(None, outcome.answers)
 
-    async def _on_report(self, request: QuarantineRequest) -> QuarantineReply:
-        try:
-            term = self._lead().replica.term
-            elapsed_s = self._quarantine_clock.elapsed_s(
-                term, self._loop.time()
-            )
-            outcome = await self.propose(QuarantineBatch(elapsed_s, request))
-        except (NotLeaderError, TimeoutError):
-            leader = self.leader
-            address = None if leader is None else leader.grpc_address
-            return QuarantineReply(address, None)
-        assert isinstance(outcome, Rulings)
-        for one in outcome.quarantined:
-            log(
-                Event.QUARANTINED,
-                "warning",
-                service=one.service,
-                fingerprint=one.fingerprint,
-                processes=one.processes,
-                lasts_s=one.left_s,
-            )
-        return QuarantineReply(None, outcome.rulings)
-
-    async def lift(self, order: Lift) -> bool:
-        """Forget a request that crashed endpoints; tell if it was known.
-
-        :raises NotLeaderError: ask the leader instead
-        :raises TimeoutError: the outcome is not known
-        """
-        outcome = await self.propose(order)
-        assert isinstance(outcome, Lifted)
-        if outcome.found:
-            log(
-                Event.QUARANTINE_LIFTED,
-                service=order.service,
-                fingerprint=order.fingerprint,
-                operator=order.operator,
-            )
-        return outcome.found
-
     async def start(self) -> None:
         """Meet the other replicas, then start the replica's clock."""
         while self._node is None:
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -17,6 +17,7 @@
 from .errors import StorageError
 from .operators import ControlPages
 from .peers import PeerExchange
+from .quarantine_servers import QuarantineServer
 from .recollections import KEEP_S
 from .recollections import Recollection
 from .registrars import EXPIRE_S
@@ -54,6 +55,7 @@
             )
         except StorageError as error:
             raise StartError(f"data_folder: {error}") from error
+        self._quarantine = QuarantineServer(self._agreement, self._links)
         self.registrar = Registrar(
             settings.grpc_address,
             self._agreement.in_contact,
@@ -114,6 +116,11 @@
         """Give what this replica agrees on with the others."""
         return self._agreement
 
+    @property
+    def quarantine(self) -> QuarantineServer:
+        """Give what takes reports of requests that crash endpoints."""
+        return self._quarantine
+
     def _changed(self) -> None:
         self.registrar.tell()
         self._peers.meet()
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -25,6 +25,7 @@
 from .agreements import Agreement
 from .handlers import as_json
 from .handlers import require_operator
+from .quarantine_servers import QuarantineServer
 from .servers import LoopAsker
 from .settings import Operator
 from .settings import Settings
@@ -94,6 +95,10 @@
     def agreement(self) -> Agreement:
         """Give what this replica agrees on with the others."""
 
+    @property
+    def quarantine(self) -> QuarantineServer:
+        """Give what takes reports of requests that crash endpoints."""
+
     @property
     def machine(self) -> Machine:
         """Give the replicated state as applied here."""
@@ -192,7 +197,7 @@
         order = Lift(
             request.service, request.fingerprint, operator.name, time.time()
         )
-        if self._run(self._daemon.agreement.lift(order), "/quarantine"):
+        if self._run(self._daemon.quarantine.lift(order), "/quarantine"):
             return as_json(LiftAnswer(ACCEPTED, "lifted"))
         return as_json(LiftAnswer("unknown", "no such request is held back"))
 
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -195,9 +195,7 @@
             started = time.monotonic()
             playing = threading.Thread(target=player.run, daemon=True)
             playing.start()
-            crashing = threading.Thread(
-                target=self._crash, args=(playing,), daemon=True
-            )
+            crashing = threading.Thread(target=self._crash, daemon=True)
             crashing.start()
             callers = [self._caller(number) for number in range(CALLERS)]
             free = list(callers)
@@ -209,11 +207,12 @@
             crashing.join()
         time.sleep(LATE_S)
 
-    def _crash(self, playing: threading.Thread) -> None:
+    def _crash(self) -> None:
         """Send a request that ends upstreams, while faults are played."""
         caller = self._caller(0)
         number = 0
-        while playing.is_alive():
+        until = time.monotonic() + self._seconds
+        while time.monotonic() < until:
             name = f"{CRASH_NAME}-{number}"
             with contextlib.suppress(NoEntryError):
                 caller.shoot(name, "prestamos", "GET", CRASH_PATH)
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -110,6 +110,7 @@
                 "deadline_ms": DEADLINE_S * 1000,
                 "objective_ms": OBJECTIVE_S * 1000,
                 "attempts": ATTEMPTS,
+                "hedge": True,
             }
         )
         self._rule = rule
