--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -13,6 +13,9 @@
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.members import DRAINING
+from nutmegchute_core.quarantines import Notice
+from nutmegchute_core.quarantines import QuarantineNews
+from nutmegchute_core.quarantines import SUSPECT
 from nutmegchute_core.rules import read_services
 from support import announcement
 from support import rule
@@ -173,3 +176,31 @@
     result = Result(send.call_id, send.attempt, LOST, 0.3, crashed=True)
     actions = balancer.finish(result, 0.3)
     assert any(isinstance(one, Lose) for one in actions)
+
+
+@pytest.mark.parametrize("suspect", [False, True])
+def test_suspect_is_not_hedged(suspect: bool) -> None:
+    """Guard against a second endpoint while the first may be crashing."""
+    balancer = Balancer(seed=1)
+    document = team(catalogo=[rule(hedge=True, attempts=2)])
+    document["services"]["catalogo"]["most_entries"] = 1
+    balancer.configure(read_services({"lending": document}), now=0.0)
+    live = [announcement(endpoint) for endpoint in ("a:1", "b:1")]
+    balancer.update_upstreams(live, now=0.0)
+    for number in range(40):
+        at = number * 0.01
+        _, actions = balancer.arrive("catalogo", "GET", "/", at)
+        send = actions[0]
+        assert isinstance(send, Send)
+        result = Result(
+            send.call_id, send.attempt, ANSWERED, 0.001, load=0, stretch=1.0
+        )
+        balancer.finish(result, at + 0.001)
+    balancer.arrive("catalogo", "GET", "/", 1.0, fingerprint="bad")
+    if suspect:
+        notice = Notice("catalogo", "bad", SUSPECT)
+        balancer.take_quarantine(QuarantineNews(0, 1, [notice]), 1.0)
+    sends: list[Action] = []
+    for tick in range(1, 200):
+        sends += balancer.tick(1.0 + tick * 0.01)
+    assert len(sends) == (0 if suspect else 1)
