Answer a suspect's call at once while control is known to be away

A call beside a crash waited 0.6 s for each try to reach a leader and 0.5 s more where the next try had not begun. Now such a call is decided on at the entry for half a second after a try in vain.

--- a/packages/daemon/nutmegchute_daemon/quarantines.py
+++ b/packages/daemon/nutmegchute_daemon/quarantines.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "_down_until",
         "_leader",
         "_links",
         "_loop",
@@ -61,14 +62,18 @@
         self._wake = asyncio.Event()
         self._leader: str | None = None
         self._turn = 0
+        self._down_until = 0.0
 
     def submit(self, reports: list[Report]) -> None:
         """Take reports to send; the loop calls this."""
+        down = self._loop.time() < self._down_until
         for report in reports:
-            if len(self._waiting) < MOST_WAITING:
-                self._waiting.append(report)
-            elif isinstance(report, TrialRequest):
+            full = len(self._waiting) >= MOST_WAITING
+            if isinstance(report, TrialRequest) and (down or full):
+                # A call waits for the answer, and there will be none.
                 self._loop.call_soon(self._on_ruling, report, None)
+            elif not full:
+                self._waiting.append(report)
         self._wake.set()
 
     async def run(self) -> None:
@@ -82,6 +87,7 @@
             self._waiting.popleft()
         if rulings is None:
             log(Event.QUARANTINE_UNREACHABLE, "warning", reports=len(batch))
+            self._down_until = self._loop.time() + DOWN_S
             self._keep(batch)
             await asyncio.sleep(DOWN_S)
             return
