--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -17,6 +17,8 @@
 CALL_ENDED = "NC3016"
 CONFIG_APPLIED = "NC3001"
 ENDPOINTS_CHANGED = "NC3014"
+# An endpoint ended under a request, which was quarantined, or freed again.
+OF_CRASHES = ("NC3021", "NC2021", "NC2022")
 # A collector may put a time and a name before each line.
 _LINE = re.compile(r"\{.*\}")
 
@@ -100,6 +102,11 @@
                 told.append(f"    its endpoint: {_short(one)}")
     if not end["sends"]:
         told.append("  never sent to an endpoint")
+    for one in before:
+        if one["number"] not in OF_CRASHES:
+            continue
+        if one.get("fingerprint") == end.get("fingerprint"):
+            told.append(f"  the same request: {_short(one)}")
     return {"call": end, "told": told}
 
 
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -75,6 +75,33 @@
     assert len(told) == 5
 
 
+def test_story_of_a_quarantined_request(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Tell from a refused request which endpoints it ended elsewhere."""
+    router = tmp_path / "router.log"
+    refused = call(
+        "q1", outcome="refuse", reason="crashes", sends=[], fingerprint="f1"
+    )
+    router.write_text(line("NC3016", "router-2", 6, **refused))
+    control = tmp_path / "control.log"
+    control.write_text(
+        "\n".join(
+            [
+                line("NC3021", "router-1", 3, fingerprint="f1", instance="i"),
+                line("NC3021", "router-1", 4, fingerprint="f2", instance="j"),
+                line("NC2021", "control-1", 5, fingerprint="f1"),
+            ]
+        )
+    )
+    assert main(["explain", "q1", str(router), str(control)]) == 0
+    told = capsys.readouterr().out.splitlines()
+    of_crashes = [one for one in told if "the same request" in one]
+    assert len(of_crashes) == 2
+    assert "NC3021" in of_crashes[0]
+    assert "NC2021" in of_crashes[1]
+
+
 def test_unknown_request(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
