Let one trial decide where a quarantined request goes to another service

A request that had ended three endpoints would have ended three more of each service that a split or a moved route sends it to: cases are kept by service. Cases stay by service, so that a service that runs the request well goes on after one trial.

--- a/packages/core/nutmegchute_core/quarantines.py
+++ b/packages/core/nutmegchute_core/quarantines.py
@@ -201,6 +201,8 @@
     times: int = 0
     # The log index at which its state changed last.
     changed: int = 0
+    # Whether it is a suspect only since another service has crashed.
+    carried: bool = False
 
 
 class QuarantineState(msgspec.Struct, frozen=True):
@@ -346,10 +348,12 @@
         if isinstance(report, Crash):
             self._take_crash(case, report)
             return Ruling(FREE)
+        if case is None:
+            case = self._carry(key)
         if case is None:
             return Ruling(FREE)
         if isinstance(report, Acquittal):
-            del self._cases[key]
+            self._acquit(case)
             return Ruling(FREE)
         if isinstance(report, TrialEnd):
             if case.trial == report.token:
@@ -358,6 +362,40 @@
             return Ruling(FREE)
         return self._try(case, report)
 
+    def _carry(self, key: Key) -> Case | None:
+        """Suspect a request that is quarantined at another service.
+
+        Routes move between services. There one trial alone decides.
+        """
+        service, fingerprint = key
+        for other in list(self._cases.values()):
+            if other.fingerprint != fingerprint or other.state != QUARANTINED:
+                continue
+            case = Case(
+                service,
+                fingerprint,
+                SUSPECT,
+                since_s=self._time_s,
+                until_s=self._time_s + LONGEST_S,
+                proofs=PROOFS - 1,
+                tried=True,
+                carried=True,
+            )
+            self._cases[key] = case
+            self._drop_oldest(service, SUSPECT, self._most_suspects)
+            return case
+        return None
+
+    def _acquit(self, case: Case) -> None:
+        if not case.carried:
+            del self._cases[case.service, case.fingerprint]
+            return
+        # Forgotten, it would be tried again with its next call.
+        case.state = WATCHED
+        case.since_s = self._time_s
+        case.trial = 0
+        case.proofs = 0
+
     def _take_crash(self, case: Case | None, crash: Crash) -> None:
         if case is None:
             self._open(crash)
@@ -403,6 +441,9 @@
         lasts_s = min(LONGEST_S, FIRST_S * 2.0**case.times)
         case.until_s = self._time_s + lasts_s
         case.times += 1
+        for other in self._cases.values():
+            if other.fingerprint == case.fingerprint and not other.proofs:
+                other.proofs = PROOFS - 1
         self._drop_oldest(case.service, QUARANTINED, self._most_quarantined)
 
     def _try(self, case: Case, request: TrialRequest) -> Ruling:
--- a/packages/core/nutmegchute_core/suspects.py
+++ b/packages/core/nutmegchute_core/suspects.py
@@ -57,12 +57,15 @@
         "_forgiven",
         "_index",
         "_own",
+        "_quarantined",
         "_reports",
         "_told",
     )
 
     def __init__(self) -> None:
         self._told: dict[Key, Told] = {}
+        # Fingerprints that are quarantined at any service.
+        self._quarantined: set[str] = set()
         self._own: OrderedDict[Key, OwnCase] = OrderedDict()
         self._answered: OrderedDict[Key, None] = OrderedDict()
         # When a crash of a request that had been answered was forgiven.
@@ -102,6 +105,11 @@
             key = one.service, one.fingerprint
             self._told[key] = Told(one.state, now + one.left_s)
             self._own.pop(key, None)
+        self._quarantined = {
+            fingerprint
+            for (_, fingerprint), told in self._told.items()
+            if told.state == QUARANTINED
+        }
         return True
 
     def look(self, key: Key, now: float) -> Ruling:
@@ -113,6 +121,8 @@
             return Ruling(WAIT)
         if told is not None and told.state == SUSPECT:
             return Ruling(WAIT)
+        if told is None and key[1] in self._quarantined:
+            return Ruling(WAIT)
         own = self._own.get(key)
         if own is None or now - own.at > OWN_S:
             self._own.pop(key, None)
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -44,8 +44,9 @@
 class Place:
     """Hold an endpoint's address and the process that has it."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, service: str) -> None:
         self.address = address
+        self.service = service
         self.starts = 1
         self.alive = True
         # Calls that run and wait: entry, send, fingerprint.
@@ -64,7 +65,7 @@
 
 
 class Model:
-    """Play a service on virtual time.
+    """Play services on virtual time.
 
     ``crashes`` names by fingerprint what ends an endpoint that runs it.
     ``told`` False takes the evidence away, as if nobody looked for it.
@@ -77,15 +78,18 @@
         seed: int,
         crashes: Callable[[str], bool],
         told: bool = True,
+        services: tuple[str, ...] = (SERVICE,),
     ) -> None:
         self.now = 0.0
+        self.services = services
         self.random = Random(seed)
         self.crashes = crashes
         self.told = told
         self.control = True
         self.quarantine = Quarantine()
         self.places = [
-            Place(f"10.0.{n // 250}.{n % 250}:80") for n in range(endpoints)
+            Place(f"10.0.{n // 250}.{n % 250}:80", services[n % len(services)])
+            for n in range(endpoints)
         ]
         self.balancers = [Balancer(seed + n) for n in range(entries)]
         # When a request reached an endpoint, and ended one, by fingerprint.
@@ -115,10 +119,7 @@
         )
         self._rule = rule
         for number in range(entries):
-            self.balancers[number].configure(
-                {SERVICE: Service(SERVICE, {"slots": SLOTS})}, 0.0
-            )
-            self._announce(number)
+            self._configure(number)
 
     def at(self, when: float, what: Callable[[], None]) -> None:
         """Do something at a time."""
@@ -132,12 +133,18 @@
             what()
         self.now = until
 
-    def call(self, fingerprint: str, entry: int | None = None) -> None:
-        """Let a request arrive at an entry, or at any."""
-        if entry is None:
-            entry = self.random.randrange(len(self.balancers))
+    def _configure(self, entry: int) -> None:
+        services = {
+            name: Service(name, {"slots": SLOTS}) for name in self.services
+        }
+        self.balancers[entry].configure(services, self.now)
+        self._announce(entry)
+
+    def call(self, fingerprint: str, service: str = "") -> None:
+        """Let a request for a service, or for any, arrive at any entry."""
+        entry = self.random.randrange(len(self.balancers))
         call_id, actions = self.balancers[entry].arrive_under(
-            SERVICE,
+            service or self.random.choice(self.services),
             self._rule,
             self.now,
             DEADLINE_S,
@@ -176,10 +183,7 @@
         self._armed.pop(entry, None)
         for key in [key for key in self._names if key[0] == entry]:
             del self._names[key]
-        fresh.configure(
-            {SERVICE: Service(SERVICE, {"slots": SLOTS})}, self.now
-        )
-        self._announce(entry)
+        self._configure(entry)
         self._perform(
             entry, fresh.take_quarantine(self.quarantine.since(0), self.now)
         )
@@ -208,7 +212,7 @@
     def _announce(self, entry: int) -> None:
         live = [
             Announcement(
-                SERVICE,
+                place.service,
                 place.address,
                 "surco",
                 SLOTS,
@@ -286,7 +290,7 @@
             self._perform(
                 entry,
                 balancer.take_probe(
-                    SERVICE,
+                    probe.service,
                     probe.endpoint,
                     load,
                     2 * WAY_S,
--- a/tests/test_crash_storms.py
+++ b/tests/test_crash_storms.py
@@ -238,3 +238,26 @@
         model.at(0.6 + turn * 0.9, partial(lead, True))
     model.run(29.0)
     assert model.late(BAD, CONTACT_S) <= MOST_LATE
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_crashing_request_of_a_split_route(seed: int) -> None:
+    """Guard against a count that begins anew at each service of a split."""
+    model = Model(17, 24, seed, _is_bad, services=("old", "new", "next"))
+    _load(model, 20.0)
+    model.every(RETRY_S, 20.0, _bad)
+    model.run(24.0)
+    assert model.late(BAD, CONTACT_S) <= MOST_LATE
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_crashing_request_of_a_route_that_moves(seed: int) -> None:
+    """Guard against a count that begins anew where a route is moved."""
+    model = Model(17, 24, seed, _is_bad, services=("old", "new", "next"))
+    _load(model, 40.0)
+    for turn in range(400):
+        at = turn * 0.1
+        service = model.services[int(at / 5) % len(model.services)]
+        model.at(at, partial(model.call, BAD, service))
+    model.run(44.0)
+    assert model.late(BAD, CONTACT_S) <= MOST_LATE
--- a/tests/test_quarantines.py
+++ b/tests/test_quarantines.py
@@ -254,3 +254,22 @@
     news = restored.since(known)
     assert news.base == 0
     assert [one.fingerprint for one in news.cases] == ["second"]
+
+
+def test_verdict_holds_at_other_services() -> None:
+    """Let one trial decide where a quarantined request goes elsewhere."""
+    bench = Bench()
+    bench.convict()
+    for name in ("shelf", "stack"):
+        request = TrialRequest(name, BAD, 99, LEFT_S)
+        ruling = bench.report(request)
+        assert ruling.outcome == TRY
+        assert ruling.alone
+    bench.report(Crash("shelf", BAD, "i-9", 99, 0.1))
+    assert bench.report(request).outcome == TRY
+    again = TrialRequest("shelf", BAD, 100, LEFT_S)
+    assert bench.report(again).outcome == QUARANTINED
+    # An answer there is believed for a while.
+    bench.report(Acquittal("stack", BAD))
+    assert bench.report(request).outcome == FREE
+    assert bench.state() == QUARANTINED
