--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -13,6 +13,7 @@
 from .daemons import Daemon
 from .descriptions import describe_idle
 from .descriptions import describe_member
+from .descriptions import describe_state
 from .errors import StartError
 from .errors import StorageError
 from .operators import ControlPages
@@ -170,7 +171,7 @@
         index = self.machine.tree.index
         return {
             "name": self._settings.name,
-            "state": node.replica.state,
+            "state": describe_state(node.replica),
             "leader": self._agreement.leader_name,
             "problem": None,
             "term": node.replica.term,
--- a/packages/daemon/nutmegchute_daemon/descriptions.py
+++ b/packages/daemon/nutmegchute_daemon/descriptions.py
@@ -3,8 +3,11 @@
 from typing import Any
 
 from nutmegchute_core.memberships import Member
+from nutmegchute_core.replicas import LEADER
 from nutmegchute_core.replicas import Replica
 
+TAKING_OVER = "taking-over"
+
 
 def describe_idle(name: str, problem: str | None) -> dict[str, Any]:
     """Describe a replica that has not formed a group, or whose disk fails."""
@@ -19,6 +22,17 @@
     }
 
 
+def describe_state(replica: Replica) -> str:
+    """Name what a replica is; a leader leads once it knows its own log.
+
+    Operators read from the leader. One that has just been elected after a
+    start has applied nothing since its snapshot, and would show an empty tree.
+    """
+    if replica.state == LEADER and not replica.ready:
+        return TAKING_OVER
+    return replica.state
+
+
 def describe_member(
     replica: Replica, member: Member, now: float
 ) -> dict[str, Any]:
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -83,7 +83,7 @@
 def revision(cluster: Cluster) -> int:
     """Read the branch's revision from the leader."""
     leader = cluster.wait_for("a leader", cluster.leader)
-    tree = cluster.ask(leader, "/tree") or {"revisions": {}}
+    tree = cluster.wait_for("a tree", lambda: cluster.ask(leader, "/tree"))
     return int(tree["revisions"].get("lending", 0))
 
 
