--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -144,6 +144,7 @@
             "leads": float(leads),
             "commit": float(node.replica.commit),
             "voters": float(len(node.replica.membership.voters)),
+            "quarantined": float(node.machine.quarantine.count),
         }
         if leads:
             index = node.machine.tree.index
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -37,6 +37,7 @@
     "leads": (GAUGE, "0 or 1"),
     "commit": (GAUGE, "log index"),
     "voters": (GAUGE, "replicas"),
+    "quarantined": (GAUGE, "requests"),
     "entries_behind": (GAUGE, "entries"),
 }
 
