--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -120,7 +120,6 @@
         found.stop()
 
 
-@pytest.mark.known_red
 def test_crashing_request_sent_again_by_every_router(site: Site) -> None:
     """Guard against sending a request on that has ended three endpoints."""
     service = Service(site)
