Let operators evacuate availability zones

On the platform an operator's order to evacuate a zone got 404 from every replica: no acknowledgement in 14 s, and calls went on to the zone.

Cause: nothing in the product knew of such orders. They are part of the replicated log now (Evacuations, beside tree, ledger and quarantine), are told to routers with WatchReply and to entries with FollowReply, before the tree of the same answer, and close the endpoints in each pool like leaving ones. A service that has nothing else left refuses at once, with pauses that spread.

An order that a frozen replica reads after its operator has given up is not carried out: its opposite may have been acknowledged meanwhile.

Before: the test with real processes got 404. After: acknowledged by any replica, sent three times; nothing reaches the zone after all daemons were killed and started again; taken back, calls return.

--- a/packages/cli/nutmegchute_cli/__main__.py
+++ b/packages/cli/nutmegchute_cli/__main__.py
@@ -16,6 +16,9 @@
   nutmegchute replicas replace NAME NEW GRPC_ADDRESS HTTP_ADDRESS [options]
   nutmegchute quarantine [options]
   nutmegchute quarantine lift SERVICE FINGERPRINT [options]
+  nutmegchute evacuations [list] [options]
+  nutmegchute evacuations begin ZONE [options]
+  nutmegchute evacuations finish ZONE [options]
   nutmegchute check PATH... [options]
   nutmegchute explain REQUEST FILE... [options]
   nutmegchute summarize FILE... [options]
@@ -33,6 +36,8 @@
   drain      Take the entry named by --entry out of service.
   replicas   List, add, remove or replace control replicas.
   quarantine List requests that crash endpoints, or lift one's quarantine.
+  evacuations List what is evacuated, evacuate an availability zone, or
+             take it back.
   check      Check settings and declarations without starting anything.
   explain    Tell from logs what became of a request, and why.
   summarize  Tell from logs, span by span, what became of all requests.
@@ -74,6 +79,7 @@
 from . import changes
 from . import checks
 from . import drains
+from . import evacuations
 from . import explanations
 from . import listings
 from . import quarantines
@@ -97,6 +103,7 @@
     "drain": drains.drain,
     "replicas": replicas.run,
     "quarantine": quarantines.run,
+    "evacuations": evacuations.run,
     "check": checks.check,
     "explain": explanations.explain,
     "summarize": summaries.summarize,
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -15,6 +15,7 @@
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
+from .evacuations import EvacuationNews
 from .inquiries import ANSWER_S
 from .inquiries import ASK_AGAIN_S
 from .inquiries import Inquiry
@@ -53,6 +54,7 @@
     __slots__ = (
         "_availability_zone",
         "_calls",
+        "_evacuations",
         "_extra",
         "_inquiries",
         "_inquiry_limit",
@@ -81,12 +83,18 @@
         self._inquiries: dict[int, Inquiry] = {}
         self._inquiry_limit = (0.0, 1.0)
         self._isolation = Isolation(self._random, self._timers)
+        self._evacuations = EvacuationNews(0, [])
 
     @property
     def quarantine(self) -> int:
         """Give the log index of the cases known."""
         return self._isolation.index
 
+    @property
+    def evacuations(self) -> EvacuationNews:
+        """Give the evacuated availability zones, as known here."""
+        return self._evacuations
+
     def reports(self) -> list[Report]:
         """Take what control must hear of requests that crash endpoints."""
         return self._isolation.reports()
@@ -111,11 +119,30 @@
                 if self._extra is not None:
                     pool.limit_extra(*self._extra)
                 pool.questions.limit(*self._inquiry_limit)
+                pool.evacuate(self._evacuated)
             else:
                 pool.reconfigure(service)
             pools[name] = pool
         self._pools = pools
 
+    def take_evacuations(
+        self, news: EvacuationNews, now: float
+    ) -> list[Action]:
+        """Take the evacuated availability zones, as control tells."""
+        actions: list[Action] = []
+        if news.index <= self._evacuations.index:
+            # A replica that was frozen or cut off may still tell old ones.
+            return actions
+        self._evacuations = news
+        for pool in self._pools.values():
+            pool.evacuate(self._evacuated)
+            self._dispatch(pool, now, actions)
+        return actions
+
+    @property
+    def _evacuated(self) -> frozenset[str]:
+        return frozenset(self._evacuations.availability_zones)
+
     def limit_extra(self, share: float, burst: float) -> None:
         """Take this entry's part of each service's extra sends."""
         self._extra = (share, burst)
@@ -542,11 +569,10 @@
             if call_id is None:
                 break
             call = self._calls[call_id]
-            if pool.too_late(call, now):
+            reason = pool.hopeless(call, now)
+            if reason is not None:
                 pool.queue.remove(call_id)
-                actions.append(
-                    self._give_up(pool, call, "cannot be answered in time")
-                )
+                actions.append(self._give_up(pool, call, reason))
                 continue
             if self._restrict(pool, call, now, actions):
                 continue
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -117,6 +117,11 @@
         """Tell whether endpoints are known to say nothing of their load."""
         return self._tells_nothing
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no endpoint may be chosen."""
+        return not self._order
+
     @property
     def load_per_slot(self) -> float:
         """Give the mean load that other entries put on a slot."""
--- a/packages/core/nutmegchute_core/commands.py
+++ b/packages/core/nutmegchute_core/commands.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .claims import ClaimBatch
+from .evacuations import EvacuationOrder
 from .fleets import Enroll
 from .fleets import Withdraw
 from .memberships import Reconfigure
@@ -25,5 +26,6 @@
     | ClaimBatch
     | QuarantineBatch
     | Lift
+    | EvacuationOrder
     | NoOp
 )
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -40,6 +40,7 @@
         "_stretch",
         "alive",
         "ejected_until",
+        "evacuated",
         "in_flight",
         "joined_at",
         "latency_s",
@@ -72,6 +73,8 @@
         self.stalled_at = 0.0
         self.probed_at = 0.0
         self.alive = False
+        # Whether its availability zone is evacuated.
+        self.evacuated = False
 
     @property
     def announcement(self) -> Announcement:
@@ -98,6 +101,11 @@
         """Tell whether the endpoint is leaving."""
         return self._announcement.state == DRAINING
 
+    @property
+    def open(self) -> bool:
+        """Tell whether calls may be sent there at all."""
+        return not (self.draining or self.evacuated)
+
     def known(self, now: float) -> dict[str, float]:
         """Give own calls, the reported load and stretch and their age."""
         found = {"own": float(self.in_flight)}
--- a/packages/core/nutmegchute_core/errors.py
+++ b/packages/core/nutmegchute_core/errors.py
@@ -45,5 +45,9 @@
         return self._leader
 
 
+class EvacuationError(CoreError):
+    """Refuse an order about an availability zone and say why."""
+
+
 class ReconfigurationError(CoreError):
     """Refuse a change of the control replicas and say why."""
--- a/packages/core/nutmegchute_core/fleets.py
+++ b/packages/core/nutmegchute_core/fleets.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .evacuations import EvacuationNews
 from .patches import Step
 from .quarantines import QuarantineNews
 
@@ -21,7 +22,8 @@
 class FollowRequest(msgspec.Struct, frozen=True):
     """Ask for the tree when it is newer than what the entry applied.
 
-    ``quarantine`` is the index of the cases that it knows.
+    ``quarantine`` is the index of the cases that it knows, ``evacuations``
+    that of the evacuated availability zones.
     """
 
     entry: str
@@ -29,6 +31,7 @@
     leaving: bool = False
     hold: bool = True
     quarantine: int = 0
+    evacuations: int = 0
 
 
 class FollowReply(msgspec.Struct, frozen=True):
@@ -40,7 +43,8 @@
     hold thousands of items and a change one of them.
     Only a ``current`` reply comes from a leader that a quorum confirmed
     after the question arrived; no other may be acted on. ``quarantine``
-    lists the requests that crash endpoints, where that is news.
+    lists the requests that crash endpoints, ``evacuations`` the evacuated
+    availability zones, each where that is news.
     """
 
     leader: str | None
@@ -51,6 +55,7 @@
     documents: dict[str, Any] | None = None
     steps: list[Step] | None = None
     quarantine: QuarantineNews | None = None
+    evacuations: EvacuationNews | None = None
 
 
 class Enroll(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/nutmegchute_core/followings.py
+++ b/packages/core/nutmegchute_core/followings.py
@@ -155,6 +155,8 @@
     machine = node.machine
     if machine.tree.index > request.index:
         return True
+    if machine.evacuations.index > request.evacuations:
+        return True
     return machine.quarantine.index > request.quarantine
 
 
@@ -165,7 +167,12 @@
     if reply is None:
         reply = FollowReply(name, None, True, node.machine.tree.index)
     quarantine = quarantine_since(node, request.quarantine)
-    return msgspec.structs.replace(reply, leader=name, quarantine=quarantine)
+    return msgspec.structs.replace(
+        reply,
+        leader=name,
+        quarantine=quarantine,
+        evacuations=node.machine.evacuations.since(request.evacuations),
+    )
 
 
 def quarantine_since(node: Node, known: int) -> QuarantineNews | None:
--- a/packages/core/nutmegchute_core/machines.py
+++ b/packages/core/nutmegchute_core/machines.py
@@ -7,6 +7,10 @@
 from .claims import ClaimAnswers
 from .claims import ClaimBatch
 from .commands import NoOp
+from .evacuations import EvacuationOrder
+from .evacuations import EvacuationOutcome
+from .evacuations import Evacuations
+from .evacuations import EvacuationState
 from .fleets import Enroll
 from .fleets import Withdraw
 from .ledgers import Ledger
@@ -25,7 +29,7 @@
 from .trees import Tree
 from .trees import TreeState
 
-Outcome = Answer | ClaimAnswers | Rulings | Lifted | None
+Outcome = Answer | ClaimAnswers | Rulings | Lifted | EvacuationOutcome | None
 
 
 class MachineState(msgspec.Struct, frozen=True):
@@ -39,18 +43,27 @@
     entries: list[str] = []
     ledger: LedgerState = LedgerState()
     quarantine: QuarantineState = QuarantineState()
+    evacuations: EvacuationState = EvacuationState()
 
 
 class Machine:
     """Hold the replicated state; equal logs give equal machines."""
 
-    __slots__ = ("_applied", "_entries", "_ledger", "_quarantine", "_tree")
+    __slots__ = (
+        "_applied",
+        "_entries",
+        "_evacuations",
+        "_ledger",
+        "_quarantine",
+        "_tree",
+    )
 
     def __init__(self) -> None:
         self._tree = Tree()
         self._entries: set[str] = set()
         self._ledger = Ledger()
         self._quarantine = Quarantine()
+        self._evacuations = Evacuations()
         self._applied = 0
 
     @property
@@ -73,6 +86,11 @@
         """Give the requests that may crash endpoints."""
         return self._quarantine
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Give the availability zones that are evacuated."""
+        return self._evacuations
+
     @property
     def applied(self) -> int:
         """Give the index of the last entry applied."""
@@ -91,6 +109,7 @@
             entries=sorted(self._entries),
             ledger=self._ledger.snapshot(),
             quarantine=self._quarantine.snapshot(),
+            evacuations=self._evacuations.snapshot(),
         )
 
     def restore(self, state: MachineState) -> None:
@@ -100,6 +119,7 @@
         self._entries = set(state.entries)
         self._ledger.restore(state.ledger)
         self._quarantine.restore(state.quarantine)
+        self._evacuations.restore(state.evacuations)
 
     @singledispatchmethod
     def _apply(self, command: object, index: int) -> Outcome:
@@ -146,6 +166,18 @@
             )
         return lifted
 
+    @_apply.register
+    def _(self, command: EvacuationOrder, index: int) -> Outcome:
+        outcome = self._evacuations.apply(index, command)
+        if outcome.changed:
+            self._tree.note(
+                index,
+                command.operator,
+                command.describe(),
+                command.at_unix_s,
+            )
+        return outcome
+
     @_apply.register
     def _(self, command: Enroll, index: int) -> Outcome:
         self._entries.add(command.entry)
--- a/packages/core/nutmegchute_core/members.py
+++ b/packages/core/nutmegchute_core/members.py
@@ -19,7 +19,7 @@
 
 
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
-_NAME = "^[a-z][a-z0-9-]*$"
+NAME_PATTERN = "^[a-z][a-z0-9-]*$"
 
 Key = tuple[str, str]
 # An instance's name and incarnation: one start of one endpoint.
@@ -38,10 +38,10 @@
     is slow after its start.
     """
 
-    service: Annotated[str, msgspec.Meta(pattern=_NAME, max_length=63)]
+    service: Annotated[str, msgspec.Meta(pattern=NAME_PATTERN, max_length=63)]
     endpoint: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
     availability_zone: Annotated[
-        str, msgspec.Meta(pattern=_NAME, max_length=63)
+        str, msgspec.Meta(pattern=NAME_PATTERN, max_length=63)
     ]
     slots: Annotated[int, msgspec.Meta(ge=1, le=1024)]
     incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -44,6 +44,11 @@
 # A caller that is sent away while others wait comes back after this: soon
 # enough to be in time, and after the first answers that tell of room.
 CROWDED_RETRY_S = 0.02
+# Callers that an evacuation leaves without an endpoint come back spread
+# over this span: it lasts for seconds at least.
+EVACUATED_RETRY_S = (0.5, 1.5)
+TOO_LATE = "cannot be answered in time"
+EVACUATED = "every endpoint is in an evacuated availability zone"
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has room, those that can still be
 # in time go first, and the wait of one is less than the queue suggests.
@@ -70,11 +75,13 @@
     __slots__ = (
         "_chooser",
         "_endpoints",
+        "_evacuated",
         "_extra",
         "_gap",
         "_half",
         "_policy",
         "_probes",
+        "_random",
         "_sent_at",
         "_service",
         "_under_way",
@@ -95,6 +102,8 @@
         self._service = service
         self._policy = policy
         self._zone = zone
+        self._random = random
+        self._evacuated: frozenset[str] = frozenset()
         self._chooser = Chooser(random, policy, self._may_probe(service))
         self._extra = ExtraBudget()
         self.questions = Questions(self._chooser, policy)
@@ -127,6 +136,8 @@
     @property
     def retry_after_s(self) -> float:
         """Estimate when there is room: once those who wait are through."""
+        if self._is_evacuated:
+            return self._random.uniform(*EVACUATED_RETRY_S)
         if not self.queue:
             return NO_QUEUE_RETRY_S
         wait_s = len(self.queue) * self._gap_s + self._half.value_s
@@ -185,12 +196,29 @@
             slots += announcement.slots
             most_slots = max(most_slots, announcement.slots)
         self._endpoints = kept
-        open_ones = [one for one in kept.values() if not one.draining]
-        self._chooser.update(open_ones)
+        self._close_evacuated()
         share = slots / self._service.most_entries
         self._window.set_share(share, most_slots)
         self.questions.update(kept)
 
+    def evacuate(self, availability_zones: frozenset[str]) -> None:
+        """Take the availability zones that get nothing from now on."""
+        self._evacuated = availability_zones
+        self._close_evacuated()
+
+    def _close_evacuated(self) -> None:
+        for endpoint in self._endpoints.values():
+            endpoint.evacuated = endpoint.zone in self._evacuated
+        self._chooser.update(
+            [one for one in self._endpoints.values() if one.open]
+        )
+
+    @property
+    def _is_evacuated(self) -> bool:
+        """Tell whether nothing but evacuations keeps calls from going."""
+        evacuated = [one.evacuated for one in self._endpoints.values()]
+        return any(evacuated) and self._chooser.is_empty
+
     def admit(self, call: Call, now: float) -> str | None:
         """Earn the call's share of extra sends; say why it is refused."""
         if not call.is_retry:
@@ -238,6 +266,12 @@
         """Tell whether a call sent now would be answered in vain."""
         return now >= self.latest_send_at(call)
 
+    def hopeless(self, call: Call, now: float) -> str | None:
+        """Say why a call that waits cannot be served, if so."""
+        if self.too_late(call, now):
+            return TOO_LATE
+        return EVACUATED if self._is_evacuated else None
+
     def sends_away(self, call: Call, begins: bool, now: float) -> bool:
         """Tell whether a call that found no room should not wait on.
 
@@ -271,7 +305,7 @@
         """
         tried = call.attempts.values()
         for address, endpoint in self._endpoints.items():
-            if address not in tried and not endpoint.draining:
+            if address not in tried and endpoint.open:
                 return True
         return False
 
@@ -335,7 +369,7 @@
     def _choose_idle(self, call: Call, now: float) -> str | None:
         """Return an endpoint that runs nothing, as far as is known."""
         for address, endpoint in self._endpoints.items():
-            if address in call.attempts.values() or endpoint.draining:
+            if address in call.attempts.values() or not endpoint.open:
                 continue
             if endpoint.in_flight or endpoint.muted(now):
                 continue
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .directories import EntryInfo
+from .evacuations import EvacuationNews
 from .fleets import FollowReply
 from .histories import Delta
 from .mirrors import Mark
@@ -46,7 +47,8 @@
     their registries, ``index`` is that of the tree in force here,
     ``members`` that of the membership known. The answer may be held for
     ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place,
-    ``quarantine`` the index of the cases that it knows.
+    ``quarantine`` the index of the cases that it knows, ``evacuations`` that
+    of the evacuated availability zones.
     """
 
     entry: EntryInfo
@@ -56,6 +58,7 @@
     hold_s: float
     calls_per_s: float = 0.0
     quarantine: int = 0
+    evacuations: int = 0
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -68,7 +71,8 @@
     names those that the entry knows of and this replica does not hear.
     ``entries`` counts the entries of all replicas and ``calls_per_s`` adds
     up what they told; ``counted`` says that none of them is left out.
-    ``quarantine`` lists the requests that crash endpoints, where it is news.
+    ``quarantine`` lists the requests that crash endpoints, ``evacuations``
+    the evacuated availability zones, each where it is news.
     """
 
     deltas: dict[str, Delta]
@@ -81,6 +85,7 @@
     current: bool = True
     counted: bool = True
     quarantine: QuarantineNews | None = None
+    evacuations: EvacuationNews | None = None
 
 
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -16,6 +16,7 @@
 from .descriptions import describe_state
 from .errors import StartError
 from .errors import StorageError
+from .evacuations import EvacuationServer
 from .operators import ControlPages
 from .peers import PeerExchange
 from .quarantine_servers import QuarantineServer
@@ -56,6 +57,7 @@
             )
         except StorageError as error:
             raise StartError(f"data_folder: {error}") from error
+        self._evacuations = EvacuationServer(self._agreement)
         self._quarantine = QuarantineServer(self._agreement, self._links)
         self.registrar = Registrar(
             settings.grpc_address,
@@ -122,6 +124,11 @@
         """Give what takes reports of requests that crash endpoints."""
         return self._quarantine
 
+    @property
+    def evacuations(self) -> EvacuationServer:
+        """Give what takes orders to evacuate availability zones."""
+        return self._evacuations
+
     def _changed(self) -> None:
         self.registrar.tell()
         self._peers.meet()
@@ -145,6 +152,9 @@
             "commit": float(node.replica.commit),
             "voters": float(len(node.replica.membership.voters)),
             "quarantined": float(node.machine.quarantine.count),
+            "evacuated_zones": float(
+                len(node.machine.evacuations.evacuations)
+            ),
         }
         if leads:
             index = node.machine.tree.index
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -1,7 +1,6 @@
 """Stand on the loop between the worker threads and the balancer."""
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -21,6 +20,7 @@
 from nutmegchute_core.claims import NOT_RUN as NEVER_RAN
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
+from nutmegchute_core.evacuations import EvacuationNews
 from nutmegchute_core.quarantines import QuarantineNews
 from nutmegchute_core.quarantines import Report
 from nutmegchute_core.quarantines import Ruling
@@ -31,6 +31,7 @@
 from .events import Event
 from .events import log
 from .metrics import Metrics
+from .sockets import has_gone
 from .tickets import Ticket
 
 HEDGE_THREADS = 8
@@ -160,6 +161,16 @@
         now = self._loop.time()
         self.perform(self._balancer.take_quarantine(news, now))
 
+    def take_evacuations(self, news: EvacuationNews) -> None:
+        """Take the evacuated availability zones, as control tells."""
+        log(
+            Event.EVACUATIONS_APPLIED,
+            index=news.index,
+            availability_zones=news.availability_zones,
+        )
+        now = self._loop.time()
+        self.perform(self._balancer.take_evacuations(news, now))
+
     def take_ruling(
         self, request: TrialRequest, ruling: Ruling | None
     ) -> None:
@@ -243,7 +254,7 @@
                 # A claimed call goes on without its caller: its outcome
                 # is recorded and told when the key comes again.
                 continue
-            if _has_gone(ticket.socket_number):
+            if has_gone(ticket.socket_number):
                 self._metrics.count("abandoned")
                 self._abandon(call_id)
 
@@ -346,21 +357,3 @@
     ticket.story.outcome = type(action).__name__.lower()
     ticket.story.reason = getattr(action, "reason", "")
     ticket.put(action)
-
-
-def _has_gone(socket_number: int) -> bool:
-    """Tell whether the other side has closed its connection."""
-    try:
-        sock = socket.socket(fileno=socket_number)
-    except OSError:
-        return True
-    try:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return sock.recv(1, flags) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        # The number belongs to the worker; only this view of it ends.
-        sock.detach()
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -104,6 +104,7 @@
         )
         self._prober.take = self._dispatcher.take_probe
         self._follower.on_quarantine = self._dispatcher.take_quarantine
+        self._follower.on_evacuations = self._dispatcher.take_evacuations
         self._reporter = QuarantineReporter(
             self._links,
             lambda: [one.grpc_address for one in self._settings.control],
@@ -135,6 +136,9 @@
             "upstreams": len(self._members.live(now)),
             "entries": len(self._directory.usable(now)),
             "config_index": self._follower.index,
+            "evacuated_zones": len(
+                self._balancer.evacuations.availability_zones
+            ),
         }
 
     async def finish(self) -> None:
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -63,6 +63,8 @@
     ENDPOINT_CRASHED = ("NC3021", "endpoint ended under a request")
     QUARANTINE_UNREACHABLE = ("NC3022", "no leader takes reports of crashes")
     QUARANTINE_APPLIED = ("NC3023", "requests to hold back changed")
+    EVACUATIONS_APPLIED = ("NC3024", "evacuated availability zones changed")
+    EVACUATION_ORDERED = ("NC2023", "evacuation ordered or taken back")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
     LEASE_LAPSED = ("NC3010", "no leader confirms the configuration")
--- a/packages/daemon/nutmegchute_daemon/followers.py
+++ b/packages/daemon/nutmegchute_daemon/followers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import msgspec
+from nutmegchute_core.evacuations import EvacuationNews
 from nutmegchute_core.fleets import FLEET_LEASE_S
 from nutmegchute_core.fleets import FollowReply
 from nutmegchute_core.fleets import FollowRequest
@@ -44,7 +45,9 @@
         "_target",
         "_tree",
         "_turn",
+        "on_evacuations",
         "on_quarantine",
+        "_evacuations",
         "_quarantine",
     )
 
@@ -68,6 +71,9 @@
         # Takes the requests that may crash endpoints, where they changed.
         self.on_quarantine: Callable[[QuarantineNews], None]
         self._quarantine = 0
+        # Takes the evacuated availability zones, where they changed.
+        self.on_evacuations: Callable[[EvacuationNews], None]
+        self._evacuations = 0
         links.serve(RELAY, self._on_relay)
 
     @property
@@ -172,6 +178,7 @@
             self.index,
             hold=hold,
             quarantine=self._quarantine,
+            evacuations=self._evacuations,
         )
 
     def _next_replica(self) -> str:
@@ -180,6 +187,10 @@
         return replicas[self._turn % len(replicas)].grpc_address
 
     def _take(self, reply: FollowReply, asked_at: float) -> None:
+        # Before the tree: an entry that starts acts as soon as it has one.
+        if reply.evacuations is not None:
+            self._evacuations = reply.evacuations.index
+            self.on_evacuations(reply.evacuations)
         if self._tree.take(reply):
             self._on_tree(
                 msgspec.structs.replace(
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -38,6 +38,7 @@
     "commit": (GAUGE, "log index"),
     "voters": (GAUGE, "replicas"),
     "quarantined": (GAUGE, "requests"),
+    "evacuated_zones": (GAUGE, "availability zones"),
     "entries_behind": (GAUGE, "entries"),
 }
 
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -9,8 +9,12 @@
 
 import cherrypy
 import msgspec
+from nutmegchute_core.errors import EvacuationError
 from nutmegchute_core.errors import NotLeaderError
 from nutmegchute_core.errors import ReconfigurationError
+from nutmegchute_core.evacuations import check_zone
+from nutmegchute_core.evacuations import Evacuation
+from nutmegchute_core.evacuations import EvacuationOrder
 from nutmegchute_core.machines import Machine
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.memberships import ReplicaWish
@@ -23,6 +27,7 @@
 from nutmegchute_core.trees import Refusal
 
 from .agreements import Agreement
+from .evacuations import EvacuationServer
 from .handlers import as_json
 from .handlers import require_operator
 from .quarantine_servers import QuarantineServer
@@ -73,6 +78,23 @@
     fingerprint: str
 
 
+class EvacuationRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Give the form of an order about an availability zone.
+
+    ``evacuate`` is false where the zone is taken back.
+    """
+
+    availability_zone: str
+    evacuate: bool
+
+
+class EvacuationAnswer(msgspec.Struct, frozen=True):
+    """Tell an operator what became of it."""
+
+    outcome: str
+    detail: str
+
+
 class LiftAnswer(msgspec.Struct, frozen=True):
     """Tell an operator what became of it."""
 
@@ -99,6 +121,10 @@
     def quarantine(self) -> QuarantineServer:
         """Give what takes reports of requests that crash endpoints."""
 
+    @property
+    def evacuations(self) -> EvacuationServer:
+        """Give what takes orders to evacuate availability zones."""
+
     @property
     def machine(self) -> Machine:
         """Give the replicated state as applied here."""
@@ -201,6 +227,30 @@
             return as_json(LiftAnswer(ACCEPTED, "lifted"))
         return as_json(LiftAnswer("unknown", "no such request is held back"))
 
+    @cherrypy.expose
+    def evacuations(self) -> bytes:
+        """Show the evacuated availability zones, or order about one."""
+        if cherrypy.request.method != "POST":
+            return as_json(self._asker.ask(self._evacuated))
+        operator = self._operator()
+        request = _decode(EvacuationRequest)
+        zone = request.availability_zone
+        try:
+            check_zone(zone)
+        except EvacuationError as error:
+            raise cherrypy.HTTPError(400, str(error)) from error
+        if not operator.may_change(EVERY_BRANCH):
+            raise cherrypy.HTTPError(
+                403, f"{operator.name} may not evacuate availability zones"
+            )
+        order = EvacuationOrder(
+            zone, request.evacuate, operator.name, time.time()
+        )
+        give = self._daemon.evacuations.give(order)
+        changed = self._run(give, "/evacuations")
+        detail = order.describe() if changed else "nothing to change"
+        return as_json(EvacuationAnswer(ACCEPTED, detail))
+
     @cherrypy.expose
     def status(self) -> bytes:
         """Describe this replica."""
@@ -223,6 +273,9 @@
     def _cases(self) -> list[Evidence]:
         return self._daemon.machine.quarantine.evidence()
 
+    def _evacuated(self) -> list[Evacuation]:
+        return self._daemon.machine.evacuations.evacuations
+
     def _operator(self) -> Operator:
         return require_operator(self._daemon.settings, self._asker)
 
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -362,6 +362,8 @@
             return True
         if node.machine.quarantine.index > request.quarantine:
             return True
+        if node.machine.evacuations.index > request.evacuations:
+            return True
         return node.replica.log.membership_index > request.members
 
     def _refers(self, request: WatchRequest) -> bool:
@@ -414,6 +416,7 @@
             reply,
             tree=news_since(node, request.index, True),
             quarantine=quarantine_since(node, request.quarantine),
+            evacuations=node.machine.evacuations.since(request.evacuations),
         )
 
 
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -161,6 +161,9 @@
             "upstreams": len(self._catalog.live()),
             "entries": self._entries,
             "config_index": self._tree.index,
+            "evacuated_zones": len(
+                self._balancer.evacuations.availability_zones
+            ),
         }
 
     @property
@@ -293,6 +296,7 @@
             hold_s,
             self._shares.told,
             self._balancer.quarantine,
+            self._balancer.evacuations.index,
         )
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -308,6 +312,9 @@
             self._watcher.update(reply.replicas)
             self._replicas = [one.address for one in reply.replicas]
         self._count(reply)
+        # Before the tree: an entry that starts acts as soon as it has one.
+        if reply.evacuations is not None:
+            self._dispatcher.take_evacuations(reply.evacuations)
         if reply.tree is not None and self._tree.take(reply.tree):
             self._apply()
         if reply.quarantine is not None:
--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/sockets.py
@@ -0,0 +1,21 @@
+"""Look at a connection without taking anything from it."""
+
+import socket
+
+
+def has_gone(socket_number: int) -> bool:
+    """Tell whether the other side has closed its connection."""
+    try:
+        sock = socket.socket(fileno=socket_number)
+    except OSError:
+        return True
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return sock.recv(1, flags) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        # The number belongs to the worker; only this view of it ends.
+        sock.detach()
--- a/packages/fakes/nutmegchute_fakes/controls.py
+++ b/packages/fakes/nutmegchute_fakes/controls.py
@@ -7,6 +7,10 @@
 from typing import Any
 
 import msgspec
+from nutmegchute_core.errors import EvacuationError
+from nutmegchute_core.evacuations import check_zone
+from nutmegchute_core.evacuations import EvacuationOrder
+from nutmegchute_core.evacuations import Evacuations
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
 from nutmegchute_core.trees import Tree
@@ -32,6 +36,7 @@
         self.waiting: list[dict[str, Any]] = []
         self.replicas: list[dict[str, Any]] = []
         self.quarantine: list[dict[str, Any]] = []
+        self.evacuations = Evacuations()
         self.posts: list[tuple[str, Any]] = []
         self.intrude: Callable[[], object] = lambda: None
         self._index = 0
@@ -79,6 +84,7 @@
                 "waiting": self.waiting,
             },
             "/quarantine": self.quarantine,
+            "/evacuations": self.evacuations.evacuations,
             "/status": {
                 "name": "control-1",
                 "state": self.state,
@@ -113,6 +119,15 @@
             ]
             if len(self.quarantine) == before:
                 answer = {"outcome": "unknown", "detail": "no such request"}
+        if path == "/evacuations":
+            order = EvacuationOrder(operator=operator, at_unix_s=0.0, **body)
+            try:
+                check_zone(order.availability_zone)
+            except EvacuationError as error:
+                return 400, str(error)
+            self._index += 1
+            self.evacuations.apply(self._index, order)
+            answer["detail"] = order.describe()
         if path == "/changes":
             self._index += 1
             change = Change(operator=operator, at_unix_s=0.0, **body)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -66,6 +66,9 @@
         self.ran: Counter[str] = Counter()
         self.mode = "well"
         self.state = "ready"
+        self.zone = "surco"
+        # What its health page tells of its warm-up, in milliseconds.
+        self.warm_up_ms = 0
         self.sequence = 0
         self.connections: list[socket.socket] = []
         # Tells by path and body whether a request ends this process.
@@ -95,11 +98,11 @@
         body = {
             "service": self.service,
             "address": self.address,
-            "zone": "surco",
+            "zone": self.zone,
             "version": "v1",
             "capacity": 3,
             "state": self.state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.warm_up_ms,
             "sequence": self.sequence,
             **values,
         }
@@ -124,7 +127,7 @@
             length = int(self.headers.get("Content-Length", 0))
             content = self.rfile.read(length)
             if self.path == "/healthz":
-                self._say(200, b"")
+                self._say(200, b"", Warmup_Ms=str(endpoint.warm_up_ms))
                 return
             wanted = self.headers.get("Target-Instance")
             if wanted != endpoint.instance:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -303,6 +303,28 @@
     assert run("quarantine", "lift", "desk", "f1")[0] == 1
 
 
+def test_zone_is_evacuated_and_taken_back(
+    run: Run, control: FakeControl
+) -> None:
+    """Order an evacuation twice, list it, and take the zone back."""
+    assert run("evacuations", "begin", "hall-a")[0] == 0
+    assert run("evacuations", "begin", "hall-a")[0] == 0
+    (row,) = msgspec.json.decode(run("evacuations", "list", "--json")[1])
+    assert row["availability_zone"] == "hall-a"
+    assert row["operator"] == "ana"
+    assert "hall-a" in run("evacuations")[1]
+    assert run("evacuations", "finish", "hall-a")[0] == 0
+    assert msgspec.json.decode(run("evacuations", "--json")[1]) == []
+
+
+def test_ill_formed_zone_is_wrong_use(run: Run, control: FakeControl) -> None:
+    """Guard against an order that is taken though no zone can have it."""
+    status, _, errors = run("evacuations", "begin", "Hall A")
+    assert status == 1
+    assert "availability zone" in errors
+    assert msgspec.json.decode(run("evacuations", "--json")[1]) == []
+
+
 def test_replicas_are_replaced(run: Run, control: FakeControl) -> None:
     """Send the lost name, the new name and its addresses."""
     words = ("replace", "control-1", "control-4")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,6 +14,7 @@
 import pytest
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.evacuations import Evacuations
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
@@ -71,6 +72,7 @@
         self.address = address
         self.tree = Tree()
         self.quarantine = Quarantine()
+        self.evacuations = Evacuations()
         self._world = world
         self._contact_at = 0.0
         self.registrar = Registrar(
@@ -111,7 +113,9 @@
         members = self._world.members
         return SimpleNamespace(
             machine=SimpleNamespace(
-                tree=self.tree, quarantine=self.quarantine
+                tree=self.tree,
+                quarantine=self.quarantine,
+                evacuations=self.evacuations,
             ),
             replica=SimpleNamespace(
                 membership=SimpleNamespace(members=members),
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,209 @@
+"""Evacuate availability zones: orders, entries, and what callers see."""
+
+import msgspec
+import pytest
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.calls import Action
+from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Result
+from nutmegchute_core.calls import Send
+from nutmegchute_core.errors import EvacuationError
+from nutmegchute_core.evacuations import check_zone
+from nutmegchute_core.evacuations import EvacuationNews
+from nutmegchute_core.evacuations import EvacuationOrder
+from nutmegchute_core.evacuations import EvacuationOutcome
+from nutmegchute_core.machines import Machine
+from nutmegchute_core.machines import MachineState
+from nutmegchute_core.members import Announcement
+from nutmegchute_core.messages import LogEntry
+from nutmegchute_core.rules import read_services
+from support import rule
+from support import team
+
+SERVICE = "catalogo"
+NEAR, FAR = "az-1", "az-2"
+
+
+def endpoint(number: int, zone: str) -> Announcement:
+    """Build an endpoint's announcement."""
+    return Announcement(
+        service=SERVICE,
+        endpoint=f"10.0.0.{number}:80",
+        availability_zone=zone,
+        slots=2,
+        incarnation=1,
+        instance=f"i-{number}",
+    )
+
+
+def balancer(*zones: str) -> Balancer:
+    """Build an entry's decisions with an endpoint in each named zone."""
+    built = Balancer(seed=1, availability_zone=NEAR)
+    document = team(**{SERVICE: [rule(attempts=3, hedge=True)]})
+    built.configure(read_services({"lending": document}), 0.0)
+    built.update_upstreams(
+        [endpoint(number, zone) for number, zone in enumerate(zones, 1)], 0.0
+    )
+    return built
+
+
+def sends(actions: list[Action]) -> list[Send]:
+    """Pick what is sent to endpoints."""
+    return [one for one in actions if isinstance(one, Send)]
+
+
+def give(machine: Machine, index: int, zone: str, evacuate: bool) -> bool:
+    """Apply an order; tell if it changed anything."""
+    order = EvacuationOrder(zone, evacuate, "ana", float(index))
+    outcome = machine.apply(LogEntry(1, index, order))
+    assert isinstance(outcome, EvacuationOutcome)
+    return outcome.changed
+
+
+def test_orders_survive_a_snapshot_with_who_gave_them() -> None:
+    """Guard against an evacuation that a restarted replica forgot."""
+    machine = Machine()
+    assert give(machine, 1, NEAR, True)
+    assert give(machine, 2, FAR, True)
+    assert give(machine, 3, FAR, False)
+    data = msgspec.msgpack.encode(machine.snapshot())
+    other = Machine()
+    other.restore(msgspec.msgpack.decode(data, type=MachineState))
+    assert other.snapshot() == machine.snapshot()
+    (held,) = other.evacuations.evacuations
+    assert (held.availability_zone, held.operator, held.at_unix_s) == (
+        NEAR,
+        "ana",
+        1.0,
+    )
+    assert other.evacuations.since(0) == EvacuationNews(3, [NEAR])
+    assert [one.detail for one in other.tree.audit] == [
+        f"availability zone {NEAR} evacuated",
+        f"availability zone {FAR} evacuated",
+        f"availability zone {FAR} taken back",
+    ]
+
+
+def test_order_sent_again_changes_nothing() -> None:
+    """Guard against a second audit record and a later date of the order."""
+    machine = Machine()
+    assert give(machine, 1, NEAR, True)
+    assert not give(machine, 2, NEAR, True)
+    assert machine.evacuations.index == 1
+    assert machine.evacuations.evacuations[0].at_unix_s == 1.0
+    assert give(machine, 3, NEAR, False)
+    assert not give(machine, 4, NEAR, False)
+    assert machine.evacuations.index == 3
+    assert len(machine.tree.audit) == 2
+
+
+def test_state_of_before_evacuations_is_read() -> None:
+    """Guard against a replica that cannot load an older snapshot."""
+    state = msgspec.to_builtins(Machine().snapshot())
+    del state["evacuations"]
+    Machine().restore(msgspec.convert(state, MachineState))
+
+
+@pytest.mark.parametrize("name", ["", "Hall", "a b", "a/b", "a\n", "x" * 64])
+def test_ill_formed_zone_is_refused(name: str) -> None:
+    """Guard against orders about what cannot be an availability zone."""
+    with pytest.raises(EvacuationError, match="availability zone"):
+        check_zone(name)
+
+
+def test_zone_that_nobody_named_is_taken() -> None:
+    """Guard against endpoints that come to a zone evacuated before."""
+    check_zone("hall-9")
+    found = balancer(FAR)
+    found.take_evacuations(EvacuationNews(5, ["hall-9"]), 0.0)
+    found.update_upstreams([endpoint(1, "hall-9"), endpoint(2, FAR)], 1.0)
+    for number in range(4):
+        _, actions = found.arrive(SERVICE, "GET", "/a", 1.0 + number)
+        for send in sends(actions):
+            assert send.endpoint == "10.0.0.2:80"
+
+
+def test_nothing_is_sent_to_an_evacuated_zone() -> None:
+    """Guard against first sends, retries and hedges in an evacuated zone."""
+    found = balancer(NEAR, FAR, NEAR, FAR)
+    found.take_evacuations(EvacuationNews(5, [NEAR]), 0.0)
+    reached = []
+    for number in range(30):
+        now = number * 0.1
+        call_id, actions = found.arrive(SERVICE, "GET", "/a", now)
+        while sends(actions):
+            send = sends(actions)[0]
+            reached.append(send.endpoint)
+            actions = found.tick(now + 0.09)
+            for hedge in sends(actions):
+                reached.append(hedge.endpoint)
+            result = Result(call_id, send.attempt, NOT_RUN, 0.01, shed=True)
+            actions = found.finish(result, now + 0.09)
+        found.abandon(call_id, now + 0.09)
+    assert len(reached) > 30
+    assert set(reached) == {"10.0.0.2:80", "10.0.0.4:80"}
+
+
+def test_calls_that_wait_are_not_sent_to_a_zone_evacuated_meanwhile() -> None:
+    """Guard against a call that was queued before and placed after."""
+    found = balancer(NEAR, FAR)
+    busy = {}
+    for _ in range(6):
+        call_id, actions = found.arrive(SERVICE, "GET", "/a", 0.0)
+        for send in sends(actions):
+            busy[call_id] = send
+    assert 0 < len(busy) < 6
+    later: list[Send] = []
+    found.take_evacuations(EvacuationNews(5, [NEAR]), 0.1)
+    for call_id, send in busy.items():
+        result = Result(call_id, send.attempt, "answered", 0.2)
+        later += sends(found.finish(result, 0.2))
+    assert {one.endpoint for one in later} == {"10.0.0.2:80"}
+
+
+def test_service_without_another_zone_refuses_at_once() -> None:
+    """Guard against calls that wait for an evacuated zone to come back."""
+    found = balancer(NEAR, NEAR)
+    sent = 0
+    for _ in range(8):
+        _, actions = found.arrive(SERVICE, "GET", "/a", 0.0)
+        sent += len(sends(actions))
+    assert sent < 8
+    actions = found.take_evacuations(EvacuationNews(5, [NEAR]), 0.1)
+    refused = [one for one in actions if isinstance(one, Refuse)]
+    assert len(refused) == 8 - sent
+    pauses = set()
+    for number in range(8):
+        _, actions = found.arrive(SERVICE, "GET", "/a", 0.2 + number / 100)
+        (refusal,) = actions
+        assert isinstance(refusal, Refuse)
+        assert "evacuated" in refusal.reason
+        pauses.add(refusal.retry_after_s)
+    assert len(pauses) == 8
+    assert min(pauses) >= 0.5
+    found.take_evacuations(EvacuationNews(6, []), 1.0)
+    _, actions = found.arrive(SERVICE, "GET", "/a", 1.0)
+    assert not [one for one in actions if isinstance(one, Refuse)]
+
+
+def test_older_word_takes_nothing_back() -> None:
+    """Guard against a replica that wakes up with what it knew before."""
+    found = balancer(NEAR, FAR)
+    found.take_evacuations(EvacuationNews(7, [NEAR]), 0.0)
+    found.take_evacuations(EvacuationNews(5, []), 0.1)
+    found.update_upstreams([endpoint(1, NEAR), endpoint(2, FAR)], 0.2)
+    _, actions = found.arrive(SERVICE, "GET", "/a", 0.3)
+    assert [one.endpoint for one in sends(actions)] == ["10.0.0.2:80"]
+
+
+def test_service_that_is_declared_later_heeds_what_is_evacuated() -> None:
+    """Guard against a change of the configuration that opens a zone."""
+    found = balancer(NEAR, FAR)
+    found.take_evacuations(EvacuationNews(7, [NEAR]), 0.0)
+    found.configure({}, 0.1)
+    document = team(**{SERVICE: [rule()]})
+    found.configure(read_services({"lending": document}), 0.2)
+    found.update_upstreams([endpoint(1, NEAR), endpoint(2, FAR)], 0.2)
+    _, actions = found.arrive(SERVICE, "GET", "/a", 0.3)
+    assert [one.endpoint for one in sends(actions)] == ["10.0.0.2:80"]
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -360,6 +360,51 @@
     return pieces
 
 
+def test_zone_is_evacuated_and_taken_back(site: Site) -> None:
+    """Guard against calls in an evacuated zone, also after all restart."""
+    here = Endpoint("i-1", "desk")
+    there = Endpoint("i-2", "desk")
+    there.zone = "miraflores"
+    beats = Beats(site, here, there)
+    try:
+        _all_served(site)
+        # The answer may be lost: the same order comes at another replica.
+        for number in range(3):
+            wait_for(partial(_ordered, site, number, "Begin"), "the order")
+        time.sleep(1.0)
+        before = here.ran.total()
+        everything = [*site.controls, *site.routers]
+        for ip in everything:
+            site.kill(ip)
+        for ip in everything:
+            site.start(ip, False)
+        _all_served(site)
+        for turn in range(20):
+            wait_for(partial(_moved, site, turn % 2), "the other zone")
+        assert here.ran.total() == before
+        wait_for(partial(_ordered, site, 1, "Finish"), "the zone back")
+        wait_for(lambda: _served(site, 0) and here.ran.total() > before, "it")
+    finally:
+        beats.stop()
+
+
+def _evacuate(site: Site, number: int, verb: str, zone: str = "surco") -> Any:
+    url = f"http://{site.control(number)}/Evacuations.{verb}/{zone}"
+    return ask("POST", url)
+
+
+def _ordered(site: Site, number: int, verb: str) -> bool:
+    return _status(_evacuate(site, number, verb))
+
+
+def test_order_about_no_zone_is_refused_clearly(site: Site) -> None:
+    """Guard against an order that is taken for a name no zone can have."""
+    for name in ("Surco", "%FF", "a%20b", "x" * 80, ""):
+        answer = _evacuate(site, 0, "Begin", name)
+        assert answer.status == 400, name
+        assert b"zone" in answer.data
+
+
 def test_any_bytes_at_any_call_change_nothing(site: Site) -> None:
     """Answer each call of the platform whatever its body is.
 
