Bound the calls to a cold endpoint over all entries together

An endpoint that is cold crashes under more than a few calls a second. What it told of its warm-up reached entries and no decision read it; each entry held a newcomer to be slower for two seconds by a guess of its own.

Cause: entries know nothing of one another's calls, so no decision of one can bound the sum, and a word that an endpoint is cold anew was no change that entries are told.

Change: a service declares warm_up_per_s and warm_up_s; a cold endpoint is used by half as many entries as the bound allows calls a second, found by rendezvous hashing over the list of entries that control tells, those of its zone first; each sends once a second. Health pages and announcements tell of coldness; the endpoints of a zone that is taken back are held for cold.

Ruled out: a share for each entry (17 calls a second over 135 entries) and permits from the replica of the zone; docs/design/shifted.rst.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -40,6 +40,7 @@
 from .timers import HEDGE
 from .timers import SEEK
 from .timers import Timers
+from .warmups import WarmUps
 
 ADMITTED = "admitted"
 QUEUED = "queued"
@@ -64,6 +65,7 @@
         "_pools",
         "_random",
         "_timers",
+        "warm_ups",
     )
 
     def __init__(
@@ -71,7 +73,9 @@
         seed: int,
         availability_zone: str | None = None,
         policy: Policy | None = None,
+        name: str | None = None,
     ) -> None:
+        self.warm_ups = WarmUps(name)
         self._random = Random(seed)
         self._availability_zone = availability_zone
         self._policy = policy or Policy()
@@ -115,11 +119,12 @@
                     self._random,
                     self._availability_zone,
                     self._policy,
+                    self.warm_ups,
                 )
                 if self._extra is not None:
                     pool.limit_extra(*self._extra)
                 pool.questions.limit(*self._inquiry_limit)
-                pool.evacuate(self._evacuated)
+                pool.evacuate(self._evacuated, now)
             else:
                 pool.reconfigure(service)
             pools[name] = pool
@@ -135,7 +140,7 @@
             return actions
         self._evacuations = news
         for pool in self._pools.values():
-            pool.evacuate(self._evacuated)
+            pool.evacuate(self._evacuated, now)
             self._dispatch(pool, now, actions)
         return actions
 
@@ -286,12 +291,13 @@
         now: float,
         stretch: float | None = None,
         answered: bool = False,
+        cold_s: float | None = None,
     ) -> list[Action]:
         """Take a probe's end; without load and answer it has failed."""
         actions: list[Action] = []
         pool = self._pools.get(service)
         if pool is not None:
-            pool.take_probe(endpoint, load, now, stretch, answered)
+            pool.take_probe(endpoint, load, now, stretch, answered, cold_s)
             told = load is not None
             self._hear_answer(pool, endpoint, told, now, actions)
             self._dispatch(pool, now, actions)
@@ -569,10 +575,11 @@
             if call_id is None:
                 break
             call = self._calls[call_id]
-            reason = pool.hopeless(call, now)
-            if reason is not None:
+            hopeless = pool.hopeless(call, now)
+            if hopeless is not None:
                 pool.queue.remove(call_id)
-                actions.append(self._give_up(pool, call, reason))
+                reason, after_s = hopeless.reason, hopeless.retry_after_s
+                actions.append(self._give_up(pool, call, reason, after_s))
                 continue
             if self._restrict(pool, call, now, actions):
                 continue
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -7,11 +7,15 @@
 from .endpoints import Endpoint
 from .inquiries import FREE_SLOT
 from .inquiries import Fullness
+from .inquiries import LAST_SLOT
 from .inquiries import nearly_full
 from .inquiries import NO_SLOT
 from .latencies import FIRST_S
 from .latencies import Mean
 from .policies import Policy
+from .warmups import SLOWDOWN
+from .warmups import WarmUpLimit
+from .warmups import WarmUps
 
 # Both bounds keep the cost of a decision the same at any pool size. The
 # endpoints heard last are those of which anything is known: at a pool's
@@ -79,11 +83,13 @@
         "_untold",
         "fullness",
         "probed",
+        "warm_up",
     )
 
     def __init__(self, random: Random, policy: Policy, probed: bool) -> None:
         self.probed = probed
         self.fullness = Fullness()
+        self.warm_up = WarmUpLimit(WarmUps(), None)
         self._random = random
         self._policy = policy
         self._order: list[Endpoint] = []
@@ -187,7 +193,7 @@
         silent: list[Endpoint] = []
         floor = self._below_floor()
         for endpoint in self._candidates():
-            if endpoint.in_flight >= endpoint.slots:
+            if not self._has_room(endpoint, now):
                 continue
             if avoid and endpoint.address in avoid:
                 continue
@@ -200,7 +206,21 @@
         """Tell what a call sent now is known to find at an endpoint."""
         if not self._stretches:
             return NO_SLOT
-        return self.fullness.slot(endpoint, now)
+        slot = self.fullness.slot(endpoint, now)
+        # Work takes longer there, as in the last slot of a warm one.
+        return min(slot, LAST_SLOT) if endpoint.is_cold(now) else slot
+
+    def _has_room(self, endpoint: Endpoint, now: float) -> bool:
+        if endpoint.in_flight >= endpoint.slots:
+            return False
+        return self.warm_up.allows(endpoint, now)
+
+    def closed(self, now: float) -> bool:
+        """Tell whether all endpoints are cold and this entry uses none."""
+        for endpoint in self._order:
+            if not self.warm_up.closes(endpoint, now):
+                return False
+        return bool(self._order)
 
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Estimate when a call sent now would be answered, in seconds."""
@@ -223,7 +243,9 @@
             score *= max(1.0, endpoint.latency(mean_s, now) / band_s)
         if endpoint.stalled or self._stalls:
             score *= 1.0 + SUSPECT_FACTOR * self._suspicion(endpoint, now)
-        if endpoint.joined_at is not None:
+        if endpoint.is_cold(now):
+            score *= SLOWDOWN
+        elif endpoint.joined_at is not None:
             score *= endpoint.coldness(now)
         return score
 
@@ -338,7 +360,7 @@
         found = []
         floor = self._below_floor()
         for endpoint in self._candidates():
-            if endpoint.in_flight >= endpoint.slots:
+            if not self._has_room(endpoint, now):
                 continue
             if endpoint.address in avoid or (near and not endpoint.local):
                 continue
@@ -346,7 +368,7 @@
                 continue
             if endpoint.muted(now):
                 continue
-            if self.fullness.slot(endpoint, now) == FREE_SLOT:
+            if self.slot(endpoint, now) == FREE_SLOT:
                 return []
             found.append(endpoint)
         found.sort(key=lambda one: self.score(one, now))
@@ -404,7 +426,7 @@
             return None
         floor = self._below_floor()
         for endpoint in self._order:
-            if endpoint.in_flight >= endpoint.slots:
+            if not self._has_room(endpoint, now):
                 continue
             if endpoint.address in avoid:
                 continue
--- a/packages/core/nutmegchute_core/declarations.py
+++ b/packages/core/nutmegchute_core/declarations.py
@@ -39,6 +39,8 @@
         "most_entries": {"type": "integer", "minimum": 1, "maximum": 256},
         "key_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
         "connections": {"type": "integer", "minimum": 1},
+        "warm_up_s": {"type": "number", "minimum": 0, "maximum": 3600},
+        "warm_up_per_s": {"type": "number", "exclusiveMinimum": 0},
         "rules": {"type": "array", "minItems": 1, "items": RULE_SCHEMA},
         "annotations": {"type": "object"},
     },
--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -17,12 +17,17 @@
 from .sessions import choose_usable
 from .sessions import EntrySessions
 from .sessions import WatchRequest
+from .warmups import EntryGroup
+from .warmups import group_of
 
 # A tree newer than any, of a replica that has no entries.
 NO_TREE = 2**62
 # A replica that has just started knows no entries of the others. Naming only
 # those that were quickest would send them the callers of all.
 GATHER_S = 0.7
+# The list of entries is put together anew at most once in so long: while a
+# deployment starts it changes with every entry that comes.
+GROUP_S = 1.0
 
 
 class Discovery:
@@ -33,6 +38,8 @@
 
     __slots__ = (
         "_confirm",
+        "_group",
+        "_group_at",
         "_own",
         "_started_at",
         "_turn",
@@ -45,6 +52,8 @@
         self._own = own
         self._started_at = now
         self._confirm = 0
+        self._group = EntryGroup()
+        self._group_at = now - GROUP_S
         self._turn = 0
         self.registry = Registry(epoch)
         self.sessions = EntrySessions()
@@ -107,6 +116,19 @@
                 found[address] = mirror.since(mark, now)
         return found
 
+    def group(self, known: int, now: float) -> EntryGroup | None:
+        """List all entries, if that is not the list with a digest.
+
+        None as well while the other replicas may know more of them.
+        """
+        if now - self._group_at >= GROUP_S and self.settled(now):
+            self._group_at = now
+            zones = {**self.peers.zones(now), **self.sessions.zones(now)}
+            self._group = group_of(zones)
+        if not self._group.by_zone or self._group.digest == known:
+            return None
+        return self._group
+
     def silent(self, request: WatchRequest, now: float) -> list[str]:
         """Name the replicas an entry knows of and this one does not hear."""
         heard = {self._own, *self.peers.answering(now)}
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -1,5 +1,6 @@
 """Hold what one entry knows of one endpoint, and how old that is."""
 
+from collections import deque
 from math import exp
 from math import inf
 
@@ -23,6 +24,8 @@
 
 WARM_UP_S = 2.0
 COLD_FACTOR = 3.0
+# Sends that are remembered to pace those to a cold endpoint.
+PACED_SENDS = 32
 
 
 class Endpoint:
@@ -38,7 +41,9 @@
         "_mutes",
         "_others",
         "_stretch",
+        "_sent_at",
         "alive",
+        "cold_until",
         "ejected_until",
         "evacuated",
         "in_flight",
@@ -73,6 +78,9 @@
         self.stalled_at = 0.0
         self.probed_at = 0.0
         self.alive = False
+        # Until when it is slow after its start, as it tells itself.
+        self.cold_until = -inf
+        self._sent_at: deque[float] = deque(maxlen=PACED_SENDS)
         # Whether its availability zone is evacuated.
         self.evacuated = False
 
@@ -132,6 +140,24 @@
         weight = LATENCY_KEPT_S / (LATENCY_KEPT_S + age_s)
         return mean_s + (self.latency_s - mean_s) * weight
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the endpoint says that it is cold."""
+        return now < self.cold_until
+
+    def note_send(self, now: float) -> None:
+        """Count a call that is sent there."""
+        self.in_flight += 1
+        self._sent_at.append(now)
+
+    def sent_within(self, span_s: float, now: float) -> int:
+        """Count the calls sent lately or still under way."""
+        sent = 0
+        for at in reversed(self._sent_at):
+            if now - at > span_s:
+                break
+            sent += 1
+        return max(sent, self.in_flight)
+
     def coldness(self, now: float) -> float:
         """Give by how much a newcomer is held to be slower."""
         if self.joined_at is None:
--- a/packages/core/nutmegchute_core/peers.py
+++ b/packages/core/nutmegchute_core/peers.py
@@ -281,6 +281,15 @@
                     found.add(name)
         return found
 
+    def zones(self, now: float) -> dict[str, str]:
+        """Map the entries heard of lately to their availability zones."""
+        found = {}
+        for peer in self._peers.values():
+            for name, known in peer.entries.items():
+                if known.state.attends or now - known.at <= COUNTED_S:
+                    found[name] = known.state.info.availability_zone
+        return found
+
     def calls_per_s(self, now: float) -> float:
         """Add up what the entries of the replicas that answer have."""
         total = 0.0
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -25,6 +25,8 @@
 from .rules import Service
 from .usuals import Sent
 from .usuals import Usual
+from .warmups import WarmUpLimit
+from .warmups import WarmUps
 
 # Calls of others per slot beyond which a hedge only lengthens queues.
 HEDGE_MOST_LOAD = 0.5
@@ -47,8 +49,11 @@
 # Callers that an evacuation leaves without an endpoint come back spread
 # over this span: it lasts for seconds at least.
 EVACUATED_RETRY_S = (0.5, 1.5)
+# Another entry may use the endpoints that are cold.
+WARMING_RETRY_S = (0.1, 0.5)
 TOO_LATE = "cannot be answered in time"
 EVACUATED = "every endpoint is in an evacuated availability zone"
+WARMING = "every endpoint is warming up and left to other entries"
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has room, those that can still be
 # in time go first, and the wait of one is less than the queue suggests.
@@ -69,6 +74,21 @@
 MOST_RULES = 1024
 
 
+class Hopeless:
+    """Say why a call cannot be served, and when to come back.
+
+    Without ``retry_after_s`` that is when those who wait are through.
+    """
+
+    __slots__ = ("reason", "retry_after_s")
+
+    def __init__(
+        self, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 class Pool:
     """Decide within one service; the balancer keeps the calls."""
 
@@ -86,6 +106,7 @@
         "_service",
         "_under_way",
         "_usual",
+        "_warm_ups",
         "_window",
         "_zone",
         "questions",
@@ -98,6 +119,7 @@
         random: Random,
         zone: str | None,
         policy: Policy,
+        warm_ups: WarmUps,
     ) -> None:
         self._service = service
         self._policy = policy
@@ -105,6 +127,8 @@
         self._random = random
         self._evacuated: frozenset[str] = frozenset()
         self._chooser = Chooser(random, policy, self._may_probe(service))
+        self._warm_ups = warm_ups
+        self._chooser.warm_up = WarmUpLimit(warm_ups, service.warm_up_per_s)
         self._extra = ExtraBudget()
         self.questions = Questions(self._chooser, policy)
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
@@ -136,8 +160,6 @@
     @property
     def retry_after_s(self) -> float:
         """Estimate when there is room: once those who wait are through."""
-        if self._is_evacuated:
-            return self._random.uniform(*EVACUATED_RETRY_S)
         if not self.queue:
             return NO_QUEUE_RETRY_S
         wait_s = len(self.queue) * self._gap_s + self._half.value_s
@@ -157,6 +179,9 @@
         probes.follow(self._probes)
         self._probes = probes
         self._chooser.probed = self._may_probe(service)
+        self._chooser.warm_up = WarmUpLimit(
+            self._warm_ups, service.warm_up_per_s
+        )
 
     @property
     def asks(self) -> bool:
@@ -191,6 +216,9 @@
                 cold = self._policy.warm_up and not first
                 joined_at = now if cold else None
                 endpoint = Endpoint(announcement, local, joined_at)
+                self._hear_cold(endpoint, announcement.cold_s, now)
+            elif endpoint.announcement is not announcement:
+                self._hear_cold(endpoint, announcement.cold_s, now)
             endpoint.announcement = announcement
             kept[address] = endpoint
             slots += announcement.slots
@@ -201,11 +229,25 @@
         self._window.set_share(share, most_slots)
         self.questions.update(kept)
 
-    def evacuate(self, availability_zones: frozenset[str]) -> None:
-        """Take the availability zones that get nothing from now on."""
+    def evacuate(self, availability_zones: frozenset[str], now: float) -> None:
+        """Take the availability zones that get nothing from now on.
+
+        The endpoints of those that are taken back may have become cold, of
+        which this entry has heard nothing yet.
+        """
+        for endpoint in self._endpoints.values():
+            if endpoint.zone in self._evacuated - availability_zones:
+                self._hear_cold(endpoint, self._service.warm_up_s, now)
         self._evacuated = availability_zones
         self._close_evacuated()
 
+    def _hear_cold(
+        self, endpoint: Endpoint, cold_s: float, now: float
+    ) -> None:
+        """Take word of how long an endpoint is still cold."""
+        if self._chooser.warm_up.applies:
+            endpoint.cold_until = now + cold_s
+
     def _close_evacuated(self) -> None:
         for endpoint in self._endpoints.values():
             endpoint.evacuated = endpoint.zone in self._evacuated
@@ -266,11 +308,17 @@
         """Tell whether a call sent now would be answered in vain."""
         return now >= self.latest_send_at(call)
 
-    def hopeless(self, call: Call, now: float) -> str | None:
+    def hopeless(self, call: Call, now: float) -> Hopeless | None:
         """Say why a call that waits cannot be served, if so."""
         if self.too_late(call, now):
-            return TOO_LATE
-        return EVACUATED if self._is_evacuated else None
+            return Hopeless(TOO_LATE)
+        if self._is_evacuated:
+            pause_s = self._random.uniform(*EVACUATED_RETRY_S)
+            return Hopeless(EVACUATED, pause_s)
+        if self._chooser.closed(now):
+            pause_s = self._random.uniform(*WARMING_RETRY_S)
+            return Hopeless(WARMING, pause_s)
+        return None
 
     def sends_away(self, call: Call, begins: bool, now: float) -> bool:
         """Tell whether a call that found no room should not wait on.
@@ -375,6 +423,8 @@
                 continue
             if now < endpoint.ejected_until:
                 continue
+            if not self._chooser.warm_up.allows(endpoint, now):
+                continue
             if not self._chooser.tells:
                 return address
             age_s = endpoint.report_age_s(now)
@@ -462,7 +512,7 @@
         self._under_way[call.call_id, attempt] = Sent(
             endpoint, call.sent_at(attempt)
         )
-        endpoint.in_flight += 1
+        endpoint.note_send(now)
 
     def take_cancel(self, call: Call, attempt: int, now: float) -> None:
         """Count an attempt that ends without an answer."""
@@ -484,7 +534,9 @@
             self._take_silent_shed(endpoint, now)
         if result.outcome == ANSWERED and not result.failed:
             self._take_answer(endpoint, result, now)
-            self._learn_usual(call, sent, result.latency_s)
+            if not endpoint.is_cold(now):
+                # What a cold endpoint takes is usual for nothing.
+                self._learn_usual(call, sent, result.latency_s)
             return
         if not self._is_to_blame(call, result):
             return
@@ -499,11 +551,14 @@
         now: float,
         stretch: float | None = None,
         answered: bool = False,
+        cold_s: float | None = None,
     ) -> None:
         """Learn from a probe; one that ``answered`` may tell no load."""
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             return
+        if cold_s is not None:
+            self._hear_cold(endpoint, cold_s, now)
         if load is None:
             if not answered:
                 self._mute(endpoint, now)
--- a/packages/core/nutmegchute_core/registries.py
+++ b/packages/core/nutmegchute_core/registries.py
@@ -24,6 +24,10 @@
 # relied on yet, so that one which left meanwhile gets no calls for long.
 RECALLED_S = 2.0
 
+# An endpoint that is cold for so much longer than it told has become cold
+# anew; a word that was late moves the end of its warm-up by less.
+COLDER_S = 0.5
+
 TAKEN = "taken"
 CHANGED = "changed"
 STALE = "stale"
@@ -45,6 +49,10 @@
         self.heard_at = 0.0
         self.cold_until = 0.0
 
+    def cold_s(self, now: float) -> float:
+        """Give for how many seconds more the process is cold."""
+        return max(0.0, self.cold_until - now)
+
 
 class Registry:
     """Take endpoints' words; tell what changed since a generation.
@@ -138,6 +146,8 @@
                     announcement, state=DRAINING
                 )
             self._change(process)
+        elif announcement.cold_s > record.cold_s(now) + COLDER_S:
+            self._change(process)
         record.announcement = announcement
         record.sequence = sequence
         record.heard_at = now
@@ -218,5 +228,6 @@
 
 
 def _cold(record: Record, now: float) -> Announcement:
-    left_s = max(0.0, record.cold_until - now)
-    return msgspec.structs.replace(record.announcement, cold_s=left_s)
+    return msgspec.structs.replace(
+        record.announcement, cold_s=record.cold_s(now)
+    )
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -10,6 +10,7 @@
 DEFAULT_PROBES_PER_S = 0.0
 DEFAULT_PROBE_PATH = "/load"
 DEFAULT_MOST_ENTRIES = 17
+DEFAULT_WARM_UP_S = 0.0
 
 
 class Rule:
@@ -95,6 +96,8 @@
         "_queue",
         "_rules",
         "_slots",
+        "_warm_up_per_s",
+        "_warm_up_s",
     )
 
     def __init__(self, name: str, document: dict[str, Any]) -> None:
@@ -110,6 +113,8 @@
         )
         self._key_sha256: str | None = document.get("key_sha256")
         self._connections: int | None = document.get("connections")
+        self._warm_up_per_s: float | None = document.get("warm_up_per_s")
+        self._warm_up_s: float = document.get("warm_up_s", DEFAULT_WARM_UP_S)
         self._rules = [Rule(rule) for rule in document.get("rules", [])]
 
     @property
@@ -152,6 +157,16 @@
         """Give the most connections an endpoint takes from all entries."""
         return self._connections
 
+    @property
+    def warm_up_per_s(self) -> float | None:
+        """Give the calls a second that a cold endpoint bears, if bounded."""
+        return self._warm_up_per_s
+
+    @property
+    def warm_up_s(self) -> float:
+        """Give how long an endpoint is cold after its start, in seconds."""
+        return self._warm_up_s
+
     @property
     def rules(self) -> list[Rule]:
         """List the rules, first match first."""
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -9,6 +9,7 @@
 from .mirrors import Mark
 from .mirrors import NOTHING
 from .quarantines import QuarantineNews
+from .warmups import EntryGroup
 
 # How long a question is held when there is nothing new. An entry asks one
 # replica only, so this and the margin bound how long it goes on by old news
@@ -48,7 +49,8 @@
     ``members`` that of the membership known. The answer may be held for
     ``hold_s`` seconds. ``calls_per_s`` is what the entry has to place,
     ``quarantine`` the index of the cases that it knows, ``evacuations`` that
-    of the evacuated availability zones.
+    of the evacuated availability zones, ``group`` the digest of the list of
+    entries that it has.
     """
 
     entry: EntryInfo
@@ -59,6 +61,7 @@
     calls_per_s: float = 0.0
     quarantine: int = 0
     evacuations: int = 0
+    group: int = 0
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -72,7 +75,8 @@
     ``entries`` counts the entries of all replicas and ``calls_per_s`` adds
     up what they told; ``counted`` says that none of them is left out.
     ``quarantine`` lists the requests that crash endpoints, ``evacuations``
-    the evacuated availability zones, each where it is news.
+    the evacuated availability zones, ``group`` all entries, each where it is
+    news.
     """
 
     deltas: dict[str, Delta]
@@ -86,6 +90,7 @@
     counted: bool = True
     quarantine: QuarantineNews | None = None
     evacuations: EvacuationNews | None = None
+    group: EntryGroup | None = None
 
 
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
@@ -238,6 +243,14 @@
                 found.add(name)
         return found
 
+    def zones(self, now: float) -> dict[str, str]:
+        """Map the entries heard of lately to their availability zones."""
+        found = {}
+        for name, session in self._sessions.items():
+            if now - session.heard_at <= COUNTED_S:
+                found[name] = session.info.availability_zone
+        return found
+
     def calls_per_s(self, now: float) -> float:
         """Add up what the entries in touch have to place."""
         total = 0.0
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -66,6 +66,10 @@
         """Give how many times as long as usual work takes there now."""
         return None
 
+    def cold_s(self, headers: HTTPHeaderDict) -> float | None:
+        """Give for how many seconds more the endpoint is cold."""
+        return None
+
     def passes(self, name: str) -> bool:
         """Tell whether a header, in small letters, is for the caller."""
         return name not in OWN_HEADERS
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -185,6 +185,7 @@
         latency_s: float,
         stretch: float | None,
         answered: bool,
+        cold_s: float | None,
     ) -> None:
         """Take a probe's end; without load and answer it has failed."""
         self._metrics.count("probes")
@@ -197,6 +198,7 @@
                 self._loop.time(),
                 stretch,
                 answered,
+                cold_s,
             )
         )
 
--- a/packages/daemon/nutmegchute_daemon/documents.py
+++ b/packages/daemon/nutmegchute_daemon/documents.py
@@ -83,6 +83,8 @@
     extra_fixed: Amount = 0.0
     probes_per_s: Amount = 0.0
     send_on_s: Amount = 3.0
+    warm_up_overage: Annotated[float, Meta(ge=1)] = 1.0
+    warm_up_slack_per_s: Amount = 0.0
     grace_s: Span | None = None
 
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -23,6 +23,7 @@
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
+from nutmegchute_core.warmups import group_of
 
 from .announcements import ANNOUNCE_PATH
 from .announcements import AnnouncementHandler
@@ -68,7 +69,12 @@
             settings.name, settings.http_address, settings.availability_zone
         )
         self._balancer = Balancer(
-            secrets.randbits(32), settings.availability_zone
+            secrets.randbits(32),
+            settings.availability_zone,
+            name=settings.name,
+        )
+        self._balancer.warm_ups.bound(
+            settings.warm_up_overage, settings.warm_up_slack_per_s
         )
         self._members = Roster(secrets.randbits(48))
         self._announcements = Announcements(self._members)
@@ -272,10 +278,18 @@
         }
 
     def _sweep(self) -> None:
+        self._know_entries()
         self._asker.run_later()
         self._dispatcher.sweep()
         self._connections.sweep()
 
+    def _know_entries(self) -> None:
+        """Tell the decisions which entries share the cold endpoints."""
+        zones = {}
+        for info in self._directory.usable(boot_time()):
+            zones[info.name] = info.availability_zone
+        self._balancer.warm_ups.take(group_of(zones), self._loop.time())
+
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
         self._dispatcher.perform(self._balancer.update_upstreams(live, now))
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -19,7 +19,9 @@
 TIMEOUT_S = 0.1
 WAITING = 32
 
-Told = Callable[[Probe, int | None, float, float | None, bool], None]
+Told = Callable[
+    [Probe, int | None, float, float | None, bool, float | None], None
+]
 
 
 class Prober:
@@ -60,6 +62,7 @@
         request = Request("GET", self._path or probe.path, headers)
         load = None
         stretch = None
+        cold_s = None
         answered = False
         try:
             reply = self._sender.send(
@@ -69,8 +72,11 @@
             if answered:
                 load = reply.load
                 stretch = reply.stretch
+                cold_s = reply.cold_s
             reply.close()
         finally:
             self._waiting -= 1
         latency_s = time.monotonic() - started
-        self._asker.tell(self.take, probe, load, latency_s, stretch, answered)
+        self._asker.tell(
+            self.take, probe, load, latency_s, stretch, answered, cold_s
+        )
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -25,6 +25,7 @@
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
+from nutmegchute_core.warmups import EntryGroup
 
 from .clocks import boot_time
 from .errors import DaemonError
@@ -388,6 +389,11 @@
                 return member.availability_zone == zone
         return False
 
+    def _group(self, node: Node, request: WatchRequest) -> EntryGroup | None:
+        if not _warms_up(node):
+            return None
+        return self._discovery.group(request.group, boot_time())
+
     def _reply(self, request: WatchRequest) -> WatchReply:
         discovery = self._discovery
         now = boot_time()
@@ -417,9 +423,19 @@
             tree=news_since(node, request.index, True),
             quarantine=quarantine_since(node, request.quarantine),
             evacuations=node.machine.evacuations.since(request.evacuations),
+            group=self._group(node, request),
         )
 
 
+def _warms_up(node: Node) -> bool:
+    """Tell whether a service bounds the calls to its cold endpoints."""
+    for document in node.machine.tree.documents.values():
+        for service in document["services"].values():
+            if "warm_up_per_s" in service:
+                return True
+    return False
+
+
 def _replicas(node: Node, known: int) -> list[ReplicaInfo] | None:
     """List the replicas, if the group changed since a log index."""
     if node.replica.log.membership_index <= known:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -77,7 +77,9 @@
         """Build the decisions' state and mount the callers' side."""
         settings = self._settings
         self._balancer = Balancer(
-            secrets.randbits(32), settings.availability_zone
+            secrets.randbits(32),
+            settings.availability_zone,
+            name=settings.name,
         )
         self._catalog = Catalog()
         self._tree = TreeCopy()
@@ -146,6 +148,7 @@
             health.handle(EVERYTHING, self._answer_health)
         self._share_extra()
         self._share_inquiries()
+        self._bound_warm_ups()
 
     def begin(self) -> None:
         """Start the periodic work."""
@@ -207,6 +210,7 @@
         self._watcher.seed(settings.seeds)
         self._share_extra()
         self._share_inquiries()
+        self._bound_warm_ups()
 
     def open_call(self, ticket: Ticket) -> None:
         """Admit a call; its actions go to the ticket."""
@@ -297,6 +301,7 @@
             self._shares.told,
             self._balancer.quarantine,
             self._balancer.evacuations.index,
+            self._balancer.warm_ups.digest,
         )
 
     def hear(self, replica: str, reply: WatchReply) -> None:
@@ -312,6 +317,8 @@
             self._watcher.update(reply.replicas)
             self._replicas = [one.address for one in reply.replicas]
         self._count(reply)
+        if reply.group is not None:
+            self._balancer.warm_ups.take(reply.group, self._loop.time())
         # Before the tree: an entry that starts acts as soon as it has one.
         if reply.evacuations is not None:
             self._dispatcher.take_evacuations(reply.evacuations)
@@ -404,6 +411,11 @@
             self._settings.probes_per_s, self._shares.share(self._entries)
         )
 
+    def _bound_warm_ups(self) -> None:
+        self._balancer.warm_ups.bound(
+            self._settings.warm_up_overage, self._settings.warm_up_slack_per_s
+        )
+
     def _share_extra(self) -> None:
         if not self._settings.extra_fixed:
             return
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -204,6 +204,13 @@
             return None
         return self._form.load(self._response.headers)
 
+    @property
+    def cold_s(self) -> float | None:
+        """Give for how many seconds more the endpoint is cold, if told."""
+        if self._response is None:
+            return None
+        return self._form.cold_s(self._response.headers)
+
     @property
     def stretch(self) -> float | None:
         """Give how much longer than usual the endpoint says work takes."""
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -253,6 +253,16 @@
         """Give for how long a stopping router still sends new calls on."""
         return float(self._values["send_on_s"])
 
+    @property
+    def warm_up_overage(self) -> float:
+        """Give how many times what it declares a cold endpoint bears."""
+        return float(self._values["warm_up_overage"])
+
+    @property
+    def warm_up_slack_per_s(self) -> float:
+        """Give the calls a second that it bears besides."""
+        return float(self._values["warm_up_slack_per_s"])
+
     def warnings(self) -> list[str]:
         """List what is allowed and still likely to be a mistake."""
         found = []
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -144,7 +144,7 @@
 def test_names_carry_their_units() -> None:
     """Tell seconds from milliseconds and bytes by a number's name."""
     counts = {"http_threads", "entries_answer"}
-    counts |= {"extra_ratio", "extra_fixed"}
+    counts |= {"extra_ratio", "extra_fixed", "warm_up_overage"}
     for name, schema in SCHEMA["properties"].items():
         kinds = {one.get("type") for one in schema.get("anyOf", [schema])}
         if not {"number", "integer"} & kinds:
