--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -18,6 +18,7 @@
   crossed        another request's answer, or not the whole one
   false-not-run  an attempt that was refused "not run" and ran
   crashed-on     a request that ends upstreams went on to reach them
+  evacuated      what ran in an evacuated availability zone
 """
 
 import contextlib
@@ -47,6 +48,9 @@
 from .clusters import Process
 from .demo import declaration
 from .demo import declare
+from .evacuations import Evacuator
+from .evacuations import reached
+from .evacuations import Span
 from .faults import Fault
 from .faults import Player
 from .faults import schedule
@@ -154,6 +158,7 @@
         self._cluster = Cluster(folder, ZONES)
         self._told: list[Told] = []
         self._lock = threading.Lock()
+        self._evacuator: Evacuator | None = None
 
     def run(self) -> bool:
         """Run it all; return whether nothing went wrong."""
@@ -197,6 +202,15 @@
             playing.start()
             crashing = threading.Thread(target=self._crash, daemon=True)
             crashing.start()
+            self._evacuator = Evacuator(
+                [one.address for one in self._cluster.controls],
+                ZONES,
+                Random(self._seed),
+            )
+            evacuating = threading.Thread(
+                target=self._evacuator.run, args=(self._seconds,), daemon=True
+            )
+            evacuating.start()
             callers = [self._caller(number) for number in range(CALLERS)]
             free = list(callers)
             for number in range(count):
@@ -205,6 +219,7 @@
                 pool.submit(self._call, free, number)
             playing.join()
             crashing.join()
+            evacuating.join()
         time.sleep(LATE_S)
 
     def _crash(self) -> None:
@@ -294,10 +309,13 @@
     def _judge(self) -> bool:
         ran: list[str] = []
         crashes: list[float] = []
+        runs: list[tuple[str, float, str]] = []
         for path in sorted(self._folder.glob("ran-*")):
+            zone = ZONES[int(path.name.partition("-")[2]) % len(ZONES)]
             for line in path.read_text().splitlines():
                 words = line.split()
                 ran.append(words[-1])
+                runs.append((zone, float(words[0]), words[-1]))
                 if words[-1].startswith(CRASH_NAME):
                     crashes.append(float(words[0]))
         verdict = Verdict(self._told, ran)
@@ -308,6 +326,7 @@
             "crossed": verdict.crossed(),
             "false-not-run": verdict.false_not_run(),
             "crashed-on": crashed_on(crashes),
+            "evacuated": reached(self._spans, runs),
         }
         for name, places in found.items():
             for place in places[:5]:
@@ -316,6 +335,10 @@
         print(f"soak seed {self._seed}: {counts}")
         return not any(found.values())
 
+    @property
+    def _spans(self) -> list[Span]:
+        return [] if self._evacuator is None else self._evacuator.spans
+
     def _story(self, place: str) -> str:
         name = place.partition(".")[0]
         for one in self._told:
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -419,3 +419,41 @@
         assert change(cluster, "last", 2)["outcome"] == "accepted"
     finally:
         cluster.stop()
+
+
+def evacuated(cluster: Cluster, process: Process) -> Any:
+    """List the evacuated zones as a replica knows them, if it answers."""
+    found = cluster.ask(process, "/evacuations")
+    if found is None:
+        return None
+    return [one["availability_zone"] for one in found]
+
+
+def test_evacuation_outlasts_its_leader(cluster: Cluster) -> None:
+    """Guard against an acknowledged evacuation that a new leader forgot."""
+    order = {"availability_zone": "b", "evacuate": True}
+    leader = cluster.wait_for("a leader", cluster.leader)
+    assert post(leader, "/evacuations", order)[0] == 200
+    status, answer = post(leader, "/evacuations", order)
+    assert (status, answer["detail"]) == (200, "nothing to change")
+    for one in cluster.controls:
+        cluster.wait_for(
+            f"it at {one.name}", lambda c=one: evacuated(cluster, c) == ["b"]
+        )
+    leader.kill()
+    successor = cluster.wait_for("a leader", cluster.leader)
+    assert evacuated(cluster, successor) == ["b"]
+    leader.restart()
+    back = {"availability_zone": "b", "evacuate": False}
+    status, answer = post(successor, "/evacuations", back)
+    assert (status, answer["outcome"]) == (200, "accepted")
+    cluster.wait_for("the order", lambda: evacuated(cluster, leader) == [])
+
+
+def test_evacuation_of_no_zone_changes_nothing(cluster: Cluster) -> None:
+    """Guard against an ill-formed order that reaches the log."""
+    leader = cluster.wait_for("a leader", cluster.leader)
+    for zone in ("", "Hall A", "x" * 80):
+        order = {"availability_zone": zone, "evacuate": True}
+        assert post(leader, "/evacuations", order)[0] == 400
+    assert evacuated(cluster, leader) == []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,9 @@
 from nutmegchute_fakes.callers import REFUSED
 from nutmegchute_fakes.callers import UNKNOWN
 from nutmegchute_fakes.callers import WRONG
+from nutmegchute_fakes.evacuations import BOUND_S
+from nutmegchute_fakes.evacuations import reached
+from nutmegchute_fakes.evacuations import Span
 from nutmegchute_fakes.faults import schedule
 from nutmegchute_fakes.soak import crashed_on
 from nutmegchute_fakes.soak import KEYED
@@ -66,3 +69,18 @@
     assert crashed_on([]) == []
     assert crashed_on([*first, *late[:3]]) == []
     assert len(crashed_on([*late, *first])) == len(late)
+
+
+def test_the_oracle_finds_what_runs_in_an_evacuated_zone() -> None:
+    """Allow what runs before the bound, elsewhere or after the end."""
+    span = Span("surco", 100.0)
+    span.taken_back_at = 120.0
+    late = 100.0 + BOUND_S + 1.0
+    runs = [
+        ("surco", 100.0 + BOUND_S - 1.0, "soon"),
+        ("surco", late, "late"),
+        ("miraflores", late, "elsewhere"),
+        ("surco", 121.0, "after"),
+    ]
+    assert reached([span], runs) == ["late"]
+    assert reached([], runs) == []
