Send callers of an evacuated zone to entries beside endpoints

While a zone was evacuated its callers went on to its own entries, and each of their calls between zones.

Cause: the directory names the entries of the caller's zone and knew nothing of evacuations. It leaves out the entries of evacuated zones now, as long as others are there; entries' own directory does the same.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -51,7 +51,6 @@
 
 SERVICE = "prestamos"
 ZONES = ("miraflores", "san-isidro", "surco", "la-molina", "jesus-maria")
-SLOTS = 3
 WORK_SIGMA = 0.3
 NEIGHBOURS_SHARE = 0.25
 NEIGHBOURS_FACTOR = 5.0
@@ -86,6 +85,7 @@
         "entries",
         "objective_s",
         "retries",
+        "slots",
         "timeout_s",
         "way_s",
         "work_s",
@@ -102,6 +102,7 @@
         work_s: float,
         way_s: float,
         retries: int,
+        slots: int = 3,
     ) -> None:
         self.entries = entries
         self.callers = callers
@@ -111,6 +112,7 @@
         self.work_s = work_s
         self.way_s = way_s
         self.retries = retries
+        self.slots = slots
 
     @property
     def zones(self) -> list[str]:
@@ -165,11 +167,27 @@
 )
 
 
+# Over a hundred entries, endpoints with four slots, half of the calls loans.
+FOUR_SLOTS = Deployment(
+    entries=(45, 48, 42),
+    callers=(0.35, 0.35, 0.3),
+    objective_s=0.45,
+    timeout_s=1.6,
+    deadline_s=3.2,
+    work_s=0.17,
+    way_s=0.003,
+    retries=2,
+    slots=4,
+)
+
+
 class SharedEndpoint(Endpoint):
     """Run jobs on a vm whose neighbours come and go."""
 
-    def __init__(self, name: str, zone: str, random: Random) -> None:
-        super().__init__(name, zone, SLOTS)
+    def __init__(
+        self, name: str, zone: str, random: Random, slots: int
+    ) -> None:
+        super().__init__(name, zone, slots)
         self.shed_share = 0.0
         spans = int((RUN_S + TAIL_S) / NEIGHBOURS_S) + 1
         self._noisy = [
@@ -454,6 +472,26 @@
         returning_s=0.7,
         deployment=PARTS,
     ),
+    Pattern(
+        "four slots, power",
+        lambda _: 500.0,
+        (28, 24, 22),
+        returning_s=2.0,
+        deployment=FOUR_SLOTS,
+    ),
+    Pattern(
+        "four slots, burst",
+        lambda now: 900.0 if 0 < now - EVENT_AT_S < 3.0 else 550.0,
+        (28, 24, 22),
+        deployment=FOUR_SLOTS,
+    ),
+    Pattern(
+        "four slots, third dark",
+        lambda _: 550.0,
+        (28, 24, 22),
+        _lose_third,
+        deployment=FOUR_SLOTS,
+    ),
     Pattern(
         "hundreds",
         lambda _: 320.0,
@@ -511,7 +549,9 @@
     for zone, count in zip(ZONES, pattern.counts, strict=False):
         for number in range(count):
             name = f"{zone}-{number}:1"
-            endpoints.append(SharedEndpoint(name, zone, random))
+            endpoints.append(
+                SharedEndpoint(name, zone, random, pattern.deployment.slots)
+            )
     oracle = Oracle()
     deployment = pattern.deployment
     zones = deployment.zones
@@ -527,7 +567,7 @@
     if way == ORACLE:
         oracle.watch(simulation)
     live = [
-        Announcement(SERVICE, one.name, one.zone, SLOTS, 1)
+        Announcement(SERVICE, one.name, one.zone, deployment.slots, 1)
         for one in endpoints
     ]
     for entry in range(len(zones)):
--- a/packages/core/nutmegchute_core/directories.py
+++ b/packages/core/nutmegchute_core/directories.py
@@ -1,6 +1,7 @@
 """Answer callers that ask which entries to use."""
 
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -46,6 +47,17 @@
             self._counts[zone] *= share
 
 
+def beside_endpoints(
+    words: list[EntryInfo], evacuated: Collection[str]
+) -> list[EntryInfo]:
+    """Leave out the entries of evacuated zones, if others are there.
+
+    Each of their calls would go between zones, which is dear.
+    """
+    kept = [one for one in words if one.availability_zone not in evacuated]
+    return kept or words
+
+
 class Directory:
     """Keep the entries heard of lately and choose a subset per caller."""
 
@@ -105,14 +117,18 @@
         return sorted(words, key=lambda word: word.name)
 
     def answer(
-        self, availability_zone: str | None, most: int, now: float
+        self,
+        availability_zone: str | None,
+        most: int,
+        now: float,
+        evacuated: Collection[str] = (),
     ) -> list[EntryInfo]:
         """Choose up to ``most`` entries for one caller.
 
         The caller's zone comes first as far as its entries' fair share of
         all callers goes; the rest spills over to zones with room.
         """
-        words = self.usable(now)
+        words = beside_endpoints(self.usable(now), evacuated)
         zones = {word.availability_zone for word in words}
         zone = availability_zone if availability_zone in zones else None
         if zone is not None:
--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -6,6 +6,8 @@
 it: each replica confirms for its own entries.
 """
 
+from collections.abc import Collection
+
 from .histories import Delta
 from .mirrors import Mark
 from .mirrors import NOTHING
@@ -223,7 +225,13 @@
         """Add up what all entries have to place."""
         return self.sessions.calls_per_s(now) + self.peers.calls_per_s(now)
 
-    def usable(self, zone: str | None, most: int, now: float) -> list[str]:
+    def usable(
+        self,
+        zone: str | None,
+        most: int,
+        now: float,
+        evacuated: Collection[str] = (),
+    ) -> list[str]:
         """Return the addresses that a caller in a zone should use."""
         if not self.settled(now):
             return []
@@ -231,7 +239,9 @@
         words = {one.name: one for one in self.peers.attending(now)}
         for info in self.sessions.attending(now):
             words[info.name] = info
-        return choose_usable(list(words.values()), zone, most, self._turn)
+        return choose_usable(
+            list(words.values()), zone, most, self._turn, evacuated
+        )
 
     def expire(self, now: float) -> bool:
         """Drop who is silent; return whether any of it is news."""
--- a/packages/core/nutmegchute_core/evacuations.py
+++ b/packages/core/nutmegchute_core/evacuations.py
@@ -79,6 +79,11 @@
         """List what is evacuated, in the order of the orders."""
         return list(self._by_zone.values())
 
+    @property
+    def zones(self) -> list[str]:
+        """Name the availability zones that are evacuated."""
+        return list(self._by_zone)
+
     def apply(self, index: int, order: EvacuationOrder) -> EvacuationOutcome:
         """Apply a committed order."""
         zone = order.availability_zone
@@ -97,7 +102,7 @@
         """List what is evacuated, if that changed since a log index."""
         if self._index <= index:
             return None
-        return EvacuationNews(self._index, list(self._by_zone))
+        return EvacuationNews(self._index, self.zones)
 
     def snapshot(self) -> EvacuationState:
         """Give the list in the form that snapshots keep."""
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -1,7 +1,10 @@
 """Know, on a control replica, which entries ask it and what they know."""
 
+from collections.abc import Collection
+
 import msgspec
 
+from .directories import beside_endpoints
 from .directories import EntryInfo
 from .evacuations import EvacuationNews
 from .fleets import FollowReply
@@ -277,7 +280,11 @@
 
 
 def choose_usable(
-    words: list[EntryInfo], zone: str | None, most: int, turn: int
+    words: list[EntryInfo],
+    zone: str | None,
+    most: int,
+    turn: int,
+    evacuated: Collection[str] = (),
 ) -> list[str]:
     """Return the addresses that a caller in a zone should use.
 
@@ -285,9 +292,8 @@
     """
     near: list[str] = []
     others: list[str] = []
-    for info in words:
-        if info.draining:
-            continue
+    staying = [info for info in words if not info.draining]
+    for info in beside_endpoints(staying, evacuated):
         same = info.availability_zone == zone
         (near if same else others).append(info.address)
     if len(near) >= LEAST_OF_ZONE:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -263,7 +263,10 @@
     def usable_entries(self, zone: str | None) -> list[EntryInfo]:
         """Choose the entries that a caller should use."""
         return self._directory.answer(
-            zone, self._settings.entries_answer, boot_time()
+            zone,
+            self._settings.entries_answer,
+            boot_time(),
+            self._balancer.evacuations.availability_zones,
         )
 
     def status(self) -> dict[str, Any]:
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -249,7 +249,11 @@
 
     def resolve(self, zone: str | None) -> list[str]:
         """Return the entries that a caller in a zone should use."""
-        return self._discovery.usable(zone, MOST_ENTRIES, boot_time())
+        node = self._node()
+        evacuated = () if node is None else node.machine.evacuations.zones
+        return self._discovery.usable(
+            zone, MOST_ENTRIES, boot_time(), evacuated
+        )
 
     async def watch(self, request: WatchRequest) -> WatchReply:
         """Answer an entry's question, at once where there is news."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.errors import EvacuationError
 from nutmegchute_core.evacuations import check_zone
 from nutmegchute_core.evacuations import EvacuationNews
@@ -18,6 +19,7 @@
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.messages import LogEntry
 from nutmegchute_core.rules import read_services
+from nutmegchute_core.sessions import choose_usable
 from support import rule
 from support import team
 
@@ -207,3 +209,22 @@
     found.update_upstreams([endpoint(1, NEAR), endpoint(2, FAR)], 0.2)
     _, actions = found.arrive(SERVICE, "GET", "/a", 0.3)
     assert [one.endpoint for one in sends(actions)] == ["10.0.0.2:80"]
+
+
+def test_callers_are_sent_to_entries_beside_endpoints() -> None:
+    """Guard against entries all of whose calls go between zones."""
+    entries = [
+        EntryInfo(f"entry-{number}", f"10.1.0.{number}:80", zone)
+        for number, zone in enumerate([NEAR, NEAR, NEAR, FAR, FAR])
+    ]
+    near = {one.address for one in entries[:3]}
+    far = {one.address for one in entries[3:]}
+    assert set(choose_usable(entries, NEAR, 4, 0)) == near
+    assert set(choose_usable(entries, NEAR, 4, 0, [NEAR])) == far
+    assert set(choose_usable(entries, FAR, 4, 0, [NEAR])) == far
+    assert set(choose_usable(entries, NEAR, 9, 0, [NEAR, FAR])) == near
+    left = [
+        *entries[:3],
+        *[msgspec.structs.replace(one, draining=True) for one in entries[3:]],
+    ]
+    assert set(choose_usable(left, NEAR, 4, 0, [NEAR])) == near
