Part eligibility of endpoints and the set of pools from pools and balancer

What keeps endpoints from calls (evacuations, warm-ups, leaving) is decided in eligibility, what holds for the pools of all services in pool_sets.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -23,6 +23,7 @@
 from .isolations import Release
 from .members import Announcement
 from .policies import Policy
+from .pool_sets import PoolSet
 from .pools import CROWDED_RETRY_S
 from .pools import Pool
 from .quarantines import FREE
@@ -53,12 +54,8 @@
     """Turn arrivals, results and time into sends and final answers."""
 
     __slots__ = (
-        "_availability_zone",
         "_calls",
-        "_evacuations",
-        "_extra",
         "_inquiries",
-        "_inquiry_limit",
         "_isolation",
         "_next_id",
         "_policy",
@@ -75,19 +72,17 @@
         policy: Policy | None = None,
         name: str | None = None,
     ) -> None:
-        self.warm_ups = WarmUps(name)
         self._random = Random(seed)
-        self._availability_zone = availability_zone
         self._policy = policy or Policy()
-        self._pools: dict[str, Pool] = {}
+        self.warm_ups = WarmUps(name)
+        self._pools = PoolSet(
+            self._random, availability_zone, self._policy, self.warm_ups
+        )
         self._calls: dict[int, Call] = {}
         self._timers = Timers()
         self._next_id = 1
-        self._extra: tuple[float, float] | None = None
         self._inquiries: dict[int, Inquiry] = {}
-        self._inquiry_limit = (0.0, 1.0)
         self._isolation = Isolation(self._random, self._timers)
-        self._evacuations = EvacuationNews(0, [])
 
     @property
     def quarantine(self) -> int:
@@ -97,7 +92,7 @@
     @property
     def evacuations(self) -> EvacuationNews:
         """Give the evacuated availability zones, as known here."""
-        return self._evacuations
+        return self._pools.evacuations
 
     def reports(self) -> list[Report]:
         """Take what control must hear of requests that crash endpoints."""
@@ -110,75 +105,33 @@
 
     def configure(self, services: dict[str, Service], now: float) -> None:
         """Take the services that the configuration in force declares."""
-        pools = {}
-        for name, service in services.items():
-            pool = self._pools.get(name)
-            if pool is None:
-                pool = Pool(
-                    service,
-                    self._random,
-                    self._availability_zone,
-                    self._policy,
-                    self.warm_ups,
-                )
-                if self._extra is not None:
-                    pool.limit_extra(*self._extra)
-                pool.questions.limit(*self._inquiry_limit)
-                pool.evacuate(self._evacuated, now)
-            else:
-                pool.reconfigure(service)
-            pools[name] = pool
-        self._pools = pools
+        self._pools.configure(services, now)
 
     def take_evacuations(
         self, news: EvacuationNews, now: float
     ) -> list[Action]:
         """Take the evacuated availability zones, as control tells."""
-        actions: list[Action] = []
-        if news.index <= self._evacuations.index:
-            # A replica that was frozen or cut off may still tell old ones.
-            return actions
-        self._evacuations = news
-        for pool in self._pools.values():
-            pool.evacuate(self._evacuated, now)
-            self._dispatch(pool, now, actions)
-        return actions
-
-    @property
-    def _evacuated(self) -> frozenset[str]:
-        return frozenset(self._evacuations.availability_zones)
+        if not self._pools.evacuate(news, now):
+            return []
+        return self._dispatch_all(now)
 
     def limit_extra(self, share: float, burst: float) -> None:
         """Take this entry's part of each service's extra sends."""
-        self._extra = (share, burst)
-        for pool in self._pools.values():
-            pool.limit_extra(share, burst)
+        self._pools.limit_extra(share, burst)
 
     def limit_inquiries(self, per_endpoint: float, share: float) -> None:
         """Take how often a second all entries may ask each endpoint.
 
         ``share`` of it is this entry's.
         """
-        if self._inquiry_limit == (per_endpoint, share):
-            return
-        self._inquiry_limit = (per_endpoint, share)
-        for pool in self._pools.values():
-            pool.questions.limit(per_endpoint, share)
+        self._pools.limit_inquiries(per_endpoint, share)
 
     def update_upstreams(
         self, announcements: list[Announcement], now: float
     ) -> list[Action]:
         """Take the live endpoints of every service."""
-        by_service: dict[str, list[Announcement]] = {}
-        for announcement in announcements:
-            by_service.setdefault(announcement.service, []).append(
-                announcement
-            )
-        actions: list[Action] = []
-        for name, pool in self._pools.items():
-            pool.update(by_service.get(name, []), now)
-            self._dispatch(pool, now, actions)
-        return actions
+        self._pools.update(announcements, now)
+        return self._dispatch_all(now)
 
     def arrive(
         self,
@@ -561,6 +514,13 @@
             pool.late_at(call),
         )
 
+    def _dispatch_all(self, now: float) -> list[Action]:
+        """Send or refuse what waits, after something changed for all."""
+        actions: list[Action] = []
+        for pool in self._pools.values():
+            self._dispatch(pool, now, actions)
+        return actions
+
     def _dispatch(
         self,
         pool: Pool,
@@ -575,10 +535,10 @@
             if call_id is None:
                 break
             call = self._calls[call_id]
-            hopeless = pool.hopeless(call, now)
-            if hopeless is not None:
+            unserved = pool.unserved(call, now)
+            if unserved is not None:
                 pool.queue.remove(call_id)
-                reason, after_s = hopeless.reason, hopeless.retry_after_s
+                reason, after_s = unserved.reason, unserved.retry_after_s
                 actions.append(self._give_up(pool, call, reason, after_s))
                 continue
             if self._restrict(pool, call, now, actions):
--- /dev/null
+++ b/packages/core/nutmegchute_core/pool_sets.py
@@ -0,0 +1,129 @@
+"""Keep the pools of all services and what holds for each of them."""
+
+from collections.abc import Iterable
+from random import Random
+
+from .evacuations import EvacuationNews
+from .members import Announcement
+from .policies import Policy
+from .pools import Pool
+from .rules import Service
+from .warmups import WarmUps
+
+
+class PoolSet:
+    """Hold one pool for each service of the configuration in force."""
+
+    __slots__ = (
+        "_availability_zone",
+        "_by_service",
+        "_evacuations",
+        "_extra",
+        "_inquiry_limit",
+        "_policy",
+        "_random",
+        "_warm_ups",
+    )
+
+    def __init__(
+        self,
+        random: Random,
+        availability_zone: str | None,
+        policy: Policy,
+        warm_ups: WarmUps,
+    ) -> None:
+        self._random = random
+        self._availability_zone = availability_zone
+        self._policy = policy
+        self._warm_ups = warm_ups
+        self._by_service: dict[str, Pool] = {}
+        self._evacuations = EvacuationNews(0, [])
+        self._extra: tuple[float, float] | None = None
+        self._inquiry_limit = (0.0, 1.0)
+
+    @property
+    def evacuations(self) -> EvacuationNews:
+        """Give the evacuated availability zones, as known here."""
+        return self._evacuations
+
+    def get(self, service: str) -> Pool | None:
+        """Return a service's pool, if it is declared."""
+        return self._by_service.get(service)
+
+    def __getitem__(self, service: str) -> Pool:
+        """Return the pool of a service that is declared."""
+        return self._by_service[service]
+
+    def values(self) -> Iterable[Pool]:
+        """List the pools."""
+        return self._by_service.values()
+
+    def items(self) -> Iterable[tuple[str, Pool]]:
+        """List the services and their pools."""
+        return self._by_service.items()
+
+    def configure(self, services: dict[str, Service], now: float) -> None:
+        """Take the services that the configuration in force declares."""
+        pools = {}
+        for name, service in services.items():
+            pool = self.get(name)
+            if pool is None:
+                pool = self._build(service, now)
+            else:
+                pool.reconfigure(service)
+            pools[name] = pool
+        self._by_service = pools
+
+    def limit_extra(self, share: float, burst: float) -> None:
+        """Take this entry's part of each service's extra sends."""
+        self._extra = (share, burst)
+        for pool in self.values():
+            pool.limit_extra(share, burst)
+
+    def limit_inquiries(self, per_endpoint: float, share: float) -> None:
+        """Take how often a second all entries may ask each endpoint."""
+        if self._inquiry_limit == (per_endpoint, share):
+            return
+        self._inquiry_limit = (per_endpoint, share)
+        for pool in self.values():
+            pool.questions.limit(per_endpoint, share)
+
+    def update(self, announcements: list[Announcement], now: float) -> None:
+        """Take the live endpoints of every service."""
+        by_service: dict[str, list[Announcement]] = {}
+        for announcement in announcements:
+            by_service.setdefault(announcement.service, []).append(
+                announcement
+            )
+        for name, pool in self.items():
+            pool.update(by_service.get(name, []), now)
+
+    def evacuate(self, news: EvacuationNews, now: float) -> bool:
+        """Take the evacuated availability zones; tell if they are newer.
+
+        A replica that was frozen or cut off may still tell old ones.
+        """
+        if news.index <= self._evacuations.index:
+            return False
+        self._evacuations = news
+        for pool in self.values():
+            pool.eligibility.evacuate(self._evacuated, now)
+        return True
+
+    @property
+    def _evacuated(self) -> frozenset[str]:
+        return frozenset(self._evacuations.availability_zones)
+
+    def _build(self, service: Service, now: float) -> Pool:
+        pool = Pool(
+            service,
+            self._random,
+            self._availability_zone,
+            self._policy,
+            self._warm_ups,
+        )
+        if self._extra is not None:
+            pool.limit_extra(*self._extra)
+        pool.questions.limit(*self._inquiry_limit)
+        pool.eligibility.evacuate(self._evacuated, now)
+        return pool
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -11,6 +11,8 @@
 from .calls import NOT_RUN
 from .calls import Result
 from .choosers import Chooser
+from .eligibility import Eligibility
+from .eligibility import Unserved
 from .endpoints import Endpoint
 from .inquiries import FREE_SLOT
 from .inquiries import LAST_SLOT
@@ -25,7 +27,6 @@
 from .rules import Service
 from .usuals import Sent
 from .usuals import Usual
-from .warmups import WarmUpLimit
 from .warmups import WarmUps
 
 # Calls of others per slot beyond which a hedge only lengthens queues.
@@ -46,14 +47,7 @@
 # A caller that is sent away while others wait comes back after this: soon
 # enough to be in time, and after the first answers that tell of room.
 CROWDED_RETRY_S = 0.02
-# Callers that an evacuation leaves without an endpoint come back spread
-# over this span: it lasts for seconds at least.
-EVACUATED_RETRY_S = (0.5, 1.5)
-# Another entry may use the endpoints that are cold.
-WARMING_RETRY_S = (0.1, 0.5)
 TOO_LATE = "cannot be answered in time"
-EVACUATED = "every endpoint is in an evacuated availability zone"
-WARMING = "every endpoint is warming up and left to other entries"
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has room, those that can still be
 # in time go first, and the wait of one is less than the queue suggests.
@@ -67,48 +61,29 @@
 # the most that a pause may count for.
 FIRST_GAP_S = 0.05
 GAP_MOST_S = 1.0
-# An endpoint that told of no calls so lately is taken to run none.
-IDLE_REPORT_S = 0.05
 # Routes come and go with the configuration; what is learned of those that
 # went must not be kept for ever.
 MOST_RULES = 1024
 
 
-class Hopeless:
-    """Say why a call cannot be served, and when to come back.
-
-    Without ``retry_after_s`` that is when those who wait are through.
-    """
-
-    __slots__ = ("reason", "retry_after_s")
-
-    def __init__(
-        self, reason: str, retry_after_s: float | None = None
-    ) -> None:
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 class Pool:
     """Decide within one service; the balancer keeps the calls."""
 
     __slots__ = (
         "_chooser",
         "_endpoints",
-        "_evacuated",
         "_extra",
         "_gap",
         "_half",
         "_policy",
         "_probes",
-        "_random",
         "_sent_at",
         "_service",
         "_under_way",
         "_usual",
-        "_warm_ups",
         "_window",
         "_zone",
+        "eligibility",
         "questions",
         "queue",
     )
@@ -124,11 +99,10 @@
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._random = random
-        self._evacuated: frozenset[str] = frozenset()
         self._chooser = Chooser(random, policy, self._may_probe(service))
-        self._warm_ups = warm_ups
-        self._chooser.warm_up = WarmUpLimit(warm_ups, service.warm_up_per_s)
+        self.eligibility = Eligibility(
+            self._chooser, random, warm_ups, service
+        )
         self._extra = ExtraBudget()
         self.questions = Questions(self._chooser, policy)
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
@@ -179,9 +153,7 @@
         probes.follow(self._probes)
         self._probes = probes
         self._chooser.probed = self._may_probe(service)
-        self._chooser.warm_up = WarmUpLimit(
-            self._warm_ups, service.warm_up_per_s
-        )
+        self.eligibility.configure(service)
 
     @property
     def asks(self) -> bool:
@@ -216,51 +188,19 @@
                 cold = self._policy.warm_up and not first
                 joined_at = now if cold else None
                 endpoint = Endpoint(announcement, local, joined_at)
-                self._hear_cold(endpoint, announcement.cold_s, now)
+                self.eligibility.hear_cold(endpoint, announcement.cold_s, now)
             elif endpoint.announcement is not announcement:
-                self._hear_cold(endpoint, announcement.cold_s, now)
+                self.eligibility.hear_cold(endpoint, announcement.cold_s, now)
             endpoint.announcement = announcement
             kept[address] = endpoint
             slots += announcement.slots
             most_slots = max(most_slots, announcement.slots)
         self._endpoints = kept
-        self._close_evacuated()
+        self.eligibility.update(kept)
         share = slots / self._service.most_entries
         self._window.set_share(share, most_slots)
         self.questions.update(kept)
 
-    def evacuate(self, availability_zones: frozenset[str], now: float) -> None:
-        """Take the availability zones that get nothing from now on.
-
-        The endpoints of those that are taken back may have become cold, of
-        which this entry has heard nothing yet.
-        """
-        for endpoint in self._endpoints.values():
-            if endpoint.zone in self._evacuated - availability_zones:
-                self._hear_cold(endpoint, self._service.warm_up_s, now)
-        self._evacuated = availability_zones
-        self._close_evacuated()
-
-    def _hear_cold(
-        self, endpoint: Endpoint, cold_s: float, now: float
-    ) -> None:
-        """Take word of how long an endpoint is still cold."""
-        if self._chooser.warm_up.applies:
-            endpoint.cold_until = now + cold_s
-
-    def _close_evacuated(self) -> None:
-        for endpoint in self._endpoints.values():
-            endpoint.evacuated = endpoint.zone in self._evacuated
-        self._chooser.update(
-            [one for one in self._endpoints.values() if one.open]
-        )
-
-    @property
-    def _is_evacuated(self) -> bool:
-        """Tell whether nothing but evacuations keeps calls from going."""
-        evacuated = [one.evacuated for one in self._endpoints.values()]
-        return any(evacuated) and self._chooser.is_empty
-
     def admit(self, call: Call, now: float) -> str | None:
         """Earn the call's share of extra sends; say why it is refused."""
         if not call.is_retry:
@@ -276,7 +216,7 @@
         wait_s = ahead * self._gap_s + self._typical_s(call)
         share = HELD_ADMIT_SHARE if self.holds else ADMIT_SHARE
         if wait_s > (call.deadline_at - now) * share:
-            return "cannot be answered in time"
+            return TOO_LATE
         return None
 
     def note_deadline(self, call: Call, deadline_s: float | None) -> None:
@@ -308,17 +248,11 @@
         """Tell whether a call sent now would be answered in vain."""
         return now >= self.latest_send_at(call)
 
-    def hopeless(self, call: Call, now: float) -> Hopeless | None:
+    def unserved(self, call: Call, now: float) -> Unserved | None:
         """Say why a call that waits cannot be served, if so."""
         if self.too_late(call, now):
-            return Hopeless(TOO_LATE)
-        if self._is_evacuated:
-            pause_s = self._random.uniform(*EVACUATED_RETRY_S)
-            return Hopeless(EVACUATED, pause_s)
-        if self._chooser.closed(now):
-            pause_s = self._random.uniform(*WARMING_RETRY_S)
-            return Hopeless(WARMING, pause_s)
-        return None
+            return Unserved(TOO_LATE)
+        return self.eligibility.unserved(now)
 
     def sends_away(self, call: Call, begins: bool, now: float) -> bool:
         """Tell whether a call that found no room should not wait on.
@@ -406,7 +340,7 @@
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address that the call should go to, if any."""
         if call.alone:
-            return self._choose_idle(call, now)
+            return self.eligibility.idle(list(call.attempts.values()), now)
         avoid = list(call.attempts.values())
         within_s = call.objective_at - now
         endpoint = self._chooser.choose(
@@ -414,26 +348,6 @@
         )
         return None if endpoint is None else endpoint.address
 
-    def _choose_idle(self, call: Call, now: float) -> str | None:
-        """Return an endpoint that runs nothing, as far as is known."""
-        for address, endpoint in self._endpoints.items():
-            if address in call.attempts.values() or not endpoint.open:
-                continue
-            if endpoint.in_flight or endpoint.muted(now):
-                continue
-            if now < endpoint.ejected_until:
-                continue
-            if not self._chooser.warm_up.allows(endpoint, now):
-                continue
-            if not self._chooser.tells:
-                return address
-            age_s = endpoint.report_age_s(now)
-            if age_s is None or age_s > IDLE_REPORT_S:
-                continue
-            if endpoint.reported_others == 0:
-                return address
-        return None
-
     def process_of(self, call: Call, attempt: int) -> str:
         """Name the start of an endpoint that an attempt was sent to.
 
@@ -558,7 +472,7 @@
         if endpoint is None:
             return
         if cold_s is not None:
-            self._hear_cold(endpoint, cold_s, now)
+            self.eligibility.hear_cold(endpoint, cold_s, now)
         if load is None:
             if not answered:
                 self._mute(endpoint, now)
