Take a free slot of a cold endpoint for free; a pattern of a zone back cold

Cold endpoints that an entry may use counted as nearly full: calls went on asking, or waited, beside slots that were free for them. Their slower work counts in the expected end already.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -16,7 +16,7 @@
 nothing but what control adds up for them. Callers that are refused come back
 when they were told to, and count from their first try. A figure is the share
 of calls answered within their objective, over the whole run and in its worst
-two seconds.
+two seconds; "cold" is the most calls that a cold endpoint got in a second.
 """
 
 import sys
@@ -39,6 +39,7 @@
 from nutmegchute_core.routes import Route
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
+from nutmegchute_core.warmups import group_of
 
 from .policy import geometric_mean
 from .policy_arrivals import Arrival
@@ -65,6 +66,12 @@
 TAIL_S = 4.0
 WARM_S = 2.0
 EVENT_AT_S = 5.0
+# A cold endpoint: for how long, how much slower, what it declares to bear.
+COLD_S = 3.0
+COLD_FACTOR = 2.0
+WARM_UP_PER_S = 6.1
+WARM_UP_OVERAGE = 1.5
+WARM_UP_SLACK = 8.0
 WINDOW_S = 2.0
 
 POLICY = "policy"
@@ -189,6 +196,9 @@
     ) -> None:
         super().__init__(name, zone, slots)
         self.shed_share = 0.0
+        self.cold_until = 0.0
+        # When calls came while it was cold.
+        self.came: list[float] = []
         spans = int((RUN_S + TAIL_S) / NEIGHBOURS_S) + 1
         self._noisy = [
             random.random() < NEIGHBOURS_SHARE for _ in range(spans)
@@ -201,16 +211,21 @@
         noisy = self._noisy[min(span, len(self._noisy) - 1)]
         return NEIGHBOURS_FACTOR if noisy else 1.0
 
+    def coldness(self, now: float) -> float:
+        """Give by how much work takes longer after a start."""
+        return COLD_FACTOR if now < self.cold_until else 1.0
+
     def factor(self, now: float) -> float:
         """Give by how much a job that begins now is slower than usual."""
         last = self.busy + 1 >= self.slots
-        return self.stretch(now) * (LAST_SLOT_FACTOR if last else 1.0)
+        factor = self.stretch(now) * (LAST_SLOT_FACTOR if last else 1.0)
+        return factor * self.coldness(now)
 
     def end_of(self, work_s: float, now: float) -> float:
         """Give when a job that has just taken its slot ends."""
         last = self.busy >= self.slots
         factor = self.stretch(now) * (LAST_SLOT_FACTOR if last else 1.0)
-        return now + work_s * factor
+        return now + work_s * factor * self.coldness(now)
 
 
 class Caller:
@@ -248,6 +263,11 @@
         self.callers: list[Caller] = []
         self.crossed = 0
 
+    @property
+    def zones(self) -> list[str]:
+        """List the zone of each entry."""
+        return self._zones
+
     def offer(self, at: float, entry: int, first_at: float) -> None:
         """Let a request come whose caller first tried at a time."""
         caller = Caller(first_at)
@@ -284,6 +304,8 @@
 
     def _reach(self, job: Job, endpoint: Endpoint) -> None:
         assert isinstance(endpoint, SharedEndpoint)
+        if self.now < endpoint.cold_until:
+            endpoint.came.append(self.now)
         if self._draw.random() < endpoint.shed_share:
             self._return(job, endpoint, NOT_RUN, False)
             return
@@ -417,6 +439,30 @@
     simulation.kill(names)
 
 
+def _return_cold(simulation: SharedSimulation) -> None:
+    """Bring a third of the endpoints, of one zone, back cold at once."""
+    live = []
+    for endpoint in simulation.endpoints.values():
+        assert isinstance(endpoint, SharedEndpoint)
+        back = endpoint.zone == ZONES[0]
+        if back:
+            endpoint.cold_until = simulation.now + COLD_S
+        live.append(_announcement(endpoint, 2 if back else 1))
+    for entry in range(len(simulation.zones)):
+        simulation.announce(entry, live)
+
+
+def _announcement(endpoint: SharedEndpoint, start: int) -> Announcement:
+    return Announcement(
+        SERVICE,
+        endpoint.name,
+        endpoint.zone,
+        endpoint.slots,
+        start,
+        cold_s=COLD_S if start > 1 else 0.0,
+    )
+
+
 PATTERNS = [
     Pattern("calm", lambda _: 100.0),
     Pattern("crowded zone", lambda _: 110.0, (5, 5, 3)),
@@ -492,6 +538,13 @@
         _lose_third,
         deployment=FOUR_SLOTS,
     ),
+    Pattern(
+        "four slots, zone back cold",
+        lambda _: 650.0,
+        (28, 24, 22),
+        _return_cold,
+        deployment=FOUR_SLOTS,
+    ),
     Pattern(
         "hundreds",
         lambda _: 320.0,
@@ -526,12 +579,18 @@
     """Build the routers of a run."""
     deciders: list[Decider] = []
     weights = deployment.weights
+    document = {"warm_up_per_s": WARM_UP_PER_S, "warm_up_s": COLD_S}
+    group = group_of(
+        {str(entry): zone for entry, zone in enumerate(deployment.zones)}
+    )
     for entry, zone in enumerate(deployment.zones):
         if way == ORACLE:
             deciders.append(OracleEntry(oracle, entry))
             continue
-        balancer = Balancer(seed * 100 + entry, zone, _policy(way))
-        balancer.configure({SERVICE: Service(SERVICE, {})}, 0.0)
+        balancer = Balancer(seed * 100 + entry, zone, _policy(way), str(entry))
+        balancer.warm_ups.bound(WARM_UP_OVERAGE, WARM_UP_SLACK)
+        balancer.warm_ups.take(group, 0.0)
+        balancer.configure({SERVICE: Service(SERVICE, document)}, 0.0)
         limit = ExtraLimit(EXTRA_RATIO, EXTRA_FIXED)
         balancer.limit_extra(limit.share, limit.burst(len(weights)))
         shares = Shares()
@@ -566,10 +625,7 @@
     )
     if way == ORACLE:
         oracle.watch(simulation)
-    live = [
-        Announcement(SERVICE, one.name, one.zone, deployment.slots, 1)
-        for one in endpoints
-    ]
+    live = [_announcement(one, 1) for one in endpoints]
     for entry in range(len(zones)):
         simulation.announce(entry, live)
     if pattern.act is not None:
@@ -615,9 +671,21 @@
         sum(one.served for one in counted) / calls,
         simulation.crossed / calls,
         len(simulation.probes) / calls,
+        float(_most_in_a_second(simulation)),
     )
 
 
+def _most_in_a_second(simulation: SharedSimulation) -> int:
+    """Count the most calls that came to a cold endpoint in any second."""
+    most = 0
+    for endpoint in simulation.endpoints.values():
+        assert isinstance(endpoint, SharedEndpoint)
+        for first, at in enumerate(endpoint.came):
+            later = [one for one in endpoint.came[first:] if one <= at + 1.0]
+            most = max(most, len(later))
+    return most
+
+
 def _run_all(job: tuple[str, str, range]) -> list[float]:
     """Give a pattern's mean figures over seeds; the pattern by name."""
     name, way, seeds = job
@@ -656,7 +724,7 @@
     ratios = []
     print(
         f"{'':34}{'in time':>9}{'worst 2 s':>11}{'served':>9}"
-        f"{'crossed':>9}{'asked':>7}"
+        f"{'crossed':>9}{'asked':>7}{'cold':>6}"
     )
     for pattern in PATTERNS:
         if text not in pattern.name:
@@ -668,6 +736,7 @@
             print(
                 f"{pattern.name:20}{way:14}{means[0]:9.3f}{means[1]:11.3f}"
                 f"{means[2]:9.3f}{means[3]:9.2f}{means[4]:7.1f}"
+                f"{means[5]:6.1f}"
             )
         ratios.append(worst[POLICY] / worst[ORACLE])
     print(
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -7,7 +7,6 @@
 from .endpoints import Endpoint
 from .inquiries import FREE_SLOT
 from .inquiries import Fullness
-from .inquiries import LAST_SLOT
 from .inquiries import nearly_full
 from .inquiries import NO_SLOT
 from .latencies import FIRST_S
@@ -206,9 +205,7 @@
         """Tell what a call sent now is known to find at an endpoint."""
         if not self._stretches:
             return NO_SLOT
-        slot = self.fullness.slot(endpoint, now)
-        # Work takes longer there, as in the last slot of a warm one.
-        return min(slot, LAST_SLOT) if endpoint.is_cold(now) else slot
+        return self.fullness.slot(endpoint, now)
 
     def _has_room(self, endpoint: Endpoint, now: float) -> bool:
         if endpoint.in_flight >= endpoint.slots:
@@ -368,7 +365,7 @@
                 continue
             if endpoint.muted(now):
                 continue
-            if self.slot(endpoint, now) == FREE_SLOT:
+            if self.fullness.slot(endpoint, now) == FREE_SLOT:
                 return []
             found.append(endpoint)
         found.sort(key=lambda one: self.score(one, now))
