--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -403,6 +403,8 @@
         answer = _evacuate(site, 0, "Begin", name)
         assert answer.status == 400, name
         assert b"zone" in answer.data
+    url = f"http://{site.control(0)}/Evacuations.Begin/surco"
+    assert ask("GET", url).status == 405
 
 
 def test_any_bytes_at_any_call_change_nothing(site: Site) -> None:
