Forget lists of entries that hold no more, also where nothing is cold

An entry kept each list of entries that control told, for as long as it met no cold endpoint: with entries that come and go its memory grew for ever.

Cause: lists were dropped only where a share was asked for.

--- a/packages/core/nutmegchute_core/warmups.py
+++ b/packages/core/nutmegchute_core/warmups.py
@@ -128,6 +128,11 @@
         """Give the digest of the newest list of entries."""
         return self._views[-1].group.digest
 
+    @property
+    def lists(self) -> int:
+        """Count the lists of entries that hold."""
+        return len(self._views)
+
     def bound(self, overage: float, slack: float) -> None:
         """Take what an endpoint bears beyond the calls that it declares."""
         self._overage = overage
@@ -141,6 +146,7 @@
         """Take a newer list of entries."""
         if group.digest == self.digest:
             return
+        self._forget(now)
         self._views[-1].replaced_at = now
         self._views.append(View(group))
 
--- a/tests/test_warmups.py
+++ b/tests/test_warmups.py
@@ -178,6 +178,14 @@
     assert entry.step(10.0 + SETTLE_S + 0.1)
 
 
+def test_lists_that_hold_no_more_are_forgotten() -> None:
+    """Guard against a list kept for each entry that ever came or left."""
+    warm_ups = WarmUps("entry-0")
+    for second in range(100):
+        warm_ups.take(group_of(names(second % 7 + 1)), float(second))
+    assert warm_ups.lists <= SETTLE_S + 2
+
+
 def test_entries_of_the_endpoints_zone_go_first() -> None:
     """Guard against calls between zones where those near would do."""
     zones = names(135)
