Log the rate limit that an endpoint's answer names

The logs could not tell whether routers did not know an endpoint's limit or each kept to it alone. Nothing decides by it yet.

--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -137,7 +137,8 @@
     status other than "not run"). ``shed`` marks a "not run" sent by the
     endpoint; without it the call did not reach the endpoint. ``loss`` says
     how an attempt was lost, ``crashed`` that the endpoint's process is
-    known to have ended with it.
+    known to have ended with it. ``rate_limit`` is the number of calls a
+    second that the endpoint takes from all entries together, if it said so.
     """
 
     __slots__ = (
@@ -149,6 +150,7 @@
         "load",
         "loss",
         "outcome",
+        "rate_limit",
         "shed",
         "stretch",
     )
@@ -165,7 +167,9 @@
         shed: bool = False,
         loss: str = "",
         crashed: bool = False,
+        rate_limit: float | None = None,
     ) -> None:
+        self.rate_limit = rate_limit
         self.loss = loss
         self.crashed = crashed
         self.shed = shed
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -71,6 +71,10 @@
         """Return how long the endpoint stays cold, in seconds."""
         return None
 
+    def rate_limit(self, headers: HTTPHeaderDict) -> float | None:
+        """Return the calls a second that the endpoint takes, if limited."""
+        return None
+
     def is_forwarded(self, name: str) -> bool:
         """Return whether a header, in lower case, is forwarded to callers."""
         return name not in ENTRY_HEADERS
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -150,6 +150,8 @@
             send["ms"] = round(result.latency_s * 1000, 1)
             send["load"] = result.load
             send["then"] = result.stretch
+            if result.rate_limit is not None:
+                send["limit"] = result.rate_limit
             if result.loss:
                 send["loss"] = result.loss
             if result.crashed:
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -222,6 +222,13 @@
             return None
         return self._format.stretch(self._response.headers)
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the calls a second that the endpoint takes, if limited."""
+        if self._response is None:
+            return None
+        return self._format.rate_limit(self._response.headers)
+
     def headers(self) -> list[tuple[str, str]]:
         """Return the answer's headers without the hop-by-hop ones."""
         if self._response is None:
