--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -71,6 +71,10 @@
         self.zone = "surco"
         # The remaining warm-up on its health page, in milliseconds.
         self.warm_up_ms = 0
+        # Further headers of its answers to requests.
+        self.headers: dict[str, str] = {}
+        # When requests arrived, by the monotonic clock.
+        self.arrivals: list[float] = []
         self.sequence = 0
         self.connections: list[socket.socket] = []
         # Returns, for path and body, whether a request ends this process.
@@ -135,9 +139,10 @@
             if target_instance != endpoint.instance:
                 self._respond(421, b"")
                 return
+            endpoint.arrivals.append(time.monotonic())
             name = self.headers.get("Request-Id", "")
             if endpoint.mode == "full":
-                self._respond(503, b"", Not_Executed="1")
+                self._respond(503, b"", Not_Executed="1", **endpoint.headers)
                 return
             endpoint.ran[name] += 1
             if endpoint.crashes(self.path, content):
@@ -153,7 +158,11 @@
                 name = "somebody-else"
             body = f"{endpoint.instance} {self.path}".encode()
             self._respond(
-                200, body, Request_Id=name, Server_Signature=endpoint.instance
+                200,
+                body,
+                Request_Id=name,
+                Server_Signature=endpoint.instance,
+                **endpoint.headers,
             )
 
         do_POST = do_DELETE = do_GET  # noqa: N815
