Separate the groups of entries from the bound on cold endpoints

A limit on the calls of all entries to an endpoint needs the same few entries by the same hashing as the bound on cold endpoints. EntryGroups holds the groups and finds an entry's membership; WarmUps only divides its bound. No behaviour changes; tests/test_warmups.py passes with its checks as they were.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -35,13 +35,13 @@
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refuse
+from nutmegchute_core.entry_groups import group_of
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.policies import Policy
 from nutmegchute_core.probe_shares import ProbeShare
 from nutmegchute_core.routes import Route
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
-from nutmegchute_core.warmups import group_of
 
 from .policy import geometric_mean
 from .policy_arrivals import Arrival
@@ -617,7 +617,7 @@
             seed * 100 + entry, zone, _build_policy(strategy), str(entry)
         )
         balancer.warm_ups.set_margin(WARM_UP_OVERAGE, WARM_UP_SLACK_PER_S)
-        balancer.warm_ups.update_group(group, 0.0)
+        balancer.groups.update(group, 0.0)
         balancer.configure({SERVICE: Service(SERVICE, document)}, 0.0)
         limit = ExtraLimit(EXTRA_RATIO, EXTRA_FIXED)
         balancer.limit_extra_sends(limit.share, limit.burst(len(weights)))
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -15,6 +15,7 @@
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
+from .entry_groups import EntryGroups
 from .evacuations import EvacuationUpdate
 from .inquiries import Inquiry
 from .inquiries import QUERY_TIMEOUT_S
@@ -63,6 +64,7 @@
         "_pools",
         "_random",
         "_timers",
+        "groups",
         "warm_ups",
     )
 
@@ -75,7 +77,8 @@
     ) -> None:
         self._random = Random(seed)
         self._policy = policy or Policy()
-        self.warm_ups = WarmUps(name)
+        self.groups = EntryGroups(name)
+        self.warm_ups = WarmUps(self.groups)
         self._pools = PoolSet(
             self._random, availability_zone, self._policy, self.warm_ups
         )
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from .endpoints import Endpoint
+from .entry_groups import EntryGroups
 from .inquiries import FREE_SLOT
 from .inquiries import Fullness
 from .inquiries import is_nearly_full
@@ -98,7 +99,7 @@
     ) -> None:
         self.probing_enabled = probing_enabled
         self.fullness = Fullness()
-        self.warm_up_limit = WarmUpLimit(WarmUps(), None)
+        self.warm_up_limit = WarmUpLimit(WarmUps(EntryGroups()), None)
         self._random = random
         self._policy = policy
         self._endpoints: list[Endpoint] = []
--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Collection
 
+from .entry_groups import EntryGroup
+from .entry_groups import group_of
 from .histories import Delta
 from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
@@ -19,8 +21,6 @@
 from .sessions import choose_entries
 from .sessions import EntrySessions
 from .sessions import WatchRequest
-from .warmups import EntryGroup
-from .warmups import group_of
 
 # Tree index reported by a replica that has no entries: above any real one.
 MAX_TREE_INDEX = 2**62
--- a/packages/core/nutmegchute_core/members.py
+++ b/packages/core/nutmegchute_core/members.py
@@ -27,6 +27,8 @@
 Key = tuple[str, str]
 # An instance's name and incarnation: one start of one endpoint.
 Process = tuple[str, int]
+# An endpoint's address and process: unique also where endpoints are unnamed.
+ProcessKey = tuple[str, str, int]
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -62,6 +64,11 @@
         """Return instance and incarnation, which identify the process."""
         return (self.instance, self.incarnation)
 
+    @property
+    def process_key(self) -> ProcessKey:
+        """Return address, instance and incarnation."""
+        return (self.endpoint, self.instance, self.incarnation)
+
 
 class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
     """Carry the state of an entry's own set to another entry.
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -6,13 +6,13 @@
 
 from .directories import EntryInfo
 from .directories import exclude_evacuated
+from .entry_groups import EntryGroup
 from .evacuations import EvacuationUpdate
 from .follow_protocol import FollowReply
 from .histories import Delta
 from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
 from .quarantines import QuarantineUpdate
-from .warmups import EntryGroup
 
 # How long a watch is held while nothing changes. An entry watches one replica
 # only, so this and the entry's margin bound how long it uses stale data after
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -17,13 +17,13 @@
 from nutmegchute_core.claims import Settlement
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.entry_groups import group_of
 from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
-from nutmegchute_core.warmups import group_of
 
 from .announcements import ANNOUNCE_PATH
 from .announcements import AnnouncementHandler
@@ -293,9 +293,7 @@
         zones = {}
         for info in self._directory.usable(boot_time()):
             zones[info.name] = info.availability_zone
-        self._balancer.warm_ups.update_group(
-            group_of(zones), self._loop.time()
-        )
+        self._balancer.groups.update(group_of(zones), self._loop.time())
 
     def _update_upstreams(self, live: list[Announcement]) -> None:
         now = self._loop.time()
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from nutmegchute_core.discovery import Discovery
+from nutmegchute_core.entry_groups import EntryGroup
 from nutmegchute_core.long_polls import quarantine_since
 from nutmegchute_core.long_polls import tree_changes_since
 from nutmegchute_core.members import Announcement
@@ -25,7 +26,6 @@
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
-from nutmegchute_core.warmups import EntryGroup
 
 from .clocks import boot_time
 from .errors import DaemonError
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -301,7 +301,7 @@
             self._shares.reported,
             self._balancer.quarantine_index,
             self._balancer.evacuations.index,
-            self._balancer.warm_ups.digest,
+            self._balancer.groups.digest,
         )
 
     def handle_reply(self, replica: str, reply: WatchReply) -> None:
@@ -318,9 +318,7 @@
             self._replicas = [one.address for one in reply.replicas]
         self._apply_totals(reply)
         if reply.group is not None:
-            self._balancer.warm_ups.update_group(
-                reply.group, self._loop.time()
-            )
+            self._balancer.groups.update(reply.group, self._loop.time())
         # Before the tree: a starting entry routes calls once it has one.
         if reply.evacuations is not None:
             self._dispatcher.apply_evacuations(reply.evacuations)
--- a/tests/test_warmups.py
+++ b/tests/test_warmups.py
@@ -11,6 +11,10 @@
 from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.discovery import Discovery
 from nutmegchute_core.endpoints import Endpoint
+from nutmegchute_core.entry_groups import EntryGroup
+from nutmegchute_core.entry_groups import EntryGroups
+from nutmegchute_core.entry_groups import group_of
+from nutmegchute_core.entry_groups import SETTLE_S
 from nutmegchute_core.evacuations import EvacuationUpdate
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.registries import CHANGED
@@ -18,9 +22,6 @@
 from nutmegchute_core.registries import RENEWED
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.sessions import WatchRequest
-from nutmegchute_core.warmups import EntryGroup
-from nutmegchute_core.warmups import group_of
-from nutmegchute_core.warmups import SETTLE_S
 from nutmegchute_core.warmups import WarmUpLimit
 from nutmegchute_core.warmups import WarmUps
 from support import rule
@@ -57,20 +58,21 @@
     return {f"entry-{n}": ZONES[n % 3] for n in range(count)}
 
 
-def build_warm_ups(entry: str, zones: dict[str, str], now: float) -> WarmUps:
-    """Build the warm-ups of an entry that knows the given entries."""
-    found = WarmUps(entry)
-    found.set_margin(OVERAGE, SLACK)
-    found.update_group(group_of(zones), now)
+def build_groups(entry: str, zones: dict[str, str], now: float) -> EntryGroups:
+    """Build the groups of an entry that knows the given entries."""
+    found = EntryGroups(entry)
+    found.update(group_of(zones), now)
     return found
 
 
 class GreedyEntry:
     """Send to one cold endpoint whenever the limit allows it."""
 
-    def __init__(self, warm_ups: WarmUps, phase: float) -> None:
-        self.warm_ups = warm_ups
+    def __init__(self, groups: EntryGroups, phase: float) -> None:
+        self.groups = groups
         self.phase = phase
+        warm_ups = WarmUps(groups)
+        warm_ups.set_margin(OVERAGE, SLACK)
         self._limit = WarmUpLimit(warm_ups, CALLS_PER_S)
         self._endpoint = Endpoint(endpoint(), True, None)
         self._endpoint.cold_until = 1e9
@@ -120,7 +122,7 @@
     zones = zones_by_entry(count)
     entries = [
         GreedyEntry(
-            build_warm_ups(one, zones, 0.0), random.random() * TRY_INTERVAL_S
+            build_groups(one, zones, 0.0), random.random() * TRY_INTERVAL_S
         )
         for one in zones
     ]
@@ -150,7 +152,7 @@
         first = first_zones if name in first_zones else zones
         entries.append(
             GreedyEntry(
-                build_warm_ups(name, first, comes_at),
+                build_groups(name, first, comes_at),
                 random.random() * TRY_INTERVAL_S,
             )
         )
@@ -166,15 +168,11 @@
         while updates and updates[0][0] <= now:
             at, number, known_zones = updates.pop(0)
             if known_zones:
-                entries[number].warm_ups.update_group(
-                    group_of(known_zones), at
-                )
+                entries[number].groups.update(group_of(known_zones), at)
                 continue
             name = list(zones)[number]
             phase = random.random() * TRY_INTERVAL_S
-            entries[number] = GreedyEntry(
-                build_warm_ups(name, zones, at), phase
-            )
+            entries[number] = GreedyEntry(build_groups(name, zones, at), phase)
         sent += run_entries(entries, now, now + TRY_INTERVAL_S)
         now += TRY_INTERVAL_S
     assert sent
@@ -184,7 +182,7 @@
 def test_new_entry_uses_no_cold_endpoint_at_first() -> None:
     """Guard against entries that start together and know only themselves."""
     zones = zones_by_entry(3)
-    entry = GreedyEntry(build_warm_ups("entry-0", zones, 10.0), 0.0)
+    entry = GreedyEntry(build_groups("entry-0", zones, 10.0), 0.0)
     assert not entry.step(10.0)
     assert not entry.step(10.0 + SETTLE_S - 0.1)
     assert entry.step(10.0 + SETTLE_S + 0.1)
@@ -192,12 +190,10 @@
 
 def test_replaced_groups_are_dropped() -> None:
     """Guard against groups that pile up with each change of entries."""
-    warm_ups = WarmUps("entry-0")
+    groups = EntryGroups("entry-0")
     for second in range(100):
-        warm_ups.update_group(
-            group_of(zones_by_entry(second % 7 + 1)), float(second)
-        )
-    assert warm_ups.group_count <= SETTLE_S + 2
+        groups.update(group_of(zones_by_entry(second % 7 + 1)), float(second))
+    assert groups.count <= SETTLE_S + 2
 
 
 def test_entries_of_the_endpoints_zone_go_first() -> None:
@@ -206,7 +202,7 @@
     members = [
         zone
         for name, zone in zones.items()
-        if GreedyEntry(build_warm_ups(name, zones, 0.0), 0.0).step(
+        if GreedyEntry(build_groups(name, zones, 0.0), 0.0).step(
             SETTLE_S + 1.0
         )
     ]
@@ -218,7 +214,7 @@
     """Build the balancer of the first of ``count`` entries."""
     built = Balancer(1, ZONES[0], name="entry-0")
     built.warm_ups.set_margin(OVERAGE, SLACK)
-    built.warm_ups.update_group(group_of(zones_by_entry(count)), 0.0)
+    built.groups.update(group_of(zones_by_entry(count)), 0.0)
     document = team(**{SERVICE: [rule()]})
     document["services"][SERVICE].update(
         warm_up_per_s=CALLS_PER_S, warm_up_s=3.0
