--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -22,7 +22,9 @@
 from .inquiries import REQUERY_S
 from .isolations import Isolation
 from .isolations import Release
+from .limit_boards import LimitUpdate
 from .members import Announcement
+from .notices import Notice
 from .policies import Policy
 from .pool_sets import PoolSet
 from .pools import Pool
@@ -34,6 +36,7 @@
 from .quarantines import Ruling
 from .quarantines import TrialRequest
 from .quarantines import WAIT_S
+from .rate_limits import RateLimits
 from .rules import Rule
 from .rules import Service
 from .timers import EXPIRY
@@ -65,6 +68,7 @@
         "_random",
         "_timers",
         "groups",
+        "rate_limits",
         "warm_ups",
     )
 
@@ -79,8 +83,13 @@
         self._policy = policy or Policy()
         self.groups = EntryGroups(name)
         self.warm_ups = WarmUps(self.groups)
+        self.rate_limits = RateLimits(self.groups, seed)
         self._pools = PoolSet(
-            self._random, availability_zone, self._policy, self.warm_ups
+            self._random,
+            availability_zone,
+            self._policy,
+            self.warm_ups,
+            self.rate_limits,
         )
         self._calls: dict[int, Call] = {}
         self._timers = Timers()
@@ -107,6 +116,10 @@
         """Return the number of calls without an outcome."""
         return len(self._calls)
 
+    def count_limited(self) -> int:
+        """Count the endpoints whose rate limit holds."""
+        return sum(pool.limited_count for pool in self._pools.values())
+
     def configure(self, services: dict[str, Service], now: float) -> None:
         """Apply the services that the configuration in force declares."""
         self._pools.configure(services, now)
@@ -119,6 +132,13 @@
             return []
         return self._dispatch_all(now)
 
+    def apply_limits(self, update: LimitUpdate, now: float) -> list[Action]:
+        """Apply the rate limits of endpoints that others have learned."""
+        actions: list[Action] = []
+        if self.rate_limits.apply(update, now):
+            self._apply_changed_limits(now, actions)
+        return actions
+
     def limit_extra_sends(self, share: float, burst: float) -> None:
         """Set this entry's share of each service's retries and hedges."""
         self._pools.limit_extra_sends(share, burst)
@@ -190,6 +210,7 @@
         if reason is not None:
             return call_id, [self._refuse_or_lose(pool, call, reason)]
         actions: list[Action] = []
+        self._query_limited(pool, now, actions)
         if self._hold_or_refuse(pool, call, now, actions):
             return call_id, actions
         if self._send_queries(pool, call, Inquiry([]), now, actions):
@@ -202,14 +223,16 @@
 
     def finish(self, result: Result, now: float) -> list[Action]:
         """Record the end of an attempt and return the next actions."""
+        actions: list[Action] = []
+        if result.notice is not None:
+            self._record_notice(result.notice, now, actions)
         call = self._calls.get(result.call_id)
         if call is None or result.attempt not in call.outstanding:
             # The call was abandoned or another attempt answered first; the
             # slot was released on cancellation.
-            return []
+            return actions
         call.outstanding.discard(result.attempt)
         pool = self._pools.get(call.service)
-        actions: list[Action] = []
         if pool is not None:
             process = ""
             if result.crashed:
@@ -254,9 +277,12 @@
         stretch: float | None = None,
         answered: bool = False,
         cold_s: float | None = None,
+        notice: Notice | None = None,
     ) -> list[Action]:
         """Record a probe's result; without load or answer it has failed."""
         actions: list[Action] = []
+        if notice is not None:
+            self._record_notice(notice, now, actions)
         pool = self._pools.get(service)
         if pool is not None:
             pool.record_probe(endpoint, load, now, stretch, answered, cold_s)
@@ -313,16 +339,31 @@
                 self._requery(call, now, actions)
             elif kind == REQUEST_TRIAL:
                 self._isolation.request_trial(call.key, now)
-        for name, pool in self._pools.items():
+        for pool in self._pools.values():
             if pool.queue:
                 self._dispatch(pool, now, actions)
             if not self._policy.probing:
                 continue
             address = pool.next_probe(now)
             if address is not None:
-                actions.append(Probe(name, address))
+                actions.append(self._build_probe(pool, address, "/"))
         return actions
 
+    def _record_notice(
+        self, notice: Notice, now: float, actions: list[Action]
+    ) -> None:
+        if self.rate_limits.record(notice, now):
+            self._apply_changed_limits(now, actions)
+
+    def _apply_changed_limits(self, now: float, actions: list[Action]) -> None:
+        """Send, hold or refuse the queued calls by the present limits."""
+        self._pools.update_limits(now)
+        actions.extend(self._dispatch_all(now))
+        for call in self._calls.values():
+            pool = self._pools.get(call.service)
+            if pool is not None:
+                self._schedule_requery(pool, call, now)
+
     def _send_queries(
         self,
         pool: Pool,
@@ -340,9 +381,22 @@
         self._timers.add(now + QUERY_TIMEOUT_S, QUERY_TIMEOUT, call.call_id)
         path = pool.service.probe_path
         for address in addresses:
-            actions.append(Probe(call.service, address, path))
+            actions.append(self._build_probe(pool, address, path))
         return True
 
+    def _query_limited(
+        self, pool: Pool, now: float, actions: list[Action]
+    ) -> None:
+        """Query an endpoint whose limit allows too few calls to show it."""
+        address = pool.limited_to_query(now)
+        if address is not None:
+            path = pool.service.probe_path
+            actions.append(self._build_probe(pool, address, path))
+
+    def _build_probe(self, pool: Pool, address: str, path: str) -> Probe:
+        process_key = pool.process_at(address)
+        return Probe(pool.service.name, address, path, process_key)
+
     def _record_query_answer(
         self,
         pool: Pool,
@@ -445,9 +499,12 @@
             return
         if self._shed_waiting(pool, call, False, now, actions):
             return
+        if self._refuse_unavailable(pool, call, now, actions):
+            return
         if pool.queue.peek(now) != call.call_id and not call.alone:
             self._schedule_requery(pool, call, now)
             return
+        self._query_limited(pool, now, actions)
         inquiry = Inquiry(list(call.attempts.values()), held=True)
         if self._send_queries(pool, call, inquiry, now, actions):
             return
@@ -466,7 +523,7 @@
         return None if pool.may_query else call.call_id
 
     def _schedule_requery(self, pool: Pool, call: Call, now: float) -> None:
-        if call.state == QUEUED and pool.holds_calls:
+        if call.state == QUEUED and pool.must_poll:
             self._timers.add(now + REQUERY_S, REQUERY, call.call_id)
 
     def _resolve_attempt(
@@ -507,14 +564,14 @@
         if (
             pool is None
             or not may_repeat
-            or not pool.has_untried_endpoint(call)
+            or not pool.has_untried_endpoint(call, now)
         ):
             return False
         if not pool.may_retry(call):
             return False
         call.step("retry")
         self._enqueue(pool, call)
-        if pool.holds_calls:
+        if pool.must_poll:
             # Query at once: held calls are sent after answers to other calls,
             # and an entry with few calls may get none before the deadline.
             self._timers.add(now, REQUERY, call.call_id)
@@ -551,13 +608,7 @@
             if call_id is None:
                 break
             call = self._calls[call_id]
-            unavailable = pool.unavailable(call, now)
-            if unavailable is not None:
-                pool.queue.remove(call_id)
-                reason, after_s = unavailable.reason, unavailable.retry_after_s
-                actions.append(
-                    self._refuse_or_lose(pool, call, reason, after_s)
-                )
+            if self._refuse_unavailable(pool, call, now, actions):
                 continue
             if self._hold_or_refuse(pool, call, now, actions):
                 continue
@@ -582,6 +633,18 @@
         for call in unplaced:
             self._enqueue(pool, call)
 
+    def _refuse_unavailable(
+        self, pool: Pool, call: Call, now: float, actions: list[Action]
+    ) -> bool:
+        """Refuse a queued call that no endpoint takes in time, if so."""
+        unavailable = pool.unavailable(call, now)
+        if unavailable is None:
+            return False
+        pool.queue.remove(call.call_id)
+        reason, after_s = unavailable.reason, unavailable.retry_after_s
+        actions.append(self._refuse_or_lose(pool, call, reason, after_s))
+        return True
+
     def _may_send(
         self,
         pool: Pool,
@@ -611,7 +674,7 @@
             attempt=attempt,
             endpoint=address,
             remaining_s=call.deadline_at - now,
-            instance=pool.instance_at(address),
+            process_key=pool.process_at(address),
             basis=basis,
         )
 
@@ -730,6 +793,6 @@
                 )
                 continue
             self._enqueue(pool, call)
-            if pool.holds_calls:
+            if pool.must_poll:
                 self._timers.add(now, REQUERY, call.call_id)
             self._dispatch(pool, now, actions)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -2,6 +2,8 @@
 
 from .charts import Chart
 from .charts import load_chart
+from .members import ProcessKey
+from .notices import Notice
 from .rules import Rule
 
 ANSWERED = "answered"
@@ -20,7 +22,7 @@
         "basis",
         "call_id",
         "endpoint",
-        "instance",
+        "process_key",
         "remaining_s",
     )
 
@@ -30,17 +32,22 @@
         attempt: int,
         endpoint: str,
         remaining_s: float,
-        instance: str = "",
+        process_key: ProcessKey | None = None,
         basis: dict[str, float] | None = None,
     ) -> None:
         self.call_id = call_id
         self.attempt = attempt
         self.endpoint = endpoint
         self.remaining_s = remaining_s
-        self.instance = instance
+        self.process_key = process_key or (endpoint, "", 0)
         # The data behind the choice of endpoint, for the log.
         self.basis = basis or {}
 
+    @property
+    def instance(self) -> str:
+        """Return the name of the endpoint's instance, empty if unnamed."""
+        return self.process_key[1]
+
 
 class Refuse:
     """Answer "not run", with the time to wait before a retry."""
@@ -116,12 +123,19 @@
 class Probe:
     """Request an endpoint's load report at a path."""
 
-    __slots__ = ("endpoint", "path", "service")
+    __slots__ = ("endpoint", "path", "process_key", "service")
 
-    def __init__(self, service: str, endpoint: str, path: str = "/") -> None:
+    def __init__(
+        self,
+        service: str,
+        endpoint: str,
+        path: str = "/",
+        process_key: ProcessKey | None = None,
+    ) -> None:
         self.service = service
         self.endpoint = endpoint
         self.path = path
+        self.process_key = process_key or (endpoint, "", 0)
 
 
 CallAction = Send | Refuse | Reject | Lose | Finish | Known | Cancel
@@ -137,8 +151,8 @@
     status other than "not run"). ``shed`` marks a "not run" sent by the
     endpoint; without it the call did not reach the endpoint. ``loss`` says
     how an attempt was lost, ``crashed`` that the endpoint's process is
-    known to have ended with it. ``rate_limit`` is the number of calls a
-    second that the endpoint takes from all entries together, if it said so.
+    known to have ended with it. ``notice`` is what the endpoint's answer asks
+    of its callers, None without an answer.
     """
 
     __slots__ = (
@@ -149,8 +163,8 @@
         "latency_s",
         "load",
         "loss",
+        "notice",
         "outcome",
-        "rate_limit",
         "shed",
         "stretch",
     )
@@ -167,9 +181,9 @@
         shed: bool = False,
         loss: str = "",
         crashed: bool = False,
-        rate_limit: float | None = None,
+        notice: Notice | None = None,
     ) -> None:
-        self.rate_limit = rate_limit
+        self.notice = notice
         self.loss = loss
         self.crashed = crashed
         self.shed = shed
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -9,10 +9,12 @@
 from .inquiries import FREE_SLOT
 from .inquiries import Fullness
 from .inquiries import is_nearly_full
+from .inquiries import LAST_SLOT
 from .inquiries import NO_SLOT
 from .latencies import INITIAL_LATENCY_S
 from .latencies import Mean
 from .policies import Policy
+from .rate_limits import RateLimits
 from .warmups import COLD_SLOWDOWN
 from .warmups import WarmUpLimit
 from .warmups import WarmUps
@@ -79,6 +81,7 @@
         "_endpoint_set",
         "_endpoints",
         "_has_stretch",
+        "_limited",
         "_mean_latency",
         "_mean_others",
         "_mean_stretch",
@@ -91,13 +94,21 @@
         "_unreported",
         "fullness",
         "probing_enabled",
+        "rate_limits",
         "warm_up_limit",
     )
 
     def __init__(
-        self, random: Random, policy: Policy, probing_enabled: bool
+        self,
+        random: Random,
+        policy: Policy,
+        probing_enabled: bool,
+        rate_limits: RateLimits,
     ) -> None:
         self.probing_enabled = probing_enabled
+        self.rate_limits = rate_limits
+        # Endpoints whose rate limit holds.
+        self._limited: list[Endpoint] = []
         self.fullness = Fullness()
         self.warm_up_limit = WarmUpLimit(WarmUps(EntryGroups()), None)
         self._random = random
@@ -138,12 +149,17 @@
         """Return whether no endpoint may be chosen."""
         return not self._endpoints
 
+    @property
+    def limited_count(self) -> int:
+        """Return the number of endpoints whose rate limit holds."""
+        return len(self._limited)
+
     @property
     def load_per_slot(self) -> float:
         """Return the mean load from other entries per slot."""
         return self._mean_others.value / self._slots
 
-    def update(self, endpoints: list[Endpoint]) -> None:
+    def update(self, endpoints: list[Endpoint], now: float) -> None:
         """Replace the endpoints that may be chosen."""
         self._endpoints = endpoints
         slots = sum(endpoint.slots for endpoint in endpoints)
@@ -153,6 +169,47 @@
         for endpoint in list(self._recent):
             if endpoint not in self._endpoint_set:
                 del self._recent[endpoint]
+        self.update_limited(now)
+
+    def update_limited(self, now: float) -> None:
+        """Find the endpoints that are limited, after a change of limits."""
+        limited = []
+        for endpoint in self._endpoints:
+            if self.rate_limits.begin(endpoint, now):
+                limited.append(endpoint)
+        self._limited = limited
+
+    def opens_at(self, now: float) -> float:
+        """Return when the first endpoint takes calls; at once if it may.
+
+        This is infinite while all are left to other entries.
+        """
+        soonest = inf
+        for endpoint in self._endpoints:
+            if self.warm_up_limit.excludes(endpoint, now):
+                continue
+            soonest = min(soonest, self.rate_limits.call_at(endpoint, now))
+            if soonest <= now:
+                break
+        return soonest
+
+    def limited_rate(self, now: float) -> float:
+        """Return the calls a second that this entry may send.
+
+        This is infinite unless every endpoint is limited.
+        """
+        if not self._limited or len(self._limited) < len(self._endpoints):
+            return inf
+        return sum(self.rate_limits.rate(one, now) for one in self._limited)
+
+    def limited_to_query(self, now: float) -> Endpoint | None:
+        """Return a limited endpoint that a load query is due at, if any."""
+        for endpoint in self._limited:
+            if endpoint.is_unreachable(now):
+                continue
+            if self.rate_limits.needs_query(endpoint, now):
+                return endpoint
+        return None
 
     def choose(
         self,
@@ -219,20 +276,28 @@
         """Return the kind of slot that a call sent now would get."""
         if not self._has_stretch:
             return NO_SLOT
+        if self.rate_limits.is_limited(endpoint):
+            return self._limited_slot_kind(endpoint, now)
         return self.fullness.slot_kind(endpoint, now)
 
+    def _limited_slot_kind(self, endpoint: Endpoint, now: float) -> int:
+        """Return the kind of slot at an endpoint that gets no load queries.
+
+        The limit itself says that the endpoint takes the call. It comes after
+        endpoints known to be free, unless news of the limit are due.
+        """
+        if not self.rate_limits.allows(endpoint, now):
+            return NO_SLOT
+        silent = self.rate_limits.is_silent(endpoint, now)
+        return FREE_SLOT if silent else LAST_SLOT
+
     def _has_room(self, endpoint: Endpoint, now: float) -> bool:
         if endpoint.in_flight >= endpoint.slots:
             return False
+        if not self.rate_limits.allows(endpoint, now):
+            return False
         return self.warm_up_limit.allows(endpoint, now)
 
-    def must_refuse(self, now: float) -> bool:
-        """Return whether all endpoints are cold and left to other entries."""
-        for endpoint in self._endpoints:
-            if not self.warm_up_limit.excludes(endpoint, now):
-                return False
-        return bool(self._endpoints)
-
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Estimate the time to answer a call sent now, in seconds."""
         mean_s = self._mean_latency.value
@@ -384,8 +449,11 @@
                 continue
             if endpoint.is_unreachable(now):
                 continue
-            if self.fullness.slot_kind(endpoint, now) == FREE_SLOT:
+            if self.slot_kind(endpoint, now) == FREE_SLOT:
                 return []
+            if self.rate_limits.is_limited(endpoint):
+                # A query counts against the limit as a call does.
+                continue
             found.append(endpoint)
         found.sort(key=lambda one: self.score(one, now))
         return found[:1]
@@ -398,6 +466,8 @@
                 continue
             if now < endpoint.ejected_until:
                 continue
+            if self.rate_limits.query_at(endpoint, now) > now:
+                continue
             if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
         return best
@@ -435,7 +505,7 @@
         if len(pool) <= MAX_RECENT + SAMPLE_SIZE:
             found = pool
         else:
-            found = list(self._recent)
+            found = [*self._recent, *self._limited[:SAMPLE_SIZE]]
             for _ in range(SAMPLE_SIZE):
                 found.append(pool[int(self._random.random() * len(pool))])
         start = int(self._random.random() * len(found)) if found else 0
--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -11,6 +11,9 @@
 from .entry_groups import EntryGroup
 from .entry_groups import group_of
 from .histories import Delta
+from .limit_boards import LimitBoard
+from .limit_boards import LimitReport
+from .limit_boards import LimitUpdate
 from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
 from .peers import Confirmation
@@ -45,6 +48,7 @@
         "_own_address",
         "_rotation",
         "_started_at",
+        "limits",
         "peers",
         "registry",
         "sessions",
@@ -58,6 +62,8 @@
         self._group_at = now - GROUP_REFRESH_S
         self._rotation = 0
         self.registry = Registry(epoch)
+        # Rate limits of endpoints, as the entries of all replicas report.
+        self.limits = LimitBoard(epoch)
         self.sessions = EntrySessions()
         self.peers = Peers(own_address, now)
 
@@ -105,6 +111,8 @@
             != self.watermark
         ):
             return True
+        if request.limits not in (None, self.limits.watermark):
+            return True
         for address, mirror in self.peers.mirrors(now).items():
             if mirror.is_ahead_of(
                 request.watermarks.get(address, NO_WATERMARK)
@@ -124,6 +132,19 @@
                 found[address] = mirror.since(watermark, now)
         return found
 
+    def limits_since(
+        self, known: Watermark | None, now: float
+    ) -> LimitUpdate | None:
+        """Return the rate limits that changed after a watermark.
+
+        None is the watermark of an entry that does not know of limits.
+        """
+        return None if known is None else self.limits.since(known, now)
+
+    def record_limits(self, reports: list[LimitReport], now: float) -> bool:
+        """Record the limits that an entry reports; return if any changed."""
+        return bool(self.limits.apply(reports, now, is_own=True))
+
     def group(self, known: int, now: float) -> EntryGroup | None:
         """Return the list of all entries unless its digest is ``known``.
 
@@ -156,6 +177,7 @@
             reachable=self.peers.reachable_replicas(now),
             applied=min(applied, default=MAX_TREE_INDEX),
             hold_s=hold_s,
+            limits=NO_WATERMARK if peer is None else peer.limits,
         )
 
     def has_peer_changes(self, request: PeerRequest) -> bool:
@@ -165,6 +187,8 @@
             or request.awaited_generation < self._awaited_generation
         ):
             return True
+        if request.limits not in (None, self.limits.own_watermark):
+            return True
         return request.sessions != self.sessions.generation
 
     def build_reply(self, request: PeerRequest, now: float) -> PeerReply:
@@ -175,6 +199,9 @@
         known = request.sessions
         if request.watermark[0] != self.registry.epoch:
             known = 0
+        limits = None
+        if request.limits is not None:
+            limits = self.limits.since(request.limits, now, own_only=True)
         return PeerReply(
             epoch=self.registry.epoch,
             delta=delta,
@@ -182,14 +209,19 @@
             entries=self.sessions.since(known),
             calls_per_s=self.sessions.calls_per_s(now),
             awaited_generation=self._awaited_generation,
+            limits=limits,
         )
 
     def apply_reply(self, address: str, reply: PeerReply, now: float) -> bool:
-        """Apply a peer's reply; return whether its registry changed."""
+        """Apply a peer's reply; return whether entries must be notified."""
+        limited = False
+        if reply.limits is not None:
+            reports = reply.limits.reports
+            limited = bool(self.limits.apply(reports, now, is_own=False))
         for state in reply.entries:
             if state.is_connected:
                 self.sessions.release(state.info.name)
-        return self.peers.apply_reply(address, reply, now)
+        return self.peers.apply_reply(address, reply, now) or limited
 
     def request_confirmation(self, generation: int) -> None:
         """Request that the peers confirm a generation of the registry."""
@@ -267,6 +299,7 @@
 
     def expire(self, now: float) -> bool:
         """Expire sessions and leases; return whether any changed."""
+        self.limits.expire(now)
         self.peers.expire(now)
         disconnected = self.sessions.expire(now)
         return self.registry.expire(now) or disconnected
--- a/packages/core/nutmegchute_core/eligibility.py
+++ b/packages/core/nutmegchute_core/eligibility.py
@@ -18,10 +18,13 @@
 # Range of Retry-After when other entries warm up all endpoints; a retry may
 # reach one of those entries.
 WARMING_RETRY_S = (0.1, 0.5)
+# Range of Retry-After when the rate limits of all endpoints are used up.
+LIMITED_RETRY_S = (0.1, 1.0)
 # Maximum age of a report without load for an endpoint to count as idle.
 IDLE_REPORT_S = 0.05
 EVACUATED = "every endpoint is in an evacuated availability zone"
 WARMING = "every endpoint is warming up and left to other entries"
+LIMITED = "every endpoint limits its calls and takes none in time"
 
 
 class Unavailable:
@@ -72,13 +75,13 @@
             self._warm_ups, service.warm_up_per_s
         )
 
-    def update(self, endpoints: dict[str, Endpoint]) -> None:
+    def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
         """Replace the live endpoints."""
         self._endpoints = endpoints
         for endpoint in endpoints.values():
             endpoint.evacuated = endpoint.zone in self._evacuated
         self._chooser.update(
-            [one for one in endpoints.values() if one.accepts_calls]
+            [one for one in endpoints.values() if one.accepts_calls], now
         )
 
     def evacuate(self, zones: frozenset[str], now: float) -> None:
@@ -92,7 +95,7 @@
             if endpoint.zone in readmitted:
                 self.record_cold(endpoint, self._service.warm_up_s, now)
         self._evacuated = zones
-        self.update(self._endpoints)
+        self.update(self._endpoints, now)
 
     def record_cold(
         self, endpoint: Endpoint, cold_s: float, now: float
@@ -108,17 +111,39 @@
                 return address
         return None
 
-    def unavailable(self, now: float) -> Unavailable | None:
-        """Return why no call can be served now, or None."""
+    def unavailable(
+        self, now: float, until: float, ahead: int
+    ) -> Unavailable | None:
+        """Return why no endpoint takes a call before a time, or None.
+
+        ``ahead`` is the number of calls that go before it.
+        """
         if self._chooser.is_empty:
             if not any(one.evacuated for one in self._endpoints.values()):
                 return None
             pause_s = self._random.uniform(*EVACUATED_RETRY_S)
             return Unavailable(EVACUATED, pause_s)
-        if not self._chooser.must_refuse(now):
+        opens_at = self._chooser.opens_at(now)
+        limited_rate = self._chooser.limited_rate(now)
+        if limited_rate:
+            opens_at += ahead / limited_rate
+        if opens_at <= max(now, until):
             return None
-        pause_s = self._random.uniform(*WARMING_RETRY_S)
-        return Unavailable(WARMING, pause_s)
+        if not self._chooser.limited_count:
+            pause_s = self._random.uniform(*WARMING_RETRY_S)
+            return Unavailable(WARMING, pause_s)
+        return Unavailable(LIMITED, self._limited_pause_s(opens_at - now))
+
+    def _limited_pause_s(self, closed_s: float) -> float:
+        """Return the Retry-After of a call that finds all limits used up.
+
+        A retry most often comes to another entry, whose part of the limits
+        may be free at once.
+        """
+        first_s, last_s = LIMITED_RETRY_S
+        return self._random.uniform(
+            first_s, max(first_s, min(closed_s, last_s))
+        )
 
     def _is_idle(self, endpoint: Endpoint, now: float) -> bool:
         if endpoint.in_flight or endpoint.is_unreachable(now):
@@ -127,6 +152,10 @@
             return False
         if not self._chooser.warm_up_limit.allows(endpoint, now):
             return False
+        if not self._chooser.rate_limits.allows(endpoint, now):
+            return False
+        if self._chooser.rate_limits.is_limited(endpoint):
+            return True
         if not self._chooser.reports_stretch:
             return True
         age_s = endpoint.report_age_s(now)
--- /dev/null
+++ b/packages/core/nutmegchute_core/notices.py
@@ -0,0 +1,24 @@
+"""Define what endpoints ask of their callers in answers."""
+
+from .members import ProcessKey
+
+
+class Notice:
+    """Hold what one answer of an endpoint asks of its callers.
+
+    ``process`` gave the answer. ``rate_limit`` is the number of calls a
+    second that it takes from all entries together, None if it named none.
+    ``to_query`` says that it answered a load query, not a call.
+    """
+
+    __slots__ = ("process", "rate_limit", "to_query")
+
+    def __init__(
+        self,
+        process: ProcessKey,
+        rate_limit: float | None = None,
+        to_query: bool = False,
+    ) -> None:
+        self.process = process
+        self.rate_limit = rate_limit
+        self.to_query = to_query
--- a/packages/core/nutmegchute_core/peers.py
+++ b/packages/core/nutmegchute_core/peers.py
@@ -8,7 +8,9 @@
 
 from .directories import EntryInfo
 from .histories import Delta
+from .limit_boards import LimitUpdate
 from .mirrors import Mirror
+from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
 from .sessions import ENTRY_TTL_S
 from .sessions import EntryState
@@ -37,7 +39,8 @@
     its entry sessions and the registry generation for which it awaits a
     ``Confirmation``. ``reachable`` lists the replicas from which the sender
     receives messages, ``applied`` is the index of the oldest tree in force
-    at the sender's entries.
+    at the sender's entries. ``limits`` is the watermark of the receiver's
+    board of rate limits, None from a sender that does not know of limits.
     """
 
     replica: str
@@ -47,6 +50,7 @@
     reachable: list[str]
     applied: int
     hold_s: float
+    limits: Watermark | None = None
 
 
 class PeerReply(msgspec.Struct, frozen=True, array_like=True):
@@ -54,7 +58,8 @@
 
     The receiver sends a ``Confirmation`` once its entries hold
     ``awaited_generation`` of the registry; only then can the sender
-    acknowledge a drain.
+    acknowledge a drain. ``limits`` holds the rate limits of endpoints that
+    the sender's entries reported, None if unchanged.
     """
 
     epoch: int
@@ -63,6 +68,7 @@
     entries: list[EntryState]
     calls_per_s: float
     awaited_generation: int
+    limits: LimitUpdate | None = None
 
 
 class Confirmation(msgspec.Struct, frozen=True, array_like=True):
@@ -101,6 +107,7 @@
         "entries",
         "last_answer_at",
         "last_message_at",
+        "limits",
         "mirror",
         "reachable",
         "received_generation",
@@ -109,6 +116,8 @@
 
     def __init__(self, now: float) -> None:
         self.mirror = Mirror()
+        # Watermark up to which its board of rate limits has been received.
+        self.limits = NO_WATERMARK
         self.entries: dict[str, PeerEntry] = {}
         self.sessions = 0
         # Time of the last message, request or reply: a link may fail in one
@@ -207,6 +216,8 @@
                 known.state = EntryState(known.state.info, False)
         peer.awaited_generation = reply.awaited_generation
         peer.sessions = reply.sessions
+        if reply.limits is not None:
+            peer.limits = reply.limits.watermark
         for state in reply.entries:
             peer.entries[state.info.name] = PeerEntry(state, now)
         if reply.delta is None:
--- a/packages/core/nutmegchute_core/pool_sets.py
+++ b/packages/core/nutmegchute_core/pool_sets.py
@@ -7,6 +7,7 @@
 from .members import Announcement
 from .policies import Policy
 from .pools import Pool
+from .rate_limits import RateLimits
 from .rules import Service
 from .warmups import WarmUps
 
@@ -22,6 +23,7 @@
         "_inquiry_limit",
         "_policy",
         "_random",
+        "_rate_limits",
         "_warm_ups",
     )
 
@@ -31,11 +33,13 @@
         availability_zone: str | None,
         policy: Policy,
         warm_ups: WarmUps,
+        rate_limits: RateLimits,
     ) -> None:
         self._random = random
         self._availability_zone = availability_zone
         self._policy = policy
         self._warm_ups = warm_ups
+        self._rate_limits = rate_limits
         self._by_service: dict[str, Pool] = {}
         self._evacuations = EvacuationUpdate(0, [])
         self._extra: tuple[float, float] | None = None
@@ -90,6 +94,9 @@
 
     def update(self, announcements: list[Announcement], now: float) -> None:
         """Apply the live endpoints of every service."""
+        self._rate_limits.retain(
+            {one.process_key for one in announcements}, now
+        )
         by_service: dict[str, list[Announcement]] = {}
         for announcement in announcements:
             by_service.setdefault(announcement.service, []).append(
@@ -110,6 +117,11 @@
             pool.eligibility.evacuate(self._evacuated, now)
         return True
 
+    def update_limits(self, now: float) -> None:
+        """Apply a change of the rate limits that endpoints name."""
+        for pool in self.values():
+            pool.update_limits(now)
+
     @property
     def _evacuated(self) -> frozenset[str]:
         return frozenset(self._evacuations.availability_zones)
@@ -121,6 +133,7 @@
             self._availability_zone,
             self._policy,
             self._warm_ups,
+            self._rate_limits,
         )
         if self._extra is not None:
             pool.limit_extra_sends(*self._extra)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -22,8 +22,10 @@
 from .latencies import Quantile
 from .limits import Window
 from .members import Announcement
+from .members import ProcessKey
 from .policies import Policy
 from .queues import WaitQueue
+from .rate_limits import RateLimits
 from .rule_latencies import RuleLatency
 from .rule_latencies import SentAttempt
 from .rules import Service
@@ -65,6 +67,8 @@
 # on a single gap.
 INITIAL_SEND_GAP_S = 0.05
 MAX_SEND_GAP_S = 1.0
+# How long a late call may wait for endpoints that limit their calls.
+MAX_LIMITED_WAIT_S = 0.5
 # Bounds the latency estimates kept for rules that a newer configuration no
 # longer has.
 MAX_RULES = 1024
@@ -81,6 +85,7 @@
         "_median",
         "_policy",
         "_probes",
+        "_rate_limits",
         "_rule_latencies",
         "_send_gap",
         "_sent_at",
@@ -99,11 +104,15 @@
         zone: str | None,
         policy: Policy,
         warm_ups: WarmUps,
+        rate_limits: RateLimits,
     ) -> None:
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._chooser = Chooser(random, policy, self._may_probe(service))
+        self._rate_limits = rate_limits
+        self._chooser = Chooser(
+            random, policy, self._may_probe(service), rate_limits
+        )
         self.eligibility = Eligibility(
             self._chooser, random, warm_ups, service
         )
@@ -204,7 +213,7 @@
             slots += announcement.slots
             max_slots = max(max_slots, announcement.slots)
         self._endpoints = kept
-        self.eligibility.update(kept)
+        self.eligibility.update(kept, now)
         share = slots / self._service.most_entries
         self._window.set_share(share, max_slots)
         self.planner.update(kept)
@@ -260,7 +269,42 @@
         """Return why a queued call cannot be served, or None."""
         if self.too_late(call, now):
             return Unavailable(TOO_LATE)
-        return self.eligibility.unavailable(now)
+        until = self.latest_send_at(call)
+        if not self._chooser.limited_count:
+            return self.eligibility.unavailable(now, until, 0)
+        # A call that waits beyond its objective may lose its turn to calls
+        # in time, and another entry may be able to send it at once.
+        until = min(until, max(self.late_at(call), now + MAX_LIMITED_WAIT_S))
+        # The call itself is in the queue and counts.
+        ahead = self.queue.count_ahead(
+            call.rule.priority, self.late_at(call), now
+        )
+        return self.eligibility.unavailable(now, until, max(0, ahead - 1))
+
+    @property
+    def limited_count(self) -> int:
+        """Return the number of endpoints whose rate limit holds."""
+        return self._chooser.limited_count
+
+    @property
+    def must_poll(self) -> bool:
+        """Return whether waiting calls need a timer to be sent."""
+        return self.holds_calls or self._chooser.limited_count > 0
+
+    def update_limits(self, now: float) -> None:
+        """Apply a change of the rate limits that endpoints name."""
+        self._chooser.update_limited(now)
+
+    def limited_to_query(self, now: float) -> str | None:
+        """Return a limited endpoint that a load query is due at, if any.
+
+        Its query is counted as sent.
+        """
+        endpoint = self._chooser.limited_to_query(now)
+        if endpoint is None:
+            return None
+        self._rate_limits.count_query(endpoint, now)
+        return endpoint.address
 
     def should_shed(
         self, call: Call, starts_waiting: bool, now: float
@@ -289,15 +333,18 @@
             return True
         return self.in_flight < self._window.size
 
-    def has_untried_endpoint(self, call: Call) -> bool:
+    def has_untried_endpoint(self, call: Call, now: float) -> bool:
         """Return whether there is an endpoint the call was not sent to.
 
         Without one, a retry would wait in the queue in vain, and its caller
         would get the failure only at the deadline.
         """
         tried = call.attempts.values()
+        latest_at = self.latest_send_at(call)
         for address, endpoint in self._endpoints.items():
-            if address not in tried and endpoint.accepts_calls:
+            if address in tried or not endpoint.accepts_calls:
+                continue
+            if self._rate_limits.call_at(endpoint, now) <= latest_at:
                 return True
         return False
 
@@ -318,8 +365,10 @@
         even at its lower speed; others would be late there and wait.
         """
         slot = self.planner.slot_kind(address, now)
+        endpoint = self._endpoints[address]
+        if slot > NO_SLOT and self._rate_limits.is_limited(endpoint):
+            return True
         if slot > NO_SLOT and self._should_yield(call, now):
-            endpoint = self._endpoints[address]
             return endpoint.spare_slots > min(1, endpoint.slots - 1)
         if slot == FREE_SLOT:
             return True
@@ -371,10 +420,10 @@
         name = announcement.instance or announcement.endpoint
         return f"{name}#{announcement.incarnation}"
 
-    def instance_at(self, address: str) -> str:
-        """Return the instance's name at an address; empty if unnamed."""
+    def process_at(self, address: str) -> ProcessKey | None:
+        """Return the process at an address, if there is one."""
         endpoint = self._endpoints.get(address)
-        return "" if endpoint is None else endpoint.announcement.instance
+        return None if endpoint is None else endpoint.announcement.process_key
 
     def basis(self, address: str, now: float) -> dict[str, float]:
         """Return the data known about an endpoint, for the log."""
@@ -440,6 +489,7 @@
             endpoint, call.sent_at(attempt)
         )
         endpoint.count_send(now)
+        self._rate_limits.count_call(endpoint, now)
 
     def record_cancel(self, call: Call, attempt: int, now: float) -> None:
         """Record an attempt that was cancelled."""
@@ -508,6 +558,7 @@
             self._probes.postpone(now)
             return None
         self._probes.spend(now)
+        self._rate_limits.count_query(ejected, now)
         ejected.probed_at = now
         return ejected.address
 
--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -10,6 +10,7 @@
 from .evacuations import EvacuationUpdate
 from .follow_protocol import FollowReply
 from .histories import Delta
+from .limit_boards import LimitUpdate
 from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
 from .quarantines import QuarantineUpdate
@@ -53,7 +54,9 @@
     the replicas' membership, of the quarantine cases and of the evacuated
     availability zones that it holds; ``group`` is the digest of its list of
     entries. The reply may be held for ``hold_s`` seconds. ``calls_per_s`` is
-    the rate of calls that the entry receives.
+    the rate of calls that the entry receives. ``limits`` is the watermark of
+    the replica's board of rate limits that the entry holds, None from an
+    entry that does not know of limits.
     """
 
     entry: EntryInfo
@@ -65,6 +68,7 @@
     quarantine: int = 0
     evacuations: int = 0
     group: int = 0
+    limits: Watermark | None = None
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -79,7 +83,8 @@
     ``calls_per_s`` is the sum of the rates that they report, and ``counted``
     says that both are complete. ``quarantine`` lists the requests that crash
     endpoints, ``evacuations`` the evacuated availability zones, ``group``
-    all entries; each is None if unchanged.
+    all entries, ``limits`` the rate limits of endpoints; each is None if
+    unchanged.
     """
 
     deltas: dict[str, Delta]
@@ -94,6 +99,7 @@
     quarantine: QuarantineUpdate | None = None
     evacuations: EvacuationUpdate | None = None
     group: EntryGroup | None = None
+    limits: LimitUpdate | None = None
 
 
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -1,10 +1,13 @@
 """Read an endpoint's reports on the call and on itself from its answer."""
 
+from math import isfinite
+
 from urllib3 import HTTPHeaderDict
 from urllib3.response import HTTPResponse
 
 from .errors import DaemonError
 from .protocols import ENTRY_HEADER
+from .protocols import LIMIT_HEADER
 from .protocols import LOAD_HEADER
 from .protocols import NOT_RUN_HEADER
 from .protocols import OUTCOME_HEADER
@@ -73,8 +76,19 @@
 
     def rate_limit(self, headers: HTTPHeaderDict) -> float | None:
         """Return the calls a second that the endpoint takes, if limited."""
-        return None
+        return read_rate_limit(headers.get(LIMIT_HEADER))
 
     def is_forwarded(self, name: str) -> bool:
         """Return whether a header, in lower case, is forwarded to callers."""
         return name not in ENTRY_HEADERS
+
+
+def read_rate_limit(text: str | None) -> float | None:
+    """Return a limit in calls a second; None if there is no valid one."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if isfinite(limit) and limit >= 0 else None
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -249,7 +249,7 @@
             loss=reply.loss,
             crashed=reply.loss == CLOSED
             and self._sender.refuses_connections(send.endpoint),
-            rate_limit=reply.rate_limit,
+            notice=reply.notice(send.process_key),
         )
         self._runner.schedule(self.dispatcher.end_attempt, call, result)
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -21,10 +21,14 @@
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
 from nutmegchute_core.evacuations import EvacuationUpdate
+from nutmegchute_core.limit_boards import LimitUpdate
+from nutmegchute_core.members import ProcessKey
+from nutmegchute_core.notices import Notice
 from nutmegchute_core.quarantines import QuarantineUpdate
 from nutmegchute_core.quarantines import Report
 from nutmegchute_core.quarantines import Ruling
 from nutmegchute_core.quarantines import TrialRequest
+from nutmegchute_core.rate_limits import BY_OTHERS
 from nutmegchute_core.rules import Rule
 
 from .connections import Exchange
@@ -44,6 +48,7 @@
 QueryLoad = Callable[[Probe], None]
 Settle = Callable[[PendingCall, str], None]
 SubmitReports = Callable[[list[Report]], None]
+SubmitLimits = Callable[[list[ProcessKey]], None]
 
 
 class Dispatcher:
@@ -63,6 +68,7 @@
         "_settle",
         "_timer",
         "_wakeup_at",
+        "on_limits",
         "on_reports",
     )
 
@@ -90,6 +96,8 @@
         self._hedges_in_flight = 0
         # Called with the crash reports to submit to control.
         self.on_reports: SubmitReports
+        # Called with the processes whose limits changed by answers here.
+        self.on_limits: SubmitLimits
         self._ending = False
         self._hedge_threads = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
@@ -150,8 +158,8 @@
             send["ms"] = round(result.latency_s * 1000, 1)
             send["load"] = result.load
             send["then"] = result.stretch
-            if result.rate_limit is not None:
-                send["limit"] = result.rate_limit
+            if result.notice is not None:
+                _log_notice(send, result.notice)
             if result.loss:
                 send["loss"] = result.loss
             if result.crashed:
@@ -179,6 +187,11 @@
         now = self._loop.time()
         self.perform(self._balancer.apply_evacuations(received, now))
 
+    def apply_limits(self, update: LimitUpdate) -> None:
+        """Apply the rate limits of endpoints that others have learned."""
+        now = self._loop.time()
+        self.perform(self._balancer.apply_limits(update, now))
+
     def apply_ruling(
         self, request: TrialRequest, ruling: Ruling | None
     ) -> None:
@@ -194,6 +207,7 @@
         stretch: float | None,
         answered: bool,
         cold_s: float | None,
+        notice: Notice | None,
     ) -> None:
         """Record a probe's result; without load or answer it has failed."""
         self._metrics.count("probes")
@@ -207,6 +221,7 @@
                 stretch,
                 answered,
                 cold_s,
+                notice,
             )
         )
 
@@ -247,8 +262,26 @@
         reports = self._balancer.pop_reports()
         if reports:
             self.on_reports(reports)
+        self._report_limits()
         self._schedule_wakeup()
 
+    def _report_limits(self) -> None:
+        learned = []
+        for change in self._balancer.rate_limits.pop_changes():
+            report = change.report
+            log(
+                Event.LIMIT_CHANGED,
+                endpoint=report.endpoint,
+                instance=report.instance,
+                limit=report.per_s,
+                source=change.source,
+                age_ms=round(report.age_s * 1000, 1),
+            )
+            if change.source != BY_OTHERS:
+                learned.append(report.process_key)
+        if learned:
+            self.on_limits(learned)
+
     def sweep(self) -> None:
         """End overdue exchanges and calls whose caller has disconnected."""
         now = time.monotonic()
@@ -364,6 +397,11 @@
         self.perform(self._balancer.tick(self._loop.time()))
 
 
+def _log_notice(send: dict[str, Any], notice: Notice) -> None:
+    if notice.rate_limit is not None:
+        send["limit"] = notice.rate_limit
+
+
 def end_call(call: PendingCall, action: CallAction) -> None:
     """Queue the final action of a call and record it for the log."""
     call.record.outcome = type(action).__name__.lower()
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -19,6 +19,7 @@
 from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.entry_groups import group_of
 from nutmegchute_core.follow_protocol import FollowReply
+from nutmegchute_core.limit_boards import LimitUpdate
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import read_services
@@ -88,7 +89,9 @@
             links=self._links,
             members=self._members,
             directory=self._directory,
+            limits=self._balancer.rate_limits.board,
             on_change=self._update_upstreams,
+            on_limits=self._apply_limits,
         )
         self._connections = ConnectionPool()
         self._handler = CallHandler(
@@ -117,6 +120,8 @@
             self._dispatcher.apply_ruling,
         )
         self._dispatcher.on_reports = self._reporter.submit
+        # The next gossip carries the limits; see Gossiper.
+        self._dispatcher.on_limits = lambda processes: None
         self._handler.dispatcher = self
         pages = EntryPages(self, self._runner, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._runner, self.stop)
@@ -142,6 +147,7 @@
             "upstreams": len(self._members.live(now)),
             "entries": len(self._directory.usable(now)),
             "config_index": self._follower.index,
+            "limited": self._balancer.count_limited(),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
@@ -299,6 +305,9 @@
         now = self._loop.time()
         self._dispatcher.perform(self._balancer.update_upstreams(live, now))
 
+    def _apply_limits(self, update: LimitUpdate) -> None:
+        self._dispatcher.apply_limits(update)
+
     def _apply_documents(self, reply: FollowReply) -> None:
         now = self._loop.time()
         assert reply.documents is not None
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -67,6 +67,8 @@
     QUARANTINE_UNREACHABLE = ("NC3022", "no leader accepted the crash reports")
     QUARANTINE_APPLIED = ("NC3023", "quarantine cases changed")
     EVACUATIONS_APPLIED = ("NC3024", "evacuated availability zones changed")
+    LIMIT_CHANGED = ("NC3025", "rate limit of an endpoint changed")
+    LIMITS_UNREPORTED = ("NC3026", "rate limits could not be reported")
     EVACUATION_ORDERED = ("NC2023", "evacuation begun or finished")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
--- a/packages/daemon/nutmegchute_daemon/gossips.py
+++ b/packages/daemon/nutmegchute_daemon/gossips.py
@@ -6,8 +6,12 @@
 import msgspec
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.limit_boards import LimitBoard
+from nutmegchute_core.limit_boards import LimitUpdate
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import GossipMessage
+from nutmegchute_core.mirrors import NO_WATERMARK
+from nutmegchute_core.mirrors import Watermark
 from nutmegchute_core.rosters import Roster
 
 from .clocks import boot_time
@@ -26,12 +30,17 @@
 
     ``demand`` maps availability zones to their callers' recent lookups of
     entries; ``message`` carries the endpoints that announce to the sender.
+    ``limits`` carries the rate limits that it learned from answers and the
+    receiver lacks; ``held_limits`` is the watermark up to which it holds the
+    receiver's, None from an entry that does not know of limits.
     """
 
     entry: EntryInfo
     grpc_address: str
     demand: dict[str, float]
     message: GossipMessage
+    limits: LimitUpdate | None = None
+    held_limits: Watermark | None = None
 
 
 EXCHANGE = Method("Membership", "Exchange", Gossip, Gossip)
@@ -48,10 +57,14 @@
         "_directory",
         "_exchanged_at",
         "_links",
+        "_limits",
+        "_limits_held",
+        "_limits_known",
         "_live_version",
         "_members",
         "_names",
         "_on_change",
+        "_on_limits",
         "_sent_state",
         "_settings",
         "_tasks",
@@ -63,16 +76,24 @@
         links: Links,
         members: Roster,
         directory: Directory,
+        limits: LimitBoard,
         on_change: Callable[[list[Announcement]], None],
+        on_limits: Callable[[LimitUpdate], None],
     ) -> None:
         self._settings = settings
         self._links = links
         self._members = members
         self._directory = directory
+        self._limits = limits
+        # By entry: the watermark of its limits held here, and that of the
+        # limits of this entry held there.
+        self._limits_held: dict[str, Watermark] = {}
+        self._limits_known: dict[str, Watermark] = {}
         self._on_change = on_change
+        self._on_limits = on_limits
         self._exchanged_at: dict[str, float] = {}
         self._names: dict[str, str] = {}
-        self._sent_state = (members.generation, False)
+        self._sent_state = self._state()
         self._live_version: tuple[object, ...] = ()
         self._tasks: set[asyncio.Task[None]] = set()
         links.serve(EXCHANGE, self._on_gossip)
@@ -82,7 +103,7 @@
         now = boot_time()
         self._members.expire(now)
         self._directory.expire(now)
-        state = (self._members.generation, self._directory.own_entry.draining)
+        state = self._state()
         urgent = state != self._sent_state
         self._sent_state = state
         for address in self._peers():
@@ -95,6 +116,14 @@
                 self._start_exchange(address, now)
         self.refresh()
 
+    def _state(self) -> tuple[object, ...]:
+        """Return a value whose changes are sent at once."""
+        return (
+            self._members.generation,
+            self._directory.own_entry.draining,
+            self._limits.own_watermark,
+        )
+
     def refresh(self) -> None:
         """Pass the live endpoints to ``on_change`` if they have changed."""
         now = boot_time()
@@ -136,17 +165,25 @@
 
     def _build_gossip(self, peer_name: str) -> Gossip:
         now = boot_time()
+        known = self._limits_known.get(peer_name)
+        limits = None
+        if known is not None:
+            loop_now = asyncio.get_running_loop().time()
+            limits = self._limits.since(known, loop_now, own_only=True)
         return Gossip(
             entry=self._directory.own_entry,
             grpc_address=self._settings.grpc_address,
             demand=self._directory.demand(now),
             message=self._members.build_message(peer_name, now),
+            limits=limits,
+            held_limits=self._limits_held.get(peer_name, NO_WATERMARK),
         )
 
     def _receive(self, gossip: Gossip) -> None:
         now = boot_time()
         name = gossip.entry.name
         self._names[gossip.grpc_address] = name
+        self._receive_limits(name, gossip)
         valid_at = self._members.receive(name, gossip.message, now)
         if valid_at is None:
             # One of the two entries is new to the other, so the age of this
@@ -157,3 +194,12 @@
         self._exchanged_at[gossip.grpc_address] = now
         self._directory.update(gossip.entry, gossip.demand, valid_at)
         self.refresh()
+
+    def _receive_limits(self, name: str, gossip: Gossip) -> None:
+        if gossip.held_limits is None:
+            self._limits_known.pop(name, None)
+        else:
+            self._limits_known[name] = gossip.held_limits
+        if gossip.limits is not None:
+            self._limits_held[name] = gossip.limits.watermark
+            self._on_limits(gossip.limits)
--- a/packages/daemon/nutmegchute_daemon/methods.py
+++ b/packages/daemon/nutmegchute_daemon/methods.py
@@ -7,6 +7,7 @@
 from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.follow_protocol import FollowRequest
 from nutmegchute_core.follow_protocol import RelayReply
+from nutmegchute_core.limit_boards import LimitReports
 from nutmegchute_core.peers import Acknowledgement
 from nutmegchute_core.peers import Confirmation
 from nutmegchute_core.peers import PeerReply
@@ -20,4 +21,7 @@
 RELAY = Method("Configuration", "Relay", FollowRequest, RelayReply)
 WATCH = Method("Endpoints", "Watch", WatchRequest, WatchReply)
 PEER = Method("Endpoints", "Peer", PeerRequest, PeerReply)
+REPORT_LIMITS = Method(
+    "Endpoints", "ReportLimits", LimitReports, Acknowledgement
+)
 SEEN = Method("Endpoints", "Seen", Confirmation, Acknowledgement)
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -32,6 +32,7 @@
     "probes": (COUNTER, "probes"),
     "in_flight": (GAUGE, "calls"),
     "upstreams": (GAUGE, "endpoints"),
+    "limited": (GAUGE, "endpoints"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
--- a/packages/daemon/nutmegchute_daemon/peers.py
+++ b/packages/daemon/nutmegchute_daemon/peers.py
@@ -11,6 +11,7 @@
 from .events import log
 from .links import Links
 from .methods import PEER
+from .methods import REPORT_LIMITS
 from .methods import SEEN
 from .methods import WATCH
 from .registrars import Registrar
@@ -46,6 +47,7 @@
         links.serve(WATCH, registrar.handle_watch)
         links.serve(PEER, registrar.handle_peer_request)
         links.serve(SEEN, registrar.handle_confirmation)
+        links.serve(REPORT_LIMITS, registrar.handle_limits)
 
     def start(self) -> None:
         """Start sending confirmations."""
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from nutmegchute_core.calls import Probe
+from nutmegchute_core.notices import Notice
 from urllib3 import HTTPHeaderDict
 
 from .connections import Exchange
@@ -20,7 +21,16 @@
 MAX_PENDING = 32
 
 OnResult = Callable[
-    [Probe, int | None, float, float | None, bool, float | None], None
+    [
+        Probe,
+        int | None,
+        float,
+        float | None,
+        bool,
+        float | None,
+        Notice | None,
+    ],
+    None,
 ]
 
 
@@ -70,6 +80,7 @@
         load = None
         stretch = None
         cold_s = None
+        notice = None
         answered = False
         try:
             reply = self._sender.send(
@@ -80,10 +91,18 @@
                 load = reply.load
                 stretch = reply.stretch
                 cold_s = reply.cold_s
+            notice = reply.notice(probe.process_key, to_query=True)
             reply.close()
         finally:
             self._pending -= 1
         latency_s = time.monotonic() - started
         self._runner.schedule(
-            self.on_result, probe, load, latency_s, stretch, answered, cold_s
+            self.on_result,
+            probe,
+            load,
+            latency_s,
+            stretch,
+            answered,
+            cold_s,
+            notice,
         )
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from nutmegchute_core.discovery import Discovery
-from nutmegchute_core.entry_groups import EntryGroup
+from nutmegchute_core.limit_boards import LimitReports
 from nutmegchute_core.long_polls import quarantine_since
 from nutmegchute_core.long_polls import tree_changes_since
 from nutmegchute_core.members import Announcement
@@ -313,6 +313,12 @@
         self._progress.notify()
         return Acknowledgement()
 
+    async def handle_limits(self, request: LimitReports) -> Acknowledgement:
+        """Record the rate limits that an entry learned from endpoints."""
+        if self._discovery.record_limits(request.reports, boot_time()):
+            self._changes.notify(NOTIFY_GAP_S)
+        return Acknowledgement()
+
     def handle_reply(self, address: str, reply: PeerReply) -> None:
         """Apply another replica's reply to a poll."""
         discovery = self._discovery
@@ -408,13 +414,6 @@
                 return member.availability_zone == zone
         return False
 
-    def _entry_group(
-        self, node: Node, request: WatchRequest
-    ) -> EntryGroup | None:
-        if not _bounds_warm_up(node):
-            return None
-        return self._discovery.group(request.group, boot_time())
-
     def _build_reply(self, request: WatchRequest) -> WatchReply:
         discovery = self._discovery
         now = boot_time()
@@ -444,19 +443,11 @@
             tree=tree_changes_since(node, request.index, True),
             quarantine=quarantine_since(node, request.quarantine),
             evacuations=node.machine.evacuations.since(request.evacuations),
-            group=self._entry_group(node, request),
+            group=discovery.group(request.group, now),
+            limits=discovery.limits_since(request.limits, now),
         )
 
 
-def _bounds_warm_up(node: Node) -> bool:
-    """Return whether a service bounds the calls to cold endpoints."""
-    for document in node.machine.tree.documents.values():
-        for service in document["services"].values():
-            if "warm_up_per_s" in service:
-                return True
-    return False
-
-
 def _replicas_since(node: Node, known: int) -> list[ReplicaInfo] | None:
     """List the replicas; None if unchanged since a log index."""
     if node.replica.log.membership_index <= known:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -18,6 +18,7 @@
 from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Process
+from nutmegchute_core.mirrors import NO_WATERMARK
 from nutmegchute_core.pauses import PauseDetector
 from nutmegchute_core.probe_shares import CallRate
 from nutmegchute_core.probe_shares import ProbeShare
@@ -42,6 +43,7 @@
 from .events import Event
 from .events import log
 from .exchanges import StrictRequest
+from .limit_reporters import LimitReporter
 from .pending_calls import PendingCall
 from .probes import Prober
 from .quarantines import QuarantineReporter
@@ -137,6 +139,13 @@
             self._dispatcher.apply_ruling,
         )
         self._dispatcher.on_reports = self._reporter.submit
+        self._limits_watermark = NO_WATERMARK
+        self._limit_reporter = LimitReporter(
+            self._balancer.rate_limits.board,
+            self._links,
+            lambda: self._watcher.replicas,
+        )
+        self._dispatcher.on_limits = self._limit_reporter.submit
         self._prober.on_result = self._dispatcher.record_probe
         self._handler.dispatcher = self
         self._handler.buffer_limit = self._buffer_bytes
@@ -156,6 +165,7 @@
         self.run_every(SWEEP_S, self._sweep)
         self.run_every(EXPIRE_S, self._expire)
         self.run_every(0, self._reporter.run)
+        self.run_every(0, self._limit_reporter.run)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges that show whether this entry can serve."""
@@ -164,6 +174,7 @@
             "upstreams": len(self._catalog.live()),
             "entries": self._entry_count,
             "config_index": self._tree.index,
+            "limited": self._balancer.count_limited(),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
@@ -302,6 +313,7 @@
             self._balancer.quarantine_index,
             self._balancer.evacuations.index,
             self._balancer.groups.digest,
+            self._limits_watermark,
         )
 
     def handle_reply(self, replica: str, reply: WatchReply) -> None:
@@ -326,6 +338,9 @@
             self._apply_tree()
         if reply.quarantine is not None:
             self._dispatcher.apply_quarantine(reply.quarantine)
+        if reply.limits is not None:
+            self._limits_watermark = reply.limits.watermark
+            self._dispatcher.apply_limits(reply.limits)
         changed = self._catalog.refresh(reply.unreachable, boot_time())
         for source, delta in reply.deltas.items():
             changed |= self._catalog.apply(source, delta, boot_time())
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -10,6 +10,8 @@
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.members import ProcessKey
+from nutmegchute_core.notices import Notice
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
@@ -222,12 +224,14 @@
             return None
         return self._format.stretch(self._response.headers)
 
-    @property
-    def rate_limit(self) -> float | None:
-        """Return the calls a second that the endpoint takes, if limited."""
-        if self._response is None:
+    def notice(
+        self, process_key: ProcessKey, to_query: bool = False
+    ) -> Notice | None:
+        """Return what the answer asks of callers, None without an answer."""
+        if self._response is None or self.is_misdirected:
             return None
-        return self._format.rate_limit(self._response.headers)
+        limit = self._format.rate_limit(self._response.headers)
+        return Notice(process_key, limit, to_query)
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the answer's headers without the hop-by-hop ones."""
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -70,6 +70,13 @@
         self._pending: asyncio.Task[WatchReply | None] | None = None
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def replicas(self) -> list[str]:
+        """Return the replicas' addresses, the watched one first."""
+        active = self._chooser.active
+        others = [one for one in self._chooser.addresses if one != active]
+        return others if active is None else [active, *others]
+
     def start(self) -> None:
         """Start sending requests."""
         self._task = asyncio.ensure_future(self._run())
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -71,9 +71,10 @@
         self.zone = "surco"
         # The remaining warm-up on its health page, in milliseconds.
         self.warm_up_ms = 0
-        # Further headers of its answers to requests.
+        # Further headers of its answers.
         self.headers: dict[str, str] = {}
-        # When requests arrived, by the monotonic clock.
+        # When requests, health checks included, arrived, by the monotonic
+        # clock.
         self.arrivals: list[float] = []
         self.sequence = 0
         self.connections: list[socket.socket] = []
@@ -133,7 +134,9 @@
             length = int(self.headers.get("Content-Length", 0))
             content = self.rfile.read(length)
             if self.path == "/healthz":
-                self._respond(200, b"", Warmup_Ms=str(endpoint.warm_up_ms))
+                endpoint.arrivals.append(time.monotonic())
+                warm_up = str(endpoint.warm_up_ms)
+                self._respond(200, b"", Warmup_Ms=warm_up, **endpoint.headers)
                 return
             target_instance = self.headers.get("Target-Instance")
             if target_instance != endpoint.instance:
--- a/tests/test_choosers.py
+++ b/tests/test_choosers.py
@@ -8,7 +8,9 @@
 from nutmegchute_core.endpoints import Endpoint
 from nutmegchute_core.endpoints import FIRST_EJECTION_S
 from nutmegchute_core.endpoints import WARM_UP_S
+from nutmegchute_core.entry_groups import EntryGroups
 from nutmegchute_core.policies import Policy
+from nutmegchute_core.rate_limits import RateLimits
 from support import announcement
 
 MEAN_S = 0.02
@@ -18,14 +20,14 @@
     count: int, probed: bool = False, zone: str = "surco"
 ) -> tuple[Chooser, list[Endpoint]]:
     """Build a chooser whose endpoints all have the same latency and load."""
-    chooser = Chooser(Random(5), Policy(), probed)
+    chooser = Chooser(Random(5), Policy(), probed, RateLimits(EntryGroups()))
     endpoints = [
         Endpoint(
             announcement(f"{number}:1", availability_zone=zone), True, None
         )
         for number in range(count)
     ]
-    chooser.update(endpoints)
+    chooser.update(endpoints, 0.0)
     for endpoint in endpoints:
         chooser.record_load(endpoint, 1, 0.0)
         chooser.record_answer(endpoint, MEAN_S, 0.0)
@@ -124,7 +126,7 @@
         endpoint.announcement = announcement(
             endpoint.address, availability_zone="miraflores"
         )
-    chooser.update([*endpoints[:3], *far])
+    chooser.update([*endpoints[:3], *far], 0.0)
     for endpoint in far:
         chooser.record_load(endpoint, 1, 1.0)
     for endpoint in far[:2]:
@@ -139,7 +141,7 @@
     """Guard against 16 entries that all flood a new, idle endpoint."""
     chooser, endpoints = build_chooser(3)
     cold = Endpoint(announcement("cold:1"), True, 10.0)
-    chooser.update([*endpoints, cold])
+    chooser.update([*endpoints, cold], 0.0)
     assert "cold:1" not in count_choices(chooser, 10.0)
     assert "cold:1" in count_choices(chooser, 10.1 + WARM_UP_S)
 
@@ -162,6 +164,6 @@
     """Guard against a draining endpoint that still reports its load."""
     chooser, endpoints = build_chooser(100)
     draining = endpoints[-1]
-    chooser.update(endpoints[:-1])
+    chooser.update(endpoints[:-1], 0.0)
     chooser.record_load(draining, 0, 1.0)
     assert draining.address not in count_choices(chooser, 1.0)
--- a/tests/test_gossips.py
+++ b/tests/test_gossips.py
@@ -6,6 +6,8 @@
 import pytest
 from nutmegchute_core.directories import Directory
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.limit_boards import LimitBoard
+from nutmegchute_core.limit_boards import LimitUpdate
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.rosters import Roster
 from nutmegchute_daemon import gossips
@@ -61,6 +63,7 @@
         self.roster = Roster(1000 * (number + 1))
         self.directory = Directory(EntryInfo(self.name, address, "surco"))
         self.live: list[Announcement] = []
+        self.limits = LimitBoard(number + 1)
         links: Any = FakeLinks(network, SEEDS[number])
         settings = Settings(
             {
@@ -77,9 +80,16 @@
             links=links,
             members=self.roster,
             directory=self.directory,
+            limits=self.limits,
             on_change=self.record_live,
+            on_limits=self.apply_limits,
         )
 
+    def apply_limits(self, update: LimitUpdate) -> None:
+        """Apply limits that another entry learned."""
+        now = asyncio.get_running_loop().time()
+        self.limits.apply(update.reports, now, is_own=False)
+
     def record_live(self, live: list[Announcement]) -> None:
         """Record the endpoints reported last."""
         self.live = live
@@ -148,6 +158,31 @@
     asyncio.run(scenario())
 
 
+def test_changed_limit_is_sent_once_to_each_entry(
+    simulation: Simulation,
+) -> None:
+    """Guard against limits that entries pass on to one another for ever."""
+    key = (A, "", 1)
+
+    async def scenario() -> None:
+        await simulation.run(3 * GOSSIP_S)
+        begin = asyncio.get_running_loop().time() - 10.0
+        for number, limit in enumerate((2.0, 0.5, None)):
+            simulation.network.requests.clear()
+            answered_at = begin + number
+            simulation.entries[0].limits.record(key, limit, answered_at, True)
+            await simulation.run(2 * TICK_S)
+            for entry in simulation.entries:
+                record = entry.limits.find(key)
+                assert record is not None
+                assert record.per_s == limit
+            await simulation.run(3 * GOSSIP_S)
+            sent = [one for one in simulation.network.requests if one.limits]
+            assert len(sent) <= ENTRIES - 1
+
+    asyncio.run(scenario())
+
+
 def test_unreachable_entry_is_not_returned_to_callers(
     simulation: Simulation,
 ) -> None:
--- a/tests/test_rate_limits_wire.py
+++ b/tests/test_rate_limits_wire.py
@@ -95,7 +95,6 @@
     return most
 
 
-@pytest.mark.known_red
 def test_routers_together_keep_to_an_endpoints_rate_limit(site: Site) -> None:
     """Guard against routers that each ignore a limit named in answers."""
     limited = Endpoint("i-1", "desk")
