Test an upstream's rate limit through the entries' own interface

The fake upstream names a limit where a test asks it to and lists what reached it, load queries included.

--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -15,7 +15,9 @@
   --key=KEY            Key of the service, sent with announcements.
   --record=PATH        File that gets a line per run, kept after a kill.
 
-A call to CRASH_PATH is recorded and ends the process.
+A call to CRASH_PATH is recorded and ends the process. A JSON object sent to
+DEMANDS_PATH sets what the upstream asks of entries in all its answers;
+SEEN_PATH lists the Unix times at which calls and load queries arrived.
 """
 
 import os
@@ -41,14 +43,30 @@
 CRASH_PATH = "/crash"
 CRASH_STATUS = 70
 
+DEMANDS_PATH = "/_demands"
+SEEN_PATH = "/_seen"
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
+class Demands(msgspec.Struct, frozen=True):
+    """Hold what an upstream asks of entries in its answers."""
+
+    limit: float | None = None
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers of every answer."""
+        if self.limit is None:
+            return []
+        return [("Nutmegchute-Limit", str(self.limit))]
+
+
 class FakeUpstream:
     """Serve calls on a few slots and record which requests ran."""
 
     __slots__ = (
         "_address",
+        "_demands",
         "_draining",
         "_free_slots",
         "_in_flight",
@@ -56,6 +74,7 @@
         "_lock",
         "_ran",
         "_record",
+        "_seen",
         "_service",
         "_service_s",
         "_slots",
@@ -82,6 +101,8 @@
         self._ran: list[str] = []
         self._record = record.open("a") if record is not None else None
         self._draining = False
+        self._demands = Demands()
+        self._seen: list[float] = []
         self._incarnation = time.time_ns()
 
     @property
@@ -99,8 +120,15 @@
         if path == "/_drain":
             self.drain()
             return _answer(start_response, {}, [])
+        if path == DEMANDS_PATH:
+            content = environ["wsgi.input"].read()
+            self._demands = msgspec.json.decode(content, type=Demands)
+            return _answer(start_response, {}, [])
+        if path == SEEN_PATH:
+            return _answer(start_response, self._seen, [])
+        self._seen.append(time.time())
         if path == "/nutmegchute/load":
-            headers = [("Nutmegchute-Load", str(self._in_flight))]
+            headers = self._report_headers(self._in_flight)
             return _answer(start_response, {}, headers)
         return self._run(environ, start_response)
 
@@ -108,6 +136,9 @@
         """Announce from now on that the endpoint is draining."""
         self._draining = True
 
+    def _report_headers(self, load: int) -> list[tuple[str, str]]:
+        return [("Nutmegchute-Load", str(load)), *self._demands.headers()]
+
     def _record_run(self, request_id: str, environ: dict[str, Any]) -> None:
         self._ran.append(request_id)
         if self._record is None:
@@ -147,7 +178,7 @@
         if overloaded:
             headers = [
                 ("Nutmegchute-Not-Run", "shed"),
-                ("Nutmegchute-Load", str(self._in_flight)),
+                *self._report_headers(self._in_flight),
             ]
             return _answer(start_response, {}, headers, "503 Shed")
         with self._free_slots:
@@ -165,7 +196,7 @@
             "echo": request_id,
             "bytes": len(body),
         }
-        headers = [("Nutmegchute-Load", str(load))]
+        headers = self._report_headers(load)
         return _answer(start_response, answer, headers)
 
 
--- a/tests/test_rate_limits_wire.py
+++ b/tests/test_rate_limits_wire.py
@@ -3,13 +3,22 @@
 import itertools
 import threading
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
+from nutmegchute_fakes.clusters import Cluster
+from nutmegchute_fakes.clusters import OPERATOR_KEY
+from nutmegchute_fakes.clusters import Process
+from nutmegchute_fakes.demo import apply_declaration
+from nutmegchute_fakes.demo import build_declaration
+from nutmegchute_fakes.upstreams import DEMANDS_PATH
+from nutmegchute_fakes.upstreams import SEEN_PATH
 from platform_standins import Endpoint
+from platform_standins import send_request
 from platform_standins import Site
 from platform_standins import wait_for
 from test_platform_wire import build_configuration
@@ -48,18 +57,39 @@
     return answer is not None and answer.status == HTTP_OK
 
 
-def has_served(site: Site, router: int) -> bool:
-    """Send a request to a router; return whether it was served."""
+def call_router(site: Site, router: int) -> int:
+    """Send a request to a router; return its status, 0 without an answer."""
     answer = site.request("/look/1", f"limit-{next(NAMES)}", router)
-    return answer is not None and answer.status == HTTP_OK
+    return 0 if answer is None else answer.status
+
+
+def call_entry(entries: list[Process], number: int) -> int:
+    """Send a call to an entry; return its status, 0 without an answer."""
+    url = f"http://{entries[number].address}/call/prestamos/shelf"
+    answer = send_request("GET", url)
+    return 0 if answer is None else answer.status
+
+
+def has_served(call: Callable[[int], int], entry: int) -> bool:
+    """Return whether an entry serves a call."""
+    return call(entry) == HTTP_OK
+
+
+def lists_both(cluster: Cluster, entry: Process) -> bool:
+    """Return whether an entry knows both upstreams."""
+    status = cluster.fetch(entry)
+    return status is not None and len(status["upstreams"]) == 2
 
 
 class Callers:
-    """Send requests to every router, one after the other at each."""
+    """Send requests to every entry, one after the other at each.
+
+    ``call`` sends one to the entry of a number and returns its status.
+    """
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, call: Callable[[int], int]) -> None:
         self.statuses: list[int] = []
-        self._site = site
+        self._call = call
         self._stop = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(number,))
@@ -75,12 +105,9 @@
         for thread in self._threads:
             thread.join()
 
-    def _run(self, router: int) -> None:
+    def _run(self, entry: int) -> None:
         while not self._stop.wait(CALL_GAP_S):
-            answer = self._site.request(
-                "/look/1", f"limit-{next(NAMES)}", router
-            )
-            self.statuses.append(0 if answer is None else answer.status)
+            self.statuses.append(self._call(entry))
 
 
 def max_in_window(arrivals: list[float], begin: float) -> int:
@@ -100,12 +127,13 @@
     limited = Endpoint("i-1", "desk")
     free = Endpoint("i-2", "desk")
     heartbeats = HeartbeatSender(site, limited, free)
+    call = partial(call_router, site)
     try:
         for number in range(ROUTERS):
-            wait_for(partial(has_served, site, number), f"router {number}")
+            wait_for(partial(has_served, call, number), f"router {number}")
         limited.headers = {"Server-Limit": str(LIMIT_PER_S)}
         named_at = time.monotonic()
-        callers = Callers(site)
+        callers = Callers(call)
         callers.run_for(LEARN_S + 2 * WINDOW_S)
         assert max_in_window(limited.arrivals, named_at + LEARN_S) <= MAX_CALLS
         # The other endpoint has room for all calls.
@@ -114,3 +142,33 @@
         heartbeats.stop()
         limited.stop()
         free.stop()
+
+
+def test_entries_together_keep_to_an_upstreams_rate_limit(
+    tmp_path: Path,
+) -> None:
+    """Guard against the same failure through the entries' own interface."""
+    cluster = Cluster(tmp_path, ["miraflores", "surco"])
+    try:
+        cluster.start(3, ROUTERS, entries_keep_s=1.0)
+        controls = [one.address for one in cluster.controls]
+        apply_declaration(
+            tmp_path, build_declaration(2000), controls, OPERATOR_KEY
+        )
+        limited = cluster.add_upstream("prestamos")
+        cluster.add_upstream("prestamos")
+        for entry in cluster.entries:
+            cluster.wait_for(entry.name, partial(lists_both, cluster, entry))
+        call = partial(call_entry, cluster.entries)
+        for number in range(ROUTERS):
+            wait_for(partial(has_served, call, number), f"entry {number}")
+        url = f"http://{limited.address}"
+        send_request("POST", url + DEMANDS_PATH, {"limit": LIMIT_PER_S})
+        named_at = time.time()
+        callers = Callers(call)
+        callers.run_for(LEARN_S + 2 * WINDOW_S)
+        seen = send_request("GET", url + SEEN_PATH).json()
+        assert max_in_window(seen, named_at + LEARN_S) <= MAX_CALLS
+        assert set(callers.statuses) == {HTTP_OK}
+    finally:
+        cluster.stop()
