Log for how long an endpoint's answer asks this entry to rest

The logs could not tell whether routers do not know that an endpoint asks for rest, or rest too briefly. Each attempt of NC3016 has 'rest_s' now; nothing decides by it yet.

--- a/packages/core/nutmegchute_core/notices.py
+++ b/packages/core/nutmegchute_core/notices.py
@@ -8,17 +8,21 @@
 
     ``process`` gave the answer. ``rate_limit`` is the number of calls a
     second that it takes from all entries together, None if it named none.
-    ``to_query`` says that it answered a load query, not a call.
+    ``rest_s`` is the time for which it wants nothing from this entry, None
+    if it did not ask for rest. ``to_query`` says that it answered a load
+    query, not a call.
     """
 
-    __slots__ = ("process", "rate_limit", "to_query")
+    __slots__ = ("process", "rate_limit", "rest_s", "to_query")
 
     def __init__(
         self,
         process: ProcessKey,
         rate_limit: float | None = None,
         to_query: bool = False,
+        rest_s: float | None = None,
     ) -> None:
         self.process = process
         self.rate_limit = rate_limit
+        self.rest_s = rest_s
         self.to_query = to_query
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -1,6 +1,9 @@
 """Read an endpoint's reports on the call and on itself from its answer."""
 
+import time
+from email.utils import parsedate_to_datetime
 from math import isfinite
+from math import nan
 
 from urllib3 import HTTPHeaderDict
 from urllib3.response import HTTPResponse
@@ -13,6 +16,11 @@
 from .protocols import OUTCOME_HEADER
 from .protocols import RAN_STATUS_HEADER
 
+# Rest of an endpoint whose Retry-After cannot be read, and the longest rest
+# that is taken from a header; a longer one is an error.
+UNREADABLE_REST_S = 1.0
+MAX_REST_S = 600.0
+
 # The statuses of an endpoint that sheds. "Not run" with any other status
 # cannot be true.
 SHED_STATUSES = frozenset({429, 503})
@@ -78,6 +86,17 @@
         """Return the calls a second that the endpoint takes, if limited."""
         return read_rate_limit(headers.get(LIMIT_HEADER))
 
+    def rest_s(self, response: HTTPResponse) -> float | None:
+        """Return for how long the endpoint wants nothing from this entry.
+
+        That is None unless the endpoint turned the request away and says
+        when it may be sent again.
+        """
+        if response.status not in SHED_STATUSES:
+            return None
+        text = response.headers.get("retry-after")
+        return None if text is None else read_rest_s(text, time.time())
+
     def is_forwarded(self, name: str) -> bool:
         """Return whether a header, in lower case, is forwarded to callers."""
         return name not in ENTRY_HEADERS
@@ -92,3 +111,25 @@
     except ValueError:
         return None
     return limit if isfinite(limit) and limit >= 0 else None
+
+
+def read_rest_s(text: str, now: float) -> float:
+    """Return the seconds in a Retry-After header (RFC 9110, 10.2.3).
+
+    ``now`` is the Unix time, for a header that holds a date. A fraction of a
+    second is accepted.
+    """
+    try:
+        rest_s = float(text)
+    except ValueError:
+        rest_s = _seconds_until(text, now)
+    if not rest_s >= 0:
+        return UNREADABLE_REST_S
+    return min(rest_s, MAX_REST_S)
+
+
+def _seconds_until(date: str, now: float) -> float:
+    try:
+        return max(0.0, parsedate_to_datetime(date).timestamp() - now)
+    except ValueError:
+        return nan
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -400,6 +400,8 @@
 def _log_notice(send: dict[str, Any], notice: Notice) -> None:
     if notice.rate_limit is not None:
         send["limit"] = notice.rate_limit
+    if notice.rest_s is not None:
+        send["rest_s"] = notice.rest_s
 
 
 def end_call(call: PendingCall, action: CallAction) -> None:
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -231,7 +231,8 @@
         if self._response is None or self.is_misdirected:
             return None
         limit = self._format.rate_limit(self._response.headers)
-        return Notice(process_key, limit, to_query)
+        rest_s = self._format.rest_s(self._response)
+        return Notice(process_key, limit, to_query, rest_s)
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the answer's headers without the hop-by-hop ones."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -71,6 +71,8 @@
         self.zone = "surco"
         # The remaining warm-up on its health page, in milliseconds.
         self.warm_up_ms = 0
+        # The Retry-After of an endpoint in mode "rest".
+        self.rest = "3"
         # Further headers of its answers.
         self.headers: dict[str, str] = {}
         # When requests, health checks included, arrived, by the monotonic
@@ -147,6 +149,15 @@
             if endpoint.mode == "full":
                 self._respond(503, b"", Not_Executed="1", **endpoint.headers)
                 return
+            if endpoint.mode == "rest":
+                self._respond(
+                    503,
+                    b"",
+                    Not_Executed="1",
+                    Retry_After=endpoint.rest,
+                    **endpoint.headers,
+                )
+                return
             endpoint.ran[name] += 1
             if endpoint.crashes(self.path, content):
                 endpoint.crashed.set()
