Reproduce routers that disturb the rest of an endpoint

Three routers, one control replica, three endpoints as real processes; one turns every call away with 503 and 3 s of rest.

--- /dev/null
+++ b/tests/test_rests_wire.py
@@ -0,0 +1,64 @@
+"""Test over loopback that entries let endpoints rest that ask them to."""
+
+import time
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+from platform_standins import Endpoint
+from platform_standins import Site
+from platform_standins import wait_for
+from test_platform_wire import build_configuration
+from test_platform_wire import HeartbeatSender
+from test_platform_wire import LOAN
+from test_platform_wire import LOOK
+from test_rate_limits_wire import call_router
+from test_rate_limits_wire import Callers
+from test_rate_limits_wire import has_accepted
+from test_rate_limits_wire import has_served
+from test_rate_limits_wire import HTTP_OK
+
+ROUTERS = 3
+REST_S = 3.0
+# Requests that are under way when an endpoint asks for rest may still come.
+GRACE_S = 0.5
+MAX_REQUESTS = 2
+RUN_S = 2.5
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    """Run a control replica and three routers with a configuration."""
+    found = Site(tmp_path, 1, ROUTERS)
+    found.start_all()
+    try:
+        configuration = build_configuration(1, 0, LOAN, LOOK)
+        wait_for(partial(has_accepted, found, configuration), "r1")
+        yield found
+    finally:
+        found.stop()
+
+
+@pytest.mark.known_red
+def test_routers_let_an_endpoint_rest(site: Site) -> None:
+    """Guard against calls to an endpoint that rejects fast and looks idle."""
+    resting = Endpoint("i-1", "desk")
+    others = [Endpoint("i-2", "desk"), Endpoint("i-3", "desk")]
+    heartbeats = HeartbeatSender(site, resting, *others)
+    call = partial(call_router, site)
+    try:
+        for number in range(ROUTERS):
+            wait_for(partial(has_served, call, number), f"router {number}")
+        resting.rest = str(REST_S)
+        resting.mode = "rest"
+        begin = time.monotonic()
+        callers = Callers(call)
+        callers.run_for(RUN_S)
+        disturbances = [at for at in resting.arrivals if at > begin + GRACE_S]
+        assert len(disturbances) <= ROUTERS * MAX_REQUESTS
+        assert callers.statuses.count(HTTP_OK) >= 0.95 * len(callers.statuses)
+    finally:
+        heartbeats.stop()
+        for endpoint in (resting, *others):
+            endpoint.stop()
