Let endpoints rest for as long as they ask this entry to

Class: a refusal that looks like spare capacity. That few calls are served while one endpoint rejects is the same cause, not a further one, where the endpoint asks for rest.

An entry sends nothing to an endpoint that asked it for rest, until the rest that ends last is over: no call, retry, hedge, trial or load query. Then one call at a time until one is answered. The rest belongs to the process, so it outlasts a gap in its announcements. A refusal of which it is unknown whether the call ran counts as lost, but its rest holds; it is no failure of the endpoint. Where all endpoints rest for too long a call is refused at once.

Virtual time, 17 and 312 entries, with restarts, flapping announcements and limits: at most two in any rest.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -15,6 +15,7 @@
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
+from .demands import Demands
 from .entry_groups import EntryGroups
 from .evacuations import EvacuationUpdate
 from .inquiries import Inquiry
@@ -36,7 +37,6 @@
 from .quarantines import Ruling
 from .quarantines import TrialRequest
 from .quarantines import WAIT_S
-from .rate_limits import RateLimits
 from .rules import Rule
 from .rules import Service
 from .timers import EXPIRY
@@ -67,8 +67,8 @@
         "_pools",
         "_random",
         "_timers",
+        "demands",
         "groups",
-        "rate_limits",
         "warm_ups",
     )
 
@@ -83,13 +83,13 @@
         self._policy = policy or Policy()
         self.groups = EntryGroups(name)
         self.warm_ups = WarmUps(self.groups)
-        self.rate_limits = RateLimits(self.groups, seed)
+        self.demands = Demands(self.groups, seed)
         self._pools = PoolSet(
             self._random,
             availability_zone,
             self._policy,
             self.warm_ups,
-            self.rate_limits,
+            self.demands,
         )
         self._calls: dict[int, Call] = {}
         self._timers = Timers()
@@ -120,6 +120,10 @@
         """Count the endpoints whose rate limit holds."""
         return sum(pool.limited_count for pool in self._pools.values())
 
+    def count_resting(self, now: float) -> int:
+        """Count the endpoints that rest."""
+        return sum(pool.count_resting(now) for pool in self._pools.values())
+
     def configure(self, services: dict[str, Service], now: float) -> None:
         """Apply the services that the configuration in force declares."""
         self._pools.configure(services, now)
@@ -135,8 +139,8 @@
     def apply_limits(self, update: LimitUpdate, now: float) -> list[Action]:
         """Apply the rate limits of endpoints that others have learned."""
         actions: list[Action] = []
-        if self.rate_limits.apply(update, now):
-            self._apply_changed_limits(now, actions)
+        if self.demands.rate_limits.apply(update, now):
+            self._apply_changed_demands(now, actions)
         return actions
 
     def limit_extra_sends(self, share: float, burst: float) -> None:
@@ -352,12 +356,14 @@
     def _record_notice(
         self, notice: Notice, now: float, actions: list[Action]
     ) -> None:
-        if self.rate_limits.record(notice, now):
-            self._apply_changed_limits(now, actions)
+        if self.demands.record(notice, now):
+            self._apply_changed_demands(now, actions)
 
-    def _apply_changed_limits(self, now: float, actions: list[Action]) -> None:
-        """Send, hold or refuse the queued calls by the present limits."""
-        self._pools.update_limits(now)
+    def _apply_changed_demands(
+        self, now: float, actions: list[Action]
+    ) -> None:
+        """Send, hold or refuse the queued calls by the present demands."""
+        self._pools.update_demands(now)
         actions.extend(self._dispatch_all(now))
         for call in self._calls.values():
             pool = self._pools.get(call.service)
--- a/packages/core/nutmegchute_core/choosers.py
+++ b/packages/core/nutmegchute_core/choosers.py
@@ -4,6 +4,7 @@
 from math import sqrt
 from random import Random
 
+from .demands import Demands
 from .endpoints import Endpoint
 from .entry_groups import EntryGroups
 from .inquiries import FREE_SLOT
@@ -14,7 +15,6 @@
 from .latencies import INITIAL_LATENCY_S
 from .latencies import Mean
 from .policies import Policy
-from .rate_limits import RateLimits
 from .warmups import COLD_SLOWDOWN
 from .warmups import WarmUpLimit
 from .warmups import WarmUps
@@ -92,9 +92,9 @@
         "_slots",
         "_stalls",
         "_unreported",
+        "demands",
         "fullness",
         "probing_enabled",
-        "rate_limits",
         "warm_up_limit",
     )
 
@@ -103,10 +103,10 @@
         random: Random,
         policy: Policy,
         probing_enabled: bool,
-        rate_limits: RateLimits,
+        demands: Demands,
     ) -> None:
         self.probing_enabled = probing_enabled
-        self.rate_limits = rate_limits
+        self.demands = demands
         # Endpoints whose rate limit holds.
         self._limited: list[Endpoint] = []
         self.fullness = Fullness()
@@ -175,7 +175,7 @@
         """Find the endpoints that are limited, after a change of limits."""
         limited = []
         for endpoint in self._endpoints:
-            if self.rate_limits.begin(endpoint, now):
+            if self.demands.rate_limits.begin(endpoint, now):
                 limited.append(endpoint)
         self._limited = limited
 
@@ -188,11 +188,16 @@
         for endpoint in self._endpoints:
             if self.warm_up_limit.excludes(endpoint, now):
                 continue
-            soonest = min(soonest, self.rate_limits.call_at(endpoint, now))
+            soonest = min(soonest, self.demands.call_at(endpoint, now))
             if soonest <= now:
                 break
         return soonest
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether any endpoint rests."""
+        rests = self.demands.rests
+        return any(rests.is_resting(one, now) for one in self._endpoints)
+
     def limited_rate(self, now: float) -> float:
         """Return the calls a second that this entry may send.
 
@@ -200,14 +205,18 @@
         """
         if not self._limited or len(self._limited) < len(self._endpoints):
             return inf
-        return sum(self.rate_limits.rate(one, now) for one in self._limited)
+        return sum(
+            self.demands.rate_limits.rate(one, now) for one in self._limited
+        )
 
     def limited_to_query(self, now: float) -> Endpoint | None:
         """Return a limited endpoint that a load query is due at, if any."""
         for endpoint in self._limited:
             if endpoint.is_unreachable(now):
                 continue
-            if self.rate_limits.needs_query(endpoint, now):
+            if self.demands.rests.is_resting(endpoint, now):
+                continue
+            if self.demands.rate_limits.needs_query(endpoint, now):
                 return endpoint
         return None
 
@@ -276,7 +285,7 @@
         """Return the kind of slot that a call sent now would get."""
         if not self._has_stretch:
             return NO_SLOT
-        if self.rate_limits.is_limited(endpoint):
+        if self.demands.rate_limits.is_limited(endpoint):
             return self._limited_slot_kind(endpoint, now)
         return self.fullness.slot_kind(endpoint, now)
 
@@ -286,15 +295,15 @@
         The limit itself says that the endpoint takes the call. It comes after
         endpoints known to be free, unless news of the limit are due.
         """
-        if not self.rate_limits.allows(endpoint, now):
+        if not self.demands.allows(endpoint, now):
             return NO_SLOT
-        silent = self.rate_limits.is_silent(endpoint, now)
+        silent = self.demands.rate_limits.is_silent(endpoint, now)
         return FREE_SLOT if silent else LAST_SLOT
 
     def _has_room(self, endpoint: Endpoint, now: float) -> bool:
         if endpoint.in_flight >= endpoint.slots:
             return False
-        if not self.rate_limits.allows(endpoint, now):
+        if not self.demands.allows(endpoint, now):
             return False
         return self.warm_up_limit.allows(endpoint, now)
 
@@ -451,7 +460,7 @@
                 continue
             if self.slot_kind(endpoint, now) == FREE_SLOT:
                 return []
-            if self.rate_limits.is_limited(endpoint):
+            if self.demands.rate_limits.is_limited(endpoint):
                 # A query counts against the limit as a call does.
                 continue
             found.append(endpoint)
@@ -466,7 +475,7 @@
                 continue
             if now < endpoint.ejected_until:
                 continue
-            if self.rate_limits.query_at(endpoint, now) > now:
+            if self.demands.query_at(endpoint, now) > now:
                 continue
             if best is None or endpoint.probed_at < best.probed_at:
                 best = endpoint
--- a/packages/core/nutmegchute_core/eligibility.py
+++ b/packages/core/nutmegchute_core/eligibility.py
@@ -18,12 +18,14 @@
 # Range of Retry-After when other entries warm up all endpoints; a retry may
 # reach one of those entries.
 WARMING_RETRY_S = (0.1, 0.5)
-# Range of Retry-After when the rate limits of all endpoints are used up.
-LIMITED_RETRY_S = (0.1, 1.0)
+# Range of Retry-After when the rate limits of all endpoints are used up or
+# all rest, random to spread the retries.
+CLOSED_RETRY_S = (0.1, 1.0)
 # Maximum age of a report without load for an endpoint to count as idle.
 IDLE_REPORT_S = 0.05
 EVACUATED = "every endpoint is in an evacuated availability zone"
 WARMING = "every endpoint is warming up and left to other entries"
+RESTING = "every endpoint rests or takes no call in time"
 LIMITED = "every endpoint limits its calls and takes none in time"
 
 
@@ -129,18 +131,20 @@
             opens_at += ahead / limited_rate
         if opens_at <= max(now, until):
             return None
-        if not self._chooser.limited_count:
-            pause_s = self._random.uniform(*WARMING_RETRY_S)
-            return Unavailable(WARMING, pause_s)
-        return Unavailable(LIMITED, self._limited_pause_s(opens_at - now))
-
-    def _limited_pause_s(self, closed_s: float) -> float:
-        """Return the Retry-After of a call that finds all limits used up.
-
-        A retry most often comes to another entry, whose part of the limits
-        may be free at once.
+        if self._chooser.is_resting(now):
+            return Unavailable(RESTING, self._closed_pause_s(opens_at - now))
+        if self._chooser.limited_count:
+            return Unavailable(LIMITED, self._closed_pause_s(opens_at - now))
+        pause_s = self._random.uniform(*WARMING_RETRY_S)
+        return Unavailable(WARMING, pause_s)
+
+    def _closed_pause_s(self, closed_s: float) -> float:
+        """Return the Retry-After of a call that no endpoint takes now.
+
+        A retry most often comes to another entry, to which the endpoints may
+        be open at once.
         """
-        first_s, last_s = LIMITED_RETRY_S
+        first_s, last_s = CLOSED_RETRY_S
         return self._random.uniform(
             first_s, max(first_s, min(closed_s, last_s))
         )
@@ -152,9 +156,9 @@
             return False
         if not self._chooser.warm_up_limit.allows(endpoint, now):
             return False
-        if not self._chooser.rate_limits.allows(endpoint, now):
+        if not self._chooser.demands.allows(endpoint, now):
             return False
-        if self._chooser.rate_limits.is_limited(endpoint):
+        if self._chooser.demands.rate_limits.is_limited(endpoint):
             return True
         if not self._chooser.reports_stretch:
             return True
--- a/packages/core/nutmegchute_core/pool_sets.py
+++ b/packages/core/nutmegchute_core/pool_sets.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 from random import Random
 
+from .demands import Demands
 from .evacuations import EvacuationUpdate
 from .members import Announcement
 from .policies import Policy
 from .pools import Pool
-from .rate_limits import RateLimits
 from .rules import Service
 from .warmups import WarmUps
 
@@ -18,12 +18,12 @@
     __slots__ = (
         "_availability_zone",
         "_by_service",
+        "_demands",
         "_evacuations",
         "_extra",
         "_inquiry_limit",
         "_policy",
         "_random",
-        "_rate_limits",
         "_warm_ups",
     )
 
@@ -33,13 +33,13 @@
         availability_zone: str | None,
         policy: Policy,
         warm_ups: WarmUps,
-        rate_limits: RateLimits,
+        demands: Demands,
     ) -> None:
         self._random = random
         self._availability_zone = availability_zone
         self._policy = policy
         self._warm_ups = warm_ups
-        self._rate_limits = rate_limits
+        self._demands = demands
         self._by_service: dict[str, Pool] = {}
         self._evacuations = EvacuationUpdate(0, [])
         self._extra: tuple[float, float] | None = None
@@ -94,9 +94,7 @@
 
     def update(self, announcements: list[Announcement], now: float) -> None:
         """Apply the live endpoints of every service."""
-        self._rate_limits.retain(
-            {one.process_key for one in announcements}, now
-        )
+        self._demands.retain({one.process_key for one in announcements}, now)
         by_service: dict[str, list[Announcement]] = {}
         for announcement in announcements:
             by_service.setdefault(announcement.service, []).append(
@@ -117,10 +115,10 @@
             pool.eligibility.evacuate(self._evacuated, now)
         return True
 
-    def update_limits(self, now: float) -> None:
-        """Apply a change of the rate limits that endpoints name."""
+    def update_demands(self, now: float) -> None:
+        """Apply a change of what endpoints ask for."""
         for pool in self.values():
-            pool.update_limits(now)
+            pool.update_demands(now)
 
     @property
     def _evacuated(self) -> frozenset[str]:
@@ -133,7 +131,7 @@
             self._availability_zone,
             self._policy,
             self._warm_ups,
-            self._rate_limits,
+            self._demands,
         )
         if self._extra is not None:
             pool.limit_extra_sends(*self._extra)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -11,6 +11,7 @@
 from .calls import NOT_RUN
 from .calls import Result
 from .choosers import Chooser
+from .demands import Demands
 from .eligibility import Eligibility
 from .eligibility import Unavailable
 from .endpoints import Endpoint
@@ -25,7 +26,6 @@
 from .members import ProcessKey
 from .policies import Policy
 from .queues import WaitQueue
-from .rate_limits import RateLimits
 from .rule_latencies import RuleLatency
 from .rule_latencies import SentAttempt
 from .rules import Service
@@ -79,13 +79,13 @@
 
     __slots__ = (
         "_chooser",
+        "_demands",
         "_endpoints",
         "_extra",
         "_in_flight",
         "_median",
         "_policy",
         "_probes",
-        "_rate_limits",
         "_rule_latencies",
         "_send_gap",
         "_sent_at",
@@ -104,14 +104,14 @@
         zone: str | None,
         policy: Policy,
         warm_ups: WarmUps,
-        rate_limits: RateLimits,
+        demands: Demands,
     ) -> None:
         self._service = service
         self._policy = policy
         self._zone = zone
-        self._rate_limits = rate_limits
+        self._demands = demands
         self._chooser = Chooser(
-            random, policy, self._may_probe(service), rate_limits
+            random, policy, self._may_probe(service), demands
         )
         self.eligibility = Eligibility(
             self._chooser, random, warm_ups, service
@@ -286,13 +286,23 @@
         """Return the number of endpoints whose rate limit holds."""
         return self._chooser.limited_count
 
+    def count_resting(self, now: float) -> int:
+        """Count the endpoints that rest."""
+        rests = self._demands.rests
+        found = 0
+        for endpoint in self._endpoints.values():
+            found += rests.is_resting(endpoint, now)
+        return found
+
     @property
     def must_poll(self) -> bool:
         """Return whether waiting calls need a timer to be sent."""
-        return self.holds_calls or self._chooser.limited_count > 0
+        if self.holds_calls or self._chooser.limited_count:
+            return True
+        return self._demands.rests.any_known
 
-    def update_limits(self, now: float) -> None:
-        """Apply a change of the rate limits that endpoints name."""
+    def update_demands(self, now: float) -> None:
+        """Apply a change of what endpoints ask for."""
         self._chooser.update_limited(now)
 
     def limited_to_query(self, now: float) -> str | None:
@@ -303,7 +313,7 @@
         endpoint = self._chooser.limited_to_query(now)
         if endpoint is None:
             return None
-        self._rate_limits.count_query(endpoint, now)
+        self._demands.count_query(endpoint, now)
         return endpoint.address
 
     def should_shed(
@@ -344,7 +354,7 @@
         for address, endpoint in self._endpoints.items():
             if address in tried or not endpoint.accepts_calls:
                 continue
-            if self._rate_limits.call_at(endpoint, now) <= latest_at:
+            if self._demands.call_at(endpoint, now) <= latest_at:
                 return True
         return False
 
@@ -366,7 +376,7 @@
         """
         slot = self.planner.slot_kind(address, now)
         endpoint = self._endpoints[address]
-        if slot > NO_SLOT and self._rate_limits.is_limited(endpoint):
+        if slot > NO_SLOT and self._demands.rate_limits.is_limited(endpoint):
             return True
         if slot > NO_SLOT and self._should_yield(call, now):
             return endpoint.spare_slots > min(1, endpoint.slots - 1)
@@ -489,7 +499,7 @@
             endpoint, call.sent_at(attempt)
         )
         endpoint.count_send(now)
-        self._rate_limits.count_call(endpoint, now)
+        self._demands.count_call(endpoint, now)
 
     def record_cancel(self, call: Call, attempt: int, now: float) -> None:
         """Record an attempt that was cancelled."""
@@ -558,7 +568,7 @@
             self._probes.postpone(now)
             return None
         self._probes.spend(now)
-        self._rate_limits.count_query(ejected, now)
+        self._demands.count_query(ejected, now)
         ejected.probed_at = now
         return ejected.address
 
@@ -599,6 +609,9 @@
         """Return whether a failed attempt counts against the endpoint."""
         if result.outcome == CANCELLED:
             return False
+        if result.notice is not None and result.notice.rest_s is not None:
+            # An endpoint that asks for rest is busy, not broken.
+            return False
         if result.outcome == NOT_RUN:
             # An endpoint that sheds is busy, not broken.
             return not result.shed and result.load is None
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -42,6 +42,10 @@
     """Report an answer that broke off or cannot be trusted."""
 
 
+class UnprovenRefusalError(BrokenAnswerError):
+    """Report a refusal by the endpoint that does not say "not run"."""
+
+
 class AnswerFormat:
     """Read an endpoint's reports on the call and on itself from its answer.
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -28,7 +28,9 @@
 from nutmegchute_core.quarantines import Report
 from nutmegchute_core.quarantines import Ruling
 from nutmegchute_core.quarantines import TrialRequest
+from nutmegchute_core.rate_limits import BY_ANSWER
 from nutmegchute_core.rate_limits import BY_OTHERS
+from nutmegchute_core.rate_limits import BY_QUERY
 from nutmegchute_core.rules import Rule
 
 from .connections import Exchange
@@ -262,12 +264,24 @@
         reports = self._balancer.pop_reports()
         if reports:
             self.on_reports(reports)
+        self._log_rests()
         self._report_limits()
         self._schedule_wakeup()
 
+    def _log_rests(self) -> None:
+        for notice in self._balancer.demands.rests.pop_changes():
+            endpoint, instance, _ = notice.process
+            log(
+                Event.REST_BEGUN,
+                endpoint=endpoint,
+                instance=instance,
+                rest_s=notice.rest_s,
+                source=BY_QUERY if notice.to_query else BY_ANSWER,
+            )
+
     def _report_limits(self) -> None:
         learned = []
-        for change in self._balancer.rate_limits.pop_changes():
+        for change in self._balancer.demands.rate_limits.pop_changes():
             report = change.report
             log(
                 Event.LIMIT_CHANGED,
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -89,7 +89,7 @@
             links=self._links,
             members=self._members,
             directory=self._directory,
-            limits=self._balancer.rate_limits.board,
+            limits=self._balancer.demands.rate_limits.board,
             on_change=self._update_upstreams,
             on_limits=self._apply_limits,
         )
@@ -148,6 +148,7 @@
             "entries": len(self._directory.usable(now)),
             "config_index": self._follower.index,
             "limited": self._balancer.count_limited(),
+            "resting": self._balancer.count_resting(self._loop.time()),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -69,6 +69,7 @@
     EVACUATIONS_APPLIED = ("NC3024", "evacuated availability zones changed")
     LIMIT_CHANGED = ("NC3025", "rate limit of an endpoint changed")
     LIMITS_UNREPORTED = ("NC3026", "rate limits could not be reported")
+    REST_BEGUN = ("NC3027", "endpoint asked for rest")
     EVACUATION_ORDERED = ("NC2023", "evacuation begun or finished")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -33,6 +33,7 @@
     "in_flight": (GAUGE, "calls"),
     "upstreams": (GAUGE, "endpoints"),
     "limited": (GAUGE, "endpoints"),
+    "resting": (GAUGE, "endpoints"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -141,7 +141,7 @@
         self._dispatcher.on_reports = self._reporter.submit
         self._limits_watermark = NO_WATERMARK
         self._limit_reporter = LimitReporter(
-            self._balancer.rate_limits.board,
+            self._balancer.demands.rate_limits.board,
             self._links,
             lambda: self._watcher.replicas,
         )
@@ -175,6 +175,7 @@
             "entries": self._entry_count,
             "config_index": self._tree.index,
             "limited": self._balancer.count_limited(),
+            "resting": self._balancer.count_resting(self._loop.time()),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -22,6 +22,7 @@
 
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
+from .answers import UnprovenRefusalError
 from .connections import Connection
 from .connections import ConnectionPool
 from .connections import Exchange
@@ -128,6 +129,7 @@
         "_format",
         "_latency_s",
         "_outcome",
+        "_refusal",
         "_response",
         "_wait_s",
         "is_misdirected",
@@ -141,6 +143,7 @@
         self._outcome = outcome
         self._latency_s = latency_s
         self._response: HTTPResponse | None = None
+        self._refusal: HTTPResponse | None = None
         self._first_bytes = b""
         self._finished = False
 
@@ -228,12 +231,23 @@
         self, process_key: ProcessKey, to_query: bool = False
     ) -> Notice | None:
         """Return what the answer asks of callers, None without an answer."""
-        if self._response is None or self.is_misdirected:
+        head = self._refusal or self._response
+        if head is None or self.is_misdirected:
             return None
-        limit = self._format.rate_limit(self._response.headers)
-        rest_s = self._format.rest_s(self._response)
+        limit = self._format.rate_limit(head.headers)
+        rest_s = self._format.rest_s(head)
         return Notice(process_key, limit, to_query, rest_s)
 
+    def set_refusal(
+        self, response: HTTPResponse, answer_format: AnswerFormat
+    ) -> None:
+        """Set a refusal that leaves open whether the call ran.
+
+        The call counts as lost, but what the endpoint asks for is valid.
+        """
+        self._refusal = response
+        self._format = answer_format
+
     def headers(self) -> list[tuple[str, str]]:
         """Return the answer's headers without the hop-by-hop ones."""
         if self._response is None:
@@ -379,6 +393,7 @@
             connection.close()
             outcome = CANCELLED if exchange.ended else NOT_RUN
             return Reply(outcome, time.monotonic() - started)
+        response = None
         try:
             response = self._send_request(
                 request, connection, exchange, deadline
@@ -400,7 +415,10 @@
             latency_s = time.monotonic() - started
             if exchange.ended:
                 return Reply(CANCELLED, latency_s)
-            return Reply(LOST, latency_s, _loss_reason(error))
+            reply = Reply(LOST, latency_s, _loss_reason(error))
+            if isinstance(error, UnprovenRefusalError):
+                assert response is not None
+                reply.set_refusal(response, self._format)
         return reply
 
     def refuses_connections(self, endpoint: str) -> bool:
--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -82,6 +82,10 @@
         )
         self.names_on_queries = names_on_queries
         self.limit: float | None = None
+        # Rest asked for by turning calls away, None to run them.
+        self.rest_s: float | None = None
+        # Begin and end of the rests asked for, by entry.
+        self.rests: dict[str, list[tuple[float, float]]] = {}
         self.load = 0
         # Entry and time of each call and load query, and of each answer to a
         # call that named a limit.
@@ -131,7 +135,9 @@
         self.now = 0.0
         self.random = Random(seed)
         self.outcomes: Counter[str] = Counter()
-        self.refused_after_s: list[float] = []
+        self.retry_after_s: list[float] = []
+        # Arrival and wait of each refused call.
+        self.refusals: list[tuple[float, float]] = []
         self._callers: dict[tuple[Entry, int], Caller] = {}
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._count = 0
@@ -184,6 +190,24 @@
         entry.is_cut = False
         entry.balancer.groups.update(group_of(self._zones), self.now)
 
+    def flap(self, upstreams: list[Upstream]) -> None:
+        """Let endpoints vanish from the announcements for a moment."""
+        gone = {one.address for one in upstreams}
+        for entry in self.entries:
+            self._announce(entry, gone)
+            self.at(self.now + 0.1, self._announce, entry, set())
+
+    def _announce(self, entry: Entry, gone: set[str]) -> None:
+        if entry.ended:
+            return
+        live = [
+            one.announcement
+            for one in self.upstreams.values()
+            if one.address not in gone
+        ]
+        actions = entry.balancer.update_upstreams(live, self.now)
+        self._perform(entry, actions)
+
     def join(self) -> None:
         """Start another entry; the others are told a little later."""
         name = f"entry-{len(self.entries)}"
@@ -209,8 +233,7 @@
         balancer.groups.update(group_of(self._zones), self.now)
         balancer.limit_extra_sends(EXTRA_SHARE, 3.0)
         balancer.limit_inquiries(QUERIES_PER_S, 1 / len(self._zones))
-        live = [one.announcement for one in self.upstreams.values()]
-        self._perform(entry, balancer.update_upstreams(live, self.now))
+        self._announce(entry, set())
         self._send_news(entry, NO_WATERMARK)
         return entry
 
@@ -233,7 +256,7 @@
                 self.at(self.now + NETWORK_S, self._query, entry, action)
             elif not isinstance(action, Cancel):
                 self._end(entry, action)
-        changes = entry.balancer.rate_limits.pop_changes()
+        changes = entry.balancer.demands.rate_limits.pop_changes()
         learned = [one for one in changes if one.source != BY_OTHERS]
         if learned:
             delay_s = self.random.uniform(0.0, MAX_REPORT_S)
@@ -257,7 +280,9 @@
         if caller is None:
             return
         if isinstance(action, Refuse):
-            self.refused_after_s.append(self.now - caller.arrived_at)
+            waited_s = self.now - caller.arrived_at
+            self.refusals.append((caller.arrived_at, waited_s))
+            self.retry_after_s.append(action.retry_after_s)
             self._try_again(caller, action.retry_after_s)
         elif isinstance(action, Finish):
             self.outcomes["answered"] += 1
@@ -277,7 +302,7 @@
     def _run(self, entry: Entry, send: Send) -> None:
         upstream = self.upstreams[send.endpoint]
         upstream.arrivals.append((entry.name, self.now))
-        if upstream.load >= SLOTS + QUEUE:
+        if upstream.rest_s is not None or upstream.load >= SLOTS + QUEUE:
             self._answer(entry, send, upstream, NOT_RUN)
             return
         upstream.load += 1
@@ -300,8 +325,14 @@
             load=upstream.load,
             stretch=1.0,
             shed=outcome == NOT_RUN,
-            notice=Notice(send.process_key, upstream.limit),
+            notice=Notice(
+                send.process_key, upstream.limit, rest_s=upstream.rest_s
+            ),
         )
+        if upstream.rest_s is not None:
+            until = self.now + upstream.rest_s
+            rests = upstream.rests.setdefault(entry.name, [])
+            rests.append((self.now, until))
         self.at(self.now + NETWORK_S, self._receive, entry, result, upstream)
 
     def _receive(
@@ -389,3 +420,19 @@
             first += 1
         most = max(most, last - first + 1)
     return most - (1.5 * limit * WINDOW_S + 5)
+
+
+def max_during_rest(upstream: Upstream) -> int:
+    """Return the most arrivals from an entry during a rest it was asked for.
+
+    Those of the first GRACE_S of the rest do not count.
+    """
+    most = 0
+    for name, rests in upstream.rests.items():
+        if name in upstream.excused:
+            continue
+        arrivals = [at for entry, at in upstream.arrivals if entry == name]
+        for begin, end in rests:
+            found = sum(begin + GRACE_S < at < end for at in arrivals)
+            most = max(most, found)
+    return most
--- a/tests/test_choosers.py
+++ b/tests/test_choosers.py
@@ -4,13 +4,13 @@
 from random import Random
 
 from nutmegchute_core.choosers import Chooser
+from nutmegchute_core.demands import Demands
 from nutmegchute_core.endpoints import EJECT_AFTER
 from nutmegchute_core.endpoints import Endpoint
 from nutmegchute_core.endpoints import FIRST_EJECTION_S
 from nutmegchute_core.endpoints import WARM_UP_S
 from nutmegchute_core.entry_groups import EntryGroups
 from nutmegchute_core.policies import Policy
-from nutmegchute_core.rate_limits import RateLimits
 from support import announcement
 
 MEAN_S = 0.02
@@ -20,7 +20,7 @@
     count: int, probed: bool = False, zone: str = "surco"
 ) -> tuple[Chooser, list[Endpoint]]:
     """Build a chooser whose endpoints all have the same latency and load."""
-    chooser = Chooser(Random(5), Policy(), probed, RateLimits(EntryGroups()))
+    chooser = Chooser(Random(5), Policy(), probed, Demands(EntryGroups()))
     endpoints = [
         Endpoint(
             announcement(f"{number}:1", availability_zone=zone), True, None
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -156,7 +156,7 @@
         assert max_over_limit(upstream, NAMED_AT_S, limit) <= 0
         reached += count_calls(upstream, END_S - 5.0, END_S)
     assert reached >= 0.7 * limit * len(limited) * 5.0
-    assert max(model.refused_after_s) <= 1.0
+    assert max(wait_s for _, wait_s in model.refusals) <= 1.0
 
 
 def test_word_of_a_limit_is_ordered_by_the_age_of_its_answer() -> None:
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -1,6 +1,13 @@
 """Test that an entry lets endpoints rest that ask it to."""
 
 import pytest
+from demand_model import BEGIN_S
+from demand_model import DEADLINE_S
+from demand_model import max_during_rest
+from demand_model import max_over_limit
+from demand_model import Model
+from demand_model import OBJECTIVE_S
+from demand_model import Upstream
 from nutmegchute_daemon.answers import MAX_REST_S
 from nutmegchute_daemon.answers import read_rest_s
 from nutmegchute_daemon.answers import UNREADABLE_REST_S
@@ -30,3 +37,115 @@
 ) -> None:
     """Guard against headers that would stop all calls, or none."""
     assert read_rest_s(text, NOW) == rest_s
+
+
+# Entries, endpoints and calls a second of a small and a large deployment.
+SMALL = (17, 17, 90.0)
+LARGE = (312, 142, 300.0)
+SIZES = [SMALL, LARGE]
+ASKED_AT_S = BEGIN_S + 2.0
+END_S = ASKED_AT_S + 9.0
+# What may reach an endpoint during its rest.
+MAX_REQUESTS = 2
+
+
+def build_model(size: tuple[int, int, float], seed: int) -> Model:
+    """Build a model under load until END_S."""
+    entries, upstreams, calls_per_s = size
+    model = Model(entries, upstreams, seed)
+    model.schedule_calls(calls_per_s, END_S)
+    return model
+
+
+def rest_some(
+    model: Model, count: int, rest_s: float, seconds: float
+) -> list[Upstream]:
+    """Let some endpoints turn all calls away and ask for rest for a while."""
+    resting = list(model.upstreams.values())[:count]
+
+    def set_rest(value: float | None) -> None:
+        for upstream in resting:
+            upstream.rest_s = value
+
+    model.at(ASKED_AT_S, set_rest, rest_s)
+    model.at(ASKED_AT_S + seconds, set_rest, None)
+    return resting
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rest_s", [0.7, 3.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_resting_endpoints_get_nothing_and_others_serve(
+    size: tuple[int, int, float], rest_s: float, seed: int
+) -> None:
+    """Guard against endpoints that reject fast, look idle and draw calls."""
+    model = build_model(size, seed)
+    resting = rest_some(model, size[1] // 3, rest_s, 6.0)
+    model.run(END_S + DEADLINE_S)
+    for upstream in resting:
+        assert max_during_rest(upstream) <= MAX_REQUESTS
+    assert model.served_share() > 0.98
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_rests_hold_while_entries_restart_and_endpoints_flap(
+    size: tuple[int, int, float],
+) -> None:
+    """Guard against a rest that is lost with a gap in the announcements."""
+    model = build_model(size, 1)
+    resting = rest_some(model, size[1] // 3, 3.0, 6.0)
+    for turn in range(6):
+        model.at(ASKED_AT_S + turn, model.restart, turn)
+        model.at(ASKED_AT_S + 0.4 + turn, model.flap, resting)
+    model.run(END_S + DEADLINE_S)
+    for upstream in resting:
+        assert max_during_rest(upstream) <= MAX_REQUESTS
+    assert model.served_share() > 0.95
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_rest_and_limit_hold_together(size: tuple[int, int, float]) -> None:
+    """Guard against a demand that replaces another of the same endpoint."""
+    model = build_model(size, 1)
+    resting = rest_some(model, 3, 1.0, 4.0)
+
+    def limit() -> None:
+        for upstream in resting:
+            upstream.limit = 1.4
+
+    model.at(ASKED_AT_S, limit)
+    model.run(END_S + DEADLINE_S)
+    for upstream in resting:
+        assert max_during_rest(upstream) <= MAX_REQUESTS
+        assert max_over_limit(upstream, ASKED_AT_S, 1.4) <= 0
+    assert model.served_share() > 0.98
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_calls_are_refused_at_once_while_all_endpoints_rest(
+    size: tuple[int, int, float],
+) -> None:
+    """Guard against calls that wait in vain for the end of a long rest."""
+    model = build_model(size, 1)
+    resting = rest_some(model, size[1], 20.0, 30.0)
+    model.run(END_S + DEADLINE_S)
+    for upstream in resting:
+        assert max_during_rest(upstream) <= MAX_REQUESTS
+    # An entry may have to be turned away by an endpoint before it knows.
+    known_at = ASKED_AT_S + 1.0
+    waits_s = [wait_s for at, wait_s in model.refusals if at > known_at]
+    assert max(waits_s) <= OBJECTIVE_S / 3
+    assert min(model.retry_after_s) > 0
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_calls_wait_for_the_end_of_a_short_rest(
+    size: tuple[int, int, float],
+) -> None:
+    """Guard against refusing calls that can still be served in time."""
+    model = build_model(size, 1)
+    resting = rest_some(model, size[1], 0.8, 0.3)
+    model.run(END_S + DEADLINE_S)
+    for upstream in resting:
+        assert max_during_rest(upstream) <= MAX_REQUESTS
+    assert model.served_share() > 0.95
--- a/tests/test_rests_wire.py
+++ b/tests/test_rests_wire.py
@@ -40,7 +40,6 @@
         found.stop()
 
 
-@pytest.mark.known_red
 def test_routers_let_an_endpoint_rest(site: Site) -> None:
     """Guard against calls to an endpoint that rejects fast and looks idle."""
     resting = Endpoint("i-1", "desk")
