Send nothing to endpoints whose answers say that they leave

Calls that reach an endpoint after its end are lost. Until now only its announcements said that it leaves: an entry that is cut off from control, or is told late, went on sending although every answer there said so.

Cause: the header was not read. Class: word that comes by one way only. An answer that says so is now as good as an announcement, and for a process it holds for ever, whatever is announced later; a new incarnation is another process.

Virtual time, 17 and 312 entries, with announcements that vanish and return: none after the first such answer.

--- a/packages/core/nutmegchute_core/demands.py
+++ b/packages/core/nutmegchute_core/demands.py
@@ -1,5 +1,6 @@
 """Hold all that endpoints ask of their callers."""
 
+from .departures import Departures
 from .endpoints import Endpoint
 from .entry_groups import EntryGroups
 from .members import ProcessKey
@@ -11,17 +12,19 @@
 class Demands:
     """Decide when this entry may send to endpoints that make demands."""
 
-    __slots__ = ("rate_limits", "rests")
+    __slots__ = ("departures", "rate_limits", "rests")
 
     def __init__(self, groups: EntryGroups, epoch: int = 0) -> None:
         self.rate_limits = RateLimits(groups, epoch)
         self.rests = Rests()
+        self.departures = Departures()
 
     def record(self, notice: Notice, now: float) -> bool:
         """Record an answer; return whether it changes any demand."""
         limited = self.rate_limits.record(notice, now)
         rested = self.rests.record(notice, now)
-        return limited or rested
+        departed = self.departures.record(notice)
+        return limited or rested or departed
 
     def retain(self, processes: set[ProcessKey], now: float) -> None:
         """Forget the demands of processes that are gone."""
--- a/packages/core/nutmegchute_core/eligibility.py
+++ b/packages/core/nutmegchute_core/eligibility.py
@@ -80,8 +80,10 @@
     def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
         """Replace the live endpoints."""
         self._endpoints = endpoints
+        departures = self._chooser.demands.departures
         for endpoint in endpoints.values():
             endpoint.evacuated = endpoint.zone in self._evacuated
+            endpoint.leaving = departures.includes(endpoint)
         self._chooser.update(
             [one for one in endpoints.values() if one.accepts_calls], now
         )
--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -55,6 +55,7 @@
         "in_flight",
         "joined_at",
         "latency_s",
+        "leaving",
         "local",
         "probed_at",
         "slots",
@@ -89,6 +90,8 @@
         self._send_times: deque[float] = deque(maxlen=MAX_SEND_TIMES)
         # Whether the endpoint's availability zone is evacuated.
         self.evacuated = False
+        # Whether the endpoint's answers say that it leaves.
+        self.leaving = False
 
     @property
     def announcement(self) -> Announcement:
@@ -117,8 +120,8 @@
 
     @property
     def accepts_calls(self) -> bool:
-        """Return whether the endpoint is neither draining nor evacuated."""
-        return not (self.draining or self.evacuated)
+        """Return whether the endpoint neither leaves nor is evacuated."""
+        return not (self.draining or self.leaving or self.evacuated)
 
     def load_basis(self, now: float) -> dict[str, float]:
         """Return own calls and the last report's load, stretch and age."""
--- a/packages/core/nutmegchute_core/notices.py
+++ b/packages/core/nutmegchute_core/notices.py
@@ -9,11 +9,11 @@
     ``process`` gave the answer. ``rate_limit`` is the number of calls a
     second that it takes from all entries together, None if it named none.
     ``rest_s`` is the time for which it wants nothing from this entry, None
-    if it did not ask for rest. ``to_query`` says that it answered a load
-    query, not a call.
+    if it did not ask for rest; ``is_leaving`` says that it ends soon.
+    ``to_query`` says that it answered a load query, not a call.
     """
 
-    __slots__ = ("process", "rate_limit", "rest_s", "to_query")
+    __slots__ = ("is_leaving", "process", "rate_limit", "rest_s", "to_query")
 
     def __init__(
         self,
@@ -21,8 +21,10 @@
         rate_limit: float | None = None,
         to_query: bool = False,
         rest_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.process = process
         self.rate_limit = rate_limit
         self.rest_s = rest_s
+        self.is_leaving = is_leaving
         self.to_query = to_query
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -303,7 +303,7 @@
 
     def update_demands(self, now: float) -> None:
         """Apply a change of what endpoints ask for."""
-        self._chooser.update_limited(now)
+        self.eligibility.update(self._endpoints, now)
 
     def limited_to_query(self, now: float) -> str | None:
         """Return a limited endpoint that a load query is due at, if any.
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -9,6 +9,7 @@
 from urllib3.response import HTTPResponse
 
 from .errors import DaemonError
+from .protocols import DRAINING_HEADER
 from .protocols import ENTRY_HEADER
 from .protocols import LIMIT_HEADER
 from .protocols import LOAD_HEADER
@@ -101,6 +102,10 @@
         text = response.headers.get("retry-after")
         return None if text is None else read_rest_s(text, time.time())
 
+    def is_leaving(self, headers: HTTPHeaderDict) -> bool:
+        """Return whether the endpoint says that it ends soon."""
+        return headers.get(DRAINING_HEADER) == "1"
+
     def is_forwarded(self, name: str) -> bool:
         """Return whether a header, in lower case, is forwarded to callers."""
         return name not in ENTRY_HEADERS
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -264,10 +264,21 @@
         reports = self._balancer.pop_reports()
         if reports:
             self.on_reports(reports)
+        self._log_departures()
         self._log_rests()
         self._report_limits()
         self._schedule_wakeup()
 
+    def _log_departures(self) -> None:
+        for notice in self._balancer.demands.departures.pop_changes():
+            endpoint, instance, _ = notice.process
+            log(
+                Event.ENDPOINT_LEAVING,
+                endpoint=endpoint,
+                instance=instance,
+                source=BY_QUERY if notice.to_query else BY_ANSWER,
+            )
+
     def _log_rests(self) -> None:
         for notice in self._balancer.demands.rests.pop_changes():
             endpoint, instance, _ = notice.process
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -70,6 +70,7 @@
     LIMIT_CHANGED = ("NC3025", "rate limit of an endpoint changed")
     LIMITS_UNREPORTED = ("NC3026", "rate limits could not be reported")
     REST_BEGUN = ("NC3027", "endpoint asked for rest")
+    ENDPOINT_LEAVING = ("NC3028", "endpoint says that it leaves")
     EVACUATION_ORDERED = ("NC2023", "evacuation begun or finished")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -2,6 +2,7 @@
 
 ATTEMPT_HEADER = "Nutmegchute-Attempt"
 DEADLINE_HEADER = "Nutmegchute-Deadline-Ms"
+DRAINING_HEADER = "Nutmegchute-Draining"
 ENTRY_HEADER = "Nutmegchute-Entry"
 KEY_HEADER = "Idempotency-Key"
 LIMIT_HEADER = "Nutmegchute-Limit"
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -236,7 +236,8 @@
             return None
         limit = self._format.rate_limit(head.headers)
         rest_s = self._format.rest_s(head)
-        return Notice(process_key, limit, to_query, rest_s)
+        is_leaving = self._format.is_leaving(head.headers)
+        return Notice(process_key, limit, to_query, rest_s, is_leaving)
 
     def set_refusal(
         self, response: HTTPResponse, answer_format: AnswerFormat
--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -82,6 +82,9 @@
         )
         self.names_on_queries = names_on_queries
         self.limit: float | None = None
+        self.is_leaving = False
+        # When each entry first got an answer that says so.
+        self.told_leaving: dict[str, float] = {}
         # Rest asked for by turning calls away, None to run them.
         self.rest_s: float | None = None
         # Begin and end of the rests asked for, by entry.
@@ -326,7 +329,10 @@
             stretch=1.0,
             shed=outcome == NOT_RUN,
             notice=Notice(
-                send.process_key, upstream.limit, rest_s=upstream.rest_s
+                send.process_key,
+                upstream.limit,
+                rest_s=upstream.rest_s,
+                is_leaving=upstream.is_leaving,
             ),
         )
         if upstream.rest_s is not None:
@@ -343,6 +349,8 @@
         assert result.notice is not None
         if result.notice.rate_limit is not None:
             upstream.told.setdefault(entry.name, self.now)
+        if result.notice.is_leaving:
+            upstream.told_leaving.setdefault(entry.name, self.now)
         self._perform(entry, entry.balancer.finish(result, self.now))
 
     def _query(self, entry: Entry, probe: Probe) -> None:
