Share the start of a cluster between tests of upstreams' demands

The test of a rate limit through the entries' own interface starts entries and upstreams as further tests need them. Its checks are as before.

--- a/tests/test_rate_limits_wire.py
+++ b/tests/test_rate_limits_wire.py
@@ -75,10 +75,28 @@
     return call(entry) == HTTP_OK
 
 
-def lists_both(cluster: Cluster, entry: Process) -> bool:
-    """Return whether an entry knows both upstreams."""
+def lists_all(cluster: Cluster, entry: Process) -> bool:
+    """Return whether an entry knows every upstream."""
     status = cluster.fetch(entry)
-    return status is not None and len(status["upstreams"]) == 2
+    if status is None:
+        return False
+    return len(status["upstreams"]) == len(cluster.upstreams)
+
+
+def start_cluster(folder: Path, entries: int, upstreams: int) -> Cluster:
+    """Start entries and upstreams, and wait until every entry serves."""
+    cluster = Cluster(folder, ["miraflores", "surco"])
+    cluster.start(3, entries, entries_keep_s=1.0)
+    controls = [one.address for one in cluster.controls]
+    declaration = build_declaration(2000)
+    apply_declaration(folder, declaration, controls, OPERATOR_KEY)
+    for _ in range(upstreams):
+        cluster.add_upstream("prestamos")
+    call = partial(call_entry, cluster.entries)
+    for number, entry in enumerate(cluster.entries):
+        cluster.wait_for(entry.name, partial(lists_all, cluster, entry))
+        wait_for(partial(has_served, call, number), f"entry {number}")
+    return cluster
 
 
 class Callers:
@@ -87,13 +105,15 @@
     ``call`` sends one to the entry of a number and returns its status.
     """
 
-    def __init__(self, call: Callable[[int], int]) -> None:
+    def __init__(
+        self, call: Callable[[int], int], entries: int = ROUTERS
+    ) -> None:
         self.statuses: list[int] = []
         self._call = call
         self._stop = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(number,))
-            for number in range(ROUTERS)
+            for number in range(entries)
         ]
 
     def run_for(self, seconds: float) -> None:
@@ -148,24 +168,13 @@
     tmp_path: Path,
 ) -> None:
     """Guard against the same failure through the entries' own interface."""
-    cluster = Cluster(tmp_path, ["miraflores", "surco"])
+    cluster = start_cluster(tmp_path, ROUTERS, 2)
     try:
-        cluster.start(3, ROUTERS, entries_keep_s=1.0)
-        controls = [one.address for one in cluster.controls]
-        apply_declaration(
-            tmp_path, build_declaration(2000), controls, OPERATOR_KEY
-        )
-        limited = cluster.add_upstream("prestamos")
-        cluster.add_upstream("prestamos")
-        for entry in cluster.entries:
-            cluster.wait_for(entry.name, partial(lists_both, cluster, entry))
-        call = partial(call_entry, cluster.entries)
-        for number in range(ROUTERS):
-            wait_for(partial(has_served, call, number), f"entry {number}")
+        limited = cluster.upstreams[0]
         url = f"http://{limited.address}"
         send_request("POST", url + DEMANDS_PATH, {"limit": LIMIT_PER_S})
         named_at = time.time()
-        callers = Callers(call)
+        callers = Callers(partial(call_entry, cluster.entries))
         callers.run_for(LEARN_S + 2 * WINDOW_S)
         seen = send_request("GET", url + SEEN_PATH).json()
         assert max_in_window(seen, named_at + LEARN_S) <= MAX_CALLS
