Test rests and leaving upstreams through the entries' own interface

The fake upstream turns calls away with Retry-After, or says in all its answers that it drains, where a test asks it to.

--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -50,15 +50,24 @@
 
 
 class Demands(msgspec.Struct, frozen=True):
-    """Hold what an upstream asks of entries in its answers."""
+    """Hold what an upstream asks of entries in its answers.
+
+    With ``rest_s`` it turns every call away and asks for that many seconds of
+    rest.
+    """
 
     limit: float | None = None
+    rest_s: float | None = None
+    draining: bool = False
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers of every answer."""
-        if self.limit is None:
-            return []
-        return [("Nutmegchute-Limit", str(self.limit))]
+        found = []
+        if self.limit is not None:
+            found.append(("Nutmegchute-Limit", str(self.limit)))
+        if self.draining:
+            found.append(("Nutmegchute-Draining", "1"))
+        return found
 
 
 class FakeUpstream:
@@ -171,6 +180,13 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
+        if self._demands.rest_s is not None:
+            headers = [
+                ("Nutmegchute-Not-Run", "shed"),
+                ("Retry-After", str(self._demands.rest_s)),
+                *self._report_headers(self._in_flight),
+            ]
+            return _answer(start_response, {}, headers, "503 Rest")
         with self._lock:
             overloaded = self._in_flight >= self._slots * MAX_CALLS_PER_SLOT
             if not overloaded:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,18 +7,23 @@
 import pytest
 from demand_model import BEGIN_S
 from demand_model import Model
+from nutmegchute_fakes.upstreams import DEMANDS_PATH
+from nutmegchute_fakes.upstreams import SEEN_PATH
 from platform_standins import Endpoint
+from platform_standins import send_request
 from platform_standins import Site
 from platform_standins import wait_for
 from test_platform_wire import build_configuration
 from test_platform_wire import HeartbeatSender
 from test_platform_wire import LOAN
 from test_platform_wire import LOOK
+from test_rate_limits_wire import call_entry
 from test_rate_limits_wire import call_router
 from test_rate_limits_wire import Callers
 from test_rate_limits_wire import has_accepted
 from test_rate_limits_wire import has_served
 from test_rate_limits_wire import HTTP_OK
+from test_rate_limits_wire import start_cluster
 
 ROUTERS = 3
 DRAIN_S = 2.0
@@ -79,3 +84,19 @@
         for endpoint in endpoints:
             endpoint.stop()
         site.stop()
+
+
+def test_entries_stop_calling_an_upstream_that_leaves(tmp_path: Path) -> None:
+    """Guard against the same failure through the entries' own interface."""
+    cluster = start_cluster(tmp_path, ROUTERS, 2)
+    try:
+        url = f"http://{cluster.upstreams[0].address}"
+        send_request("POST", url + DEMANDS_PATH, {"draining": True})
+        begin = time.time()
+        callers = Callers(partial(call_entry, cluster.entries))
+        callers.run_for(DRAIN_S + 2.0)
+        seen = send_request("GET", url + SEEN_PATH).json()
+        assert [at for at in seen if at > begin + DRAIN_S] == []
+        assert set(callers.statuses) == {HTTP_OK}
+    finally:
+        cluster.stop()
--- a/tests/test_rests_wire.py
+++ b/tests/test_rests_wire.py
@@ -6,18 +6,23 @@
 from pathlib import Path
 
 import pytest
+from nutmegchute_fakes.upstreams import DEMANDS_PATH
+from nutmegchute_fakes.upstreams import SEEN_PATH
 from platform_standins import Endpoint
+from platform_standins import send_request
 from platform_standins import Site
 from platform_standins import wait_for
 from test_platform_wire import build_configuration
 from test_platform_wire import HeartbeatSender
 from test_platform_wire import LOAN
 from test_platform_wire import LOOK
+from test_rate_limits_wire import call_entry
 from test_rate_limits_wire import call_router
 from test_rate_limits_wire import Callers
 from test_rate_limits_wire import has_accepted
 from test_rate_limits_wire import has_served
 from test_rate_limits_wire import HTTP_OK
+from test_rate_limits_wire import start_cluster
 
 ROUTERS = 3
 REST_S = 3.0
@@ -61,3 +66,20 @@
         heartbeats.stop()
         for endpoint in (resting, *others):
             endpoint.stop()
+
+
+def test_entry_lets_an_upstream_rest(tmp_path: Path) -> None:
+    """Guard against the same failure through the entries' own interface."""
+    cluster = start_cluster(tmp_path, 1, 3)
+    try:
+        url = f"http://{cluster.upstreams[0].address}"
+        send_request("POST", url + DEMANDS_PATH, {"rest_s": REST_S})
+        begin = time.time()
+        callers = Callers(partial(call_entry, cluster.entries), 1)
+        callers.run_for(RUN_S)
+        seen = send_request("GET", url + SEEN_PATH).json()
+        disturbances = [at for at in seen if at > begin + GRACE_S]
+        assert len(disturbances) <= MAX_REQUESTS
+        assert callers.statuses.count(HTTP_OK) >= 0.95 * len(callers.statuses)
+    finally:
+        cluster.stop()
