Date the end of a limit by the call whose answer shows it

An entry that is frozen reads answers long after they were given. One from before the limit, dated by its reading, was taken for the newest word and lifted the limit at every entry.

Cause: of an answer it is known only that it was given between sending the call and reading the answer. The end of a limit, or a higher one, is now dated by the sending, a new or lower one by the reading: so only an answer to a call that was sent since the limit was known ends it.

test_answer_read_late_does_not_end_a_limit fails before: the answer lifts the limit.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -350,7 +350,7 @@
                 continue
             address = pool.next_probe(now)
             if address is not None:
-                actions.append(self._build_probe(pool, address, "/"))
+                actions.append(self._build_probe(pool, address, "/", now))
         return actions
 
     def _record_notice(
@@ -387,7 +387,7 @@
         self._timers.add(now + QUERY_TIMEOUT_S, QUERY_TIMEOUT, call.call_id)
         path = pool.service.probe_path
         for address in addresses:
-            actions.append(self._build_probe(pool, address, path))
+            actions.append(self._build_probe(pool, address, path, now))
         return True
 
     def _query_limited(
@@ -397,11 +397,13 @@
         address = pool.limited_to_query(now)
         if address is not None:
             path = pool.service.probe_path
-            actions.append(self._build_probe(pool, address, path))
+            actions.append(self._build_probe(pool, address, path, now))
 
-    def _build_probe(self, pool: Pool, address: str, path: str) -> Probe:
+    def _build_probe(
+        self, pool: Pool, address: str, path: str, now: float
+    ) -> Probe:
         process_key = pool.process_at(address)
-        return Probe(pool.service.name, address, path, process_key)
+        return Probe(pool.service.name, address, path, process_key, now)
 
     def _record_query_answer(
         self,
@@ -682,6 +684,7 @@
             remaining_s=call.deadline_at - now,
             process_key=pool.process_at(address),
             basis=basis,
+            sent_at=now,
         )
 
     def _begin_hedge(
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -24,6 +24,7 @@
         "endpoint",
         "process_key",
         "remaining_s",
+        "sent_at",
     )
 
     def __init__(
@@ -34,12 +35,15 @@
         remaining_s: float,
         process_key: ProcessKey | None = None,
         basis: dict[str, float] | None = None,
+        sent_at: float = 0.0,
     ) -> None:
         self.call_id = call_id
         self.attempt = attempt
         self.endpoint = endpoint
         self.remaining_s = remaining_s
         self.process_key = process_key or (endpoint, "", 0)
+        # By the balancer's clock, in seconds.
+        self.sent_at = sent_at
         # The data behind the choice of endpoint, for the log.
         self.basis = basis or {}
 
@@ -123,7 +127,7 @@
 class Probe:
     """Request an endpoint's load report at a path."""
 
-    __slots__ = ("endpoint", "path", "process_key", "service")
+    __slots__ = ("endpoint", "path", "process_key", "sent_at", "service")
 
     def __init__(
         self,
@@ -131,7 +135,9 @@
         endpoint: str,
         path: str = "/",
         process_key: ProcessKey | None = None,
+        sent_at: float = 0.0,
     ) -> None:
+        self.sent_at = sent_at
         self.service = service
         self.endpoint = endpoint
         self.path = path
--- a/packages/core/nutmegchute_core/rate_limits.py
+++ b/packages/core/nutmegchute_core/rate_limits.py
@@ -105,10 +105,16 @@
             elif key not in self._told_by_query:
                 self._untold_by_query.add(key)
                 return False
-        if not self._board.record(key, notice.rate_limit, now, True):
+        observed_at = now
+        if self._is_relaxed(notice):
+            # An answer may be read long after it was given, as by an entry
+            # that was frozen. Only one to a request sent since the stricter
+            # limit became known is surely newer.
+            observed_at = notice.sent_at
+        if not self._board.record(key, notice.rate_limit, observed_at, True):
             return False
         source = BY_QUERY if notice.to_query else BY_ANSWER
-        report = LimitReport(*key, notice.rate_limit, 0.0)
+        report = LimitReport(*key, notice.rate_limit, now - observed_at)
         self._note_change(report, source)
         return True
 
@@ -263,6 +269,13 @@
             now - contact_gap_s * (1.0 - turns_ahead),
         )
 
+    def _is_relaxed(self, notice: Notice) -> bool:
+        """Return whether an answer allows more than the known limit."""
+        known = self._board.find(notice.process)
+        if known is None or known.per_s is None:
+            return False
+        return notice.rate_limit is None or notice.rate_limit > known.per_s
+
     def _note_change(self, report: LimitReport, source: str) -> None:
         if report.per_s is None:
             self._paces.pop(report.process_key, None)
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -249,7 +249,7 @@
             loss=reply.loss,
             crashed=reply.loss == CLOSED
             and self._sender.refuses_connections(send.endpoint),
-            notice=reply.notice(send.process_key),
+            notice=reply.notice(send.process_key, send.sent_at),
         )
         self._runner.schedule(self.dispatcher.end_attempt, call, result)
 
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -91,7 +91,9 @@
                 load = reply.load
                 stretch = reply.stretch
                 cold_s = reply.cold_s
-            notice = reply.notice(probe.process_key, to_query=True)
+            notice = reply.notice(
+                probe.process_key, probe.sent_at, to_query=True
+            )
             reply.close()
         finally:
             self._pending -= 1
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -228,16 +228,20 @@
         return self._format.stretch(self._response.headers)
 
     def notice(
-        self, process_key: ProcessKey, to_query: bool = False
+        self, process_key: ProcessKey, sent_at: float, to_query: bool = False
     ) -> Notice | None:
         """Return what the answer asks of callers, None without an answer."""
         head = self._refusal or self._response
         if head is None or self.is_misdirected:
             return None
-        limit = self._format.rate_limit(head.headers)
-        rest_s = self._format.rest_s(head)
-        is_leaving = self._format.is_leaving(head.headers)
-        return Notice(process_key, limit, to_query, rest_s, is_leaving)
+        return Notice(
+            process_key,
+            sent_at,
+            rate_limit=self._format.rate_limit(head.headers),
+            to_query=to_query,
+            rest_s=self._format.rest_s(head),
+            is_leaving=self._format.is_leaving(head.headers),
+        )
 
     def set_refusal(
         self, response: HTTPResponse, answer_format: AnswerFormat
--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -330,6 +330,7 @@
             shed=outcome == NOT_RUN,
             notice=Notice(
                 send.process_key,
+                send.sent_at,
                 upstream.limit,
                 rest_s=upstream.rest_s,
                 is_leaving=upstream.is_leaving,
@@ -357,7 +358,7 @@
         upstream = self.upstreams[probe.endpoint]
         upstream.arrivals.append((entry.name, self.now))
         limit = upstream.limit if upstream.names_on_queries else None
-        notice = Notice(probe.process_key, limit, to_query=True)
+        notice = Notice(probe.process_key, probe.sent_at, limit, to_query=True)
         self.at(self.now + QUERY_S, self._report_load, entry, upstream, notice)
 
     def _report_load(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -9,8 +9,11 @@
 from demand_model import max_over_limit
 from demand_model import Model
 from demand_model import Upstream
+from nutmegchute_core.entry_groups import EntryGroups
 from nutmegchute_core.limit_boards import LimitBoard
 from nutmegchute_core.limit_boards import LimitReport
+from nutmegchute_core.notices import Notice
+from nutmegchute_core.rate_limits import RateLimits
 from nutmegchute_platform.calls import PlatformCalls
 from urllib3 import HTTPHeaderDict
 
@@ -171,6 +174,18 @@
     assert board.limited() == [key]
 
 
+def test_answer_read_late_does_not_end_a_limit() -> None:
+    """Guard against a frozen entry that reads an answer given long before."""
+    key = ("10.0.0.1:80", "i-1", 1)
+    limits = RateLimits(EntryGroups())
+    assert limits.record(Notice(key, 9.0, 2.0), 10.0)
+    assert not limits.record(Notice(key, 8.0), 15.0)
+    assert not limits.record(Notice(key, 8.0, 4.0), 15.0)
+    assert limits.record(Notice(key, 8.0, 1.0), 15.5)
+    assert not limits.record(Notice(key, 15.4), 16.0)
+    assert limits.record(Notice(key, 15.7), 16.0)
+
+
 def test_answers_of_one_moment_keep_the_stricter_limit() -> None:
     """Guard against entries that order two answers differently."""
     key = ("10.0.0.1:80", "i-1", 1)
