Let upstreams make demands in the soak, and explain refusals by them

One upstream after the other names a limit, asks for rest or leaves, for 9 s, beside all other faults; 'unheeded' counts what arrived beyond the bounds, with six calls for each disturbance of an entry. 'nutmegchute explain' names, for a call that was not sent, what endpoints last asked of its router.

--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -20,6 +20,8 @@
 # An endpoint crashed during a request; a request was quarantined; its
 # quarantine was lifted.
 QUARANTINE_EVENTS = ("NC3021", "NC2021", "NC2022")
+# An endpoint changed its rate limit, asked for rest, or said that it leaves.
+DEMAND_EVENTS = ("NC3025", "NC3027", "NC3028")
 # A log collector may prefix each line with a time and a name.
 _JSON_OBJECT = re.compile(r"\{.*\}")
 
@@ -108,6 +110,8 @@
                 output.append(f"    endpoint event: {_format_line(one)}")
     if not call["sends"]:
         output.append("  not sent to any endpoint")
+        for one in _last_demands(earlier, call):
+            output.append(f"  asked by an endpoint: {_format_line(one)}")
     for one in earlier:
         if one["number"] not in QUARANTINE_EVENTS:
             continue
@@ -116,6 +120,17 @@
     return {"call": call, "told": output}
 
 
+def _last_demands(lines: list[Line], call: Line) -> list[Line]:
+    """Return what each endpoint last asked of the daemon with the call."""
+    last: dict[tuple[str, str], Line] = {}
+    for line in lines:
+        if line["number"] not in DEMAND_EVENTS:
+            continue
+        if line.get("daemon") == call["daemon"]:
+            last[line["endpoint"], line["number"]] = line
+    return list(last.values())
+
+
 def _describe_outcome(call: Line) -> str:
     meaning = OUTCOMES.get(call["outcome"], call["outcome"])
     reason = f" ({call['reason']})" if call.get("reason") else ""
--- a/packages/fakes/nutmegchute_fakes/faults.py
+++ b/packages/fakes/nutmegchute_fakes/faults.py
@@ -118,6 +118,8 @@
         self._repairs: list[Repair] = []
         self._under_repair: set[str] = set()
         self._now = 0.0
+        # Unix times at which entries were disturbed or restored.
+        self.entry_faults: list[float] = []
 
     def run(self) -> None:
         """Inject all faults; all processes run again when it returns."""
@@ -139,6 +141,7 @@
         if process.name in self._under_repair or not process.is_running:
             return
         self._under_repair.add(process.name)
+        self._note_fault(process)
         if fault.kind == KILL:
             process.kill()
         elif fault.kind == FREEZE:
@@ -164,4 +167,9 @@
                 waiting.append(repair)
                 continue
             self._under_repair.discard(repair.process.name)
+            self._note_fault(repair.process)
         self._repairs = waiting
+
+    def _note_fault(self, process: Process) -> None:
+        if process in self._processes["entry"]:
+            self.entry_faults.append(time.time())
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -21,6 +21,8 @@
   crashed-on     a crashing request that reached upstreams after it should
                  have been quarantined
   evacuated      an attempt that ran in an evacuated availability zone
+  unheeded       an upstream that named a limit, asked for rest or leaves, and
+                 got more calls than that allows
 """
 
 import contextlib
@@ -48,6 +50,8 @@
 from .clusters import Cluster
 from .clusters import OPERATOR_KEY
 from .clusters import Process
+from .demands import Demander
+from .demands import find_excess
 from .demo import apply_declaration
 from .demo import build_declaration
 from .evacuations import EvacuationPeriod
@@ -173,6 +177,8 @@
         self._records: list[RequestRecord] = []
         self._lock = threading.Lock()
         self._evacuator: Evacuator | None = None
+        self._demander: Demander | None = None
+        self._entry_faults: list[float] = []
 
     def run(self) -> bool:
         """Run the soak; return whether no invariant was violated."""
@@ -229,6 +235,13 @@
                 target=self._evacuator.run, args=(self._seconds,), daemon=True
             )
             evacuator_thread.start()
+            self._demander = Demander(
+                self._cluster.upstreams, Random(self._seed + 1)
+            )
+            demander_thread = threading.Thread(
+                target=self._demander.run, args=(self._seconds,), daemon=True
+            )
+            demander_thread.start()
             callers = [self._build_caller(number) for number in range(CALLERS)]
             idle = list(callers)
             for number in range(count):
@@ -238,6 +251,8 @@
             injector_thread.join()
             crash_thread.join()
             evacuator_thread.join()
+            demander_thread.join()
+            self._entry_faults = injector.entry_faults
         time.sleep(SETTLE_S)
 
     def _send_crashing_requests(self) -> None:
@@ -357,6 +372,7 @@
             "false-not-run": oracle.false_not_run(),
             "crashed-on": find_late_crashes(crashes),
             "evacuated": find_forbidden_runs(self._evacuation_periods, runs),
+            "unheeded": self._find_unheeded(),
         }
         for name, offenders in violations.items():
             for offender in offenders[:5]:
@@ -367,6 +383,12 @@
         print(f"soak seed {self._seed}: {counts}")
         return not any(violations.values())
 
+    def _find_unheeded(self) -> list[str]:
+        if self._demander is None:
+            return []
+        periods = self._demander.periods
+        return find_excess(periods, ENTRIES, self._entry_faults)
+
     @property
     def _evacuation_periods(self) -> list[EvacuationPeriod]:
         return [] if self._evacuator is None else self._evacuator.periods
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -107,6 +107,30 @@
     assert "NC2021" in crash_lines[1]
 
 
+def test_refusal_for_rests_is_explained(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Show for a refused request which endpoints asked its router for rest."""
+    router = tmp_path / "router.log"
+    refused = build_call("q1", outcome="refuse", reason="rests", sends=[])
+    rest = {"endpoint": "10.0.0.1:80", "instance": "i-1", "source": "answer"}
+    router.write_text(
+        "\n".join(
+            [
+                build_line("NC3027", "router-2", 3, rest_s=2.0, **rest),
+                build_line("NC3027", "router-1", 4, rest_s=1.0, **rest),
+                build_line("NC3027", "router-2", 5, rest_s=3.0, **rest),
+                build_line("NC3016", "router-2", 6, **refused),
+            ]
+        )
+    )
+    assert main(["explain", "q1", str(router)]) == 0
+    output = capsys.readouterr().out.splitlines()
+    asked = [one for one in output if "asked by an endpoint" in one]
+    assert len(asked) == 1
+    assert "rest_s=3.0" in asked[0]
+
+
 def test_unknown_request_is_a_usage_error(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
