--- a/packages/daemon/nutmegchute_daemon/limit_reporters.py
+++ b/packages/daemon/nutmegchute_daemon/limit_reporters.py
@@ -29,10 +29,10 @@
 
     __slots__ = (
         "_board",
+        "_failures",
         "_links",
         "_loop",
         "_pending",
-        "_position",
         "_replicas",
         "_wake",
     )
@@ -49,7 +49,8 @@
         self._loop = asyncio.get_running_loop()
         # Ordered by the first change that has not been reported.
         self._pending: dict[ProcessKey, None] = {}
-        self._position = 0
+        # Failures since the last report that was accepted.
+        self._failures = 0
         self._wake = asyncio.Event()
 
     def submit(self, processes: list[ProcessKey]) -> None:
@@ -66,20 +67,20 @@
             await asyncio.sleep(BATCH_S)
         pending, self._pending = self._pending, {}
         if await self._send(self._build_reports(pending)):
-            self._position = 0
+            self._failures = 0
             return
-        # Changes that came meanwhile are newer, but only the keys are kept:
-        # the reports are built from the board.
         self._pending = {**pending, **self._pending}
-        log(Event.LIMITS_UNREPORTED, "warning", processes=len(self._pending))
-        self._position += 1
+        if not self._failures:
+            processes = len(self._pending)
+            log(Event.LIMITS_UNREPORTED, "warning", processes=processes)
+        self._failures += 1
         await asyncio.sleep(RETRY_S)
 
     async def _send(self, reports: list[LimitReport]) -> bool:
         replicas = self._replicas()
         if not replicas:
             return False
-        address = replicas[self._position % len(replicas)]
+        address = replicas[self._failures % len(replicas)]
         reply = await self._links.send_request(
             address, REPORT_LIMITS, LimitReports(reports), TIMEOUT_S
         )
