Query endpoints that take no calls instead of calling them

Any answer to a load query without a limit counted as one of an endpoint that does not name its limit there, also from before it had one. So such an endpoint got calls, one in two seconds over all entries, where a load query tells as much. Only answers while a limit holds count now.

test_endpoint_that_takes_no_calls_gets_load_queries: 3 calls in 9 s before, at most 2 after.

--- a/packages/core/nutmegchute_core/limit_boards.py
+++ b/packages/core/nutmegchute_core/limit_boards.py
@@ -109,14 +109,6 @@
         """Return the record of a process, if it ever named a limit."""
         return self._records.get(key)
 
-    def limited(self) -> list[ProcessKey]:
-        """Return the processes whose limit holds."""
-        return [
-            key
-            for key, record in self._records.items()
-            if record.per_s is not None
-        ]
-
     def record(
         self,
         key: ProcessKey,
--- a/packages/core/nutmegchute_core/rate_limits.py
+++ b/packages/core/nutmegchute_core/rate_limits.py
@@ -82,7 +82,7 @@
         # Processes whose answers to load queries name limits: only at these
         # does such an answer without a limit show that it has ended.
         self._told_by_query: set[ProcessKey] = set()
-        # Processes that answered a load query without naming their limit.
+        # Limited processes that answered a load query without naming it.
         self._untold_by_query: set[ProcessKey] = set()
         self._changes: list[LimitChange] = []
 
@@ -103,7 +103,7 @@
             if notice.rate_limit is not None:
                 self._told_by_query.add(key)
             elif key not in self._told_by_query:
-                self._untold_by_query.add(key)
+                self._note_untold(key)
                 return False
         observed_at = now
         if self._is_relaxed(notice):
@@ -269,6 +269,11 @@
             now - contact_gap_s * (1.0 - turns_ahead),
         )
 
+    def _note_untold(self, key: ProcessKey) -> None:
+        known = self._board.find(key)
+        if known is not None and known.per_s is not None:
+            self._untold_by_query.add(key)
+
     def _is_relaxed(self, notice: Notice) -> bool:
         """Return whether an answer allows more than the known limit."""
         known = self._board.find(notice.process)
@@ -279,4 +284,5 @@
     def _note_change(self, report: LimitReport, source: str) -> None:
         if report.per_s is None:
             self._paces.pop(report.process_key, None)
+            self._untold_by_query.discard(report.process_key)
         self._changes.append(LimitChange(report, source))
--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -93,6 +93,8 @@
         # Entry and time of each call and load query, and of each answer to a
         # call that named a limit.
         self.arrivals: list[tuple[str, float]] = []
+        # Times of the calls among them.
+        self.calls: list[float] = []
         self.told: dict[str, float] = {}
         # Entries that restarted or were cut off.
         self.excused: set[str] = set()
@@ -305,6 +307,7 @@
     def _run(self, entry: Entry, send: Send) -> None:
         upstream = self.upstreams[send.endpoint]
         upstream.arrivals.append((entry.name, self.now))
+        upstream.calls.append(self.now)
         if upstream.rest_s is not None or upstream.load >= SLOTS + QUEUE:
             self._answer(entry, send, upstream, NOT_RUN)
             return
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -171,7 +171,9 @@
     late = [LimitReport(*key, 2.0, 1.5)]
     assert not board.apply(late, 12.0, is_own=False)
     assert board.record(key, 0.5, 12.5, True)
-    assert board.limited() == [key]
+    record = board.find(key)
+    assert record is not None
+    assert record.per_s == 0.5
 
 
 def test_answer_read_late_does_not_end_a_limit() -> None:
@@ -186,6 +188,21 @@
     assert limits.record(Notice(key, 15.7), 16.0)
 
 
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_endpoint_that_takes_no_calls_gets_load_queries(
+    size: tuple[int, int, float],
+) -> None:
+    """Guard against calls only to learn whether a limit of 0 has ended."""
+    model = build_model(size, 1)
+    limited = limit_some(model, 2, 0.0)
+    model.run(END_S)
+    for upstream in limited:
+        calls = [at for at in upstream.calls if at > NAMED_AT_S + LEARN_S]
+        arrivals = count_calls(upstream, NAMED_AT_S + LEARN_S, END_S)
+        assert len(calls) <= 2
+        assert arrivals - len(calls) >= 2
+
+
 def test_answers_of_one_moment_keep_the_stricter_limit() -> None:
     """Guard against entries that order two answers differently."""
     key = ("10.0.0.1:80", "i-1", 1)
