Start a simulated replica again whose start failed on a full disk

A replica that lost its disk and started on a full one could not save its identity. The daemon ends with an error there, and its supervisor starts it again; now the stand-in does so after the time that a failed disk takes. The fault was in the stand-in alone.

--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -117,6 +117,8 @@
         self._queries: dict[int, Callable[[FollowReply], None]] = {}
         self._long_polls = LongPolls()
         self._last_query_id = 0
+        # Whether the supervisor will start it again after a failed start.
+        self._restart_pending = False
         self._join_requests = JoinRequests()
         self._reported_leader = ""
 
@@ -128,12 +130,34 @@
     def start(self) -> None:
         """Start from the state on the disk."""
         self.up = True
+        self._restart_pending = False
         self.starts += 1
+        try:
+            self._open_identity()
+        except PowerCutError:
+            self.kill()
+            return
+        except StorageError:
+            # As the daemon does: it ends, and its supervisor starts it again.
+            self.kill()
+            self._restart_pending = True
+            self._cluster.after(RECOVER_S, self._restart)
+            return
         self._guard(self._load)
+        if not self.up:
+            return
+        self._introduce(self.starts)
+        if self._cluster.auto_membership:
+            self._check_membership(self.starts)
+
+    def _restart(self) -> None:
+        if self._restart_pending:
+            self.start()
 
     def kill(self) -> None:
         """Stop at once; data that was not synced may be lost."""
         self.up = False
+        self._restart_pending = False
         self.node = None
         self._proposals = {}
         self._queries = {}
@@ -284,7 +308,7 @@
             replica.membership, self._cluster.now
         )
 
-    def _load(self) -> None:
+    def _open_identity(self) -> None:
         self._storage = Storage(self.disk)  # type: ignore[arg-type]
         identity = self._storage.identity()
         if identity is None:
@@ -293,13 +317,12 @@
         self._identity = identity
         member = Member(identity.identity, self.name, self.name)
         self._formation = Formation(member, self._cluster.names)
-        if identity.group is not None:
+
+    def _load(self) -> None:
+        if self._identity.group is not None:
             self._start_node()
         else:
             self._form()
-        self._introduce(self.starts)
-        if self._cluster.auto_membership:
-            self._check_membership(self.starts)
 
     def _start_node(self) -> None:
         founder = self._identity.genesis.find(self._identity.identity)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -338,7 +338,6 @@
     machine.teardown()
 
 
-@pytest.mark.known_red
 def test_replica_that_lost_its_disk_rejoins_after_start_on_full_disk(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
