Keep one timer for each waiting call when demands change

Each change of a limit or a rest scheduled another query for every waiting call, and each of these repeated itself every 50 ms: under load with many rests an entry would have been busy with timers. Found by reading.

A call now has one such timer at most.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -340,6 +340,7 @@
             elif kind == QUERY_TIMEOUT and call_id in self._inquiries:
                 self._end_query_round(call, now, actions)
             elif kind == REQUERY:
+                call.requery_pending = False
                 self._requery(call, now, actions)
             elif kind == REQUEST_TRIAL:
                 self._isolation.request_trial(call.key, now)
@@ -531,7 +532,10 @@
         return None if pool.may_query else call.call_id
 
     def _schedule_requery(self, pool: Pool, call: Call, now: float) -> None:
-        if call.state == QUEUED and pool.must_poll:
+        if call.requery_pending or call.state != QUEUED:
+            return
+        if pool.must_poll:
+            call.requery_pending = True
             self._timers.add(now + REQUERY_S, REQUERY, call.call_id)
 
     def _resolve_attempt(
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -222,6 +222,7 @@
         "may_have_run",
         "objective_at",
         "outstanding",
+        "requery_pending",
         "trial_token",
     )
 
@@ -256,6 +257,8 @@
         self.is_first_try = False
         self.may_have_run = False
         self.outstanding: set[int] = set()
+        # Whether a timer will query endpoints again for the queued call.
+        self.requery_pending = False
 
     @property
     def call_id(self) -> int:
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -1,5 +1,7 @@
 """Test that an entry lets endpoints rest that ask it to."""
 
+from typing import Any
+
 import pytest
 from demand_model import BEGIN_S
 from demand_model import DEADLINE_S
@@ -7,10 +9,14 @@
 from demand_model import max_over_limit
 from demand_model import Model
 from demand_model import OBJECTIVE_S
+from demand_model import RULE
+from demand_model import SERVICE
 from demand_model import Upstream
 from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
+from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.notices import Notice
 from nutmegchute_daemon.answers import MAX_REST_S
 from nutmegchute_daemon.answers import read_rest_s
 from nutmegchute_daemon.answers import UNREADABLE_REST_S
@@ -160,3 +166,35 @@
     for upstream in resting:
         assert max_during_rest(upstream) <= MAX_REQUESTS
     assert model.served_share() > 0.95
+
+
+def test_changed_rests_do_not_multiply_the_timers_of_waiting_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a timer for each waiting call and each change."""
+    requeries = 0
+    original = Balancer._requery
+
+    def count(self: Balancer, *args: Any) -> None:
+        nonlocal requeries
+        requeries += 1
+        original(self, *args)
+
+    monkeypatch.setattr(Balancer, "_requery", count)
+    model = Model(1, 2, 1)
+    model.run(ASKED_AT_S)
+    balancer = model.entries[0].balancer
+    for number in range(100):
+        for upstream in model.upstreams.values():
+            key = upstream.announcement.process_key
+            notice = Notice(key, model.now, rest_s=1.0)
+            balancer.record_probe(
+                SERVICE, upstream.address, 0, 0.001, model.now, notice=notice
+            )
+        if number < 10:
+            balancer.arrive_with_rule(SERVICE, RULE, model.now, DEADLINE_S)
+        model.now += 0.01
+        balancer.tick(model.now)
+    assert balancer.in_flight == 10
+    # Ten calls for a second, each at most every 50 ms.
+    assert requeries <= 10 * 20
