--- a/packages/fakes/nutmegchute_fakes/demands.py
+++ b/packages/fakes/nutmegchute_fakes/demands.py
@@ -107,9 +107,7 @@
             print(f"{upstream.name} asks for {demands}", flush=True)
             period = DemandPeriod(upstream.address, demands)
             self._stopping.wait(DURATION_S)
-            period.seen = self._fetch_seen(upstream.address)
-            if period.seen:
-                self.periods.append(period)
+            self._record(period)
             self._end(upstream, demands)
 
     def _draw(self) -> Demands:
@@ -138,13 +136,21 @@
             return False
         return answer.status == 200
 
-    def _fetch_seen(self, address: str) -> list[float]:
-        """Return when calls arrived; nothing if the process has ended."""
+    def _record(self, period: DemandPeriod) -> None:
+        """Record a period, unless the upstream ended or restarted in it.
+
+        A restarted upstream is another process and makes no demands.
+        """
+        url = f"http://{period.address}"
         try:
-            answer = self._pool.request("GET", f"http://{address}{SEEN_PATH}")
+            demands = self._pool.request("GET", url + DEMANDS_PATH)
+            seen = self._pool.request("GET", url + SEEN_PATH)
         except HTTPError:
-            return []
-        return msgspec.json.decode(answer.data, type=list[float])
+            return
+        if msgspec.json.decode(demands.data, type=Demands) != period.demands:
+            return
+        period.seen = msgspec.json.decode(seen.data, type=list[float])
+        self.periods.append(period)
 
 
 def find_excess(
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -16,8 +16,9 @@
   --record=PATH        File that gets a line per run, kept after a kill.
 
 A call to CRASH_PATH is recorded and ends the process. A JSON object sent to
-DEMANDS_PATH sets what the upstream asks of entries in all its answers;
-SEEN_PATH lists the Unix times at which calls and load queries arrived.
+DEMANDS_PATH sets what the upstream asks of entries in all its answers, a GET
+returns it; SEEN_PATH lists the Unix times at which calls and load queries
+arrived.
 """
 
 import os
@@ -130,9 +131,10 @@
             self.drain()
             return _answer(start_response, {}, [])
         if path == DEMANDS_PATH:
-            content = environ["wsgi.input"].read()
-            self._demands = msgspec.json.decode(content, type=Demands)
-            return _answer(start_response, {}, [])
+            if environ["REQUEST_METHOD"] == "POST":
+                content = environ["wsgi.input"].read()
+                self._demands = msgspec.json.decode(content, type=Demands)
+            return _answer(start_response, self._demands, [])
         if path == SEEN_PATH:
             return _answer(start_response, self._seen, [])
         self._seen.append(time.time())
