--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -390,15 +390,17 @@
             self.at(self.now + 0.5, self._report, entry, reports, sent_at)
             return
         known = self._board.watermark
-        aged = [
-            LimitReport(*one.process_key, one.per_s, self.now - sent_at)
-            for one in reports
-        ]
+        delay_s = self.now - sent_at
+        aged = []
+        for report in reports:
+            age_s = report.age_s + delay_s
+            key = report.process_key
+            aged.append(LimitReport(*key, report.per_s, age_s))
         if not self._board.apply(aged, self.now, is_own=True):
             return
-        for one in self.entries:
-            delay_s = self.random.uniform(0.0, MAX_NEWS_S)
-            self.at(self.now + delay_s, self._send_news, one, known)
+        for other in self.entries:
+            news_s = self.random.uniform(0.0, MAX_NEWS_S)
+            self.at(self.now + news_s, self._send_news, other, known)
 
     def _send_news(self, entry: Entry, known: Watermark) -> None:
         if entry.ended:
