Identify organisations by the keys of their callers

Nothing in the product knew organisations: on small twins with tenants, requests ran with the client's key passed on and with keys that no configuration held.

Declarations have organisations with keys, quota and priority; routes and rules may be anonymous. Entries and routers answer 401 to calls without a valid key, remove the key and name the organisation to upstreams. A withdrawn key ends the calls that wait. Without the section nothing changes. Errors of the validator do not quote keys.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -7,6 +7,7 @@
 from .calls import Call
 from .calls import Cancel
 from .calls import CANCELLED
+from .calls import Deny
 from .calls import Finish
 from .calls import Lose
 from .calls import LOST
@@ -26,6 +27,7 @@
 from .limit_boards import LimitUpdate
 from .members import Announcement
 from .notices import Notice
+from .organisations import Organisation
 from .policies import Policy
 from .pool_sets import PoolSet
 from .pools import Pool
@@ -52,6 +54,7 @@
 # Retries and trials that one dispatch skips because no endpoint may run them.
 MAX_UNPLACED = 4
 CRASHES = "crashes the endpoints that run it"
+WITHDRAWN = "the key is no longer valid"
 TOO_MANY_SUSPECTS = "too many suspects wait"
 
 
@@ -171,6 +174,7 @@
         caller_deadline_s: float | None = None,
         attempt: int = 1,
         fingerprint: str = "",
+        organisation: Organisation | None = None,
     ) -> tuple[int, list[Action]]:
         """Admit a call; return its id and the first actions.
 
@@ -182,7 +186,13 @@
         pool = self._pools.get(service)
         rule = None if pool is None else pool.service.rule_for(method, path)
         return self.arrive_with_rule(
-            service, rule, now, caller_deadline_s, attempt, fingerprint
+            service,
+            rule,
+            now,
+            caller_deadline_s,
+            attempt,
+            fingerprint,
+            organisation,
         )
 
     def arrive_with_rule(
@@ -193,6 +203,7 @@
         caller_deadline_s: float | None = None,
         attempt: int = 1,
         fingerprint: str = "",
+        organisation: Organisation | None = None,
     ) -> tuple[int, list[Action]]:
         """Admit a call whose rule is already known; see ``arrive``."""
         call_id = self._next_id
@@ -206,7 +217,14 @@
         if caller_deadline_s is not None:
             deadline_s = min(deadline_s, caller_deadline_s)
         call = Call(
-            call_id, service, rule, now, deadline_s, attempt > 1, fingerprint
+            call_id,
+            service,
+            rule,
+            now,
+            deadline_s,
+            attempt > 1,
+            fingerprint,
+            organisation,
         )
         self._calls[call_id] = call
         pool.record_deadline(call, caller_deadline_s)
@@ -310,6 +328,26 @@
         self._inquiries.pop(call_id, None)
         return actions
 
+    def withdraw(self, call_id: int, now: float) -> list[Action]:
+        """End a call whose key is no longer valid, or send it no more."""
+        call = self._calls.get(call_id)
+        if call is None:
+            return []
+        call.is_withdrawn = True
+        if call.outstanding:
+            return []
+        pool = self._pools.get(call.service)
+        if pool is not None:
+            pool.queue.remove(call_id)
+        self._inquiries.pop(call_id, None)
+        final: Action = self._refuse_or_lose(pool, call, WITHDRAWN)
+        if isinstance(final, Refuse):
+            final = Deny(call_id, WITHDRAWN)
+        actions: list[Action] = [final]
+        if pool is not None:
+            self._dispatch(pool, now, actions)
+        return actions
+
     def next_wakeup(self) -> float | None:
         """Return the time by which tick must run, in seconds, if any."""
         soonest = self._timers.next_at
@@ -572,6 +610,8 @@
         if call.outstanding:
             # Another attempt of the hedged call is still in flight.
             return True
+        if call.is_withdrawn:
+            return False
         may_repeat = result.outcome == NOT_RUN or call.rule.idempotent
         if (
             pool is None
@@ -695,7 +735,7 @@
         self, call: Call, now: float, actions: list[Action]
     ) -> None:
         pool = self._pools.get(call.service)
-        if pool is None or len(call.outstanding) != 1:
+        if pool is None or len(call.outstanding) != 1 or call.is_withdrawn:
             return
         if not pool.may_hedge(call, now) or self._is_suspect(call, now):
             return
@@ -707,7 +747,7 @@
         self, call: Call, now: float, actions: list[Action]
     ) -> None:
         pool = self._pools.get(call.service)
-        if pool is None or len(call.outstanding) != 1:
+        if pool is None or len(call.outstanding) != 1 or call.is_withdrawn:
             return
         if self._is_suspect(call, now):
             return
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -4,6 +4,7 @@
 from .charts import load_chart
 from .members import ProcessKey
 from .notices import Notice
+from .organisations import Organisation
 from .rules import Rule
 
 ANSWERED = "answered"
@@ -76,6 +77,29 @@
         self.reason = reason
 
 
+class Deny:
+    """Answer that the caller's key is not valid."""
+
+    __slots__ = ("call_id", "reason")
+
+    def __init__(self, call_id: int, reason: str) -> None:
+        self.call_id = call_id
+        self.reason = reason
+
+
+class Throttle:
+    """Answer that the quota of the caller's organisation is used up."""
+
+    __slots__ = ("call_id", "reason", "retry_after_s")
+
+    def __init__(
+        self, call_id: int, reason: str, retry_after_s: float
+    ) -> None:
+        self.call_id = call_id
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 class Lose:
     """Answer "unknown": the call may have run."""
 
@@ -144,7 +168,9 @@
         self.process_key = process_key or (endpoint, "", 0)
 
 
-CallAction = Send | Refuse | Reject | Lose | Finish | Known | Cancel
+CallAction = (
+    Send | Refuse | Reject | Deny | Throttle | Lose | Finish | Known | Cancel
+)
 Action = CallAction | Probe
 
 
@@ -219,8 +245,10 @@
         "alone",
         "fingerprint",
         "is_first_try",
+        "is_withdrawn",
         "may_have_run",
         "objective_at",
+        "organisation",
         "outstanding",
         "requery_pending",
         "trial_token",
@@ -235,8 +263,13 @@
         deadline_s: float,
         is_retry: bool = False,
         fingerprint: str = "",
+        organisation: Organisation | None = None,
     ) -> None:
         self._is_retry = is_retry
+        # The organisation of the caller, None where calls need no key.
+        self.organisation = organisation
+        # Whether the caller's key is no longer valid: no further sends.
+        self.is_withdrawn = False
         self.fingerprint = fingerprint
         # A suspect's token for one trial, or 0; alone restricts the trial
         # to an endpoint with no other calls.
--- a/packages/core/nutmegchute_core/declarations.py
+++ b/packages/core/nutmegchute_core/declarations.py
@@ -25,6 +25,7 @@
         "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 600000},
         "attempts": {"type": "integer", "minimum": 1, "maximum": 4},
         "hedge": {"type": "boolean"},
+        "anonymous": {"type": "boolean"},
     },
 }
 
@@ -46,6 +47,8 @@
     },
 }
 
+ORGANISATIONS = "organisations"
+
 _SERVICE_NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"}
 
 ROUTE_SCHEMA: dict[str, Any] = {
@@ -66,6 +69,7 @@
         "objective_ms": {"type": "number", "minimum": 0},
         "priority": {"type": "integer", "minimum": 0},
         "attempts": {"type": "integer", "minimum": 1, "maximum": 64},
+        "anonymous": {"type": "boolean"},
         "service": _SERVICE_NAME,
         "split": {
             "type": "array",
@@ -95,6 +99,27 @@
     },
 }
 
+# Keys and names are written into headers, which cannot hold control
+# characters.
+ORGANISATION_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "keys": {
+            "type": "array",
+            "items": {
+                "type": "string",
+                "pattern": "^[^\\x00-\\x20\\x7f]+$",
+                "maxLength": 1024,
+            },
+        },
+        "rate_per_s": {"type": "number", "minimum": 0, "maximum": 1e9},
+        "burst": {"type": "number", "minimum": 0, "maximum": 1e9},
+        "priority": {"type": "integer", "minimum": 0, "maximum": 1000},
+        "annotations": {"type": "object"},
+    },
+}
+
 TEAM_SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
@@ -110,6 +135,15 @@
             "additionalProperties": ROUTE_SCHEMA,
         },
         "limits": LIMITS_SCHEMA,
+        "organisations": {
+            "type": "object",
+            "propertyNames": {
+                "pattern": "^[^\\x00-\\x20\\x7f]([^\\x00-\\x1f\\x7f]*"
+                "[^\\x00-\\x20\\x7f])?$",
+                "maxLength": 256,
+            },
+            "additionalProperties": ORGANISATION_SCHEMA,
+        },
         "annotations": {"type": "object"},
     },
 }
@@ -128,7 +162,11 @@
     )
     for error in errors:
         steps = [team, *map(str, error.absolute_path)]
-        raise DeclarationError("/".join(steps), error.message)
+        message = error.message
+        if ORGANISATIONS in steps:
+            # The validator's message may quote keys.
+            message = f"{error.validator} must be {error.validator_value!r}"
+        raise DeclarationError("/".join(steps), message)
 
 
 def check_tree(documents: dict[str, Any]) -> None:
@@ -146,6 +184,7 @@
                 )
             owners[name] = team
     _check_routes(documents, owners)
+    _check_organisations(documents)
 
 
 def _check_routes(documents: dict[str, Any], owners: dict[str, str]) -> None:
@@ -171,6 +210,25 @@
             seen[match] = path
 
 
+def _check_organisations(documents: dict[str, Any]) -> None:
+    names: dict[str, str] = {}
+    owners: dict[str, str] = {}
+    for team in sorted(documents):
+        section = documents[team].get("organisations", {})
+        for name, organisation in section.items():
+            place = f"{team}/organisations/{name}"
+            if name in names:
+                raise DeclarationError(place, f"{names[name]} has this name")
+            names[name] = place
+            for position, key in enumerate(organisation.get("keys", [])):
+                owner = owners.setdefault(key, place)
+                if owner != place:
+                    # The key itself must not appear in an error.
+                    raise DeclarationError(
+                        f"{place}/keys/{position}", f"{owner} has this key"
+                    )
+
+
 def services_of(route: dict[str, Any]) -> list[str]:
     """Return the services to which a route may send requests."""
     if "split" not in route:
--- /dev/null
+++ b/packages/core/nutmegchute_core/organisations.py
@@ -0,0 +1,106 @@
+"""Find the organisation that a caller's key belongs to."""
+
+import hashlib
+from typing import Any
+
+DEFAULT_PRIORITY = 0
+DIGEST_BYTES = 16
+
+
+class Organisation:
+    """Hold the quota and the priority of one organisation.
+
+    ``rate_per_s`` is the number of calls a second that all entries together
+    admit, 0 if it is not limited; ``burst`` may come on top of it at once.
+    ``priority`` goes before that of the route; 0 is the most urgent.
+    """
+
+    __slots__ = ("_burst", "_name", "_priority", "_rate_per_s")
+
+    def __init__(self, name: str, document: dict[str, Any]) -> None:
+        self._name = name
+        self._rate_per_s = float(document.get("rate_per_s", 0.0))
+        self._burst = float(document.get("burst", 0.0))
+        self._priority: int = document.get("priority", DEFAULT_PRIORITY)
+
+    @property
+    def name(self) -> str:
+        """Return the name, as upstreams receive it."""
+        return self._name
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return the calls a second that are admitted, 0 if unlimited."""
+        return self._rate_per_s
+
+    @property
+    def burst(self) -> float:
+        """Return the calls admitted at once on top of the rate."""
+        return self._burst
+
+    @property
+    def priority(self) -> int:
+        """Return the priority; 0 is the most urgent."""
+        return self._priority
+
+    @property
+    def has_quota(self) -> bool:
+        """Return whether the calls of this organisation are limited."""
+        return self._rate_per_s > 0
+
+
+class Organisations:
+    """Hold the organisations and the keys that are in force.
+
+    Keys are found by a keyed hash: comparing texts would take longer the
+    more characters match, and tell a caller how far it guessed right.
+    """
+
+    __slots__ = ("_by_digest", "_by_name", "_required", "_secret")
+
+    def __init__(self, secret: bytes, required: bool = False) -> None:
+        self._secret = secret
+        self._required = required
+        self._by_digest: dict[bytes, Organisation] = {}
+        self._by_name: dict[str, Organisation] = {}
+
+    @property
+    def required(self) -> bool:
+        """Return whether calls need a key."""
+        return self._required
+
+    @property
+    def by_name(self) -> dict[str, Organisation]:
+        """Return the organisations by name."""
+        return self._by_name
+
+    def add(self, organisation: Organisation, keys: list[str]) -> None:
+        """Add an organisation and its keys."""
+        self._by_name[organisation.name] = organisation
+        for key in keys:
+            self._by_digest[self._digest(key.encode())] = organisation
+
+    def find(self, key: bytes) -> Organisation | None:
+        """Return the organisation that a key belongs to, if any."""
+        return self._by_digest.get(self._digest(key))
+
+    def _digest(self, key: bytes) -> bytes:
+        return hashlib.blake2b(
+            key, digest_size=DIGEST_BYTES, key=self._secret
+        ).digest()
+
+
+def read_organisations(
+    documents: dict[str, Any], secret: bytes
+) -> Organisations:
+    """Build the organisations that a checked tree declares."""
+    sections = {}
+    for team in sorted(documents):
+        section = documents[team].get("organisations")
+        if section is not None:
+            sections[team] = section
+    found = Organisations(secret, bool(sections))
+    for section in sections.values():
+        for name, document in section.items():
+            found.add(Organisation(name, document), document.get("keys", []))
+    return found
--- a/packages/core/nutmegchute_core/routes.py
+++ b/packages/core/nutmegchute_core/routes.py
@@ -130,6 +130,7 @@
             "objective_ms": document.get("objective_ms"),
             "attempts": document.get("attempts", 1),
             "hedge": document["idempotent"],
+            "anonymous": document.get("anonymous", False),
         }
     )
 
--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -17,6 +17,7 @@
     """Hold how one class of requests is sent, retried and prioritised."""
 
     __slots__ = (
+        "_anonymous",
         "_attempts",
         "_deadline_s",
         "_hedge",
@@ -40,6 +41,7 @@
         self._objective_s = objective_ms / 1000
         self._attempts: int = document.get("attempts", 2)
         self._hedge: bool = document.get("hedge", False)
+        self._anonymous: bool = document.get("anonymous", False)
 
     @property
     def name(self) -> str:
@@ -71,6 +73,11 @@
         """Return the maximum number of sends per call, including the first."""
         return self._attempts
 
+    @property
+    def anonymous(self) -> bool:
+        """Return whether calls need no organisation's key."""
+        return self._anonymous
+
     @property
     def hedge(self) -> bool:
         """Return whether a call may be hedged with a second send."""
--- a/packages/daemon/nutmegchute_daemon/call_formats.py
+++ b/packages/daemon/nutmegchute_daemon/call_formats.py
@@ -9,6 +9,7 @@
 from .pending_calls import PendingCall
 from .protocols import ATTEMPT_HEADER
 from .protocols import DEADLINE_HEADER
+from .protocols import ORGANISATION_HEADER
 from .readers import read_call
 
 # Returns, for a host and a path, how many bytes of a body are buffered.
@@ -20,6 +21,9 @@
 
     __slots__ = ()
 
+    # The header that names the caller's organisation to upstreams.
+    organisation_header = ORGANISATION_HEADER
+
     def read(
         self, http: StrictRequest, body_bytes: int, buffer_limit: BufferLimit
     ) -> PendingCall:
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Lose
@@ -14,6 +15,7 @@
 from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.calls import Throttle
 from nutmegchute_core.claims import MISMATCH
 from nutmegchute_core.claims import OPEN
 from nutmegchute_core.claims import RAN
@@ -42,6 +44,8 @@
 
 ACTION_GRACE_S = 5.0
 FULL_RETRY_S = 1.0
+# Names the scheme of the keys in answers to calls without a valid one.
+CHALLENGE = "Bearer"
 # One in so many worker threads is reserved for pages: if calls could hold
 # all of them, announcements and requests for the list of entries would wait
 # and leases would expire under load.
@@ -213,6 +217,16 @@
             if isinstance(action, Known):
                 self._answer_duplicate(http, action)
                 return
+            if isinstance(action, Throttle):
+                self._refuse(http, 429, action.reason, action.retry_after_s)
+                return
+            if isinstance(action, Deny):
+                headers = [
+                    (OUTCOME_HEADER, NOT_RUN),
+                    ("WWW-Authenticate", CHALLENGE),
+                ]
+                self._write_answer(http, 401, headers, action.reason)
+                return
             if isinstance(action, Reject):
                 headers = [(OUTCOME_HEADER, NOT_RUN)]
                 self._write_answer(http, 404, headers, action.reason)
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -10,6 +10,7 @@
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Cancel
+from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import NOT_RUN
@@ -115,6 +116,7 @@
             deadline_s,
             arrival.attempt,
             call.fingerprint,
+            call.organisation,
         )
         self._open(call, call_id, actions, now)
 
@@ -131,6 +133,7 @@
             arrival.deadline_s,
             arrival.attempt,
             call.fingerprint,
+            call.organisation,
         )
         self._open(call, call_id, actions, now)
 
@@ -257,6 +260,8 @@
             elif isinstance(action, Refuse):
                 self._settle(call, CLAIM_NOT_RUN)
                 self._metrics.count("refused")
+            elif isinstance(action, Deny):
+                self._settle(call, CLAIM_NOT_RUN)
             elif isinstance(action, Lose):
                 self._settle(call, UNKNOWN)
                 self._metrics.count("unknown")
@@ -307,6 +312,15 @@
         if learned:
             self.on_limits(learned)
 
+    def withdraw(self, is_valid: Callable[[PendingCall], bool]) -> None:
+        """End calls whose key is no longer valid, or send them no more."""
+        now = self._loop.time()
+        for call_id, call in list(self._calls.items()):
+            if is_valid(call):
+                continue
+            self._metrics.count("withdrawn")
+            self.perform(self._balancer.withdraw(call_id, now))
+
     def sweep(self) -> None:
         """End overdue exchanges and calls whose caller has disconnected."""
         now = time.monotonic()
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Result
@@ -32,6 +33,7 @@
 from .applications import close_pages
 from .applications import open_pages
 from .applications import start_pages
+from .call_formats import CallFormat
 from .callers import CallHandler
 from .claims import Claimer
 from .clocks import boot_time
@@ -45,6 +47,8 @@
 from .followers import Follower
 from .gossips import Gossiper
 from .gossips import TICK_S as GOSSIP_TICK_S
+from .identities import Identifier
+from .identities import KEY_UNKNOWN
 from .pages import EntryPages
 from .pending_calls import PendingCall
 from .probes import LOAD_PATH
@@ -81,6 +85,7 @@
         self._announcements = Announcements(self._members)
         self._directory = Directory(own_info, random.random())
         self._services: dict[str, Service] = {}
+        self._identifier = Identifier(CallFormat.organisation_header)
         self._claimer = Claimer(settings, self._links, self._loop)
         self._open_claims = 0
         self._follower = Follower(settings, self._links, self._apply_documents)
@@ -191,6 +196,10 @@
             # that is confirmed.
             call.put(Refuse(0, "configuration not confirmed", RETRY_S))
             return
+        denial = self._identifier.identify(call, self._is_anonymous(call))
+        if denial is not None:
+            self._deny(call, denial)
+            return
         rule = self._claimed_rule(call)
         if rule is None:
             self._dispatcher.admit(call, call.arrival.deadline_s)
@@ -209,6 +218,24 @@
         assert call.claim is not None
         self._claimer.claim(call.claim, wait_s, on_answer)
 
+    def _is_anonymous(self, call: PendingCall) -> bool:
+        """Return whether a call needs no key."""
+        arrival = call.arrival
+        service = self._services.get(arrival.service)
+        if service is None:
+            return False
+        rule = service.rule_for(arrival.method, arrival.path)
+        return rule is not None and rule.anonymous
+
+    def _deny(self, call: PendingCall, denial: Deny) -> None:
+        """Answer a call without a valid key."""
+        if denial.reason == KEY_UNKNOWN and not self._follower.has_lease:
+            # A newer configuration may have the key.
+            call.put(Refuse(0, "keys are not up to date", RETRY_S))
+            return
+        self._metrics.count("denied")
+        call.put(denial)
+
     def _claimed_rule(self, call: PendingCall) -> Rule | None:
         arrival = call.arrival
         if call.claim is None or arrival.service not in self._services:
@@ -315,4 +342,6 @@
         services = self._services = read_services(reply.documents)
         self._balancer.configure(services, now)
         self._announcements.configure(services)
+        self._identifier.configure(reply.documents)
+        self._dispatcher.withdraw(self._identifier.is_valid)
         self._update_upstreams(self._members.live(boot_time()))
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -6,6 +6,7 @@
 
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.claims import Claim
+from nutmegchute_core.organisations import Organisation
 
 from .connections import Exchange
 from .fingerprints import fingerprint
@@ -18,13 +19,15 @@
 
     ``deadline_s`` is the caller's own, if any; ``attempt`` is above 1 if a
     layer in front of this entry has retried the call. ``host`` is the
-    requested host where routes choose the service.
+    requested host where routes choose the service. ``key`` is the key of the
+    caller's organisation, None if the request has none.
     """
 
     __slots__ = (
         "attempt",
         "deadline_s",
         "host",
+        "key",
         "method",
         "path",
         "service",
@@ -38,8 +41,10 @@
         deadline_s: float | None,
         attempt: int,
         host: str = "",
+        key: bytes | None = None,
     ) -> None:
         self.host = host
+        self.key = key
         self.service = service
         self.method = method
         self.path = path
@@ -116,6 +121,7 @@
         "exchanges",
         "fingerprint",
         "name",
+        "organisation",
         "record",
         "request",
         "socket_number",
@@ -135,6 +141,8 @@
         self.record = CallRecord()
         self.arrival = arrival
         self.claim = claim
+        # The caller's organisation; None where calls need no key.
+        self.organisation: Organisation | None = None
         self.claimed = False
         self.status = 0
         self.request = request
--- a/packages/daemon/nutmegchute_daemon/readers.py
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -27,6 +27,8 @@
 CALL_PATH = b"/call/"
 MAX_DEADLINE_MS = 600000
 MAX_ATTEMPT = 1000
+AUTHORIZATION = "authorization"
+BEARER = "bearer"
 
 _TARGET = re.compile(rb"[\x21-\x7e]+")
 _METHOD = re.compile(rb"[A-Z]{1,32}")
@@ -57,11 +59,32 @@
         path=request.target.partition("?")[0],
         deadline_s=_read_deadline(http),
         attempt=_read_attempt(http),
+        key=read_key(http),
     )
     claim = _read_claim(http, service, request)
     return PendingCall(arrival, request, http.conn.socket.fileno(), claim)
 
 
+def read_key(http: StrictRequest) -> bytes | None:
+    """Return the key of the caller's organisation, None without one.
+
+    Several credentials count as an empty key, which belongs to nobody:
+    parties that each take another one would disagree on the caller.
+    """
+    values = []
+    for name, value in http.fields:
+        if name.lower() == AUTHORIZATION:
+            values.append(value)
+    if not values:
+        return None
+    if len(values) > 1:
+        return b""
+    scheme, _, key = values[0].strip().partition(" ")
+    if scheme.lower() != BEARER:
+        return None
+    return key.strip().encode("latin-1")
+
+
 def check_request_line(http: StrictRequest) -> None:
     """Refuse a request line that endpoints could parse differently.
 
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -7,10 +7,12 @@
 import asyncio
 import random
 import secrets
+from math import inf
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.budgets import ExtraLimit
 from nutmegchute_core.budgets import MIN_BURST
+from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Reject
 from nutmegchute_core.calls import Result
@@ -43,6 +45,8 @@
 from .events import Event
 from .events import log
 from .exchanges import StrictRequest
+from .identities import Identifier
+from .identities import KEY_UNKNOWN
 from .limit_reporters import LimitReporter
 from .pending_calls import PendingCall
 from .probes import Prober
@@ -60,6 +64,9 @@
 UNCONFIGURED_HOLD_S = 0.6
 UNCONFIGURED_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.1
+# Age of the last reply from control up to which an unknown key is denied. A
+# watch is held for 0.8 s.
+KEYS_FRESH_S = 1.2
 # Part of the time limit of a stop that is reserved for writing the last
 # answers and ending the process.
 STOP_MARGIN_S = 0.5
@@ -86,6 +93,7 @@
         self._catalog = Catalog()
         self._tree = TreeCopy()
         self._table: RouteTable | None = None
+        self._identifier = Identifier(self._format.organisation_header)
         self._phase = random.random()
         self._membership_index = -1
         self._entry_count = 1
@@ -98,6 +106,7 @@
         self._leaving = False
         # Whether a replica in contact with the others has replied.
         self._in_contact = False
+        self._contact_at = -inf
         self._pause = PauseDetector(boot_time())
         # Calls held until control replies, each with the time it arrived.
         self._held: list[tuple[float, PendingCall]] = []
@@ -259,10 +268,25 @@
         if route is None:
             end_call(call, Reject(0, "no route covers this host and path"))
             return
+        denial = self._identifier.identify(call, route.rule.anonymous)
+        if denial is not None:
+            self._deny(call, denial)
+            return
         call.record.route = route.name
         call.record.service = route.choose()
         self._dispatcher.admit_with_rule(call, call.record.service, route.rule)
 
+    def _deny(self, call: PendingCall, denial: Deny) -> None:
+        """Answer a call without a valid key."""
+        age_s = boot_time() - self._contact_at
+        if denial.reason == KEY_UNKNOWN and age_s > KEYS_FRESH_S:
+            # A newer configuration may have the key.
+            reason = "keys are not up to date"
+            end_call(call, Refuse(0, reason, UNCONFIGURED_RETRY_S))
+            return
+        self._metrics.count("denied")
+        end_call(call, denial)
+
     def end_attempt(self, call: PendingCall, result: Result) -> None:
         """Record the end of an attempt."""
         self._dispatcher.end_attempt(call, result)
@@ -325,6 +349,7 @@
         if reply.current and not stale:
             self._pause.confirm_contact()
             self._in_contact = True
+            self._contact_at = boot_time()
         self._membership_index = max(self._membership_index, reply.members)
         if reply.replicas is not None:
             self._watcher.update(reply.replicas)
@@ -382,6 +407,8 @@
         # loaded the new routes by itself, answers would alternate between
         # old and new routes.
         self._table = RouteTable(read_routes(documents, self._phase))
+        self._identifier.configure(documents)
+        self._dispatcher.withdraw(self._identifier.is_valid)
         self._limit_callers(read_limits(documents))
         log(
             Event.CONFIG_APPLIED,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,7 @@
 from docopt import docopt
 from docopt import DocoptExit
 from nutmegchute_core.declarations import LIMITS_SCHEMA
+from nutmegchute_core.declarations import ORGANISATION_SCHEMA
 from nutmegchute_core.declarations import ROUTE_SCHEMA
 from nutmegchute_core.declarations import RULE_SCHEMA
 from nutmegchute_core.declarations import SERVICE_SCHEMA
@@ -92,6 +93,7 @@
         ("A service", SERVICE_SCHEMA),
         ("A rule", RULE_SCHEMA),
         ("A route", ROUTE_SCHEMA),
+        ("An organisation", ORGANISATION_SCHEMA),
         ("Limits", LIMITS_SCHEMA),
     ],
 )
