--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 BIN = $(VENV)/bin
 PACKAGES = core daemon cli fakes
 FOLDERS = $(PACKAGES:%=packages/%) platform
+# Processes that run the tests; auto is one for each core.
+WORKERS ?= auto
 CODE = packages platform tests benchmarks
 export PYTHONPATH := $(subst $() ,:,$(FOLDERS:%=$(CURDIR)/%))
 export PYTHONHASHSEED := 0
@@ -28,7 +30,7 @@
 	$(BIN)/python -m nutmegchute_fakes.demo
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest -m "not known_red"
+	$(BIN)/python -m pytest -m "not known_red" -n $(WORKERS)
 
 known-red: $(VENV)/ready
 	.ci/known-red $(BIN)/python
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -28,5 +28,5 @@
   python3 -m pip install -q --no-compile --no-deps --upgrade \
     --target target/deps "./target/sources/$source"
 done
-python3 -m compileall -q target/deps || true
+python3 -m compileall -q -o 0 -o 2 target/deps || true
 echo "$digest" > "$stamp"
