Refuse keys and names of organisations that end with a line feed

The patterns of keys and names ended with "$", which also matches before a line feed at the end: a name with one reached the header to upstreams. A lone surrogate passed and would have failed at each entry that applies the tree. A rate of NaN passed, as no comparison with it holds. A document that is not an object was quoted in the error, with its keys. An update that removes an organisation from a tree without any added an empty section, after which every call needs a key. A key in UTF-8 whose last byte is a blank in Latin-1, such as that of "à", was cut and denied.

--- a/packages/core/nutmegchute_core/declarations.py
+++ b/packages/core/nutmegchute_core/declarations.py
@@ -4,11 +4,13 @@
 validated declarations, so they need not load the schema validator.
 """
 
+from math import isfinite
 from typing import Any
 
 import jsonschema
 
 from .errors import DeclarationError
+from .organisations import SECTION as ORGANISATIONS
 from .rules import PRIORITIES
 
 RULE_SCHEMA: dict[str, Any] = {
@@ -47,8 +49,6 @@
     },
 }
 
-ORGANISATIONS = "organisations"
-
 _SERVICE_NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]*$"}
 
 ROUTE_SCHEMA: dict[str, Any] = {
@@ -100,7 +100,8 @@
 }
 
 # Keys and names are written into headers, which cannot hold control
-# characters.
+# characters, and a lone surrogate has no encoding. The patterns end with \\Z,
+# as $ also matches before a line feed at the end.
 ORGANISATION_SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
@@ -109,7 +110,7 @@
             "type": "array",
             "items": {
                 "type": "string",
-                "pattern": "^[^\\x00-\\x20\\x7f]+$",
+                "pattern": "^[^\\x00-\\x20\\x7f\\ud800-\\udfff]+\\Z",
                 "maxLength": 1024,
             },
         },
@@ -135,11 +136,12 @@
             "additionalProperties": ROUTE_SCHEMA,
         },
         "limits": LIMITS_SCHEMA,
-        "organisations": {
+        ORGANISATIONS: {
             "type": "object",
             "propertyNames": {
-                "pattern": "^[^\\x00-\\x20\\x7f]([^\\x00-\\x1f\\x7f]*"
-                "[^\\x00-\\x20\\x7f])?$",
+                "pattern": "^[^\\x00-\\x20\\x7f\\ud800-\\udfff]"
+                "([^\\x00-\\x1f\\x7f\\ud800-\\udfff]*"
+                "[^\\x00-\\x20\\x7f\\ud800-\\udfff])?\\Z",
                 "maxLength": 256,
             },
             "additionalProperties": ORGANISATION_SCHEMA,
@@ -162,11 +164,32 @@
     )
     for error in errors:
         steps = [team, *map(str, error.absolute_path)]
-        message = error.message
-        if ORGANISATIONS in steps:
-            # The validator's message may quote keys.
-            message = f"{error.validator} must be {error.validator_value!r}"
-        raise DeclarationError("/".join(steps), message)
+        raise DeclarationError("/".join(steps), _describe(error))
+    _check_quotas(team, document)
+
+
+def _describe(error: jsonschema.ValidationError) -> str:
+    """Return what a document violates, without the key of a caller."""
+    message: str = error.message
+    place = list(error.absolute_path)
+    if place and place[0] != ORGANISATIONS:
+        return message
+    if not place and error.validator != "type":
+        return message
+    # The validator's own message quotes the value, which may hold keys.
+    if error.validator == "additionalProperties":
+        allowed = ", ".join(sorted(error.schema["properties"]))
+        return f"has a field that is none of {allowed}"
+    return f"{error.validator} must be {error.validator_value!r}"
+
+
+def _check_quotas(team: str, document: dict[str, Any]) -> None:
+    # The schema's bounds do not exclude NaN, as no comparison with it holds.
+    for name, organisation in document.get(ORGANISATIONS, {}).items():
+        for field in ("rate_per_s", "burst"):
+            if not isfinite(organisation.get(field, 0.0)):
+                place = f"{team}/{ORGANISATIONS}/{name}/{field}"
+                raise DeclarationError(place, "must be a finite number")
 
 
 def check_tree(documents: dict[str, Any]) -> None:
@@ -214,9 +237,9 @@
     names: dict[str, str] = {}
     owners: dict[str, str] = {}
     for team in sorted(documents):
-        section = documents[team].get("organisations", {})
+        section = documents[team].get(ORGANISATIONS, {})
         for name, organisation in section.items():
-            place = f"{team}/organisations/{name}"
+            place = f"{team}/{ORGANISATIONS}/{name}"
             if name in names:
                 raise DeclarationError(place, f"{names[name]} has this name")
             names[name] = place
--- a/packages/core/nutmegchute_core/organisations.py
+++ b/packages/core/nutmegchute_core/organisations.py
@@ -3,8 +3,13 @@
 import hashlib
 from typing import Any
 
+# The section of a team's document that declares organisations.
+SECTION = "organisations"
 DEFAULT_PRIORITY = 0
 DIGEST_BYTES = 16
+# Hex digits of a key's digest that operators see. They tell two keys apart
+# and are too few to confirm a guess of a random key.
+MASK_DIGITS = 8
 
 
 class Organisation:
@@ -21,7 +26,7 @@
         self._name = name
         self._rate_per_s = float(document.get("rate_per_s", 0.0))
         self._burst = float(document.get("burst", 0.0))
-        self._priority: int = document.get("priority", DEFAULT_PRIORITY)
+        self._priority = int(document.get("priority", DEFAULT_PRIORITY))
 
     @property
     def name(self) -> str:
@@ -90,13 +95,37 @@
         ).digest()
 
 
+def mask_key(key: str) -> str:
+    """Return a text by which an operator recognises a key."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return f"sha256:{digest[:MASK_DIGITS]}"
+
+
+def mask_document(document: Any) -> Any:
+    """Return a team's checked document with masked keys."""
+    if not document or SECTION not in document:
+        return document
+    section = {}
+    for name, organisation in document[SECTION].items():
+        masked = dict(organisation)
+        if "keys" in organisation:
+            masked["keys"] = [mask_key(key) for key in organisation["keys"]]
+        section[name] = masked
+    return {**document, SECTION: section}
+
+
+def mask_documents(documents: dict[str, Any]) -> dict[str, Any]:
+    """Return the documents of a checked tree with masked keys."""
+    return {team: mask_document(one) for team, one in documents.items()}
+
+
 def read_organisations(
     documents: dict[str, Any], secret: bytes
 ) -> Organisations:
     """Build the organisations that a checked tree declares."""
     sections = {}
     for team in sorted(documents):
-        section = documents[team].get("organisations")
+        section = documents[team].get(SECTION)
         if section is not None:
             sections[team] = section
     found = Organisations(secret, bool(sections))
--- a/packages/core/nutmegchute_core/patches.py
+++ b/packages/core/nutmegchute_core/patches.py
@@ -36,6 +36,9 @@
     if patch.limits is not None:
         changed["limits"] = patch.limits
     for section, items in patch.sections.items():
+        if section not in changed and _only_removes(items):
+            # An empty section of organisations would require keys.
+            continue
         merged = dict(changed.get(section, {}))
         for name, item in items.items():
             if item is None:
@@ -44,3 +47,7 @@
             merged[name] = item
         changed[section] = merged
     return changed
+
+
+def _only_removes(items: dict[str, Any]) -> bool:
+    return bool(items) and all(one is None for one in items.values())
--- a/packages/daemon/nutmegchute_daemon/readers.py
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -79,10 +79,12 @@
         return None
     if len(values) > 1:
         return b""
-    scheme, _, key = values[0].strip().partition(" ")
+    scheme, _, key = values[0].partition(" ")
     if scheme.lower() != BEARER:
         return None
-    return key.strip().encode("latin-1")
+    # Values are read as Latin-1, where strip() without characters would also
+    # remove the last byte of some characters of a key in UTF-8.
+    return key.strip(" \t").encode("latin-1")
 
 
 def check_request_line(http: StrictRequest) -> None:
