End all calls of a withdrawn key before others are sent

Calls of a withdrawn key were ended one by one, and the end of each dispatched the queue: the next one, whose key was withdrawn too, could be sent. A call that waited for its claim was not covered at all. A call that was sent and did not run was refused with 503, so that its caller came back with the withdrawn key. A key that moved to another organisation ended the calls that wait with 401, although it is valid. Removing the section ended them too.

The balancer takes all ids at once and dispatches afterwards. Claims check the key again when they are granted. A moved key assigns waiting calls to the new organisation; calls admitted before keys were required lose theirs. The headers are replaced as a whole, as a worker may be reading them, and the spelling with underscores is removed as well.

The fingerprint in log lines was a digest of the header Authorization. It now depends on the organisation, and until a caller is identified on no key.

The counters denied and withdrawn were in no catalogue, which failed tests/test_metrics.py.

Measured: tests/test_withdrawals.py and test_metrics.py pass; with withdrawals one by one the first test of the former fails.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -328,26 +328,41 @@
         self._inquiries.pop(call_id, None)
         return actions
 
-    def withdraw(self, call_id: int, now: float) -> list[Action]:
-        """End a call whose key is no longer valid, or send it no more."""
+    def assign(self, call_id: int, organisation: Organisation | None) -> None:
+        """Set the organisation that the key of a call belongs to now."""
         call = self._calls.get(call_id)
-        if call is None:
-            return []
-        call.is_withdrawn = True
-        if call.outstanding:
-            return []
-        pool = self._pools.get(call.service)
-        if pool is not None:
-            pool.queue.remove(call_id)
-        self._inquiries.pop(call_id, None)
-        final: Action = self._refuse_or_lose(pool, call, WITHDRAWN)
-        if isinstance(final, Refuse):
-            final = Deny(call_id, WITHDRAWN)
-        actions: list[Action] = [final]
-        if pool is not None:
-            self._dispatch(pool, now, actions)
+        if call is not None:
+            call.organisation = organisation
+
+    def withdraw(self, call_ids: list[int], now: float) -> list[Action]:
+        """End the calls whose key is no longer valid, or send them no more.
+
+        All of them end before any other call is sent: the place of one in a
+        queue must not pass to another.
+        """
+        actions: list[Action] = []
+        for call_id in call_ids:
+            call = self._calls.get(call_id)
+            if call is None:
+                continue
+            call.is_withdrawn = True
+            self._inquiries.pop(call_id, None)
+            if call.outstanding:
+                continue
+            pool = self._pools.get(call.service)
+            if pool is not None:
+                pool.queue.remove(call_id)
+            actions.append(self._deny_or_lose(pool, call))
+        if actions:
+            actions.extend(self._dispatch_all(now))
         return actions
 
+    def _deny_or_lose(self, pool: Pool | None, call: Call) -> Action:
+        final = self._refuse_or_lose(pool, call, WITHDRAWN)
+        if isinstance(final, Refuse):
+            return Deny(call.call_id, WITHDRAWN)
+        return final
+
     def next_wakeup(self) -> float | None:
         """Return the time by which tick must run, in seconds, if any."""
         soonest = self._timers.next_at
@@ -598,10 +613,14 @@
             return
         if self._retry(pool, call, result, now):
             return
-        if not call.outstanding:
-            actions.append(
-                self._refuse_or_lose(pool, call, "no upstream answered")
-            )
+        if call.outstanding:
+            return
+        if call.is_withdrawn:
+            actions.append(self._deny_or_lose(pool, call))
+            return
+        actions.append(
+            self._refuse_or_lose(pool, call, "no upstream answered")
+        )
 
     def _retry(
         self, pool: Pool | None, call: Call, result: Result, now: float
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -312,14 +312,21 @@
         if learned:
             self.on_limits(learned)
 
-    def withdraw(self, is_valid: Callable[[PendingCall], bool]) -> None:
-        """End calls whose key is no longer valid, or send them no more."""
-        now = self._loop.time()
-        for call_id, call in list(self._calls.items()):
-            if is_valid(call):
+    def withdraw(self, confirm: Callable[[PendingCall], bool]) -> None:
+        """End calls whose key is no longer valid, or send them no more.
+
+        ``confirm`` identifies the organisation of a call anew and returns
+        whether its key is still valid.
+        """
+        withdrawn = []
+        for call_id, call in self._calls.items():
+            if confirm(call):
+                self._balancer.assign(call_id, call.organisation)
                 continue
             self._metrics.count("withdrawn")
-            self.perform(self._balancer.withdraw(call_id, now))
+            withdrawn.append(call_id)
+        now = self._loop.time()
+        self.perform(self._balancer.withdraw(withdrawn, now))
 
     def sweep(self) -> None:
         """End overdue exchanges and calls whose caller has disconnected."""
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
+from nutmegchute_core.balancers import WITHDRAWN
 from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Known
 from nutmegchute_core.calls import Refuse
@@ -211,6 +212,12 @@
             self._open_claims -= 1
             if not self._check_claim(call, answer):
                 return
+            if not self._identifier.confirm(call):
+                # The key was withdrawn while the claim was under way.
+                self._settle(call, NOT_RUN)
+                self._metrics.count("withdrawn")
+                call.put(Deny(0, WITHDRAWN))
+                return
             left_s = wait_s - (self._loop.time() - started_at)
             self._dispatcher.admit(call, max(0.0, left_s))
 
@@ -343,5 +350,5 @@
         self._balancer.configure(services, now)
         self._announcements.configure(services)
         self._identifier.configure(reply.documents)
-        self._dispatcher.withdraw(self._identifier.is_valid)
+        self._dispatcher.withdraw(self._identifier.confirm)
         self._update_upstreams(self._members.live(boot_time()))
--- a/packages/daemon/nutmegchute_daemon/identities.py
+++ b/packages/daemon/nutmegchute_daemon/identities.py
@@ -4,14 +4,17 @@
 from typing import Any
 
 from nutmegchute_core.calls import Deny
+from nutmegchute_core.organisations import Organisation
 from nutmegchute_core.organisations import Organisations
 from nutmegchute_core.organisations import read_organisations
 
+from .fingerprints import add_organisation
 from .pending_calls import PendingCall
 from .readers import AUTHORIZATION
 
 SECRET_BYTES = 32
 KEY_MISSING = "a key is required"
+KEY_UNCLEAR = "one key is required"
 KEY_UNKNOWN = "the key is not valid"
 
 
@@ -46,24 +49,51 @@
         declared the request stays as it is.
         """
         if not self._organisations.required:
+            call.fingerprint = call.keyed_fingerprint
             return None
         key = call.arrival.key
-        headers = call.request.headers
-        headers.discard(AUTHORIZATION)
-        headers.discard(self._header)
         if key is None:
+            self._name(call, None)
             return None if anonymous else Deny(0, KEY_MISSING)
+        if not key:
+            return Deny(0, KEY_UNCLEAR)
         organisation = self._organisations.find(key)
         if organisation is None:
             return Deny(0, KEY_UNKNOWN)
-        call.organisation = organisation
-        # Header values are written as Latin-1.
-        headers[self._header] = organisation.name.encode().decode("latin-1")
+        self._name(call, organisation)
+        call.fingerprint = add_organisation(
+            call.fingerprint, organisation.name
+        )
         return None
 
-    def is_valid(self, call: PendingCall) -> bool:
-        """Return whether a call's key still belongs to its organisation."""
-        if call.organisation is None or call.arrival.key is None:
+    def confirm(self, call: PendingCall) -> bool:
+        """Identify an admitted call anew; return whether its key is valid.
+
+        A key may have moved to another organisation, which the call belongs
+        to from then on. A call that was admitted while no keys were required
+        may be sent, but without its key.
+        """
+        if not self._organisations.required:
             return True
-        found = self._organisations.find(call.arrival.key)
-        return found is not None and found.name == call.organisation.name
+        key = call.arrival.key
+        organisation = None if not key else self._organisations.find(key)
+        if organisation is None and call.organisation is not None:
+            return False
+        self._name(call, organisation)
+        return True
+
+    def _name(
+        self, call: PendingCall, organisation: Organisation | None
+    ) -> None:
+        # A copy, as a worker thread may be reading the headers.
+        headers = call.request.headers.copy()
+        headers.discard(AUTHORIZATION)
+        headers.discard(self._header)
+        # Servers that pass headers on as variables take both for one.
+        headers.discard(self._header.replace("-", "_"))
+        if organisation is not None:
+            # Header values are written as Latin-1.
+            name = organisation.name.encode().decode("latin-1")
+            headers[self._header] = name
+        call.request.headers = headers
+        call.organisation = organisation
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -25,6 +25,8 @@
     "attempts.OUTCOME": (COUNTER, "attempts"),
     "attempt": (TIMER, "milliseconds"),
     "refused": (COUNTER, "calls"),
+    "denied": (COUNTER, "calls"),
+    "withdrawn": (COUNTER, "calls"),
     "unknown": (COUNTER, "calls"),
     "abandoned": (COUNTER, "calls"),
     "crashes": (COUNTER, "attempts"),
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -10,6 +10,7 @@
 
 from .connections import Exchange
 from .fingerprints import fingerprint
+from .fingerprints import KEY_HEADER
 from .senders import Reply
 from .senders import Request
 
@@ -120,6 +121,7 @@
         "claimed",
         "exchanges",
         "fingerprint",
+        "keyed_fingerprint",
         "name",
         "organisation",
         "record",
@@ -146,8 +148,15 @@
         self.claimed = False
         self.status = 0
         self.request = request
-        # The same for every repetition of the request.
-        self.fingerprint = fingerprint(arrival.host, arrival.service, request)
+        # The same for every repetition of the request. Until the caller is
+        # identified it does not depend on a key, as it is logged.
+        host, service = arrival.host, arrival.service
+        self.fingerprint = fingerprint(host, service, request, with_key=False)
+        # With the key, for deployments without organisations. Computed here
+        # and not on the loop, as the body may be long.
+        self.keyed_fingerprint = self.fingerprint
+        if KEY_HEADER in request.headers:
+            self.keyed_fingerprint = fingerprint(host, service, request)
         self.socket_number = socket_number
         self.call_id = 0
         # Written and read only on the loop.
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -408,7 +408,7 @@
         # old and new routes.
         self._table = RouteTable(read_routes(documents, self._phase))
         self._identifier.configure(documents)
-        self._dispatcher.withdraw(self._identifier.is_valid)
+        self._dispatcher.withdraw(self._identifier.confirm)
         self._limit_callers(read_limits(documents))
         log(
             Event.CONFIG_APPLIED,
