Show operators no key of an organisation

plan and show printed keys of organisations as declared, and GET /tree returned them to everybody who reaches the operators' port. A data folder was created with the process's default mode.

With an operator's key GET /tree returns keys as declared, as apply needs them. A new data folder is readable by its owner only; an existing one keeps its mode, since its files always were. check, audit and the errors of apply were found to show no key.

--- a/packages/cli/nutmegchute_cli/changes.py
+++ b/packages/cli/nutmegchute_cli/changes.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from nutmegchute_core.organisations import mask_document
 from returns.result import Failure
 
 from .clients import ControlClient
@@ -26,7 +27,7 @@
 class Plan:
     """Compare a folder of declarations with a tree."""
 
-    __slots__ = ("_bases", "_changed", "_tree", "_without_file")
+    __slots__ = ("_bases", "_changed", "_is_masked", "_tree", "_without_file")
 
     def __init__(
         self, tree: dict[str, Any], documents: dict[str, Any], remove: bool
@@ -35,8 +36,11 @@
         present = tree["documents"]
         self._without_file = sorted(set(present) - set(documents))
         self._changed: dict[str, Any] = {}
+        # Without an operator's key, control masks the keys of callers.
+        self._is_masked = tree.get("masked", False)
         for team, document in documents.items():
-            if present.get(team) != document:
+            shown = mask_document(document) if self._is_masked else document
+            if present.get(team) != shown:
                 self._changed[team] = document
         if remove:
             self._changed.update(dict.fromkeys(self._without_file))
@@ -60,9 +64,11 @@
         return [one for one in self._without_file if one not in self._changed]
 
     def differences(self, team: str) -> list[Difference]:
-        """Return the differences in one branch."""
+        """Return the differences in one branch, with masked keys."""
         before = self._tree["documents"].get(team)
-        after = self._changed[team]
+        if not self._is_masked:
+            before = mask_document(before)
+        after = mask_document(self._changed[team])
         return compare(before or {}, after or {})
 
 
--- a/packages/cli/nutmegchute_cli/listings.py
+++ b/packages/cli/nutmegchute_cli/listings.py
@@ -3,6 +3,8 @@
 import datetime
 from typing import Any
 
+from nutmegchute_core.organisations import mask_documents
+
 from .errors import EXIT_DONE
 from .errors import EXIT_UNKNOWN
 from .errors import UsageError
@@ -76,6 +78,8 @@
 def show(options: Options) -> int:
     """Print the tree or one branch, always as JSON."""
     tree = options.control().get("/tree")
+    if not tree.get("masked"):
+        tree["documents"] = mask_documents(tree["documents"])
     team = options.text("TEAM")
     if not team:
         print_json(tree)
--- a/packages/daemon/nutmegchute_daemon/disks.py
+++ b/packages/daemon/nutmegchute_daemon/disks.py
@@ -19,7 +19,9 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._handles: dict[str, int] = {}
-        folder.mkdir(parents=True, exist_ok=True)
+        # The files hold keys of callers. They are created for their owner
+        # only, so that a folder that exists may stay as it is.
+        folder.mkdir(0o700, parents=True, exist_ok=True)
         self._lock = os.open(folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             # Two daemons appending to one log would overwrite entries that
--- a/packages/daemon/nutmegchute_daemon/operators.py
+++ b/packages/daemon/nutmegchute_daemon/operators.py
@@ -18,6 +18,7 @@
 from nutmegchute_core.machines import StateMachine
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.memberships import MembershipChange
+from nutmegchute_core.organisations import mask_documents
 from nutmegchute_core.quarantines import CaseStatus
 from nutmegchute_core.quarantines import Lift
 from nutmegchute_core.trees import ACCEPTED
@@ -30,6 +31,7 @@
 from .evacuations import EvacuationServer
 from .handlers import as_json
 from .handlers import require_operator
+from .protocols import OPERATOR_HEADER
 from .quarantine_servers import QuarantineServer
 from .servers import LoopRunner
 from .settings import Operator
@@ -195,8 +197,16 @@
 
     @cherrypy.expose
     def tree(self) -> bytes:
-        """Return the configuration tree as applied by this replica."""
-        return as_json(self._runner.run_sync(self._tree))
+        """Return the configuration tree as applied by this replica.
+
+        Only operators get the keys of callers.
+        """
+        tree = self._runner.run_sync(self._tree)
+        key = cherrypy.request.headers.get(OPERATOR_HEADER, "")
+        if self._daemon.settings.find_operator(key) is None:
+            documents = mask_documents(tree["documents"])
+            tree = {**tree, "documents": documents, "masked": True}
+        return as_json(tree)
 
     @cherrypy.expose
     def audit(self, since: str = "", limit: str = "") -> bytes:
--- a/packages/fakes/nutmegchute_fakes/controls.py
+++ b/packages/fakes/nutmegchute_fakes/controls.py
@@ -11,6 +11,7 @@
 from nutmegchute_core.evacuations import check_zone
 from nutmegchute_core.evacuations import EvacuationOrder
 from nutmegchute_core.evacuations import Evacuations
+from nutmegchute_core.organisations import mask_documents
 from nutmegchute_core.trees import Answer
 from nutmegchute_core.trees import Change
 from nutmegchute_core.trees import Tree
@@ -35,6 +36,8 @@
         self.faults: list[str] = []
         self.state = "leader"
         self.in_force = True
+        # Whether the tree is served as to callers that are no operators.
+        self.masks_keys = False
         self.entries: dict[str, int] = {}
         self.waiting: list[dict[str, Any]] = []
         self.replicas: list[dict[str, Any]] = []
@@ -77,12 +80,16 @@
 
     def get_page(self, path: str) -> Any:
         """Return the answer to a GET; None for an unknown path."""
+        tree: dict[str, Any] = {
+            "index": self.tree.index,
+            "revisions": self.tree.revisions,
+            "documents": self.tree.documents,
+        }
+        if self.masks_keys:
+            tree["documents"] = mask_documents(self.tree.documents)
+            tree["masked"] = True
         pages = {
-            "/tree": {
-                "index": self.tree.index,
-                "revisions": self.tree.revisions,
-                "documents": self.tree.documents,
-            },
+            "/tree": tree,
             "/audit": self.tree.audit,
             "/replicas": {
                 "replicas": self.replicas,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 from nutmegchute_cli.__main__ import main
+from nutmegchute_core.organisations import mask_key
 from nutmegchute_fakes.controls import ANSWER_LOST
 from nutmegchute_fakes.controls import FakeControl
 from nutmegchute_fakes.controls import REQUEST_LOST
@@ -335,3 +336,61 @@
     assert path == "/replicas"
     assert body["replaces"] == "control-1"
     assert body["name"] == "control-4"
+
+
+def declare_keys(folder: Path, *keys: str) -> str:
+    """Write one team's file with an organisation that has keys."""
+    document = team(lending=[rule()])
+    document["organisations"] = {"cusco": {"keys": list(keys)}}
+    (folder / "lending.json").write_bytes(msgspec.json.encode(document))
+    return str(folder)
+
+
+def test_no_output_shows_a_key(
+    run: Run, control: FakeControl, tmp_path: Path
+) -> None:
+    """Show which key of an organisation changes, and no key itself.
+
+    Plans are pasted into reviews and kept by build systems.
+    """
+    keys = ["first-secret-key", "second-secret-key"]
+    outputs = [run("plan", declare_keys(tmp_path, *keys[:1]))]
+    outputs.append(run("apply", declare_keys(tmp_path, *keys[:1])))
+    added = run("plan", declare_keys(tmp_path, *keys))
+    assert mask_key(keys[0]) in added[1]
+    assert mask_key(keys[1]) in added[1]
+    outputs.append(added)
+    outputs.append(run("plan", declare_keys(tmp_path, *keys), "--json"))
+    outputs.append(run("apply", declare_keys(tmp_path, *keys)))
+    outputs.append(run("plan", declare_keys(tmp_path, keys[1])))
+    outputs.append(run("check", declare_keys(tmp_path, *keys)))
+    outputs.append(run("check", declare_keys(tmp_path, f"{keys[0]} ")))
+    outputs.append(run("plan", declare_keys(tmp_path, f"{keys[0]} ")))
+    outputs.append(run("show"))
+    outputs.append(run("show", "lending"))
+    outputs.append(run("services"))
+    outputs.append(run("audit", "--json"))
+    (tmp_path / "lending.json").unlink()
+    declare(tmp_path, 100, "other")
+    outputs.append(run("plan", str(tmp_path), "--remove"))
+    for status, out, err in outputs:
+        assert status in (0, 2)
+        for key in keys:
+            assert key not in out + err
+    document = control.tree.documents["lending"]
+    assert document["organisations"]["cusco"]["keys"] == keys
+
+
+def test_plan_without_an_operators_key_compares_masked_keys(
+    run: Run, control: FakeControl, tmp_path: Path
+) -> None:
+    """Find a changed key where control masks the keys, and no other."""
+    run("apply", declare_keys(tmp_path, "first", "second"))
+    control.masks_keys = True
+    out = run("plan", declare_keys(tmp_path, "first", "second"), key="")[1]
+    assert "nothing to change" in out
+    out = run("plan", declare_keys(tmp_path, "first", "third"), key="")[1]
+    assert "~ organisations/cusco/keys" in out
+    assert mask_key("third") in out
+    shown = run("show", "lending", key="")[1]
+    assert mask_key("second") in shown
--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -10,6 +10,7 @@
 from nutmegchute_core.messages import HardState
 from nutmegchute_core.messages import LogEntry
 from nutmegchute_core.messages import Snapshot
+from nutmegchute_daemon.disks import Disk
 from nutmegchute_daemon.errors import StorageError
 from nutmegchute_daemon.storages import Identity
 from nutmegchute_daemon.storages import open_storage
@@ -353,3 +354,28 @@
         storage.save(None, [LogEntry(2, 4, NoOp())])
     storage = Storage(disk)  # type: ignore[arg-type]
     assert storage.load(GENESIS).entries[-1:] == [LogEntry(2, 4, NoOp())]
+
+
+def test_files_and_folder_belong_to_their_owner(tmp_path: Path) -> None:
+    """Let no other user of the vm read the log, which holds callers' keys."""
+    folder = tmp_path / "data"
+    storage = open_storage(folder)
+    storage.load(GENESIS)
+    storage.save(HardState(1, "r1"), ENTRIES)
+    storage.close()
+    disk = Disk(folder)
+    disk.replace("endpoints", "endpoints.new", b"")
+    disk.close()
+    assert folder.stat().st_mode & 0o077 == 0
+    paths = list(folder.iterdir())
+    assert len(paths) > 2
+    for path in paths:
+        assert path.stat().st_mode & 0o077 == 0, path
+
+
+def test_existing_folder_keeps_its_mode(tmp_path: Path) -> None:
+    """Open a folder that an earlier version or an operator has made."""
+    folder = tmp_path / "data"
+    folder.mkdir(0o755)
+    open_storage(folder).close()
+    assert folder.stat().st_mode & 0o777 == 0o755
