--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -69,6 +69,7 @@
         self.mode = "well"
         self.state = "ready"
         self.zone = "surco"
+        self.capacity = 3
         # The remaining warm-up on its health page, in milliseconds.
         self.warm_up_ms = 0
         # The Retry-After of an endpoint in mode "rest".
@@ -78,6 +79,11 @@
         # When requests, health checks included, arrived, by the monotonic
         # clock.
         self.arrivals: list[float] = []
+        # The headers of each request that it accepted, in order.
+        self.received: list[list[tuple[str, str]]] = []
+        # Requests are answered only while it is set.
+        self.gate = threading.Event()
+        self.gate.set()
         self.sequence = 0
         self.connections: list[socket.socket] = []
         # Returns, for path and body, whether a request ends this process.
@@ -109,7 +115,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "capacity": 3,
+            "capacity": self.capacity,
             "state": self.state,
             "warmupLeftMs": self.warm_up_ms,
             "sequence": self.sequence,
@@ -146,6 +152,8 @@
                 return
             endpoint.arrivals.append(time.monotonic())
             name = self.headers.get("Request-Id", "")
+            endpoint.received.append(list(self.headers.items()))
+            endpoint.gate.wait(WAIT_S)
             if endpoint.mode == "full":
                 self._respond(503, b"", Not_Executed="1", **endpoint.headers)
                 return
