--- a/tests/test_identity_platform_wire.py
+++ b/tests/test_identity_platform_wire.py
@@ -482,6 +482,57 @@
     assert _read(deployment) == before
 
 
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"service": "nowhere"},
+        {"service": None, "trafficSplit": [{"service": "x", "weight": 1}]},
+        {"timeoutMs": 0},
+        {"timeoutMs": -1},
+        {"pathPrefix": "look/"},
+        {"pathPrefix": ""},
+        {"kind": "other"},
+        {"kind": None},
+        {"allowAnonymous": "yes"},
+        {"allowAnonymous": 1},
+    ],
+)
+def test_invalid_routes_are_refused(
+    deployment: Deployment, values: dict[str, Any]
+) -> None:
+    """Refuse a route that could not be served, and change nothing."""
+    fields = {**LOOK, **values}
+    route = {name: one for name, one in fields.items() if one is not None}
+    number, base = deployment.version + 1, deployment.version
+    before = _read(deployment)
+    update = {
+        "version": f"r{number}",
+        "baseVersion": f"r{base}",
+        "upsert": {"virtualHosts": [{"hostname": HOST, "paths": [route]}]},
+    }
+    replacement = build_configuration(number, base, route)
+    answers = [
+        deployment.site.post("/Config.Replace", replacement),
+        deployment.site.post("/Config.Update", update),
+    ]
+    assert [one.status for one in answers] == [400, 400]
+    assert _read(deployment) == before
+
+
+@pytest.mark.parametrize("step", [0, -1])
+def test_version_must_be_above_the_current_one(
+    deployment: Deployment, step: int
+) -> None:
+    """Refuse a version that is in force already, or an older one."""
+    base = deployment.version
+    before = _read(deployment)
+    body = build_configuration(base + step, base, LOOK)
+    update = {"version": base + step, "baseVersion": base}
+    for path, sent in (("/Config.Replace", body), ("/Config.Update", update)):
+        assert deployment.site.post(path, sent).status == 400
+    assert _read(deployment) == before
+
+
 def test_truncated_configurations_are_refused(deployment: Deployment) -> None:
     """Refuse a configuration of which only the beginning arrived."""
     body = build_configuration(
