Pace long bodies on slow links so that answers do not wait behind them

A vm's link sends in order: a body of 60 KB takes 0.2 s of a link of 2.35 Mbit/s, and answers written meanwhile wait as long. Bodies of over 16 KiB go to endpoints in pieces of 4 KiB, at 0.7 of the link's rate all together and in turns, where the settings give a link of at most 100 Mbit/s.

--- a/packages/daemon/nutmegchute_daemon/documents.py
+++ b/packages/daemon/nutmegchute_daemon/documents.py
@@ -88,6 +88,7 @@
     warm_up_overage: Annotated[float, Meta(ge=1)] = 1.0
     warm_up_slack_per_s: NonNegativeFloat = 0.0
     grace_s: PositiveFloat | None = None
+    link_mbit_per_s: PositiveFloat | None = None
 
 
 def defaults() -> dict[str, Any]:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -34,6 +34,7 @@
 from .applications import close_pages
 from .applications import open_pages
 from .applications import start_pages
+from .body_pacers import BodyPacer
 from .call_formats import CallFormat
 from .callers import CallHandler
 from .claims import Claimer
@@ -100,9 +101,10 @@
             on_limits=self._apply_limits,
         )
         self._connections = ConnectionPool()
+        self._pacer = BodyPacer(settings.link_mbit_per_s)
         self._handler = CallHandler(
             runner=self._runner,
-            sender=Sender(self._connections),
+            sender=Sender(self._connections, pacer=self._pacer),
             name=settings.name,
             body_bytes=settings.request_body_bytes,
             threads=settings.http_threads,
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -34,6 +34,7 @@
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
 
+from .body_pacers import BodyPacer
 from .call_formats import CallFormat
 from .callers import CallHandler
 from .clocks import boot_time
@@ -133,11 +134,12 @@
             self,
         )
         self._connections = ConnectionPool()
+        self._pacer = BodyPacer(settings.link_mbit_per_s)
         self._processes: dict[str, Process] = {}
         self._replicas: list[str] = []
         self._handler = CallHandler(
             runner=self._runner,
-            sender=Sender(self._connections, self._format),
+            sender=Sender(self._connections, self._format, pacer=self._pacer),
             name=settings.name,
             body_bytes=settings.request_body_bytes,
             threads=settings.http_threads,
@@ -243,6 +245,7 @@
         self._limit_extra_sends()
         self._limit_inquiries()
         self._limit_warm_ups()
+        self._pacer.set_rate(settings.link_mbit_per_s)
 
     def open_call(self, call: PendingCall) -> None:
         """Admit or hold a call; its actions are queued on it."""
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -23,6 +23,7 @@
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
 from .answers import UnprovenRefusalError
+from .body_pacers import BodyPacer
 from .connections import Connection
 from .connections import ConnectionPool
 from .connections import Exchange
@@ -366,15 +367,17 @@
 class Sender:
     """Send attempts over pooled connections."""
 
-    __slots__ = ("_connections", "_format")
+    __slots__ = ("_connections", "_format", "_pacer")
 
     def __init__(
         self,
         connections: ConnectionPool,
         answer_format: AnswerFormat | None = None,
+        pacer: BodyPacer | None = None,
     ) -> None:
         self._connections = connections
         self._format = answer_format or AnswerFormat()
+        self._pacer = pacer or BodyPacer()
 
     def send(
         self,
@@ -465,12 +468,21 @@
     ) -> HTTPResponse:
         exchange.wait_until = deadline
         connection.timeout = max(MIN_TIMEOUT_S, deadline - time.monotonic())
+        headers = request.headers
+        pieces = request.pieces()
+        if self._pacer.paces(len(request.body)):
+            if request.remainder is None:
+                headers = headers.copy()
+                headers["Content-Length"] = str(len(request.body))
+            pieces = self._pacer.split(
+                [pieces] if isinstance(pieces, bytes) else pieces or []
+            )
         try:
             connection.request(
                 request.method,
                 request.target,
-                body=request.pieces(),
-                headers=request.headers,
+                body=pieces,
+                headers=headers,
                 preload_content=False,
                 decode_content=False,
             )
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -249,6 +249,12 @@
         """Return the load queries of all routers per second and endpoint."""
         return float(self._values["probes_per_s"])
 
+    @property
+    def link_mbit_per_s(self) -> float | None:
+        """Return the rate of the vm's link, None if it is not known."""
+        value = self._values["link_mbit_per_s"]
+        return None if value is None else float(value)
+
     @property
     def send_on_s(self) -> float:
         """Return how long a stopping router forwards new calls, in seconds."""
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -11,8 +11,10 @@
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_daemon.answers import BrokenAnswerError
+from nutmegchute_daemon.body_pacers import BodyPacer
 from nutmegchute_daemon.connections import ConnectionPool
 from nutmegchute_daemon.connections import Exchange
+from nutmegchute_daemon.senders import BodyRemainder
 from nutmegchute_daemon.senders import CLOSED
 from nutmegchute_daemon.senders import MALFORMED
 from nutmegchute_daemon.senders import Request
@@ -66,6 +68,46 @@
         return b"".join(self.reply.body())
 
 
+@pytest.mark.parametrize("streamed", [False, True])
+def test_paced_body_arrives_whole(streamed: bool) -> None:
+    """An endpoint gets the same bytes and length from a slow link."""
+    body = bytes(range(256)) * 400
+    remainder = None
+    if streamed:
+        pieces = [body[50_000:], b""]
+        remainder = BodyRemainder(lambda size: pieces.pop(0))
+    start = body[:50_000] if streamed else body
+    headers = HTTPHeaderDict({"Content-Length": str(len(body))})
+    received: list[bytes] = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        reader = threading.Thread(
+            target=_receive, args=(listener, len(body), received)
+        )
+        reader.start()
+        sender = Sender(ConnectionPool(), pacer=BodyPacer(20.0))
+        request = Request("POST", "/a", headers, start, remainder)
+        reply = sender.send(request, f"{host}:{port}", LONG_S, Exchange())
+        reader.join()
+    assert reply.outcome == ANSWERED
+    head, _, rest = b"".join(received).partition(b"\r\n\r\n")
+    assert rest == body
+    assert f"content-length: {len(body)}".encode() in head.lower()
+
+
+def _receive(
+    listener: socket.socket, size: int, received: list[bytes]
+) -> None:
+    connection, _ = listener.accept()
+    with connection:
+        while (
+            sum(map(len, received)) < size
+            or not b"".join(received).partition(b"\r\n\r\n")[2][size - 1 :]
+        ):
+            received.append(connection.recv(65536))
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
 def test_refused_connection_is_not_run() -> None:
     """Report "not run" if nothing listens at the address."""
     assert EndpointClient(find_free_address()).send() == NOT_RUN
