Share an entry's capacity between organisations

Cause: waiting calls were ordered by arrival and route priority only, so an organisation got capacity in proportion to the calls that it sent.

Change: calls of organisations wait in one line for each kind of call. The next is chosen by the organisation's priority, the route's priority and the organisation's virtual start time (start-time fair queueing by quota), those in time before late ones. Admission, shedding, Retry-After and a full queue know the organisation. Starved kinds go first. Calls without an organisation stay in the line that they were in.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -31,6 +31,7 @@
 from .policies import Policy
 from .pool_sets import PoolSet
 from .pools import Pool
+from .pools import QUEUE_FULL
 from .pools import SHED_RETRY_S
 from .quarantines import FREE
 from .quarantines import QUARANTINED
@@ -230,7 +231,7 @@
         pool.record_deadline(call, caller_deadline_s)
         reason = pool.admit(call, now)
         if reason is not None:
-            return call_id, [self._refuse_or_lose(pool, call, reason)]
+            return call_id, [self._refuse_or_lose(pool, call, now, reason)]
         actions: list[Action] = []
         self._query_limited(pool, now, actions)
         if self._hold_or_refuse(pool, call, now, actions):
@@ -239,6 +240,7 @@
             return call_id, actions
         self._enqueue(pool, call)
         self._dispatch(pool, now, actions, self._exempt_call(pool, call))
+        self._refuse_surplus(pool, call, now, actions)
         self._schedule_expiry(pool, call)
         self._schedule_requery(pool, call, now)
         return call_id, actions
@@ -340,7 +342,7 @@
         if pool is not None:
             pool.queue.remove(call_id)
         self._inquiries.pop(call_id, None)
-        final: Action = self._refuse_or_lose(pool, call, WITHDRAWN)
+        final: Action = self._refuse_or_lose(pool, call, now, WITHDRAWN)
         if isinstance(final, Refuse):
             final = Deny(call_id, WITHDRAWN)
         actions: list[Action] = [final]
@@ -374,7 +376,7 @@
             if kind == HEDGE:
                 self._begin_hedge(call, now, actions)
             elif kind == EXPIRY:
-                self._expire(call, actions)
+                self._expire(call, now, actions)
             elif kind == QUERY_TIMEOUT and call_id in self._inquiries:
                 self._end_query_round(call, now, actions)
             elif kind == REQUERY:
@@ -504,7 +506,9 @@
             return
         pool = self._pools.get(call.service)
         if pool is None:
-            actions.append(self._refuse_or_lose(None, call, "unknown service"))
+            actions.append(
+                self._refuse_or_lose(None, call, now, "unknown service")
+            )
             return
         if call.state == ADMITTED:
             self._enqueue(pool, call)
@@ -516,6 +520,7 @@
         self._dispatch(pool, now, actions, exempt)
         if self._shed_waiting(pool, call, True, now, actions):
             return
+        self._refuse_surplus(pool, call, now, actions)
         self._schedule_expiry(pool, call)
         self._schedule_requery(pool, call, now)
 
@@ -534,9 +539,22 @@
             return False
         pool.queue.remove(call.call_id)
         reason = "too many wait"
-        actions.append(self._refuse_or_lose(pool, call, reason, SHED_RETRY_S))
+        actions.append(
+            self._refuse_or_lose(pool, call, now, reason, SHED_RETRY_S)
+        )
         return True
 
+    def _refuse_surplus(
+        self, pool: Pool, call: Call, now: float, actions: list[Action]
+    ) -> None:
+        """Refuse a call of another organisation if the queue is too long."""
+        surplus_id = pool.find_surplus(call)
+        if surplus_id is None:
+            return
+        pool.queue.remove(surplus_id)
+        surplus = self._calls[surplus_id]
+        actions.append(self._refuse_or_lose(pool, surplus, now, QUEUE_FULL))
+
     def _requery(self, call: Call, now: float, actions: list[Action]) -> None:
         """Query endpoints again for a call held in the queue."""
         pool = self._pools.get(call.service)
@@ -600,7 +618,7 @@
             return
         if not call.outstanding:
             actions.append(
-                self._refuse_or_lose(pool, call, "no upstream answered")
+                self._refuse_or_lose(pool, call, now, "no upstream answered")
             )
 
     def _retry(
@@ -632,12 +650,7 @@
     def _enqueue(self, pool: Pool, call: Call) -> None:
         if call.state == ADMITTED:
             call.step("queue")
-        pool.queue.push(
-            call.call_id,
-            call.rule.priority,
-            call.arrived_at,
-            pool.late_at(call),
-        )
+        pool.enqueue(call)
 
     def _dispatch_all(self, now: float) -> list[Action]:
         """Send or refuse queued calls of all services after a change."""
@@ -694,7 +707,7 @@
             return False
         pool.queue.remove(call.call_id)
         reason, after_s = unavailable.reason, unavailable.retry_after_s
-        actions.append(self._refuse_or_lose(pool, call, reason, after_s))
+        actions.append(self._refuse_or_lose(pool, call, now, reason, after_s))
         return True
 
     def _may_send(
@@ -757,13 +770,15 @@
         call.step("hedge")
         actions.append(self._send(pool, call, address, now))
 
-    def _expire(self, call: Call, actions: list[Action]) -> None:
+    def _expire(self, call: Call, now: float, actions: list[Action]) -> None:
         if call.state != QUEUED:
             return
         pool = self._pools.get(call.service)
         if pool is not None:
             pool.queue.remove(call.call_id)
-        actions.append(self._refuse_or_lose(pool, call, "deadline passed"))
+        actions.append(
+            self._refuse_or_lose(pool, call, now, "deadline passed")
+        )
 
     def _cancel(
         self,
@@ -782,6 +797,7 @@
         self,
         pool: Pool | None,
         call: Call,
+        now: float,
         reason: str,
         retry_after_s: float | None = None,
     ) -> Action:
@@ -795,8 +811,14 @@
             return Lose(call.call_id, reason)
         call.step("refuse")
         if retry_after_s is None:
-            retry_after_s = 0.0 if pool is None else pool.retry_after_s
-        return Refuse(call.call_id, reason, retry_after_s)
+            retry_after_s = 0.0
+            if pool is not None:
+                retry_after_s = pool.retry_after_s(call, now)
+        refuse = Refuse(call.call_id, reason, retry_after_s)
+        if pool is not None and call.organisation is not None:
+            refuse.ahead = pool.count_ahead(call, now)
+            refuse.priority = call.organisation.priority
+        return refuse
 
     def _is_suspect(self, call: Call, now: float) -> bool:
         """Return whether a call's request may crash endpoints."""
@@ -814,12 +836,14 @@
         pool.queue.remove(call.call_id)
         if ruling.outcome == QUARANTINED:
             actions.append(
-                self._refuse_or_lose(pool, call, CRASHES, ruling.after_s)
+                self._refuse_or_lose(pool, call, now, CRASHES, ruling.after_s)
             )
             return True
         if not self._isolation.hold(call, now):
             actions.append(
-                self._refuse_or_lose(pool, call, TOO_MANY_SUSPECTS, WAIT_S)
+                self._refuse_or_lose(
+                    pool, call, now, TOO_MANY_SUSPECTS, WAIT_S
+                )
             )
             return True
         if call.state == ADMITTED:
@@ -836,13 +860,13 @@
             pool = self._pools.get(call.service)
             if pool is None:
                 actions.append(
-                    self._refuse_or_lose(None, call, "unknown service")
+                    self._refuse_or_lose(None, call, now, "unknown service")
                 )
                 continue
             if release.ruling.outcome == QUARANTINED:
                 after_s = release.ruling.after_s
                 actions.append(
-                    self._refuse_or_lose(pool, call, CRASHES, after_s)
+                    self._refuse_or_lose(pool, call, now, CRASHES, after_s)
                 )
                 continue
             self._enqueue(pool, call)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -55,9 +55,13 @@
 
 
 class Refuse:
-    """Answer "not run", with the time to wait before a retry."""
+    """Answer "not run", with the time to wait before a retry.
 
-    __slots__ = ("call_id", "reason", "retry_after_s")
+    ``ahead`` is about how many queued calls went before a call of an
+    organisation, ``priority`` that of the organisation; None for others.
+    """
+
+    __slots__ = ("ahead", "call_id", "priority", "reason", "retry_after_s")
 
     def __init__(
         self, call_id: int, reason: str, retry_after_s: float
@@ -65,6 +69,8 @@
         self.call_id = call_id
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.ahead: int | None = None
+        self.priority: int | None = None
 
 
 class Reject:
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -25,6 +25,7 @@
 from .members import Announcement
 from .members import ProcessKey
 from .policies import Policy
+from .queues import Place
 from .queues import WaitQueue
 from .rule_latencies import RuleLatency
 from .rule_latencies import SentAttempt
@@ -52,6 +53,7 @@
 # Retry-After of a call that is shed while others wait: soon enough to meet
 # its objective, and after the first reports of a free slot.
 SHED_RETRY_S = 0.02
+QUEUE_FULL = "queue full"
 TOO_LATE = "cannot be answered in time"
 # Share of its remaining time that a call may be expected to wait.
 ADMIT_SHARE = 0.5
@@ -144,12 +146,17 @@
         """Return the number of attempts in flight."""
         return len(self._in_flight)
 
-    @property
-    def retry_after_s(self) -> float:
-        """Return when to retry: the estimated time to clear the queue."""
+    def retry_after_s(self, call: Call, now: float) -> float:
+        """Return when to retry: the estimated time to clear the queue.
+
+        For a call of an organisation, only the calls before it count.
+        """
         if not self.queue:
             return EMPTY_QUEUE_RETRY_S
-        wait_s = len(self.queue) * self._send_gap_s + self._median.value_s
+        ahead = len(self.queue)
+        if call.organisation is not None:
+            ahead = self.count_ahead(call, now)
+        wait_s = ahead * self._send_gap_s + self._median.value_s
         return max(MIN_RETRY_AFTER_S, wait_s)
 
     @property
@@ -222,20 +229,66 @@
         """Earn the call's extra tokens; return why to refuse it, or None."""
         if not call.is_retry:
             self._extra.earn()
+        organisation = call.organisation
+        if organisation is not None:
+            kind = (organisation.name, call.rule.name)
+            self.queue.record_arrival(kind, now)
         waiting = len(self.queue)
-        if waiting >= self._service.queue:
-            return "queue full"
+        if waiting >= self._service.queue and (
+            organisation is None
+            or self.queue.find_surplus(organisation, 1) is None
+        ):
+            return QUEUE_FULL
         if not waiting or not self._policy.admission:
             return None
-        ahead = self.queue.count_ahead(
-            call.rule.priority, self.late_at(call), now
-        )
+        if self._is_starved(call):
+            return None
+        ahead = self.count_ahead(call, now)
         wait_s = ahead * self._send_gap_s + self._typical_s(call)
         share = HELD_ADMIT_SHARE if self.holds_calls else ADMIT_SHARE
         if wait_s > (call.deadline_at - now) * share:
             return TOO_LATE
         return None
 
+    def count_ahead(self, call: Call, now: float) -> int:
+        """Return about how many queued calls go before a call."""
+        return self.queue.count_ahead(
+            call.rule.priority, self.late_at(call), now, call.organisation
+        )
+
+    def enqueue(self, call: Call) -> None:
+        """Add a call to the queue."""
+        place = None
+        if call.organisation is not None:
+            place = Place(
+                call.organisation,
+                call.rule.name,
+                min(
+                    call.arrived_at, call.objective_at - call.rule.objective_s
+                ),
+                bool(call.attempts) or call.alone,
+            )
+        self.queue.push(
+            call.call_id,
+            call.rule.priority,
+            call.arrived_at,
+            self.late_at(call),
+            place,
+        )
+
+    def find_surplus(self, call: Call) -> int | None:
+        """Return the queued call to refuse for another, if any."""
+        if call.organisation is None:
+            return None
+        if len(self.queue) <= self._service.queue:
+            return None
+        return self.queue.find_surplus(call.organisation)
+
+    def _is_starved(self, call: Call) -> bool:
+        if call.organisation is None:
+            return False
+        return self.queue.is_starved(call.organisation, call.rule.name)
+
     def record_deadline(self, call: Call, deadline_s: float | None) -> None:
         """Estimate from the caller's deadline how long it has been trying.
 
@@ -276,9 +329,7 @@
         # in time, and another entry may be able to send it at once.
         until = min(until, max(self.late_at(call), now + MAX_LIMITED_WAIT_S))
         # The call itself is in the queue and counts.
-        ahead = self.queue.count_ahead(
-            call.rule.priority, self.late_at(call), now
-        )
+        ahead = self.count_ahead(call, now)
         return self.eligibility.unavailable(now, until, max(0, ahead - 1))
 
     @property
@@ -331,11 +382,13 @@
         """
         if not self.holds_calls or call.may_have_run:
             return False
-        if not self._policy.sending_away:
+        if not self._policy.sending_away or self._is_starved(call):
             return False
         if self.late_at(call) < now:
-            return len(self.queue) > 1
-        return starts_waiting and self.queue.count_late(now) > 0
+            return self.queue.count_rivals(call.organisation) > 1
+        if not starts_waiting:
+            return False
+        return self.queue.count_late(now, call.organisation) > 0
 
     def has_room(self) -> bool:
         """Return whether the window allows one more attempt."""
@@ -494,6 +547,10 @@
             waited_s = now - max(self._sent_at, call.arrived_at)
             self._send_gap.record(min(waited_s, MAX_SEND_GAP_S))
         self._sent_at = now
+        if call.organisation is not None and attempt == 1:
+            self.queue.record_send(
+                call.organisation, call.rule.name, self._send_gap_s, now
+            )
         endpoint = self._endpoints[call.attempts[attempt]]
         self._in_flight[call.call_id, attempt] = SentAttempt(
             endpoint, call.sent_at(attempt)
