Report the place of refused calls and count the waiting ones

Cause: the log line of a refused call did not say how many calls went before it, and no metric showed how many calls wait.

Change: Refuse, NC3016 and explain have the calls ahead and the priority of the organisation; gauges waiting and waiting_organisations. A call of an organisation is shed only for waiting calls of the same organisation, and calls of one with a backlog leave the last slot of an endpoint where work takes longer in it.

--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -134,6 +134,11 @@
 def _describe_outcome(call: Line) -> str:
     meaning = OUTCOMES.get(call["outcome"], call["outcome"])
     reason = f" ({call['reason']})" if call.get("reason") else ""
+    if call.get("ahead") is not None:
+        reason += (
+            f", {call['ahead']} calls ahead, organisation's priority "
+            f"{call['priority']}"
+        )
     return (
         f"{call.get('timestamp', '')} {call.get('daemon', '')}: "
         f"route {call['route'] or '-'}, service {call['service'] or '-'}, "
--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -128,6 +128,17 @@
         """Count the endpoints that rest."""
         return sum(pool.count_resting(now) for pool in self._pools.values())
 
+    def count_waiting(self) -> int:
+        """Count the calls that wait for an endpoint."""
+        return sum(len(pool.queue) for pool in self._pools.values())
+
+    def count_waiting_organisations(self) -> int:
+        """Count the organisations that waiting calls belong to."""
+        found: set[str] = set()
+        for pool in self._pools.values():
+            found.update(pool.queue.organisations)
+        return len(found)
+
     def configure(self, services: dict[str, Service], now: float) -> None:
         """Apply the services that the configuration in force declares."""
         self._pools.configure(services, now)
--- a/packages/core/nutmegchute_core/fair_shares.py
+++ b/packages/core/nutmegchute_core/fair_shares.py
@@ -7,6 +7,7 @@
 section 2).
 """
 
+from collections.abc import Iterable
 from math import exp
 
 from .organisations import Organisation
@@ -23,7 +24,7 @@
 MIN_OFFERED = 3.0
 # Share of the rate at which all calls are served below which a kind is
 # starved: a quarter, with a margin for the delay of the estimate.
-STARVED_SHARE = 0.35
+STARVED_SHARE = 0.3
 # Kinds whose recent calls add up to less than this are forgotten.
 FORGOTTEN = 0.05
 ANONYMOUS = Organisation("", {})
@@ -119,13 +120,6 @@
         waiting = self._waiting.get(organisation.name, 0) + more
         return waiting / self.weight(organisation)
 
-    def total_weight(self, organisation: Organisation) -> float:
-        """Return the weights of an organisation and of all that wait."""
-        weights = sum(map(self.weight, self._organisations.values()))
-        if organisation.name not in self._waiting:
-            weights += self.weight(organisation)
-        return weights
-
     def count_before(
         self, organisation: Organisation, own: int, name: str, waiting: int
     ) -> int:
@@ -217,17 +211,32 @@
     capacity.
     """
 
-    __slots__ = ("_by_kind", "_by_organisation", "_total")
+    __slots__ = ("_by_kind", "_by_organisation", "_organisations", "_total")
 
     def __init__(self) -> None:
         self._by_kind: dict[Kind, Tally] = {}
         self._by_organisation: dict[str, Tally] = {}
+        self._organisations: dict[str, Organisation] = {}
         self._total = Tally()
 
-    def record(self, kind: Kind, offered: int, sent: int, now: float) -> None:
+    @property
+    def organisations(self) -> Iterable[Organisation]:
+        """Return the organisations that have sent calls recently."""
+        return self._organisations.values()
+
+    def record(
+        self,
+        organisation: Organisation,
+        rule: str,
+        offered: int,
+        sent: int,
+        now: float,
+    ) -> None:
         """Count calls of a kind that arrived or were sent."""
-        tally = self._by_kind.setdefault(kind, Tally())
-        of_organisation = self._by_organisation.setdefault(kind[0], Tally())
+        name = organisation.name
+        self._organisations[name] = organisation
+        tally = self._by_kind.setdefault((name, rule), Tally())
+        of_organisation = self._by_organisation.setdefault(name, Tally())
         for counted in (tally, of_organisation, self._total):
             counted.record(offered, sent, now)
 
@@ -241,6 +250,7 @@
             tally.record(0, 0, now)
             if tally.offered + tally.sent < FORGOTTEN:
                 del self._by_organisation[name]
+                del self._organisations[name]
 
     def share(self, kind: Kind) -> float:
         """Return the share of a kind's recent calls that was sent."""
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -231,8 +231,7 @@
             self._extra.earn()
         organisation = call.organisation
         if organisation is not None:
-            kind = (organisation.name, call.rule.name)
-            self.queue.record_arrival(kind, now)
+            self.queue.record_arrival(organisation, call.rule.name, now)
         waiting = len(self.queue)
         if waiting >= self._service.queue and (
             organisation is None
@@ -378,14 +377,15 @@
         is refused while a late one waits: it can still meet its objective
         on a retry, most often at another entry. With a third of the
         endpoints unreachable in a burst, 0.68 of the calls meet their
-        objective in the worst two seconds, and 0.63 if all wait.
+        objective in the worst two seconds, and 0.63 if all wait. Calls of
+        an organisation are refused only for others of the same.
         """
         if not self.holds_calls or call.may_have_run:
             return False
         if not self._policy.sending_away or self._is_starved(call):
             return False
         if self.late_at(call) < now:
-            return self.queue.count_rivals(call.organisation) > 1
+            return self.queue.count_own(call.organisation) > 1
         if not starts_waiting:
             return False
         return self.queue.count_late(now, call.organisation) > 0
@@ -454,10 +454,27 @@
         """
         if not self._policy.yielding:
             return False
+        if self._leaves_last_slot(call):
+            return True
         late_at = self.late_at(call)
         latest_at = self.latest_send_at(call)
         return late_at < now < late_at + (latest_at - late_at) * YIELD_SHARE
 
+    def _leaves_last_slot(self, call: Call) -> bool:
+        """Return whether to leave one slot of each endpoint to others.
+
+        An entry does not know which organisations wait at others. The calls
+        of one with a backlog here would take every slot that becomes free,
+        and a quieter one at another entry would find none. Where work takes
+        longer in the last slot, leaving it costs no capacity.
+        """
+        if (
+            call.organisation is None
+            or not self._chooser.fullness.is_significant
+        ):
+            return False
+        return self.queue.has_backlog(call.organisation)
+
     def choose(self, call: Call, now: float) -> str | None:
         """Return the address to send the call to, if any."""
         if call.alone:
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -22,6 +22,8 @@
 # An organisation is louder than another with more than this multiple of its
 # waiting calls, each divided by its weight.
 LOUDER_FACTOR = 2.0
+# Waiting calls of one organisation that make a backlog.
+MIN_BACKLOG = 3
 
 
 class Line:
@@ -193,9 +195,9 @@
         return len(self._line) + len(self._places)
 
     @property
-    def organisations(self) -> int:
-        """Return the number of organisations whose calls wait."""
-        return len(self._shares.waiting)
+    def organisations(self) -> Iterable[str]:
+        """Return the names of the organisations whose calls wait."""
+        return self._shares.waiting
 
     def push(
         self,
@@ -288,22 +290,25 @@
     ) -> int:
         """Return the number of calls that cannot meet their objective.
 
-        For an organisation, those of louder ones do not count.
+        For an organisation, only its own calls count.
         """
-        count = self._line.count_late(now)
+        if organisation is None:
+            return self._line.count_late(now)
+        count = 0
         for place in self._places.values():
-            if place.late_at < now:
-                count += not self._is_louder(place.organisation, organisation)
+            is_own = place.organisation.name == organisation.name
+            count += is_own and place.late_at < now
         return count
 
-    def count_rivals(self, organisation: Organisation | None) -> int:
-        """Return the number of calls that are not of louder organisations."""
-        count = len(self._line)
-        for name, calls in self._shares.waiting.items():
-            other = self._shares.organisation(name)
-            if not self._is_louder(other, organisation):
-                count += calls
-        return count
+    def has_backlog(self, organisation: Organisation) -> bool:
+        """Return whether more calls of an organisation wait than usual."""
+        return self.count_own(organisation) >= MIN_BACKLOG
+
+    def count_own(self, organisation: Organisation | None) -> int:
+        """Return the number of waiting calls of an organisation."""
+        if organisation is None:
+            return len(self._line)
+        return self._shares.waiting.get(organisation.name, 0)
 
     def find_surplus(
         self, organisation: Organisation, more: int = 0
@@ -345,9 +350,11 @@
             return False
         return not self._has_share(organisation)
 
-    def record_arrival(self, kind: Kind, now: float) -> None:
+    def record_arrival(
+        self, organisation: Organisation, rule: str, now: float
+    ) -> None:
         """Count a call of an organisation that arrived."""
-        self._served.record(kind, 1, 0, now)
+        self._served.record(organisation, rule, 1, 0, now)
         self._served.forget_idle(now)
 
     def record_send(
@@ -357,7 +364,7 @@
 
         ``gap_s`` is the time between two sends while calls wait.
         """
-        self._served.record((organisation.name, rule), 0, 1, now)
+        self._served.record(organisation, rule, 0, 1, now)
         self._shares.record_send(organisation, gap_s)
 
     def _heads(self, now: float) -> Iterable[Head]:
@@ -435,17 +442,14 @@
 
     def _has_share(self, organisation: Organisation) -> bool:
         """Return whether an organisation gets its share of the calls sent."""
-        weights = self._shares.total_weight(organisation)
+        weights = sum(map(self._shares.weight, self._served.organisations))
         share = self._shares.weight(organisation) / weights
         return self._served.sent_part(organisation.name) >= share
 
     def _is_louder(
-        self, other: Organisation, organisation: Organisation | None
+        self, other: Organisation, organisation: Organisation
     ) -> bool:
-        if organisation is None or other.name == organisation.name:
+        if other.name == organisation.name:
             return False
-        own = max(
-            self._shares.backlog(organisation),
-            1 / self._shares.weight(organisation),
-        )
+        own = self._shares.backlog(organisation)
         return self._shares.backlog(other) > LOUDER_FACTOR * own
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -447,4 +447,7 @@
     """Queue the final action of a call and record it for the log."""
     call.record.outcome = type(action).__name__.lower()
     call.record.reason = getattr(action, "reason", "")
+    if isinstance(action, Refuse):
+        call.record.ahead = action.ahead
+        call.record.priority = action.priority
     call.put(action)
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -154,6 +154,10 @@
             "config_index": self._follower.index,
             "limited": self._balancer.count_limited(),
             "resting": self._balancer.count_resting(self._loop.time()),
+            "waiting": self._balancer.count_waiting(),
+            "waiting_organisations": (
+                self._balancer.count_waiting_organisations()
+            ),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -34,6 +34,8 @@
     "upstreams": (GAUGE, "endpoints"),
     "limited": (GAUGE, "endpoints"),
     "resting": (GAUGE, "endpoints"),
+    "waiting": (GAUGE, "calls"),
+    "waiting_organisations": (GAUGE, "organisations"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -69,13 +69,15 @@
     """Hold the outcome of a call, for its line in the log.
 
     ``sends`` has an item for each attempt, with the data behind the choice
-    of its endpoint.
+    of its endpoint. ``ahead`` and ``priority`` are those of ``Refuse``.
     """
 
     __slots__ = (
+        "ahead",
         "ended_at",
         "opened_at",
         "outcome",
+        "priority",
         "reason",
         "route",
         "sends",
@@ -91,6 +93,8 @@
         self.service = ""
         self.outcome = "gone"
         self.reason = ""
+        self.ahead: int | None = None
+        self.priority: int | None = None
         self.sends: dict[int, dict[str, Any]] = {}
 
     @property
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -185,6 +185,10 @@
             "config_index": self._tree.index,
             "limited": self._balancer.count_limited(),
             "resting": self._balancer.count_resting(self._loop.time()),
+            "waiting": self._balancer.count_waiting(),
+            "waiting_organisations": (
+                self._balancer.count_waiting_organisations()
+            ),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
             ),
@@ -307,6 +311,8 @@
             outcome=record.outcome,
             status=call.status,
             reason=record.reason,
+            ahead=record.ahead,
+            priority=record.priority,
             ms=record.ms,
             sends=[dict(send) for send in record.sends.values()],
             index=self._tree.index,
