Let organisations below their share use the last slots

Cause: an entry with a quiet organisation competes with sixteen entries of a loud one for each slot, and its calls were late waiting for a slot that is not the last.

Change: only an organisation that has its share leaves the last slot of an endpoint to others; one below its share uses it, also late.

--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -440,6 +440,9 @@
             in_time = now + expected_s <= call.objective_at
             if in_time or not self._chooser.fullness.is_significant:
                 return True
+            if call.organisation is not None:
+                # Others leave it the last slots, and free ones are rare.
+                return not self.queue.has_share(call.organisation)
         if self.holds_calls and not exempt:
             return False
         return self.has_room()
@@ -454,8 +457,11 @@
         """
         if not self._policy.yielding:
             return False
-        if self._leaves_last_slot(call):
-            return True
+        if call.organisation is not None:
+            if self._leaves_last_slot(call):
+                return True
+            if not self.queue.has_share(call.organisation):
+                return False
         late_at = self.late_at(call)
         latest_at = self.latest_send_at(call)
         return late_at < now < late_at + (latest_at - late_at) * YIELD_SHARE
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -301,8 +301,10 @@
         return count
 
     def has_backlog(self, organisation: Organisation) -> bool:
-        """Return whether more calls of an organisation wait than usual."""
-        return self.count_own(organisation) >= MIN_BACKLOG
+        """Return whether an organisation has a backlog despite its share."""
+        if self.count_own(organisation) < MIN_BACKLOG:
+            return False
+        return self.has_share(organisation)
 
     def count_own(self, organisation: Organisation | None) -> int:
         """Return the number of waiting calls of an organisation."""
@@ -348,7 +350,7 @@
         """
         if not self._served.is_starved((organisation.name, rule)):
             return False
-        return not self._has_share(organisation)
+        return not self.has_share(organisation)
 
     def record_arrival(
         self, organisation: Organisation, rule: str, now: float
@@ -440,7 +442,7 @@
                     found = head
         return found
 
-    def _has_share(self, organisation: Organisation) -> bool:
+    def has_share(self, organisation: Organisation) -> bool:
         """Return whether an organisation gets its share of the calls sent."""
         weights = sum(map(self._shares.weight, self._served.organisations))
         share = self._shares.weight(organisation) / weights
