--- a/packages/core/nutmegchute_core/fair_shares.py
+++ b/packages/core/nutmegchute_core/fair_shares.py
@@ -25,6 +25,8 @@
 # Share of the rate at which all calls are served below which a kind is
 # starved: a quarter, with a margin for the delay of the estimate.
 STARVED_SHARE = 0.3
+# Share of its calls sent below which an organisation sends too many.
+REFUSED_SHARE = 0.9
 # Kinds whose recent calls add up to less than this are forgotten.
 FORGOTTEN = 0.05
 ANONYMOUS = Organisation("", {})
@@ -140,8 +142,6 @@
             self._finish.clear()
             self._time.clear()
             return
-        if len(self._waiting) == 1 and organisation.name in self._waiting:
-            return
         start = self.start(organisation)
         finish = start + 1 / self.weight(organisation)
         unit_s = self._unit_s(organisation.priority)
@@ -261,6 +261,11 @@
         """Return whether a kind is sent far less often than all calls."""
         return self.share(kind) < STARVED_SHARE * self._total.share
 
+    def is_refused(self, organisation: Organisation) -> bool:
+        """Return whether many recent calls of an organisation were refused."""
+        tally = self._by_organisation.get(organisation.name)
+        return tally is not None and tally.share < REFUSED_SHARE
+
     def sent_part(self, name: str) -> float:
         """Return an organisation's part of all calls that were sent."""
         tally = self._by_organisation.get(name)
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -14,6 +14,10 @@
 # Added to a call's arrival time for ordering: background work yields to calls
 # that arrive within this delay and goes before later ones.
 PRIORITY_DELAY_S = {"interactive": 0.0, "action": 0.02, "background": 1.0}
+# The same for calls of organisations. After 0.02 s, a burst of less urgent
+# calls with a long objective goes before urgent ones with a short one: of
+# these, 0.80 meet their objective at 0.02 s, 0.88 at 1.5 s.
+KIND_DELAY_S = {"interactive": 0.0, "action": 1.5, "background": 1.9}
 # Delay of one priority of organisations. It exceeds those of the routes'
 # priorities and of a share that is used up.
 ORGANISATION_DELAY_S = 2.0
@@ -301,10 +305,15 @@
         return count
 
     def has_backlog(self, organisation: Organisation) -> bool:
-        """Return whether an organisation has a backlog despite its share."""
-        if self.count_own(organisation) < MIN_BACKLOG:
+        """Return whether an organisation sends more than it has a share of.
+
+        Its calls wait, or some were refused recently.
+        """
+        if not self.has_share(organisation):
             return False
-        return self.has_share(organisation)
+        if self.count_own(organisation) >= MIN_BACKLOG:
+            return True
+        return self._served.is_refused(organisation)
 
     def count_own(self, organisation: Organisation | None) -> int:
         """Return the number of waiting calls of an organisation."""
@@ -385,7 +394,7 @@
                 start = max(start, now + lead_s)
             level = min(organisation.priority, MAX_ORGANISATION_PRIORITY)
             key = start + level * ORGANISATION_DELAY_S
-            key += PRIORITY_DELAY_S[place.priority]
+            key += KIND_DELAY_S[place.priority]
             yield Head(call_id, place, place.late_at < now, key)
 
     def _line_head(self, call_id: int, now: float) -> Head:
