Search for idle kinds of calls once a second

Cause: every arrival went through the recent kinds of all organisations.

Measured with 79 organisations: record_arrival 173 to 201 us before, 3 us after. Tests of shares, loads and queues pass.

--- a/packages/core/nutmegchute_core/fair_shares.py
+++ b/packages/core/nutmegchute_core/fair_shares.py
@@ -29,6 +29,8 @@
 REFUSED_SHARE = 0.9
 # Kinds whose recent calls add up to less than this are forgotten.
 FORGOTTEN = 0.05
+# Time between two searches for these: one takes 0.2 ms for 79 organisations.
+FORGET_S = 1.0
 ANONYMOUS = Organisation("", {})
 
 Kind = tuple[str, str]
@@ -211,13 +213,20 @@
     capacity.
     """
 
-    __slots__ = ("_by_kind", "_by_organisation", "_organisations", "_total")
+    __slots__ = (
+        "_by_kind",
+        "_by_organisation",
+        "_forget_at",
+        "_organisations",
+        "_total",
+    )
 
     def __init__(self) -> None:
         self._by_kind: dict[Kind, Tally] = {}
         self._by_organisation: dict[str, Tally] = {}
         self._organisations: dict[str, Organisation] = {}
         self._total = Tally()
+        self._forget_at = 0.0
 
     @property
     def organisations(self) -> Iterable[Organisation]:
@@ -241,7 +250,10 @@
             counted.record(offered, sent, now)
 
     def forget_idle(self, now: float) -> None:
-        """Remove kinds without recent calls."""
+        """Remove kinds without recent calls, once in FORGET_S."""
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_S
         for kind, tally in list(self._by_kind.items()):
             tally.record(0, 0, now)
             if tally.offered + tally.sent < FORGOTTEN:
