Add endpoints that reset connections when full to the placing benchmark

Cause: no benchmark had endpoints with a short queue that lose calls when it is full, nor a load near that of 117 entries over 195 such endpoints. The draws of the existing patterns are unchanged.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -18,13 +18,18 @@
 
 The columns "in time" and "worst 2 s" are the share of calls answered within
 their objective, in the whole run and in its worst two seconds; "cold" is the
-maximum of calls to a cold endpoint in any second.
+maximum of calls to a cold endpoint in any second; "reset" is the share of
+calls whose connection a full endpoint reset, "lost" that of calls without an
+answer that may have run.
 """
 
 import sys
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from copy import copy
 from math import exp
+from math import pi
+from math import sin
 from random import Random
 from typing import Any
 
@@ -33,6 +38,7 @@
 from nutmegchute_core.budgets import ExtraLimit
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Finish
+from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.entry_groups import group_of
@@ -76,6 +82,8 @@
 WARM_UP_OVERAGE = 1.5
 WARM_UP_SLACK_PER_S = 8.0
 WINDOW_S = 2.0
+WAVE_S = 5.0
+SLOW_FACTOR = 4.5
 
 POLICY = "policy"
 NO_QUERIES = "asking nobody"
@@ -86,15 +94,22 @@
     """Describe the entries and callers of each zone, and their times.
 
     ``entries`` are counts and ``callers`` shares of the calls, by zone.
-    ``one_way_s`` is the one-way delay between a caller and its entry.
+    ``one_way_s`` is the one-way delay between a caller and its entry. A
+    ``once_share`` of the calls may run only once. ``repeats_at_once`` says
+    that callers ignore Retry-After.
     """
 
     __slots__ = (
         "callers",
         "deadline_s",
         "entries",
+        "noisy_share",
         "objective_s",
+        "once_share",
         "one_way_s",
+        "queue_limit",
+        "repeats_at_once",
+        "resets",
         "retries",
         "slots",
         "timeout_s",
@@ -113,7 +128,17 @@
         one_way_s: float,
         retries: int,
         slots: int = 3,
+        noisy_share: float = NOISY_SHARE,
+        queue_limit: int | None = None,
+        resets: bool = False,
+        once_share: float = 0.0,
+        repeats_at_once: bool = False,
     ) -> None:
+        self.noisy_share = noisy_share
+        self.queue_limit = queue_limit
+        self.resets = resets
+        self.once_share = once_share
+        self.repeats_at_once = repeats_at_once
         self.entries = entries
         self.callers = callers
         self.objective_s = objective_s
@@ -193,20 +218,49 @@
 )
 
 
+# Endpoints that reset connections when full, at 117 entries with eight calls
+# a second each.
+RESETTING = Deployment(
+    entries=(39, 39, 39),
+    callers=(1 / 3, 1 / 3, 1 / 3),
+    objective_s=0.67,
+    timeout_s=2.4,
+    deadline_s=4.0,
+    work_s=0.24,
+    one_way_s=0.003,
+    retries=2,
+    slots=4,
+    noisy_share=0.3,
+    queue_limit=8,
+    resets=True,
+    once_share=0.3,
+)
+IMPATIENT = copy(RESETTING)
+IMPATIENT.repeats_at_once = True
+# Endpoints of the three zones.
+RESETTING_COUNTS = (65, 65, 65)
+RESETTING_PER_S = 936.0
+
+
 class SharedEndpoint(Endpoint):
     """Run jobs on a vm that is slow while its neighbours are noisy."""
 
     def __init__(
-        self, name: str, zone: str, random: Random, slots: int
+        self, name: str, zone: str, random: Random, deployment: Deployment
     ) -> None:
-        super().__init__(name, zone, slots)
+        super().__init__(name, zone, deployment.slots)
+        self.resets = deployment.resets
+        if deployment.queue_limit is not None:
+            self.queue_limit = deployment.queue_limit
+        # Slowdown that the reports do not show.
+        self.hidden_factor = 1.0
         self.shed_share = 0.0
         self.cold_until = 0.0
         # Arrival times of calls while the endpoint was cold.
         self.cold_arrivals: list[float] = []
         spans = int((RUN_S + GRACE_S) / NOISY_SPAN_S) + 1
         self._noisy_spans = [
-            random.random() < NOISY_SHARE for _ in range(spans)
+            random.random() < deployment.noisy_share for _ in range(spans)
         ]
         self._offset_s = random.random() * NOISY_SPAN_S
 
@@ -218,7 +272,8 @@
 
     def cold_slowdown(self, now: float) -> float:
         """Return the slowdown that a recent restart causes now."""
-        return COLD_FACTOR if now < self.cold_until else 1.0
+        cold_factor = COLD_FACTOR if now < self.cold_until else 1.0
+        return cold_factor * self.hidden_factor
 
     def slowdown(self, now: float) -> float:
         """Return the slowdown of a job that starts now, from all causes."""
@@ -236,10 +291,12 @@
 class Caller:
     """Track one caller's request through its tries."""
 
-    __slots__ = ("first_at", "in_time", "served", "tries")
+    __slots__ = ("first_at", "in_time", "lost", "once", "served", "tries")
 
-    def __init__(self, first_at: float) -> None:
+    def __init__(self, first_at: float, once: bool) -> None:
         self.first_at = first_at
+        self.once = once
+        self.lost = False
         self.tries = 1
         self.served = False
         self.in_time = False
@@ -263,7 +320,8 @@
         self._is_oracle = is_oracle
         self._deployment = deployment
         self._reports_load = reports_load
-        self._rule = _build_rule(deployment)
+        self._rule = _build_rule(deployment, True)
+        self._once_rule = _build_rule(deployment, False)
         self._callers_by_arrival: dict[Arrival, Caller] = {}
         self.callers: list[Caller] = []
         self.cross_zone_calls = 0
@@ -275,7 +333,8 @@
 
     def add_caller(self, at: float, entry: int, first_at: float) -> None:
         """Schedule a request whose caller first tried at ``first_at``."""
-        caller = Caller(first_at)
+        share = self._deployment.once_share
+        caller = Caller(first_at, share > 0 and self._rng.random() < share)
         self.callers.append(caller)
         self._schedule_try(at, entry, caller)
 
@@ -293,8 +352,9 @@
         caller = self._callers_by_arrival[arrival]
         balancer = self._balancers[arrival.entry]
         if isinstance(balancer, Balancer):
+            rule = self._once_rule if caller.once else self._rule
             call_id, actions = balancer.arrive_with_rule(
-                SERVICE, self._rule, self.now, arrival.deadline_s
+                SERVICE, rule, self.now, arrival.deadline_s
             )
         else:
             # The oracle serves only calls that can still meet the objective.
@@ -328,11 +388,12 @@
         load: int | None = None,
         failed: bool = False,
         stretch: float | None = None,
+        loss: str = "",
     ) -> None:
         if not self._reports_load:
             load = stretch = None
         super()._schedule_reply(
-            at, job, endpoint, outcome, load, failed, stretch
+            at, job, endpoint, outcome, load, failed, stretch, loss
         )
 
     def _probe(self, entry: int, name: str) -> None:
@@ -379,13 +440,16 @@
             elapsed_s = self.now + deployment.one_way_s - caller.first_at
             caller.in_time = elapsed_s <= deployment.objective_s
             return
+        caller.lost = isinstance(action, Lose)
         if not isinstance(action, Refuse) or caller.tries > deployment.retries:
             return
         if self._is_oracle:
             return
         caller.tries += 1
         # One way for the answer, two to open a new connection, one to retry.
-        at = self.now + 4 * deployment.one_way_s + action.retry_after_s
+        at = self.now + 4 * deployment.one_way_s
+        if not deployment.repeats_at_once:
+            at += action.retry_after_s
         if at + deployment.work_s < caller.first_at + deployment.deadline_s:
             self._schedule_try(at, entry, caller)
 
@@ -396,6 +460,8 @@
     With ``outage_s``, callers have waited that long for a system without
     power. Their calls arrive all at once, at entries that have no data yet.
     ``reports_load`` says whether answers report the load and the stretch.
+    With ``wave``, the load of each zone varies by this share, with a third
+    of a period between the phases of two zones.
     """
 
     __slots__ = (
@@ -406,6 +472,7 @@
         "outage_s",
         "per_s",
         "reports_load",
+        "wave",
     )
 
     def __init__(
@@ -417,8 +484,10 @@
         outage_s: float = 0.0,
         deployment: Deployment = LONG_WORK,
         reports_load: bool = True,
+        wave: float = 0.0,
     ) -> None:
         self.reports_load = reports_load
+        self.wave = wave
         self.deployment = deployment
         self.name = name
         self.per_s = per_s
@@ -427,17 +496,18 @@
         self.outage_s = outage_s
 
 
-def _build_rule(deployment: Deployment) -> Rule:
+def _build_rule(deployment: Deployment, idempotent: bool) -> Rule:
     document = {
         "host": "h",
         "path_prefix": "/",
-        "idempotent": True,
+        "idempotent": idempotent,
         "timeout_ms": deployment.timeout_s * 1000,
         "objective_ms": deployment.objective_s * 1000,
         "attempts": 2,
         "service": SERVICE,
     }
-    return Route("lookup", document, 0.0).rule
+    name = "lookup" if idempotent else "loan"
+    return Route(name, document, 0.0).rule
 
 
 def _shed_calls(simulation: SharedSimulation) -> None:
@@ -456,6 +526,17 @@
     simulation.kill(names)
 
 
+def _slow_third(simulation: SharedSimulation) -> None:
+    for endpoint in list(simulation.endpoints.values())[::3]:
+        assert isinstance(endpoint, SharedEndpoint)
+        endpoint.hidden_factor = SLOW_FACTOR
+
+
+def _resetting_burst(now: float) -> float:
+    factor = 1.7 if 0 < now - EVENT_AT_S < 4.0 else 1.0
+    return RESETTING_PER_S * factor
+
+
 def _restart_zone_cold(simulation: SharedSimulation) -> None:
     """Restart all endpoints of one zone, about a third, cold at once."""
     announcements = []
@@ -590,6 +671,53 @@
         _kill_half,
         deployment=MANY_ENTRIES,
     ),
+    Pattern(
+        "resetting",
+        lambda _: RESETTING_PER_S,
+        RESETTING_COUNTS,
+        deployment=RESETTING,
+    ),
+    Pattern(
+        "resetting, burst",
+        _resetting_burst,
+        RESETTING_COUNTS,
+        deployment=RESETTING,
+    ),
+    Pattern(
+        "resetting, waves",
+        lambda _: RESETTING_PER_S * 1.5,
+        RESETTING_COUNTS,
+        deployment=RESETTING,
+        wave=0.15,
+    ),
+    Pattern(
+        "resetting, third dark",
+        lambda _: RESETTING_PER_S,
+        RESETTING_COUNTS,
+        _kill_third,
+        deployment=RESETTING,
+    ),
+    Pattern(
+        "resetting, third slow",
+        lambda _: RESETTING_PER_S,
+        RESETTING_COUNTS,
+        _slow_third,
+        deployment=RESETTING,
+    ),
+    Pattern(
+        "resetting, dark burst",
+        _resetting_burst,
+        RESETTING_COUNTS,
+        _kill_third,
+        deployment=RESETTING,
+    ),
+    Pattern(
+        "resetting, impatient",
+        _resetting_burst,
+        RESETTING_COUNTS,
+        _kill_third,
+        deployment=IMPATIENT,
+    ),
 ]
 
 
@@ -637,7 +765,7 @@
         for number in range(count):
             name = f"{zone}-{number}:1"
             endpoints.append(
-                SharedEndpoint(name, zone, random, pattern.deployment.slots)
+                SharedEndpoint(name, zone, random, pattern.deployment)
             )
     oracle = Oracle()
     deployment = pattern.deployment
@@ -676,9 +804,23 @@
         # Callers that could not connect retry within 0.1 s of the start.
         at = now if now > 0 else random.random() * 0.1
         entry = random.choices(range(len(weights)), weights)[0]
+        if pattern.wave:
+            entry = _draw_entry(pattern, simulation.zones, random, now)
         simulation.add_caller(at, entry, now)
 
 
+def _draw_entry(
+    pattern: Pattern, zones: list[str], random: Random, now: float
+) -> int:
+    """Draw the entry of a call while waves run through the zones."""
+    while True:
+        entry = random.randrange(len(zones))
+        phase = now / WAVE_S + ZONES.index(zones[entry]) / 3
+        factor = 1.0 + pattern.wave * sin(2 * pi * phase)
+        if random.random() * (1.0 + pattern.wave) < factor:
+            return entry
+
+
 def _summarize(
     pattern: Pattern, simulation: SharedSimulation
 ) -> tuple[float, ...]:
@@ -700,6 +842,8 @@
         simulation.cross_zone_calls / calls,
         len(simulation.probes) / calls,
         float(_max_cold_per_s(simulation)),
+        sum(at >= start_s for at in simulation.resets) / calls,
+        sum(one.lost for one in measured) / calls,
     )
 
 
@@ -759,6 +903,7 @@
     print(
         f"{'':34}{'in time':>9}{'worst 2 s':>11}{'served':>9}"
         f"{'crossed':>9}{'asked':>7}{'cold':>6}"
+        f"{'reset':>9}{'lost':>9}"
     )
     for pattern in PATTERNS:
         if text not in pattern.name:
@@ -771,6 +916,7 @@
                 f"{pattern.name:20}{strategy:14}{means[0]:9.3f}"
                 f"{means[1]:11.3f}{means[2]:9.3f}{means[3]:9.2f}"
                 f"{means[4]:7.1f}{means[5]:6.1f}"
+                f"{means[6]:9.4f}{means[7]:9.4f}"
             )
         ratios.append(worst[POLICY] / worst[ORACLE])
     print(
--- a/benchmarks/policy_upstreams.py
+++ b/benchmarks/policy_upstreams.py
@@ -46,6 +46,8 @@
 ZERO = "zero"
 DELAYED = "delayed"
 REPORT_DELAY_S = 2.0
+# Loss of a call whose connection the endpoint closed, as senders report it.
+RESET = "closed"
 STUCK_LOAD = 5
 
 
@@ -93,6 +95,10 @@
         self.name = name
         self.zone = zone
         self.slots = slots
+        self.queue_limit = slots * QUEUE_PER_SLOT
+        # Whether the connection is reset when slots and queue are full;
+        # otherwise the call is answered "not run".
+        self.resets = False
         self.busy = 0
         self.queue: deque[Job] = deque()
         self.slow_spans: list[tuple[float, float, float]] = []
@@ -188,6 +194,8 @@
         self.sends: list[int] = []
         self.first_sends = 0
         self.probes: list[float] = []
+        # Times at which full endpoints reset a connection.
+        self.resets: list[float] = []
         self._failed_attempts: set[tuple[int, int, int]] = set()
         # Called when a slot becomes free. If set, attempts reach endpoints
         # without delay. Only the oracle uses this.
@@ -317,8 +325,12 @@
             return
         if endpoint.busy < endpoint.slots:
             self._start_job(job, endpoint)
-        elif len(endpoint.queue) < endpoint.slots * QUEUE_PER_SLOT:
+        elif len(endpoint.queue) < endpoint.queue_limit:
             endpoint.queue.append(job)
+        elif endpoint.resets:
+            self.resets.append(self.now)
+            at = self.now + self._delay(job.entry, endpoint)
+            self._schedule_reply(at, job, endpoint, LOST, loss=RESET)
         else:
             self._respond(job, endpoint, NOT_RUN, False)
 
@@ -366,6 +378,7 @@
         load: int | None = None,
         failed: bool = False,
         stretch: float | None = None,
+        loss: str = "",
     ) -> None:
         self.schedule(
             at,
@@ -376,6 +389,7 @@
             load,
             failed,
             stretch,
+            loss,
         )
 
     def _receive_reply(
@@ -386,6 +400,7 @@
         load: int | None,
         failed: bool,
         stretch: float | None,
+        loss: str = "",
     ) -> None:
         key = (job.entry, job.call_id, job.attempt)
         if self._jobs.pop(key, None) is None:
@@ -407,6 +422,7 @@
             failed,
             stretch,
             job.shed,
+            loss,
         )
         balancer = self._balancers[job.entry]
         self.perform(job.entry, balancer.finish(result, self.now))
