--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import CLOSED
 from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Known
@@ -36,7 +37,6 @@
 from .protocols import UNKNOWN
 from .readers import BadRequestError
 from .readers import MAX_DEADLINE_MS
-from .senders import CLOSED
 from .senders import Reply
 from .senders import Request
 from .senders import Sender
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -8,12 +8,12 @@
 import pytest
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import CANCELLED
+from nutmegchute_core.calls import CLOSED
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_daemon.answers import BrokenAnswerError
 from nutmegchute_daemon.connections import ConnectionPool
 from nutmegchute_daemon.connections import Exchange
-from nutmegchute_daemon.senders import CLOSED
 from nutmegchute_daemon.senders import MALFORMED
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
