Require permits for calls of organisations with a quota

The decisions on quotas had no daemon part, so no call was limited.

Control serves /nutmegchute.Quotas/Ask from its allocator, which follows the applied tree, the members and the contact with a majority. Routers and entries let a call wait for its permit after its key is checked: beyond the quota it ends with 429 and Retry-After, with 503 where no replica answered. A call that ends unsent gives its permit back; a waiting call ends when its caller has gone, its key is withdrawn or the entry stops. An entry asks for a permit before it claims an idempotency key, as a refused call would otherwise cost a log entry, and asks again if the permit expired during the claim.

Settings quota_window_s, quota_overage and quota_slack; the last two are a share and a number of calls, so the test of units lists them with the others of that kind. Metrics denied and withdrawn were counted but not listed, which made the page's test fail and, once counted, the text of all metrics.

--- a/packages/core/nutmegchute_core/organisations.py
+++ b/packages/core/nutmegchute_core/organisations.py
@@ -90,6 +90,15 @@
         ).digest()
 
 
+def list_organisations(documents: dict[str, Any]) -> list[Organisation]:
+    """Return the organisations that a checked tree declares."""
+    found = []
+    for document in documents.values():
+        for name, one in document.get("organisations", {}).items():
+            found.append(Organisation(name, one))
+    return found
+
+
 def read_organisations(
     documents: dict[str, Any], secret: bytes
 ) -> Organisations:
--- a/packages/core/nutmegchute_core/quota_allocators.py
+++ b/packages/core/nutmegchute_core/quota_allocators.py
@@ -196,16 +196,19 @@
         self._divide(now)
 
     def observe(
-        self, in_contact: bool, member: bool, learner: bool, now: float
+        self, in_contact: bool, member: bool | None, learner: bool, now: float
     ) -> None:
         """Record whether this replica is a member and in contact.
 
-        Call this before each request and several times a second; a longer
-        gap counts as a pause of the process.
+        ``member`` is None while its stored state is not loaded. Call this
+        before each request and several times a second; a longer gap counts
+        as a pause of the process.
         """
         if now - self._seen_at > PAUSE_S:
             self._restart(now)
         self._seen_at = now
+        if member is None:
+            return
         if not member:
             self._member = False
             return
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -22,6 +22,9 @@
 from .operators import ControlPages
 from .peers import PeerExchange
 from .quarantine_servers import QuarantineServer
+from .quota_servers import OBSERVE_S
+from .quota_servers import QuotaServer
+from .quota_servers import REPORT_S
 from .registrars import EXPIRE_S
 from .registrars import Registrar
 from .servers import HttpServer
@@ -59,6 +62,9 @@
             raise StartError(f"data_folder: {error}") from error
         self._evacuations = EvacuationServer(self._consensus)
         self._quarantine = QuarantineServer(self._consensus, self._links)
+        self._quotas = QuotaServer(
+            self._consensus, self._links, self._metrics, settings.quota_terms
+        )
         self.registrar = Registrar(
             settings.grpc_address,
             self._consensus.in_contact,
@@ -107,12 +113,15 @@
         self.run_every(MAINTAIN_PERIOD_S, self._consensus.maintain)
         self._peers.start()
         self.run_every(EXPIRE_S, self._expire)
+        self.run_every(OBSERVE_S, self._quotas.observe)
+        self.run_every(REPORT_S, self._quotas.report)
         self.run_every(SAVE_PERIOD_S, self._endpoint_file.save)
 
     def reload(self, settings: Settings) -> None:
         """Apply changed settings, such as the listed replicas."""
         super().reload(settings)
         self._consensus.reload(settings)
+        self._quotas.set_terms(settings.quota_terms)
 
     @property
     def consensus(self) -> Consensus:
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -73,6 +73,7 @@
         "_wakeup_at",
         "on_limits",
         "on_reports",
+        "on_unsent",
     )
 
     def __init__(
@@ -101,6 +102,8 @@
         self.on_reports: SubmitReports
         # Called with the processes whose limits changed by answers here.
         self.on_limits: SubmitLimits
+        # Called with each call that has ended without having been sent.
+        self.on_unsent: Callable[[PendingCall], None] = _ignore_unsent
         self._ending = False
         self._hedge_threads = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
@@ -266,6 +269,8 @@
                 self._settle(call, UNKNOWN)
                 self._metrics.count("unknown")
                 log(Event.CALL_LOST, "warning", reason=action.reason)
+            if not call.exchanges:
+                self.on_unsent(call)
         reports = self._balancer.pop_reports()
         if reports:
             self.on_reports(reports)
@@ -419,6 +424,8 @@
         if call is not None:
             self._settle(call, UNKNOWN)
             end_call(call, Lose(call_id, "caller has gone"))
+            if not call.exchanges:
+                self.on_unsent(call)
 
     def _schedule_wakeup(self) -> None:
         at = self._balancer.next_wakeup()
@@ -443,6 +450,10 @@
         send["rest_s"] = notice.rest_s
 
 
+def _ignore_unsent(call: PendingCall) -> None:
+    """Do nothing: no organisation has a quota here."""
+
+
 def end_call(call: PendingCall, action: CallAction) -> None:
     """Queue the final action of a call and record it for the log."""
     call.record.outcome = type(action).__name__.lower()
--- a/packages/daemon/nutmegchute_daemon/documents.py
+++ b/packages/daemon/nutmegchute_daemon/documents.py
@@ -12,6 +12,9 @@
 import msgspec
 from msgspec import Meta
 from msgspec import Struct
+from nutmegchute_core.quotas import DEFAULT_OVERAGE
+from nutmegchute_core.quotas import DEFAULT_SLACK
+from nutmegchute_core.quotas import DEFAULT_WINDOW_S
 
 ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 NAME_PATTERN = "^[a-z][a-z0-9-]*$"
@@ -88,6 +91,9 @@
     warm_up_overage: Annotated[float, Meta(ge=1)] = 1.0
     warm_up_slack_per_s: NonNegativeFloat = 0.0
     grace_s: PositiveFloat | None = None
+    quota_window_s: PositiveFloat = DEFAULT_WINDOW_S
+    quota_overage: PositiveFloat = DEFAULT_OVERAGE
+    quota_slack: NonNegativeFloat = DEFAULT_SLACK
 
 
 def defaults() -> dict[str, Any]:
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from functools import partial
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
@@ -22,6 +23,7 @@
 from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.limit_boards import LimitUpdate
 from nutmegchute_core.members import Announcement
+from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.rosters import Roster
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.rules import Rule
@@ -54,6 +56,7 @@
 from .probes import LOAD_PATH
 from .probes import Prober
 from .quarantines import QuarantineReporter
+from .quota_clients import QuotaClient
 from .readers import CALL_PATH
 from .senders import Sender
 
@@ -127,6 +130,16 @@
         self._dispatcher.on_reports = self._reporter.submit
         # The next gossip carries the limits; see Gossiper.
         self._dispatcher.on_limits = lambda processes: None
+        self._quotas = QuotaClient(
+            settings=settings,
+            links=self._links,
+            metrics=self._metrics,
+            identifier=self._identifier,
+            replicas=self._order_replicas,
+            deny=lambda call: self._deny(call, Deny(0, KEY_UNKNOWN)),
+            on_refused=lambda call: self._settle(call, NOT_RUN),
+        )
+        self._dispatcher.on_unsent = self._quotas.give_back
         self._handler.dispatcher = self
         pages = EntryPages(self, self._runner, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._runner, self.stop)
@@ -153,6 +166,8 @@
             "entries": len(self._directory.usable(now)),
             "config_index": self._follower.index,
             "limited": self._balancer.count_limited(),
+            "permits_waiting": self._quotas.waiting,
+            "organisations_at_quota": self._quotas.count_exhausted(),
             "resting": self._balancer.count_resting(self._loop.time()),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
@@ -180,12 +195,14 @@
         """End the calls in flight; return how many there were."""
         self._handler.refusal = "entry is stopping"
         self._http.disable_keep_alive()
+        self._quotas.end_all()
         self._dispatcher.end_all()
         return self._handler.active
 
     def close(self) -> None:
         """Close the pages and stop the dispatcher and the prober."""
         close_pages()
+        self._quotas.stop()
         self._dispatcher.stop()
         self._prober.stop()
 
@@ -200,6 +217,14 @@
         if denial is not None:
             self._deny(call, denial)
             return
+        self._quotas.open(call, partial(self._admit, call))
+
+    def _admit(self, call: PendingCall) -> None:
+        """Admit a call that may run within its organisation's quota."""
+        if not self._follower.may_route():
+            self._quotas.give_back(call)
+            call.put(Refuse(0, "configuration not confirmed", RETRY_S))
+            return
         rule = self._claimed_rule(call)
         if rule is None:
             self._dispatcher.admit(call, call.arrival.deadline_s)
@@ -210,7 +235,12 @@
         def on_answer(answer: ClaimAnswer | None) -> None:
             self._open_claims -= 1
             if not self._check_claim(call, answer):
+                self._quotas.give_back(call)
                 return
+            # The permit may have expired during the claim.
+            self._quotas.open(call, admit)
+
+        def admit() -> None:
             left_s = wait_s - (self._loop.time() - started_at)
             self._dispatcher.admit(call, max(0.0, left_s))
 
@@ -218,6 +248,17 @@
         assert call.claim is not None
         self._claimer.claim(call.claim, wait_s, on_answer)
 
+    def _order_replicas(self) -> list[str]:
+        """Return the control replicas, spread over the entries."""
+        settings = self._settings
+        addresses = [one.grpc_address for one in settings.control]
+        return ReplicaChooser(
+            settings.name,
+            settings.availability_zone,
+            addresses,
+            settings.grpc_address,
+        ).addresses
+
     def _is_anonymous(self, call: PendingCall) -> bool:
         """Return whether a call needs no key."""
         arrival = call.arrival
@@ -279,6 +320,7 @@
 
     def close_call(self, call: PendingCall) -> None:
         """Remove a call whose worker has written its answer."""
+        self._quotas.close_call(call)
         self._dispatcher.close_call(call)
 
     def end_instance(self, instance: str, address: str) -> None:
@@ -319,6 +361,7 @@
     def _sweep(self) -> None:
         self._update_group()
         self._runner.run_deferred()
+        self._quotas.sweep()
         self._dispatcher.sweep()
         self._connections.sweep()
 
@@ -344,4 +387,5 @@
         self._announcements.configure(services)
         self._identifier.configure(reply.documents)
         self._dispatcher.withdraw(self._identifier.is_valid)
+        self._quotas.configure()
         self._update_upstreams(self._members.live(boot_time()))
--- a/packages/daemon/nutmegchute_daemon/exporters.py
+++ b/packages/daemon/nutmegchute_daemon/exporters.py
@@ -1,5 +1,6 @@
 """Export metrics as text that a monitoring system fetches."""
 
+import contextlib
 import threading
 from collections import Counter
 from typing import Any
@@ -9,8 +10,6 @@
 TIMER = "timer"
 
 PREFIX = "nutmegchute"
-# The label for the part in capitals of a catalogue name.
-LABEL = "outcome"
 # Upper bounds, from a connection within a vm to the longest deadline that
 # deployments declare.
 BUCKETS_S = (
@@ -71,6 +70,17 @@
         with self._lock:
             self._gauges[name] = value
 
+    def remove_gauge(self, name: str) -> None:
+        """Export one value of a labelled gauge no longer."""
+        base, _, label = name.partition(".")
+        with self._lock:
+            self._gauges.pop(name, None)
+            if self._registry is None:
+                return
+            # It may have been set and not flushed yet.
+            with contextlib.suppress(KeyError):
+                self._families[base].remove(label)
+
     def time_ms(self, name: str, value_ms: float) -> None:
         """Record a duration, in milliseconds."""
         with self._lock:
@@ -95,7 +105,9 @@
             family = self._families[base]
             (family.labels(label) if label else family).inc(by)
         for name, value in self._gauges.items():
-            self._families[name].set(value)
+            base, _, label = name.partition(".")
+            family = self._families[base]
+            (family.labels(label) if label else family).set(value)
         for name, value_ms in self._timings:
             self._families[name].observe(value_ms / 1000)
         self._counts.clear()
@@ -107,8 +119,9 @@
 
         self._registry = CollectorRegistry()
         for name, (kind, _) in self._catalogue.items():
-            base = name.partition(".")[0]
-            labels = [LABEL] if "." in name else []
+            # The part in capitals of a catalogue name is the label's name.
+            base, _, label = name.partition(".")
+            labels = [label.lower()] if label else []
             self._families[base] = self._create_family(kind, base, labels)
 
     def _create_family(self, kind: str, base: str, labels: list[str]) -> Any:
--- a/packages/daemon/nutmegchute_daemon/methods.py
+++ b/packages/daemon/nutmegchute_daemon/methods.py
@@ -12,6 +12,8 @@
 from nutmegchute_core.peers import Confirmation
 from nutmegchute_core.peers import PeerReply
 from nutmegchute_core.peers import PeerRequest
+from nutmegchute_core.quotas import QuotaReply
+from nutmegchute_core.quotas import QuotaRequest
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
 
@@ -24,4 +26,5 @@
 REPORT_LIMITS = Method(
     "Endpoints", "ReportLimits", LimitReports, Acknowledgement
 )
+ASK = Method("Quotas", "Ask", QuotaRequest, QuotaReply)
 SEEN = Method("Endpoints", "Seen", Confirmation, Acknowledgement)
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -1,5 +1,6 @@
 """Collect metrics, for statsd over UDP and as text over HTTP."""
 
+import re
 import threading
 from collections import Counter
 
@@ -12,6 +13,8 @@
 from .settings import split_address
 
 PREFIX = "nutmegchute"
+# Names of organisations may have characters that separate fields in statsd.
+_UNSAFE = re.compile(r"[^\w.-]")
 MAX_TIMINGS = 200
 
 # Type and unit of each metric by name; docs/metrics.rst has meanings and
@@ -27,6 +30,12 @@
     "refused": (COUNTER, "calls"),
     "unknown": (COUNTER, "calls"),
     "abandoned": (COUNTER, "calls"),
+    "denied": (COUNTER, "calls"),
+    "withdrawn": (COUNTER, "calls"),
+    "permits_asked": (COUNTER, "permits"),
+    "permits_granted": (COUNTER, "permits"),
+    "permits_refused": (COUNTER, "calls"),
+    "permits_unconfirmed": (COUNTER, "calls"),
     "crashes": (COUNTER, "attempts"),
     "hedges": (COUNTER, "attempts"),
     "probes": (COUNTER, "probes"),
@@ -34,6 +43,8 @@
     "upstreams": (GAUGE, "endpoints"),
     "limited": (GAUGE, "endpoints"),
     "resting": (GAUGE, "endpoints"),
+    "permits_waiting": (GAUGE, "calls"),
+    "organisations_at_quota": (GAUGE, "organisations"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
@@ -42,6 +53,8 @@
     "quarantined": (GAUGE, "requests"),
     "evacuated_zones": (GAUGE, "availability zones"),
     "entries_behind": (GAUGE, "entries"),
+    "demand.ORGANISATION": (GAUGE, "permits per second"),
+    "granted.ORGANISATION": (GAUGE, "permits per second"),
 }
 
 
@@ -86,6 +99,12 @@
         with self._lock:
             self._gauges[name] = value
 
+    def remove_gauge(self, name: str) -> None:
+        """Export a gauge no longer; statsd keeps its last value, so send 0."""
+        self._exporter.remove_gauge(name)
+        with self._lock:
+            self._gauges[name] = 0.0
+
     def time_ms(self, name: str, value_ms: float) -> None:
         """Record a duration, in milliseconds.
 
@@ -113,6 +132,6 @@
             for name, by in counts.items():
                 pipeline.incr(name, by)
             for name, value in gauges.items():
-                pipeline.gauge(name, value)
+                pipeline.gauge(_UNSAFE.sub("_", name), value)
             for name, value_ms in timings:
                 pipeline.timing(name, value_ms)
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -7,6 +7,7 @@
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.claims import Claim
 from nutmegchute_core.organisations import Organisation
+from nutmegchute_core.quota_ledgers import Permit
 
 from .connections import Exchange
 from .fingerprints import fingerprint
@@ -76,6 +77,7 @@
         "ended_at",
         "opened_at",
         "outcome",
+        "quota",
         "reason",
         "route",
         "sends",
@@ -91,6 +93,9 @@
         self.service = ""
         self.outcome = "gone"
         self.reason = ""
+        # For a call beyond its organisation's quota: the quota, the replica
+        # that answered last and the age of its answer.
+        self.quota: dict[str, Any] | None = None
         self.sends: dict[int, dict[str, Any]] = {}
 
     @property
@@ -122,6 +127,7 @@
         "fingerprint",
         "name",
         "organisation",
+        "permit",
         "record",
         "request",
         "socket_number",
@@ -143,6 +149,8 @@
         self.claim = claim
         # The caller's organisation; None where calls need no key.
         self.organisation: Organisation | None = None
+        # The permit that the organisation's quota requires, if any.
+        self.permit: Permit | None = None
         self.claimed = False
         self.status = 0
         self.request = request
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import secrets
+from functools import partial
 from math import inf
 
 from nutmegchute_core.balancers import Balancer
@@ -27,6 +28,7 @@
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.routes import BUFFER_BYTES
 from nutmegchute_core.routes import read_routes
+from nutmegchute_core.routes import Route
 from nutmegchute_core.routes import RouteTable
 from nutmegchute_core.rules import CallerLimits
 from nutmegchute_core.rules import read_limits
@@ -51,6 +53,7 @@
 from .pending_calls import PendingCall
 from .probes import Prober
 from .quarantines import QuarantineReporter
+from .quota_clients import QuotaClient
 from .senders import Sender
 from .settings import Settings
 from .trees import TreeCopy
@@ -155,6 +158,16 @@
             lambda: self._watcher.replicas,
         )
         self._dispatcher.on_limits = self._limit_reporter.submit
+        self._quotas = QuotaClient(
+            settings=settings,
+            links=self._links,
+            metrics=self._metrics,
+            identifier=self._identifier,
+            replicas=lambda: self._watcher.replicas,
+            deny=lambda call: self._deny(call, Deny(0, KEY_UNKNOWN)),
+            on_refused=_ignore_refusal,
+        )
+        self._dispatcher.on_unsent = self._quotas.give_back
         self._prober.on_result = self._dispatcher.record_probe
         self._handler.dispatcher = self
         self._handler.buffer_limit = self._buffer_bytes
@@ -184,6 +197,8 @@
             "entries": self._entry_count,
             "config_index": self._tree.index,
             "limited": self._balancer.count_limited(),
+            "permits_waiting": self._quotas.waiting,
+            "organisations_at_quota": self._quotas.count_exhausted(),
             "resting": self._balancer.count_resting(self._loop.time()),
             "evacuated_zones": len(
                 self._balancer.evacuations.availability_zones
@@ -216,12 +231,14 @@
     def abort(self) -> int:
         """End the calls in flight; return how many there were."""
         self._handler.refusal = "entry is stopping"
+        self._quotas.end_all()
         self._dispatcher.end_all()
         return self._handler.active
 
     def close(self) -> None:
         """Stop the watcher, the dispatcher and the prober."""
         self._watcher.stop()
+        self._quotas.stop()
         self._dispatcher.stop()
         self._prober.stop()
 
@@ -273,6 +290,17 @@
             self._deny(call, denial)
             return
         call.record.route = route.name
+        self._quotas.open(call, partial(self._admit, call, route, self._table))
+
+    def _admit(
+        self, call: PendingCall, route: Route, table: RouteTable
+    ) -> None:
+        """Admit a call that may run within its organisation's quota."""
+        if table is not self._table:
+            # The configuration changed while the call waited for a permit.
+            self._quotas.give_back(call)
+            self._route(call)
+            return
         call.record.service = route.choose()
         self._dispatcher.admit_with_rule(call, call.record.service, route.rule)
 
@@ -293,17 +321,21 @@
 
     def close_call(self, call: PendingCall) -> None:
         """Remove and log a call whose worker has written its answer."""
+        self._quotas.close_call(call)
         self._dispatcher.close_call(call)
         self._log_call(call)
 
     def _log_call(self, call: PendingCall) -> None:
         record = call.record
+        organisation = call.organisation
         log(
             Event.CALL_ENDED,
             request=call.name,
             fingerprint=call.fingerprint,
             route=record.route,
             service=record.service,
+            organisation="" if organisation is None else organisation.name,
+            quota=record.quota,
             outcome=record.outcome,
             status=call.status,
             reason=record.reason,
@@ -409,6 +441,7 @@
         self._table = RouteTable(read_routes(documents, self._phase))
         self._identifier.configure(documents)
         self._dispatcher.withdraw(self._identifier.is_valid)
+        self._quotas.configure()
         self._limit_callers(read_limits(documents))
         log(
             Event.CONFIG_APPLIED,
@@ -473,6 +506,7 @@
         self._detect_pause()
         self._release_held()
         self._runner.run_deferred()
+        self._quotas.sweep()
         self._dispatcher.sweep()
         self._connections.sweep()
 
@@ -485,5 +519,9 @@
         http.begin(status, [("Content-Length", "0")])
 
 
+def _ignore_refusal(call: PendingCall) -> None:
+    """Do nothing: routes declare no idempotency keys to settle."""
+
+
 def _ignore_settlement(call: PendingCall, outcome: str) -> None:
     """Do nothing: routes declare no idempotency keys to settle."""
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from nutmegchute_core.quotas import QuotaTerms
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -254,6 +255,15 @@
         """Return how long a stopping router forwards new calls, in seconds."""
         return float(self._values["send_on_s"])
 
+    @property
+    def quota_terms(self) -> QuotaTerms:
+        """Return the tolerances of organisations' quotas."""
+        return QuotaTerms(
+            float(self._values["quota_window_s"]),
+            float(self._values["quota_overage"]),
+            float(self._values["quota_slack"]),
+        )
+
     @property
     def warm_up_overage(self) -> float:
         """Return the factor by which a cold endpoint may exceed its rate."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -143,6 +143,7 @@
     """The name of each numeric setting ends in its unit."""
     counts = {"http_threads", "entries_answer"}
     counts |= {"extra_ratio", "extra_fixed", "warm_up_overage"}
+    counts |= {"quota_overage", "quota_slack"}
     for name, schema in SCHEMA["properties"].items():
         kinds = {one.get("type") for one in schema.get("anyOf", [schema])}
         if not {"number", "integer"} & kinds:
