Pause between messages to a replica; measure the messages for quotas

Where a replica takes time for a message, it then seemed silent, and calls below their quota were refused as unconfirmed.

A start without knowledge of the time remains: 312 entries at once are 468 ms of work for a replica that takes 1.5 ms.

--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -21,6 +21,10 @@
 # A replica restarts within a second. It is then sent an empty request, and is
 # asked again once it has answered: no call waits to find out.
 AVOID_S = 1.0
+# Pause after a reply, in multiples of the time that the reply took. Without
+# it, replicas that take 1.5 ms for a message were kept so busy by 312 entries
+# that they seemed silent, and calls below their quota were refused.
+PAUSE_FACTOR = 3.0
 # Limits of the time for which nothing is asked for an exhausted organisation.
 # The upper one is above the 0.5 s that a replica names for want of tokens,
 # as it names more if many entries ask: 312 entries would otherwise send one
@@ -198,6 +202,7 @@
         "_limited",
         "_needy",
         "_random",
+        "_ready_at",
         "_refused",
         "_replicas",
     )
@@ -219,6 +224,8 @@
         # Organisations for which a request is due, in order.
         self._needy: dict[str, None] = {}
         self._busy: set[str] = set()
+        # When a replica that has replied may get the next message.
+        self._ready_at: dict[str, float] = {}
         self._avoided: dict[str, float] = {}
         self._decisions: list[Decision[T]] = []
         self._asked = 0
@@ -314,8 +321,8 @@
             account = self._accounts[name]
             if account.pending is not None:
                 continue
-            replica = self._target(account)
-            if replica is None or replica in self._busy:
+            replica = self._target(account, now)
+            if replica is None:
                 continue
             ask = self._build_ask(account, now)
             del self._needy[name]
@@ -333,6 +340,16 @@
             found.append(Outgoing(replica, request, now))
         return found
 
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when ``poll`` may have a further request, if known."""
+        if not self._needy:
+            return None
+        known = set(self._replicas())
+        for gone in self._ready_at.keys() - known:
+            del self._ready_at[gone]
+        times = self._ready_at.values()
+        return min((one for one in times if one > now), default=None)
+
     def record_reply(
         self, outgoing: Outgoing, reply: QuotaReply, now: float
     ) -> None:
@@ -342,6 +359,8 @@
             self.record_silence(outgoing, now)
             return
         self._busy.discard(outgoing.replica)
+        pause_s = PAUSE_FACTOR * (now - outgoing.sent_at)
+        self._ready_at[outgoing.replica] = now + pause_s
         self._avoided.pop(outgoing.replica, None)
         self._lifetime_s = reply.lifetime_s
         expires_at = outgoing.sent_at + reply.lifetime_s
@@ -453,13 +472,24 @@
             account.quota.name, len(account.waiting), max(0, expected)
         )
 
-    def _target(self, account: Account[T]) -> str | None:
-        """Return the replica to ask next, if one is left."""
+    def _usable(self, account: Account[T]) -> list[str]:
+        """Return the replicas that are left to ask in this round."""
         if account.remaining is None:
             account.remaining = self._order()
-        for replica in account.remaining:
-            if replica not in self._avoided:
+        return [one for one in account.remaining if one not in self._avoided]
+
+    def _target(self, account: Account[T], now: float) -> str | None:
+        """Return the replica to ask now, if any is ready.
+
+        A call waits for the watched replica, but not for any of the others.
+        """
+        watched = self._replicas()[:1]
+        for replica in self._usable(account):
+            ready_at = self._ready_at.get(replica, -inf)
+            if replica not in self._busy and ready_at <= now:
                 return replica
+            if replica in watched:
+                return None
         return None
 
     def _order(self) -> list[str]:
@@ -490,7 +520,7 @@
         if not account.waiting:
             account.end_round()
             return
-        if self._target(account) is not None:
+        if self._usable(account):
             self._needy[name] = None
             return
         self._needy.pop(name, None)
--- a/packages/daemon/nutmegchute_daemon/quota_clients.py
+++ b/packages/daemon/nutmegchute_daemon/quota_clients.py
@@ -77,6 +77,7 @@
         "_replicas",
         "_silences",
         "_tasks",
+        "_timer",
         "_waiting",
     )
 
@@ -107,6 +108,7 @@
         self._waiting: dict[PendingCall, Waiting] = {}
         # The event loop itself holds only weak references to tasks.
         self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
         self._silences: dict[str, int] = {}
         self._confirmed = True
         # When each limited organisation was last logged to be at its quota.
@@ -195,6 +197,8 @@
 
     def stop(self) -> None:
         """Cancel the requests in flight."""
+        if self._timer is not None:
+            self._timer.cancel()
         for task in self._tasks:
             task.cancel()
 
@@ -224,12 +228,22 @@
                     task.add_done_callback(self._tasks.discard)
                 decisions = self._ledger.pop_decisions()
                 if not decisions:
+                    self._schedule_wakeup()
                     return
                 for decision in decisions:
                     self._carry_out(decision)
         finally:
             self._pumping = False
 
+    def _schedule_wakeup(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = boot_time()
+        at = self._ledger.next_wakeup(now)
+        if at is not None:
+            self._timer = self._loop.call_later(at - now, self._pump)
+
     async def _send(self, outgoing: Outgoing) -> None:
         address = outgoing.replica
         reply = await self._links.send_request(
--- a/tests/quota_model.py
+++ b/packages/fakes/nutmegchute_fakes/quotas.py
@@ -1,4 +1,8 @@
-"""Simulate entries that obtain permits from control replicas."""
+"""Simulate entries that obtain permits from control replicas.
+
+Ledgers and allocators exchange their messages in virtual time; what was
+admitted is recorded apart from their own counts.
+"""
 
 import heapq
 import itertools
@@ -71,6 +75,7 @@
         self.site = site
         self.allocator = QuotaAllocator(TERMS, site.now)
         self.present = present
+        self.busy_until = 0.0
         # Whether it runs, reaches the entries, and reaches a majority.
         self.runs = self.reachable = self.in_contact = True
         self.configure()
@@ -100,7 +105,10 @@
         quotas: list[Organisation],
         seed: int,
         replicas: int = 5,
+        service_s: float = 0.0,
     ) -> None:
+        # How long a replica takes for a message; others wait meanwhile.
+        self.service_s = service_s
         self.now = 1000.0
         self.random = random.Random(seed)
         self.parts = replicas
@@ -120,6 +128,9 @@
         self._arrived: dict[int, float] = {}
         self.messages = self.bytes = 0
         self.asked: dict[str, list[float]] = defaultdict(list)
+        self._wakeups: dict[int, float] = {}
+        # Messages by replica.
+        self.requests: Counter[str] = Counter()
         for number in range(entries):
             self.ledgers.append(self._start_entry(number))
             self._sweep(number)
@@ -164,6 +175,10 @@
         ledger = self.ledgers[number]
         for outgoing in ledger.poll(self.now):
             self._send(number, outgoing)
+        wakeup_at = ledger.next_wakeup(self.now)
+        if wakeup_at is not None and self._wakeups.get(number) != wakeup_at:
+            self._wakeups[number] = wakeup_at
+            self.after(wakeup_at - self.now, partial(self.step, number))
         for decision in ledger.pop_decisions():
             name, at = decision.call[0], decision.call[1]
             self.waits.append(self.now - self._arrived.pop(at))
@@ -172,10 +187,20 @@
                 continue
             self.outcomes[name, type(decision).__name__.lower()] += 1
             if isinstance(decision, Admitted):
+                assert decision.permit is not None
+                assert decision.permit.expires_at > self.now
                 self.admitted[name].append(self.now)
             elif isinstance(decision, Exceeded):
                 self.retry_after.append(decision.retry_after_s)
 
+    def count(self, outcome: str) -> int:
+        """Return how many calls of all organisations had an outcome."""
+        return sum(
+            count
+            for (_, one), count in self.outcomes.items()
+            if one == outcome
+        )
+
     def check_bound(self, quota: Organisation, begin: float = 0.0) -> int:
         """Return the most calls in a window; assert that it is in bounds."""
         times = [at for at in self.admitted[quota.name] if at >= begin]
@@ -247,8 +272,21 @@
         replica = self.replicas.get(outgoing.replica)
         if replica is None or not (replica.runs and replica.reachable):
             return
+        self.requests[outgoing.replica] += 1
         for ask in outgoing.request.asks:
             self.asked[outgoing.replica + ask.organisation].append(self.now)
+        replica.busy_until = max(replica.busy_until, self.now) + self.service_s
+        self.after(
+            replica.busy_until - self.now,
+            partial(self._reply, replica, outgoing, finish),
+        )
+
+    def _reply(
+        self,
+        replica: Replica,
+        outgoing: Outgoing,
+        finish: Callable[[QuotaReply], None],
+    ) -> None:
         replica.allocator.observe(
             replica.in_contact, replica.present, False, self.now
         )
