--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -54,6 +54,18 @@
     assert "nutmegchute.entry-1.in_flight:3.0|g" in lines
 
 
+def test_gauge_of_an_organisation_ends() -> None:
+    """Guard against a gauge for every organisation that was ever large."""
+    metrics = Metrics(None, "control-1")
+    metrics.gauge("demand.Foo: 1.5", 3.0)
+    line = 'nutmegchute_demand{organisation="Foo: 1.5"} 3.0'
+    assert line in metrics.text().decode()
+    metrics.gauge("demand.other", 1.0)
+    for name in ("Foo: 1.5", "other", "absent"):
+        metrics.remove_gauge(f"demand.{name}")
+    assert "organisation=" not in metrics.text().decode()
+
+
 def _sent() -> dict[str, str]:
     found: dict[str, str] = {}
     folder = Path(nutmegchute_daemon.__file__).parent
