--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -342,6 +342,13 @@
         self._inquiries.pop(call_id, None)
         return actions
 
+    def is_late(
+        self, service: str, rule: Rule, deadline_s: float | None
+    ) -> bool:
+        """Return whether a call that arrives now misses its objective."""
+        pool = self._pools.get(service)
+        return pool is not None and pool.is_late(rule, deadline_s)
+
     def assign(self, call_id: int, organisation: Organisation | None) -> None:
         """Set the organisation that the key of a call belongs to now."""
         call = self._calls.get(call_id)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -30,6 +30,7 @@
 from .queues import WaitQueue
 from .rule_latencies import RuleLatency
 from .rule_latencies import SentAttempt
+from .rules import Rule
 from .rules import Service
 from .warmups import WarmUps
 
@@ -307,6 +308,17 @@
         call.objective_at -= used_s
         call.is_first_try = used_s < MIN_RETRY_ELAPSED_S
 
+    def is_late(self, rule: Rule, deadline_s: float | None) -> bool:
+        """Return whether a caller that retries cannot meet its objective.
+
+        ``deadline_s`` is the time that it has left, as in record_deadline.
+        """
+        if deadline_s is None:
+            return False
+        latency = self._latency_of_rule(rule)
+        used_s = latency.deadline_s - deadline_s
+        return used_s + latency.median.value_s > rule.objective_s
+
     def late_at(self, call: Call) -> float:
         """Return the latest send time to meet the objective."""
         return call.objective_at - self._typical_s(call)
@@ -761,10 +773,13 @@
             self._chooser.fullness.record(sent.nearly_full, multiple)
 
     def _latency_of(self, call: Call) -> RuleLatency:
-        rule_latency = self._rule_latencies.get(call.rule.name)
+        return self._latency_of_rule(call.rule)
+
+    def _latency_of_rule(self, rule: Rule) -> RuleLatency:
+        rule_latency = self._rule_latencies.get(rule.name)
         if rule_latency is None:
-            rule_latency = RuleLatency(call.rule.objective_s)
-            self._rule_latencies[call.rule.name] = rule_latency
+            rule_latency = RuleLatency(rule.objective_s)
+            self._rule_latencies[rule.name] = rule_latency
         return rule_latency
 
     def _release(self, call_id: int, attempt: int) -> SentAttempt | None:
--- a/packages/core/nutmegchute_core/routes.py
+++ b/packages/core/nutmegchute_core/routes.py
@@ -69,6 +69,11 @@
         """Return the rule that applies to the requests."""
         return self._rule
 
+    @property
+    def first_service(self) -> str:
+        """Return the service of the first part."""
+        return self._parts[0][0]
+
     def choose(self) -> str:
         """Return the service of the next request.
 
--- a/packages/daemon/nutmegchute_daemon/clocks.py
+++ b/packages/daemon/nutmegchute_daemon/clocks.py
@@ -10,3 +10,8 @@
     by it would last too long.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# When this process began to import the daemon, which takes a large part of
+# its start.
+STARTED_AT = boot_time()
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -1,5 +1,6 @@
 """Collect metrics, for statsd over UDP and as text over HTTP."""
 
+import re
 import threading
 from collections import Counter
 
@@ -12,6 +13,8 @@
 from .settings import split_address
 
 PREFIX = "nutmegchute"
+# Names of organisations may have characters that separate fields in statsd.
+_UNSAFE = re.compile(r"[^\w.-]")
 MAX_TIMINGS = 200
 
 # Type and unit of each metric by name; docs/metrics.rst has meanings and
@@ -29,6 +32,10 @@
     "withdrawn": (COUNTER, "calls"),
     "unknown": (COUNTER, "calls"),
     "abandoned": (COUNTER, "calls"),
+    "permits_asked": (COUNTER, "permits"),
+    "permits_granted": (COUNTER, "permits"),
+    "permits_refused": (COUNTER, "calls"),
+    "permits_unconfirmed": (COUNTER, "calls"),
     "crashes": (COUNTER, "attempts"),
     "hedges": (COUNTER, "attempts"),
     "probes": (COUNTER, "probes"),
@@ -38,6 +45,8 @@
     "resting": (GAUGE, "endpoints"),
     "waiting": (GAUGE, "calls"),
     "waiting_organisations": (GAUGE, "organisations"),
+    "permits_waiting": (GAUGE, "calls"),
+    "organisations_at_quota": (GAUGE, "organisations"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
     "leads": (GAUGE, "0 or 1"),
@@ -46,6 +55,8 @@
     "quarantined": (GAUGE, "requests"),
     "evacuated_zones": (GAUGE, "availability zones"),
     "entries_behind": (GAUGE, "entries"),
+    "demand.ORGANISATION": (GAUGE, "permits per second"),
+    "granted.ORGANISATION": (GAUGE, "permits per second"),
 }
 
 
@@ -90,6 +101,12 @@
         with self._lock:
             self._gauges[name] = value
 
+    def remove_gauge(self, name: str) -> None:
+        """Export a gauge no longer; statsd keeps its last value, so send 0."""
+        self._exporter.remove_gauge(name)
+        with self._lock:
+            self._gauges[name] = 0.0
+
     def time_ms(self, name: str, value_ms: float) -> None:
         """Record a duration, in milliseconds.
 
@@ -117,6 +134,6 @@
             for name, by in counts.items():
                 pipeline.incr(name, by)
             for name, value in gauges.items():
-                pipeline.gauge(name, value)
+                pipeline.gauge(_UNSAFE.sub("_", name), value)
             for name, value_ms in timings:
                 pipeline.timing(name, value_ms)
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -7,6 +7,7 @@
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.claims import Claim
 from nutmegchute_core.organisations import Organisation
+from nutmegchute_core.quota_ledgers import Permit
 
 from .connections import Exchange
 from .fingerprints import fingerprint
@@ -79,6 +80,7 @@
         "opened_at",
         "outcome",
         "priority",
+        "quota",
         "reason",
         "route",
         "sends",
@@ -96,6 +98,9 @@
         self.reason = ""
         self.ahead: int | None = None
         self.priority: int | None = None
+        # For a call beyond its organisation's quota: the quota, the replica
+        # that answered last and the age of its answer.
+        self.quota: dict[str, Any] | None = None
         self.sends: dict[int, dict[str, Any]] = {}
 
     @property
@@ -128,6 +133,7 @@
         "keyed_fingerprint",
         "name",
         "organisation",
+        "permit",
         "record",
         "request",
         "socket_number",
@@ -149,6 +155,8 @@
         self.claim = claim
         # The caller's organisation; None where calls need no key.
         self.organisation: Organisation | None = None
+        # The permit that the organisation's quota requires, if any.
+        self.permit: Permit | None = None
         self.claimed = False
         self.status = 0
         self.request = request
