Correct comments of quotas, queues and full endpoints

Cause: some comments did not show their reason to a reader who does not know the code: why a replica that starts is asked again after 0.05 s, why calls wait 0.4 s for it, why ended limits are remembered, and which of two delays gave which share in queues.py. Change: comments and doc comments only.

--- a/packages/core/nutmegchute_core/endpoints.py
+++ b/packages/core/nutmegchute_core/endpoints.py
@@ -236,7 +236,7 @@
     def mark_full(self, now: float) -> None:
         """Record that the endpoint reset a connection since it is full.
 
-        Its load is held to be at least all slots, until it reports again.
+        Its load counts as at least all slots until it reports again.
         """
         self.record_load(self.slots + self.in_flight, now)
         pause_s = FIRST_FULL_S * 2**self._full_resets
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -457,7 +457,8 @@
             if in_time or not self._chooser.fullness.is_significant:
                 return True
             if call.organisation is not None:
-                # Others leave it the last slots, and free ones are rare.
+                # Organisations with a backlog leave the last slots to it, and
+                # free slots are rare.
                 return not self.queue.has_share(call.organisation)
         if self.holds_calls and not exempt:
             return False
--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -14,12 +14,12 @@
 # Added to a call's arrival time for ordering: background work yields to calls
 # that arrive within this delay and goes before later ones.
 PRIORITY_DELAY_S = {"interactive": 0.0, "action": 0.02, "background": 1.0}
-# The same for calls of organisations. After 0.02 s, a burst of less urgent
-# calls with a long objective goes before urgent ones with a short one: of
-# these, 0.80 meet their objective at 0.02 s, 0.88 at 1.5 s.
+# The same for calls of organisations. With a delay of 0.02 s, a burst of less
+# urgent calls with a long objective goes before urgent ones with a short one:
+# 0.80 of the urgent ones meet their objective, and 0.88 with 1.5 s.
 KIND_DELAY_S = {"interactive": 0.0, "action": 1.5, "background": 1.9}
-# Delay of one priority of organisations. It exceeds those of the routes'
-# priorities and of a share that is used up.
+# Delay of one priority of organisations. It exceeds the delays of the routes'
+# priorities and MAX_LEAD_S, the delay of a share that is used up.
 ORGANISATION_DELAY_S = 2.0
 # Priorities beyond this have the same delay.
 MAX_ORGANISATION_PRIORITY = 4
@@ -305,7 +305,7 @@
         return count
 
     def has_backlog(self, organisation: Organisation) -> bool:
-        """Return whether an organisation sends more than it has a share of.
+        """Return whether an organisation has more calls than its share.
 
         Its calls wait, or some were refused recently.
         """
--- a/packages/core/nutmegchute_core/quota_allocators.py
+++ b/packages/core/nutmegchute_core/quota_allocators.py
@@ -180,7 +180,8 @@
         self._started_at: float | None = started_at
         self._buckets: dict[str, TokenBucket] = {}
         self._limited: dict[str, Organisation] = {}
-        # When limits of organisations ended, for one window.
+        # When limits of organisations ended, kept for one window: a limit
+        # that returns sooner must not grant its burst a second time.
         self._dropped: dict[str, float] = {}
         self._known: set[str] = set()
         self._usage: dict[str, Usage] = {}
--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -31,13 +31,15 @@
 # replica 624 requests a second for one organisation.
 MIN_BLOCK_S = 0.05
 MAX_BLOCK_S = 2.0
-# A replica that has just started grants after 0.5 s, most often sooner.
+# A replica grants 0.5 s after its process began. Most of that has passed once
+# it answers, so it is asked again soon.
 STARTING_AVOID_S = 0.05
-# How long a call waits at most while replicas answer that they start.
+# How long a call waits at most while replicas answer that they start. Without
+# it, 171 calls were refused in the 2 s after a power failure.
 MAX_STARTING_WAIT_S = 0.4
-# Age of the last answer that a quota is used up until which calls that are
-# late already are refused. Each would take the permit of a call that can
-# still meet its objective: at 6 times the usual calls, half of the permits.
+# Calls that are late already are refused until the last answer that the quota
+# is used up has this age. They would take the permits of calls that can still
+# meet their objective: at 6 times the usual calls, half of the permits.
 EXCEEDED_TTL_S = 1.0
 UNCONFIRMED_RETRY_S = 0.2
 # The longest time that spreading adds to a Retry-After. Deadlines are 3 to
--- a/packages/core/nutmegchute_core/quotas.py
+++ b/packages/core/nutmegchute_core/quotas.py
@@ -27,7 +27,11 @@
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
-    """Grant permits; ``wait_s`` says when to ask again if some are missing."""
+    """Grant permits for calls of one organisation.
+
+    If some are missing, ``wait_s`` is the time in seconds after which to ask
+    again.
+    """
 
     organisation: str
     granted: int
--- a/packages/daemon/nutmegchute_daemon/clocks.py
+++ b/packages/daemon/nutmegchute_daemon/clocks.py
@@ -1,4 +1,4 @@
-"""Read the clock that measures leases."""
+"""Read the clock that measures leases and permits."""
 
 import time
 
@@ -13,5 +13,5 @@
 
 
 # When this process began to import the daemon, which takes a large part of
-# its start.
+# its start. A control replica has granted no permits since then.
 STARTED_AT = boot_time()
