Play organisations, keys and a small quota in the soak

The soak judged no call by its organisation, so a key that reached an upstream or a quota that nobody applied passed unseen.

Callers now send keys. The steady callers' key is rotated, another moves between two organisations, a guest's key is withdrawn and sent on, and three callers exceed a quota of 4 calls a second in turns. One key is in no configuration. Upstreams record the organisation of each run. Five checks compare the runs with what callers sent: misnamed, unknown-ran, refused-ran, over-quota (each window counts only calls that were sent and ran in it) and key-shown. A change is over once "apply" reports it in force; 5 s more are allowed for upstreams that were frozen. The record of upstreams has one more field, so tests/test_crashing_requests.py reads the time and the name from both ends of a line.

--- a/packages/fakes/nutmegchute_fakes/callers.py
+++ b/packages/fakes/nutmegchute_fakes/callers.py
@@ -25,15 +25,22 @@
 class CallResult:
     """Hold the outcome and latency of one request."""
 
-    __slots__ = ("entry", "latency_s", "outcome", "request_id")
+    __slots__ = ("entry", "latency_s", "outcome", "request_id", "status")
 
     def __init__(
-        self, request_id: str, outcome: str, latency_s: float, entry: str
+        self,
+        request_id: str,
+        outcome: str,
+        latency_s: float,
+        entry: str,
+        status: int,
     ) -> None:
         self.request_id = request_id
         self.outcome = outcome
         self.latency_s = latency_s
         self.entry = entry
+        # 0 without an answer.
+        self.status = status
 
 
 class FakeCaller:
@@ -93,7 +100,7 @@
         self._call_count += 1
         entry = entries[self._call_count % len(entries)]
         started = time.perf_counter()
-        outcome = self._send(
+        outcome, status = self._send(
             f"http://{entry}/call/{service}{path}",
             method,
             body,
@@ -102,30 +109,20 @@
         latency_s = time.perf_counter() - started
         if outcome != ANSWERED:
             self._expires_at = 0.0
-        return CallResult(request_id, outcome, latency_s, entry)
+        return CallResult(request_id, outcome, latency_s, entry, status)
 
     def _send(
         self, url: str, method: str, body: bytes, headers: dict[str, str]
-    ) -> str:
+    ) -> tuple[str, int]:
         try:
             answer = self._pool.request(
                 method, url, body=body or None, headers=headers
             )
         except NewConnectionError:
-            return REFUSED
+            return REFUSED, 0
         except HTTPError:
-            return UNKNOWN
-        reported = answer.headers.get(OUTCOME_HEADER)
-        if reported == "not-run":
-            return REFUSED
-        if reported == "ran":
-            return RAN
-        if reported is not None or answer.status != 200:
-            return UNKNOWN
-        document = msgspec.json.decode(answer.data)
-        is_own = document["echo"] == headers["X-Request-Id"]
-        is_complete = document["bytes"] == len(body)
-        return ANSWERED if is_own and is_complete else WRONG
+            return UNKNOWN, 0
+        return _classify(answer, headers["X-Request-Id"], body), answer.status
 
     def _fetch(self, url: str) -> Any | None:
         try:
@@ -135,3 +132,19 @@
         if answer.status != 200:
             return None
         return msgspec.json.decode(answer.data)
+
+
+def _classify(
+    answer: urllib3.BaseHTTPResponse, request_id: str, body: bytes
+) -> str:
+    reported = answer.headers.get(OUTCOME_HEADER)
+    if reported == "not-run":
+        return REFUSED
+    if reported == "ran":
+        return RAN
+    if reported is not None or answer.status != 200:
+        return UNKNOWN
+    document = msgspec.json.decode(answer.data)
+    is_own = document["echo"] == request_id
+    is_complete = document["bytes"] == len(body)
+    return ANSWERED if is_own and is_complete else WRONG
--- a/packages/fakes/nutmegchute_fakes/demo.py
+++ b/packages/fakes/nutmegchute_fakes/demo.py
@@ -63,13 +63,17 @@
 
 
 def apply_declaration(
-    folder: Path, document: dict[str, object], controls: list[str], key: str
+    folder: Path,
+    document: dict[str, object],
+    controls: list[str],
+    key: str,
+    team: str = "lending",
 ) -> None:
-    """Apply a declaration of the team "lending" by the command line."""
+    """Apply a team's declaration by the command line."""
     declarations = folder / "declarations"
     declarations.mkdir(exist_ok=True)
     data = msgspec.json.format(msgspec.json.encode(document))
-    (declarations / "lending.json").write_bytes(data)
+    (declarations / f"{team}.json").write_bytes(data)
     command = [
         sys.executable,
         "-m",
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -23,6 +23,11 @@
   evacuated      an attempt that ran in an evacuated availability zone
   unheeded       an upstream that named a limit, asked for rest or leaves, and
                  got more calls than that allows
+  misnamed       a call that ran for an organisation that did not hold its key
+  unknown-ran    a call that ran with a key that was never in force
+  refused-ran    a call that was answered 401, 429 or 503 and ran
+  over-quota     a window in which more calls ran than a quota allows
+  key-shown      a key that reached an upstream or a log
 """
 
 import contextlib
@@ -60,6 +65,13 @@
 from .faults import draw_schedule
 from .faults import Fault
 from .faults import FaultInjector
+from .organisations import find_key_lines
+from .organisations import KeyChanger
+from .organisations import KeyOracle
+from .organisations import KeyUse
+from .organisations import OrganisationRun
+from .organisations import SMALL
+from .organisations import SMALL_KEY
 from .upstreams import CRASH_PATH
 
 ZONES = ["miraflores", "san-isidro", "surco"]
@@ -87,6 +99,15 @@
 KEYED = "keyed-loan"
 PLAIN = "plain-loan"
 KINDS = (LOOKUP, KEYED, LOOKUP, KEYED, PLAIN)
+# Sent once, with a key that may not be in force or with the small quota.
+GUEST = "guest-loan"
+GUEST_DELAY_S = 0.1
+# Callers with the small quota's key. For the first part of each period they
+# send far more than the quota, then about as much.
+SMALL_CALLERS = 3
+SMALL_PERIOD_S = 12.0
+SMALL_BUSY_S = 7.0
+SMALL_DELAY_S = 0.75
 
 
 class RequestRecord:
@@ -179,6 +200,8 @@
         self._evacuator: Evacuator | None = None
         self._demander: Demander | None = None
         self._entry_faults: list[float] = []
+        self._key_uses: dict[str, KeyUse] = {}
+        self._keys: KeyChanger
 
     def run(self) -> bool:
         """Run the soak; return whether no invariant was violated."""
@@ -199,6 +222,12 @@
         cluster = self._cluster
         cluster.start(CONTROLS, ENTRIES, entries_keep_s=1.0)
         self._apply(2000)
+        self._keys = KeyChanger(
+            self._folder / "keys",
+            [one.address for one in cluster.controls],
+            Random(self._seed + 2),
+        )
+        self._keys.start()
         for number in range(UPSTREAMS):
             service = "prestamos" if number % 2 else "catalogo"
             record = self._folder / f"ran-{number}"
@@ -242,6 +271,7 @@
                 target=self._demander.run, args=(self._seconds,), daemon=True
             )
             demander_thread.start()
+            key_threads = self._start_key_threads()
             callers = [self._build_caller(number) for number in range(CALLERS)]
             idle = list(callers)
             for number in range(count):
@@ -252,6 +282,8 @@
             crash_thread.join()
             evacuator_thread.join()
             demander_thread.join()
+            for thread in key_threads:
+                thread.join()
             self._entry_faults = injector.entry_faults
         time.sleep(SETTLE_S)
 
@@ -263,10 +295,70 @@
         while time.monotonic() < until:
             name = f"{CRASH_PREFIX}-{number}"
             with contextlib.suppress(NoEntryError):
-                caller.call(name, "prestamos", "GET", CRASH_PATH)
+                self._call(caller, name, "prestamos", "GET", CRASH_PATH)
             number += 1
             time.sleep(CRASH_INTERVAL_S)
 
+    def _start_key_threads(self) -> list[threading.Thread]:
+        found = [
+            threading.Thread(
+                target=self._keys.run, args=(self._seconds,), daemon=True
+            )
+        ]
+        for number in range(SMALL_CALLERS + 1):
+            found.append(
+                threading.Thread(
+                    target=self._send_guests, args=(number,), daemon=True
+                )
+            )
+        for thread in found:
+            thread.start()
+        return found
+
+    def _send_guests(self, number: int) -> None:
+        """Send calls of the small quota, or with keys that change."""
+        caller = self._build_caller(number)
+        started = time.monotonic()
+        count = 0
+        while (passed_s := time.monotonic() - started) < self._seconds:
+            is_small = number < SMALL_CALLERS
+            name = f"{GUEST}-{number}-{count}"
+            count += 1
+            key = SMALL_KEY if is_small else self._keys.draw_key()
+            request = RequestRecord(name, GUEST)
+            attempt = f"{name}.0"
+            outcome = REFUSED
+            with contextlib.suppress(NoEntryError):
+                outcome = self._call(
+                    caller, attempt, "prestamos", "POST", "/loans", key=key
+                )
+            request.attempts.append((attempt, outcome))
+            with self._lock:
+                self._records.append(request)
+            is_busy = passed_s % SMALL_PERIOD_S < SMALL_BUSY_S
+            time.sleep(
+                SMALL_DELAY_S if is_small and not is_busy else GUEST_DELAY_S
+            )
+
+    def _call(
+        self,
+        caller: FakeCaller,
+        attempt: str,
+        service: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        key: str | None = None,
+    ) -> str:
+        """Send a call with a key, that of the steady callers by default."""
+        key = key or self._keys.steady_key
+        use = self._key_uses[attempt] = KeyUse(key, time.time())
+        headers = {"Authorization": f"Bearer {key}", **(headers or {})}
+        result = caller.call(attempt, service, method, path, body, headers)
+        use.status = result.status
+        return result.outcome
+
     def _build_caller(self, number: int) -> FakeCaller:
         seeds = [one.address for one in self._cluster.entries]
         offset = number % len(seeds)
@@ -316,14 +408,14 @@
         attempt: str,
     ) -> str:
         if request.kind == LOOKUP:
-            return caller.call(attempt, service, "GET", "/shelf").outcome
+            return self._call(caller, attempt, service, "GET", "/shelf")
         headers = {}
         if request.kind == KEYED:
             headers["Idempotency-Key"] = request.name
         body = request.name.encode()
-        return caller.call(
-            attempt, service, "POST", "/loans", body, headers
-        ).outcome
+        return self._call(
+            caller, attempt, service, "POST", "/loans", body, headers
+        )
 
     def _race(self) -> None:
         """Apply two conflicting changes of one branch at the same time."""
@@ -355,15 +447,21 @@
         ran: list[str] = []
         crashes: list[float] = []
         runs: list[tuple[str, float, str]] = []
+        named: list[OrganisationRun] = []
         for path in sorted(self._folder.glob("ran-*")):
             zone = ZONES[int(path.name.partition("-")[2]) % len(ZONES)]
             for line in path.read_text().splitlines():
                 fields = line.split()
                 ran.append(fields[-1])
                 runs.append((zone, float(fields[0]), fields[-1]))
+                named.append(
+                    OrganisationRun(float(fields[0]), fields[3], fields[-1])
+                )
                 if fields[-1].startswith(CRASH_PREFIX):
                     crashes.append(float(fields[0]))
         oracle = OutcomeOracle(self._records, ran)
+        keys = KeyOracle(self._keys.periods, self._key_uses, named)
+        print(f"{len(self._keys.periods)} keys: {keys.summary()}")
         print(f"{len(self._records)} requests: {oracle.summary()}")
         violations = {
             "ran-twice": oracle.ran_twice(),
@@ -373,6 +471,11 @@
             "crashed-on": find_late_crashes(crashes),
             "evacuated": find_forbidden_runs(self._evacuation_periods, runs),
             "unheeded": self._find_unheeded(),
+            "misnamed": keys.misnamed(),
+            "unknown-ran": keys.unknown_ran(),
+            "refused-ran": keys.refused_ran(),
+            "over-quota": keys.over_quota(SMALL),
+            "key-shown": find_key_lines(self._folder),
         }
         for name, offenders in violations.items():
             for offender in offenders[:5]:
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -43,6 +43,10 @@
 KEEP_ALIVE_CONNECTIONS = 1024
 CRASH_PATH = "/crash"
 CRASH_STATUS = 70
+ORGANISATION = "HTTP_NUTMEGCHUTE_ORGANISATION"
+# Each key of the soak starts with this, so that one is recognised wherever
+# it occurs.
+KEY_PREFIX = "soak-key-"
 
 DEMANDS_PATH = "/_demands"
 SEEN_PATH = "/_seen"
@@ -124,6 +128,8 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer a call or a request of the test."""
+        if any(KEY_PREFIX in str(value) for value in environ.values()):
+            print("received a key:", environ, flush=True)
         path = environ["PATH_INFO"]
         if path == "/_ran":
             return _answer(start_response, self._ran, [])
@@ -157,7 +163,11 @@
         method = environ["REQUEST_METHOD"]
         at_unix_s = time.time()
         incarnation = self._incarnation
-        line = f"{at_unix_s:.3f} {incarnation} {method} {request_id}\n"
+        organisation = environ.get(ORGANISATION, "-")
+        line = (
+            f"{at_unix_s:.3f} {incarnation} {method} {organisation} "
+            f"{request_id}\n"
+        )
         # A single write, so that a kill leaves complete lines only and no
         # run is missing from the record.
         self._record.write(line)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -191,7 +191,7 @@
         found = []
         for path in self.folder.glob("ran-*"):
             for line in path.read_text().splitlines():
-                at, _, _, name = line.split()
+                at, *_, name = line.split()
                 if name.startswith(CRASHING):
                     found.append(float(at))
         return sorted(found)
