Avoid a division by zero before organisations have sent calls

WaitQueue.has_share divided by the sum of the weights of organisations with recent calls. That sum is 0 for a call that arrived before organisations were declared and was assigned to one while it waited.

An organisation then counts as served by its share. The new test failed with ZeroDivisionError and passes.

--- a/packages/core/nutmegchute_core/queues.py
+++ b/packages/core/nutmegchute_core/queues.py
@@ -454,6 +454,9 @@
     def has_share(self, organisation: Organisation) -> bool:
         """Return whether an organisation gets its share of the calls sent."""
         weights = sum(map(self._shares.weight, self._served.organisations))
+        if not weights:
+            # The call arrived before organisations were declared.
+            return True
         share = self._shares.weight(organisation) / weights
         return self._served.sent_part(organisation.name) >= share
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -118,3 +118,8 @@
     assert refuse.reason == "queue full"
     assert refuse.ahead == 4 and refuse.priority == 0
     assert refuse.call_id < 13
+
+
+def test_share_is_known_before_any_call_is_counted() -> None:
+    """Guard against a division by zero without recent calls."""
+    assert WaitQueue().has_share(QUIET)
