Forget the decision on a cancelled call

When the quota of an organisation ends, the ledger decides to admit its waiting calls without a permit. If the key of one moved to another organisation with a quota in the same change, the client cancelled the call and opened it for the other one, but the former decision stayed: the call was admitted without a permit, and the permit granted to it went back for another call.

cancel() now drops decisions that were not returned yet.

--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -317,7 +317,8 @@
             self._advance(account, now)
 
     def cancel(self, call: T, organisation: str) -> None:
-        """Forget a waiting call, as its caller has gone."""
+        """Forget a call that waits, or whose decision was not returned."""
+        self._decisions = [one for one in self._decisions if one.call != call]
         account = self._accounts.get(organisation)
         if account is None:
             return
--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -198,3 +198,22 @@
         ours.close()
 
     play(monkeypatch, scenario)
+
+
+def test_moved_call_waits_when_the_former_quota_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against the admission of a call that has moved meanwhile."""
+
+    async def scenario(entry: Entry) -> None:
+        entry.links.delay_s = 0.1
+        call = entry.open()
+        large = {"large": LIMITED}
+        entry.identifier.configure({"team": {"organisations": large}})
+        entry.client.configure()
+        assert entry.admitted == []
+        await asyncio.sleep(1.0)
+        assert entry.admitted == []
+        assert isinstance(last_action(call), Throttle)
+
+    play(monkeypatch, scenario)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -513,3 +513,18 @@
     assert bound(LARGE) == pytest.approx((422 * 5 + 422) * 1.1 + 20)
     assert TERMS.lifetime_s == 0.5
     assert JOIN_S >= CONTACT_S + 4.0
+
+
+def test_cancelled_call_has_no_decision() -> None:
+    """Guard against a call that is admitted without a permit.
+
+    Its key moves to another organisation while the quota of the first ends.
+    """
+    ledger = build_ledger(SMALL, LARGE)
+    ledger.open("x", "small", 1.0)
+    ledger.open("y", "small", 1.0)
+    ledger.configure([LARGE])
+    ledger.cancel("x", "small")
+    ledger.open("x", "large", 1.0)
+    assert [one.call for one in ledger.pop_decisions()] == ["y"]
+    assert ledger.count_waiting() == 1
