End refusals by a former quota when the quota changes

The time until which an organisation counts as exhausted (up to 2 s), the last answer that it is (1 s) and the next Retry-After were kept when its quota was raised, so calls within the new quota got 429.

They are reset if rate or burst changes. The new test failed and passes.

--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -180,6 +180,18 @@
         while permits and permits[0] <= now:
             permits.popleft()
 
+    def change_quota(self, quota: Organisation) -> None:
+        """Apply the quota in force; refusals by another one end."""
+        former, self.quota = self.quota, quota
+        if (former.rate_per_s, former.burst) == (
+            quota.rate_per_s,
+            quota.burst,
+        ):
+            return
+        self.blocked_until = -inf
+        self.exceeded_at = -inf
+        self.next_retry_at = -inf
+
     def discard(self, replica: str) -> None:
         """Ask a replica no more in this round."""
         if self.remaining and replica in self.remaining:
@@ -281,7 +293,7 @@
         for name in list(self._accounts):
             quota = self._limited.get(name)
             if quota is not None:
-                self._accounts[name].quota = quota
+                self._accounts[name].change_quota(quota)
                 continue
             account = self._accounts.pop(name)
             self._needy.pop(name, None)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -528,3 +528,20 @@
     ledger.open("x", "large", 1.0)
     assert [one.call for one in ledger.pop_decisions()] == ["y"]
     assert ledger.count_waiting() == 1
+
+
+def test_changed_quota_ends_the_refusals_of_the_former_one() -> None:
+    """Guard against 429 for calls within a quota that was raised."""
+    ledger = build_ledger(SMALL)
+    ledger.open("x", "small", 1.0)
+    for at in (1.0, 1.002):
+        (outgoing,) = ledger.poll(at)
+        ledger.record_reply(outgoing, reply("small", 0, 0.5), at + 0.001)
+    assert isinstance(ledger.pop_decisions()[0], Exceeded)
+    ledger.configure([SMALL])
+    ledger.open("y", "small", 1.01)
+    assert isinstance(ledger.pop_decisions()[0], Exceeded)
+    ledger.configure([organisation("small", 100.0, 100.0)])
+    ledger.open("z", "small", 1.02, is_late=True)
+    assert ledger.pop_decisions() == []
+    assert ledger.count_waiting() == 1
