Forget a starting replica that has left the group

A replica that answered that it does not grant yet stayed in the set of starting ones if it left the group before it answered again. From then on, calls waited for up to 0.4 s where they are refused at once: with no other replica in reach, none ever started.

It is dropped with the record that it is avoided. The new test failed and passes.

--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -449,6 +449,7 @@
             return []
         for replica in self._avoided.keys() - set(self._replicas()):
             del self._avoided[replica]
+            self._starting.discard(replica)
         due = []
         for replica, until in self._avoided.items():
             if until <= now and replica not in self._busy:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -545,3 +545,24 @@
     ledger.open("z", "small", 1.02, is_late=True)
     assert ledger.pop_decisions() == []
     assert ledger.count_waiting() == 1
+
+
+def test_replica_that_left_while_starting_holds_no_calls() -> None:
+    """Guard against calls that wait for a replica that is gone."""
+    replicas = ["a"]
+    ledger: QuotaLedger[str] = QuotaLedger(
+        "entry-1", 1, lambda: replicas, TERMS.lifetime_s
+    )
+    ledger.configure([LARGE])
+    ledger.open("x", "large", 1.0)
+    (outgoing,) = ledger.poll(1.0)
+    ledger.record_reply(outgoing, QuotaReply([], 0.5, False), 1.001)
+    ledger.poll(2.0)
+    assert isinstance(ledger.pop_decisions()[0], Unconfirmed)
+    replicas[:] = ["b"]
+    ledger.poll(3.0)
+    ledger.open("y", "large", 3.0)
+    (outgoing,) = ledger.poll(3.0)
+    ledger.record_silence(outgoing, 3.15)
+    (decision,) = ledger.pop_decisions()
+    assert isinstance(decision, Unconfirmed)
