Require a permit of the organisation that a call belongs to

A call that has a valid permit keeps it when it is opened again, after a claim. If its key had moved meanwhile, it ran for the other organisation with the permit of the former one.

Such a permit is given back and one of the other organisation is obtained. The new test failed and passes.

--- a/packages/daemon/nutmegchute_daemon/quota_clients.py
+++ b/packages/daemon/nutmegchute_daemon/quota_clients.py
@@ -161,9 +161,14 @@
             admit()
             return
         now = boot_time()
-        if call.permit is not None and call.permit.expires_at > now:
-            admit()
-            return
+        permit = call.permit
+        if permit is not None:
+            is_own = permit.organisation == organisation.name
+            if is_own and permit.expires_at > now:
+                admit()
+                return
+            # Expired, or the key has moved since.
+            self.give_back(call)
         if self._ending:
             self._refuse_stopping(call)
             return
--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -200,6 +200,28 @@
     play(monkeypatch, scenario)
 
 
+def test_moved_call_needs_a_permit_of_its_organisation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a permit of the organisation that had the key before."""
+
+    async def scenario(entry: Entry) -> None:
+        entry.links.permits = 1
+        call = entry.open()
+        await asyncio.sleep(0.1)
+        assert entry.admitted == [call]
+        large = {"large": LIMITED, "small": {**LIMITED, "keys": ["k2"]}}
+        entry.identifier.configure({"team": {"organisations": large}})
+        entry.client.configure()
+        assert entry.identifier.confirm(call)
+        entry.client.open(call, lambda: entry.admitted.append(call))
+        await asyncio.sleep(0.1)
+        assert entry.admitted == [call]
+        assert isinstance(last_action(call), Throttle)
+
+    play(monkeypatch, scenario)
+
+
 def test_moved_call_waits_when_the_former_quota_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
