Replay calls that outlast their permits before they are sent

Permits are checked when a call is admitted. It was open whether calls that wait at the entries for longer than a permit's lifetime exceed the bound at the endpoints when capacity returns.

They do not, for calls that were both sent by their caller and reached an endpoint within the window: each is admitted between the two, so within the window too, and admissions keep to the bound.

No change of the code. What endpoints receive in 5 s regardless of when it was sent does exceed the bound after an outage.

--- a/packages/fakes/nutmegchute_fakes/quotas.py
+++ b/packages/fakes/nutmegchute_fakes/quotas.py
@@ -4,6 +4,7 @@
 admitted is recorded apart from their own counts.
 """
 
+import bisect
 import heapq
 import itertools
 import random
@@ -48,6 +49,22 @@
     return most
 
 
+def max_within_window(
+    calls: list[tuple[float, float]], window_s: float
+) -> int:
+    """Return the most calls that begin and end in one window.
+
+    Each has the times at which its caller sent it and an endpoint got it.
+    """
+    most = 0
+    begun: list[float] = []
+    for begin, end in sorted(calls, key=lambda call: call[1]):
+        bisect.insort(begun, begin)
+        first = bisect.bisect_left(begun, end - window_s)
+        most = max(most, len(begun) - first)
+    return most
+
+
 def bound(quota: Organisation) -> float:
     """Return how many calls may run in any window."""
     base = quota.rate_per_s * TERMS.window_s + quota.burst
@@ -122,6 +139,8 @@
         self.frozen: dict[int, list[Callable[[], None]]] = {}
         self.offered: dict[str, list[float]] = defaultdict(list)
         self.admitted: dict[str, list[float]] = defaultdict(list)
+        # When the callers sent the admitted calls, in the same order.
+        self.sent: dict[str, list[float]] = defaultdict(list)
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.retry_after: list[float] = []
         self.waits: list[float] = []
@@ -181,7 +200,8 @@
             self.after(wakeup_at - self.now, partial(self.step, number))
         for decision in ledger.pop_decisions():
             name, at = decision.call[0], decision.call[1]
-            self.waits.append(self.now - self._arrived.pop(at))
+            arrived_at = self._arrived.pop(at)
+            self.waits.append(self.now - arrived_at)
             if isinstance(decision, Admitted) and decision.permit is None:
                 self.outcomes[name, "unlimited"] += 1
                 continue
@@ -190,6 +210,7 @@
                 assert decision.permit is not None
                 assert decision.permit.expires_at > self.now
                 self.admitted[name].append(self.now)
+                self.sent[name].append(arrived_at)
             elif isinstance(decision, Exceeded):
                 self.retry_after.append(decision.retry_after_s)
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -18,6 +18,8 @@
 from nutmegchute_core.quotas import QuotaRequest
 from nutmegchute_fakes.quotas import bound
 from nutmegchute_fakes.quotas import ideal_admissions
+from nutmegchute_fakes.quotas import max_in_window
+from nutmegchute_fakes.quotas import max_within_window
 from nutmegchute_fakes.quotas import organisation
 from nutmegchute_fakes.quotas import Replica
 from nutmegchute_fakes.quotas import Site
@@ -566,3 +568,27 @@
     ledger.record_silence(outgoing, 3.15)
     (decision,) = ledger.pop_decisions()
     assert isinstance(decision, Unconfirmed)
+
+
+@pytest.mark.parametrize("outage_s", [3.0, 6.0, 12.0])
+def test_calls_that_outlast_their_permits_keep_to_the_bound(
+    outage_s: float,
+) -> None:
+    """Guard against calls that wait at entries and are sent together.
+
+    Permits are checked when calls are admitted. While endpoints take none,
+    admitted calls wait for longer than a permit is valid.
+    """
+    site = build_site(17, 3, LARGE)
+    site.load("large", 2000.0, lambda at: 2000.0)
+    returns_at = site.now + 5.0 + outage_s
+    begin = returns_at - outage_s
+    site.run(10.0 + outage_s)
+    calls = []
+    for sent_at, at in zip(
+        site.sent["large"], site.admitted["large"], strict=True
+    ):
+        calls.append((sent_at, at if at < begin else max(at, returns_at)))
+    together = max_in_window(sorted(at for _, at in calls), TERMS.window_s)
+    assert together > bound(LARGE)
+    assert max_within_window(calls, TERMS.window_s) <= bound(LARGE)
