Test a quota while an entry is stopped and a replica is killed

No test with real processes stopped an entry that holds permits, so one that used them after it continues would have been found in virtual time only.

An entry gets calls below the quota and is stopped; the others are sent far more, a replica is killed, and the entry continues after 2 s.

--- a/tests/test_quotas_wire.py
+++ b/tests/test_quotas_wire.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import signal
 import threading
 import time
 from collections.abc import Callable
@@ -33,6 +34,8 @@
 NAMES = itertools.count()
 ENTRIES = 3
 QUOTA = organisation("small", 4.0, 2.0)
+# Enough for an entry to obtain permits ahead of its calls.
+BUSY_QUOTA = organisation("busy", 20.0, 20.0)
 LOAD_S = 8.0
 CALL_GAP_S = 0.03
 LIMITED = "key-of-small"
@@ -201,3 +204,64 @@
         check_load(partial(call_entry, cluster), list_runs)
     finally:
         cluster.stop()
+
+
+def list_record(folder: Path) -> list[float]:
+    """Return the Unix times at which calls of the organisation ran."""
+    times = []
+    for path in folder.glob("ran-*"):
+        for line in path.read_text().splitlines():
+            fields = line.split()
+            if fields[3] == BUSY_QUOTA.name:
+                times.append(float(fields[0]))
+    return sorted(times)
+
+
+def test_stopped_entry_and_killed_replica_keep_to_a_quota(
+    tmp_path: Path,
+) -> None:
+    """Guard against permits that a stopped entry uses once it continues.
+
+    Meanwhile a replica is killed, so others must not grant its part anew.
+    """
+    cluster = Cluster(tmp_path, ["miraflores", "surco"])
+    call = partial(call_entry, cluster)
+    try:
+        cluster.start(3, ENTRIES, entries_keep_s=1.0)
+        controls = [one.address for one in cluster.controls]
+        declaration = build_declaration(2000)
+        declaration["organisations"] = {
+            BUSY_QUOTA.name: {
+                "keys": [LIMITED],
+                "rate_per_s": BUSY_QUOTA.rate_per_s,
+                "burst": BUSY_QUOTA.burst,
+            }
+        }
+        apply_declaration(tmp_path, declaration, controls, OPERATOR_KEY)
+        for number in range(2):
+            record = tmp_path / f"ran-{number}"
+            cluster.add_upstream("prestamos", record=record)
+        for entry in range(ENTRIES):
+            wait_for(partial(serves, call, entry, LIMITED), f"entry {entry}")
+        # Below the quota, so that the entry obtains permits ahead.
+        for _ in range(20):
+            call(0, LIMITED)
+            time.sleep(0.1)
+        cluster.entries[0].signal(signal.SIGSTOP)
+        answers: list[Answer] = []
+        load = threading.Thread(
+            target=lambda: answers.extend(run_load(call, LIMITED, LOAD_S))
+        )
+        load.start()
+        time.sleep(1.0)
+        cluster.controls[0].kill()
+        time.sleep(1.0)
+        cluster.entries[0].signal(signal.SIGCONT)
+        load.join()
+    finally:
+        cluster.entries[0].signal(signal.SIGCONT)
+        cluster.stop()
+    assert {200, 429} <= {status for status, _ in answers}
+    runs = list_record(tmp_path)
+    assert len(runs) >= sum(status == 200 for status, _ in answers)
+    assert max_in_window(runs, TERMS.window_s) <= bound(BUSY_QUOTA)
