Return the permit of a call that endpoints refused to run

A call's permit went back only if the call was never sent. One that endpoints had shed, and that was refused as not run, kept it, though a call that is refused without having run returns its permit. Such calls took away permits while endpoints shed.

The permit now goes back with each final refusal or denial, not with a lost call; the hook is named on_not_run. The new test failed for a shed call and passes; for a lost call it passed before and after.

--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -73,7 +73,7 @@
         "_wakeup_at",
         "on_limits",
         "on_reports",
-        "on_unsent",
+        "on_not_run",
     )
 
     def __init__(
@@ -102,8 +102,8 @@
         self.on_reports: SubmitReports
         # Called with the processes whose limits changed by answers here.
         self.on_limits: SubmitLimits
-        # Called with each call that has ended without having been sent.
-        self.on_unsent: Callable[[PendingCall], None] = _ignore_unsent
+        # Called with each call that has ended without having run.
+        self.on_not_run: Callable[[PendingCall], None] = _ignore_not_run
         self._ending = False
         self._hedge_threads = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
@@ -269,8 +269,8 @@
                 self._settle(call, UNKNOWN)
                 self._metrics.count("unknown")
                 log(Event.CALL_LOST, "warning", reason=action.reason)
-            if not call.exchanges:
-                self.on_unsent(call)
+            if not call.exchanges or isinstance(action, Refuse | Deny):
+                self.on_not_run(call)
         reports = self._balancer.pop_reports()
         if reports:
             self.on_reports(reports)
@@ -432,7 +432,7 @@
             self._settle(call, UNKNOWN)
             end_call(call, Lose(call_id, "caller has gone"))
             if not call.exchanges:
-                self.on_unsent(call)
+                self.on_not_run(call)
 
     def _schedule_wakeup(self) -> None:
         at = self._balancer.next_wakeup()
@@ -457,7 +457,7 @@
         send["rest_s"] = notice.rest_s
 
 
-def _ignore_unsent(call: PendingCall) -> None:
+def _ignore_not_run(call: PendingCall) -> None:
     """Do nothing: no organisation has a quota here."""
 
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -142,7 +142,7 @@
             deny=lambda call: self._deny(call, Deny(0, KEY_UNKNOWN)),
             on_refused=lambda call: self._settle(call, NOT_RUN),
         )
-        self._dispatcher.on_unsent = self._quotas.give_back
+        self._dispatcher.on_not_run = self._quotas.give_back
         self._handler.dispatcher = self
         pages = EntryPages(self, self._runner, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._runner, self.stop)
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -180,7 +180,7 @@
             deny=lambda call: self._deny(call, Deny(0, KEY_UNKNOWN)),
             on_refused=_ignore_refusal,
         )
-        self._dispatcher.on_unsent = self._quotas.give_back
+        self._dispatcher.on_not_run = self._quotas.give_back
         self._prober.on_result = self._dispatcher.record_probe
         self._handler.dispatcher = self
         self._handler.buffer_limit = self._buffer_bytes
--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -7,15 +7,22 @@
 from typing import cast
 
 import pytest
+from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Lose
+from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refuse
+from nutmegchute_core.calls import Result
+from nutmegchute_core.calls import Send
 from nutmegchute_core.calls import Throttle
 from nutmegchute_core.quota_ledgers import MAX_STARTING_WAIT_S
 from nutmegchute_core.quotas import QuotaGrant
 from nutmegchute_core.quotas import QuotaReply
 from nutmegchute_core.quotas import QuotaRequest
+from nutmegchute_core.rules import read_services
 from nutmegchute_daemon import quota_clients
 from nutmegchute_daemon.call_formats import CallFormat
+from nutmegchute_daemon.dispatchers import Dispatcher
 from nutmegchute_daemon.identities import Identifier
 from nutmegchute_daemon.links import Links
 from nutmegchute_daemon.metrics import Metrics
@@ -24,6 +31,9 @@
 from nutmegchute_daemon.quota_clients import QuotaClient
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.settings import Settings
+from support import announcement
+from support import rule
+from support import team
 from urllib3 import HTTPHeaderDict
 from virtual_time import run_virtual
 
@@ -239,3 +249,40 @@
         assert isinstance(last_action(call), Throttle)
 
     play(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("outcome", [NOT_RUN, LOST])
+def test_permit_returns_if_no_endpoint_ran_the_call(outcome: str) -> None:
+    """Guard against permits that are lost with calls that were shed."""
+
+    async def run() -> None:
+        balancer = Balancer(seed=1)
+        services = read_services({"a": team(desk=[rule(idempotent=False)])})
+        balancer.configure(services, 0.0)
+        balancer.update_upstreams([announcement("a:1", service="desk")], 0.0)
+        dispatcher = Dispatcher(
+            balancer=balancer,
+            metrics=Metrics(None, "entry-1"),
+            hedge=lambda call, send, exchange: None,
+            query_load=lambda probe: None,
+            settle=lambda call, outcome: None,
+        )
+        returned: list[PendingCall] = []
+        dispatcher.on_not_run = returned.append
+        call = PendingCall(
+            Arrival("desk", "GET", "/", 2.0, 1, key=b"k1"),
+            Request("GET", "/", HTTPHeaderDict(), b""),
+            -1,
+        )
+        dispatcher.admit(call, 2.0)
+        await asyncio.sleep(0.1)
+        send, _ = call.next_action(0.0)
+        assert isinstance(send, Send)
+        result = Result(send.call_id, send.attempt, outcome, 0.01, shed=True)
+        dispatcher.end_attempt(call, result)
+        action = last_action(call)
+        assert isinstance(action, Refuse if outcome == NOT_RUN else Lose)
+        assert returned == ([call] if outcome == NOT_RUN else [])
+        dispatcher.stop()
+
+    run_virtual(run())
