Start empty for organisations that a restarted replica catches up with

A replica's buckets start empty, except those of organisations that are added later: these have not used any of their quota. With a quota of 5 calls a second and a burst of 100 in a group of 5, a process that had started 1 s before granted 22 permits in place of 1, at each restart.

Within a window and a lifetime (5.5 s) of the start, a new bucket fills from the start on. What the former process granted has left the window after that.

--- a/packages/core/nutmegchute_core/quota_allocators.py
+++ b/packages/core/nutmegchute_core/quota_allocators.py
@@ -159,6 +159,7 @@
     __slots__ = (
         "_buckets",
         "_contact_at",
+        "_divided",
         "_divisor",
         "_dropped",
         "_from",
@@ -176,8 +177,9 @@
 
     def __init__(self, terms: QuotaTerms, started_at: float) -> None:
         self._terms = terms
-        # None once buckets have been set up.
-        self._started_at: float | None = started_at
+        self._started_at = started_at
+        # Whether buckets have been set up.
+        self._divided = False
         self._buckets: dict[str, TokenBucket] = {}
         self._limited: dict[str, Organisation] = {}
         # When limits of organisations ended, for one window.
@@ -327,18 +329,24 @@
         """Set each bucket to this replica's part of the quota."""
         self._apply_pending(now)
         parts = max(1, self._divisor)
-        started_at = self._started_at
-        if self._divisor:
-            self._started_at = None
+        is_first = not self._divided
+        self._divided = self._divisor > 0
+        # A replica that catches up with the log after a start meets limits
+        # that are new to it only: its former process may have granted them.
+        recent_s = self._terms.window_s + self._terms.lifetime_s
+        is_starting = is_first or now - self._started_at < recent_s
         for name, one in self._limited.items():
             bucket = self._buckets.get(name)
             is_new = bucket is None
+            was_dropped = name in self._dropped
             if bucket is None:
-                filled_from = now if started_at is None else started_at
+                filled_from = now
+                if is_starting and not was_dropped:
+                    filled_from = self._started_at
                 bucket = self._buckets[name] = TokenBucket(filled_from)
             depth = max(1.0, (one.burst + self._terms.slack / 2) / parts)
             bucket.configure(one.rate_per_s / parts, depth, now)
-            if is_new and started_at is None and name not in self._dropped:
+            if is_new and not is_starting and not was_dropped:
                 # The limit is new, so none of it has been used.
                 bucket.fill_up()
 
