Let one upstream of the soak reset connections when it is full

All upstreams of the soak answered 503 "not run" when full. Some services reset the connection instead, which leaves open whether the call ran.

The last upstream takes 60 ms for a call and resets calls above its slots and one place. It does not run them, so each check applies as before; the number of resets is printed.

--- a/packages/fakes/nutmegchute_fakes/organisations.py
+++ b/packages/fakes/nutmegchute_fakes/organisations.py
@@ -263,11 +263,11 @@
         return False
 
 
-def find_key_lines(folder: Path) -> list[str]:
-    """Return the log lines that contain a key."""
+def find_lines(folder: Path, text: str) -> list[str]:
+    """Return the log lines that contain a text."""
     found = []
     for path in sorted(folder.glob("*.log")):
         for line in path.read_text().splitlines():
-            if KEY_PREFIX in line:
+            if text in line:
                 found.append(f"{path.name}.{line}")
     return found
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -65,7 +65,7 @@
 from .faults import draw_schedule
 from .faults import Fault
 from .faults import FaultInjector
-from .organisations import find_key_lines
+from .organisations import find_lines
 from .organisations import KeyChanger
 from .organisations import KeyOracle
 from .organisations import KeyUse
@@ -73,11 +73,15 @@
 from .organisations import SMALL
 from .organisations import SMALL_KEY
 from .upstreams import CRASH_PATH
+from .upstreams import KEY_PREFIX
+from .upstreams import RESET_LINE
 
 ZONES = ["miraflores", "san-isidro", "surco"]
 CONTROLS = 3
 ENTRIES = 4
 UPSTREAMS = 6
+# The last upstream resets connections when its slots and one place are full.
+RESETTING = {"service_ms": 60, "reset_at": 4}
 CALLERS = 12
 RECOVERY_S = 10.0
 RETRY_DELAY_S = 0.25
@@ -231,7 +235,10 @@
         for number in range(UPSTREAMS):
             service = "prestamos" if number % 2 else "catalogo"
             record = self._folder / f"ran-{number}"
-            cluster.add_upstream(service, service_ms=5, record=record)
+            options = RESETTING if number == UPSTREAMS - 1 else {}
+            cluster.add_upstream(
+                service, **{"service_ms": 5, "record": record, **options}
+            )
         for entry in cluster.entries:
             cluster.wait_for(
                 f"upstreams at {entry.name}",
@@ -462,6 +469,8 @@
         oracle = OutcomeOracle(self._records, ran)
         keys = KeyOracle(self._keys.periods, self._key_uses, named)
         print(f"{len(self._keys.periods)} keys: {keys.summary()}")
+        resets = find_lines(self._folder, RESET_LINE)
+        print(f"{len(resets)} calls reset by a full upstream")
         print(f"{len(self._records)} requests: {oracle.summary()}")
         violations = {
             "ran-twice": oracle.ran_twice(),
@@ -475,7 +484,7 @@
             "unknown-ran": keys.unknown_ran(),
             "refused-ran": keys.refused_ran(),
             "over-quota": keys.over_quota(SMALL),
-            "key-shown": find_key_lines(self._folder),
+            "key-shown": find_lines(self._folder, KEY_PREFIX),
         }
         for name, offenders in violations.items():
             for offender in offenders[:5]:
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -3,7 +3,7 @@
 Usage:
   upstreams --service=NAME --address=ADDRESS
       --zone=NAME --entries=ADDRESSES [--slots=N] [--service-ms=MS]
-      [--key=KEY] [--record=PATH]
+      [--key=KEY] [--record=PATH] [--reset-at=N]
 
 Options:
   --service=NAME       Service to announce.
@@ -14,6 +14,7 @@
   --service-ms=MS      Duration of one call [default: 2].
   --key=KEY            Key of the service, sent with announcements.
   --record=PATH        File that gets a line per run, kept after a kill.
+  --reset-at=N         Calls in flight at which further ones are reset.
 
 A call to CRASH_PATH is recorded and ends the process. A JSON object sent to
 DEMANDS_PATH sets what the upstream asks of entries in all its answers, a GET
@@ -21,18 +22,23 @@
 arrived.
 """
 
+import errno
 import os
 import signal
+import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
+from typing import cast
 
 import msgspec
 import urllib3
 from cheroot import wsgi
+from cheroot.workers.threadpool import WorkerThread
 from docopt import docopt
 from urllib3.exceptions import HTTPError
 
@@ -43,6 +49,7 @@
 KEEP_ALIVE_CONNECTIONS = 1024
 CRASH_PATH = "/crash"
 CRASH_STATUS = 70
+RESET_LINE = "reset a connection: full"
 ORGANISATION = "HTTP_NUTMEGCHUTE_ORGANISATION"
 # Each key of the soak starts with this, so that one is recognised wherever
 # it occurs.
@@ -88,6 +95,7 @@
         "_lock",
         "_ran",
         "_record",
+        "_reset_at",
         "_seen",
         "_service",
         "_service_s",
@@ -103,8 +111,10 @@
         slots: int,
         service_s: float,
         record: Path | None = None,
+        reset_at: int | None = None,
     ) -> None:
         self._service = service
+        self._reset_at = reset_at
         self._address = address
         self._zone = zone
         self._slots = slots
@@ -199,6 +209,8 @@
                 *self._report_headers(self._in_flight),
             ]
             return _answer(start_response, {}, headers, "503 Rest")
+        if self._reset_at is not None and self._in_flight >= self._reset_at:
+            reset_connection()
         with self._lock:
             overloaded = self._in_flight >= self._slots * MAX_CALLS_PER_SLOT
             if not overloaded:
@@ -272,6 +284,16 @@
         return answer.status == 200
 
 
+def reset_connection() -> None:
+    """Reset the connection of the call that this thread serves."""
+    print(RESET_LINE, flush=True)
+    connection = cast(WorkerThread, threading.current_thread()).conn
+    linger = struct.pack("ii", 1, 0)
+    connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # The server closes the connection without an answer.
+    raise ConnectionResetError(errno.ECONNRESET, RESET_LINE)
+
+
 def _answer(
     start_response: StartResponse,
     value: Any,
@@ -299,6 +321,7 @@
         slots=slots,
         service_s=float(arguments["--service-ms"]) / 1000,
         record=Path(arguments["--record"]) if arguments["--record"] else None,
+        reset_at=int(arguments["--reset-at"] or 0) or None,
     )
     host, _, port = arguments["--address"].rpartition(":")
     threads = slots * MAX_CALLS_PER_SLOT + EXTRA_THREADS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 from nutmegchute_fakes.evacuations import find_forbidden_runs
 from nutmegchute_fakes.evacuations import MAX_EFFECT_DELAY_S
 from nutmegchute_fakes.faults import draw_schedule
-from nutmegchute_fakes.organisations import find_key_lines
+from nutmegchute_fakes.organisations import find_lines
 from nutmegchute_fakes.organisations import KeyOracle
 from nutmegchute_fakes.organisations import KeyPeriod
 from nutmegchute_fakes.organisations import KeyUse
@@ -155,4 +155,6 @@
 def test_oracle_finds_keys_in_logs(tmp_path: Path) -> None:
     """Find the line of a log that contains a key."""
     (tmp_path / "entry-1.log").write_text(f"one\ntwo {KEY_PREFIX}1\n")
-    assert find_key_lines(tmp_path) == [f"entry-1.log.two {KEY_PREFIX}1"]
+    assert find_lines(tmp_path, KEY_PREFIX) == [
+        f"entry-1.log.two {KEY_PREFIX}1"
+    ]
