--- a/packages/core/nutmegchute_core/quota_allocators.py
+++ b/packages/core/nutmegchute_core/quota_allocators.py
@@ -159,6 +159,7 @@
     __slots__ = (
         "_buckets",
         "_contact_at",
+        "_divided",
         "_divisor",
         "_dropped",
         "_from",
@@ -330,7 +331,8 @@
         # Within a window of the start an organisation that is new here may
         # have used its quota before: the tree is empty until the log is
         # applied.
-        is_starting = now - self._started_at <= self._terms.window_s
+        recent_s = self._terms.window_s + self._terms.lifetime_s
+        is_starting = now - self._started_at <= recent_s
         for name, one in self._limited.items():
             bucket = self._buckets.get(name)
             is_new = bucket is None and name not in self._dropped
--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -182,6 +182,18 @@
         while permits and permits[0] <= now:
             permits.popleft()
 
+    def change_quota(self, quota: Organisation) -> None:
+        """Apply the quota in force; refusals by another one end."""
+        former, self.quota = self.quota, quota
+        if (former.rate_per_s, former.burst) == (
+            quota.rate_per_s,
+            quota.burst,
+        ):
+            return
+        self.blocked_until = -inf
+        self.exceeded_at = -inf
+        self.next_retry_at = -inf
+
     def discard(self, replica: str) -> None:
         """Ask a replica no more in this round."""
         if self.remaining and replica in self.remaining:
@@ -283,7 +295,7 @@
         for name in list(self._accounts):
             quota = self._limited.get(name)
             if quota is not None:
-                self._accounts[name].quota = quota
+                self._accounts[name].change_quota(quota)
                 continue
             account = self._accounts.pop(name)
             self._needy.pop(name, None)
@@ -319,7 +331,8 @@
             self._advance(account, now)
 
     def cancel(self, call: T, organisation: str) -> None:
-        """Forget a waiting call, as its caller has gone."""
+        """Forget a call that waits, or whose decision was not returned."""
+        self._decisions = [one for one in self._decisions if one.call != call]
         account = self._accounts.get(organisation)
         if account is None:
             return
@@ -438,6 +451,7 @@
             return []
         for replica in self._avoided.keys() - set(self._replicas()):
             del self._avoided[replica]
+            self._starting.discard(replica)
         due = []
         for replica, until in self._avoided.items():
             if until <= now and replica not in self._busy:
--- a/tests/test_identities.py
+++ b/tests/test_identities.py
@@ -217,6 +217,12 @@
             admit=lambda call, deadline_s: self.admitted.append(call)
         )
         entry._metrics = SimpleNamespace(count=self.counts.append)
+        entry._balancer = SimpleNamespace(is_late=lambda *values: False)
+        self.returned: list[PendingCall] = []
+        entry._quotas = SimpleNamespace(
+            open=lambda call, admit, is_late=False: admit(),
+            give_back=self.returned.append,
+        )
         self.entry = entry
 
 
@@ -242,6 +248,7 @@
         return
     assert harness.admitted == []
     assert harness.settled == [NOT_RUN]
+    assert harness.returned == [call]
     assert harness.counts == ["withdrawn"]
     action, _ = call.next_action(0.0)
     assert isinstance(action, Deny)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -18,6 +18,8 @@
 from nutmegchute_core.quotas import QuotaRequest
 from nutmegchute_fakes.quotas import bound
 from nutmegchute_fakes.quotas import ideal_admissions
+from nutmegchute_fakes.quotas import max_in_window
+from nutmegchute_fakes.quotas import max_within_window
 from nutmegchute_fakes.quotas import organisation
 from nutmegchute_fakes.quotas import Replica
 from nutmegchute_fakes.quotas import Site
@@ -524,3 +526,98 @@
     assert bound(LARGE) == pytest.approx((422 * 5 + 422) * 1.1 + 20)
     assert TERMS.lifetime_s == 0.5
     assert JOIN_S >= CONTACT_S + 4.0
+
+
+def test_cancelled_call_has_no_decision() -> None:
+    """Guard against a call that is admitted without a permit.
+
+    Its key moves to another organisation while the quota of the first ends.
+    """
+    ledger = build_ledger(SMALL, LARGE)
+    ledger.open("x", "small", 1.0)
+    ledger.open("y", "small", 1.0)
+    ledger.configure([LARGE])
+    ledger.cancel("x", "small")
+    ledger.open("x", "large", 1.0)
+    assert [one.call for one in ledger.pop_decisions()] == ["y"]
+    assert ledger.count_waiting() == 1
+
+
+def test_changed_quota_ends_the_refusals_of_the_former_one() -> None:
+    """Guard against 429 for calls within a quota that was raised."""
+    ledger = build_ledger(SMALL)
+    ledger.open("x", "small", 1.0)
+    for at in (1.0, 1.002):
+        (outgoing,) = ledger.poll(at)
+        ledger.record_reply(outgoing, reply("small", 0, 0.5), at + 0.001)
+    assert isinstance(ledger.pop_decisions()[0], Exceeded)
+    ledger.configure([SMALL])
+    ledger.open("y", "small", 1.01)
+    assert isinstance(ledger.pop_decisions()[0], Exceeded)
+    ledger.configure([organisation("small", 100.0, 100.0)])
+    ledger.open("z", "small", 1.02, is_late=True)
+    assert ledger.pop_decisions() == []
+    assert ledger.count_waiting() == 1
+
+
+def test_replica_that_left_while_starting_holds_no_calls() -> None:
+    """Guard against calls that wait for a replica that is gone."""
+    replicas = ["a"]
+    ledger: QuotaLedger[str] = QuotaLedger(
+        "entry-1", 1, lambda: replicas, TERMS.lifetime_s
+    )
+    ledger.configure([LARGE])
+    ledger.open("x", "large", 1.0)
+    (outgoing,) = ledger.poll(1.0)
+    ledger.record_reply(outgoing, QuotaReply([], 0.5, False), 1.001)
+    ledger.poll(2.0)
+    assert isinstance(ledger.pop_decisions()[0], Unconfirmed)
+    replicas[:] = ["b"]
+    ledger.poll(3.0)
+    ledger.open("y", "large", 3.0)
+    (outgoing,) = ledger.poll(3.0)
+    ledger.record_silence(outgoing, 3.15)
+    (decision,) = ledger.pop_decisions()
+    assert isinstance(decision, Unconfirmed)
+
+
+@pytest.mark.parametrize("outage_s", [3.0, 6.0, 12.0])
+def test_calls_that_outlast_their_permits_keep_to_the_bound(
+    outage_s: float,
+) -> None:
+    """Guard against calls that wait at entries and are sent together.
+
+    Permits are checked when calls are admitted. While endpoints take none,
+    admitted calls wait for longer than a permit is valid.
+    """
+    site = build_site(17, 3, LARGE)
+    site.load("large", 2000.0, lambda at: 2000.0)
+    returns_at = site.now + 5.0 + outage_s
+    begin = returns_at - outage_s
+    site.run(10.0 + outage_s)
+    calls = []
+    for sent_at, at in zip(
+        site.sent["large"], site.admitted["large"], strict=True
+    ):
+        calls.append((sent_at, at if at < begin else max(at, returns_at)))
+    together = max_in_window(sorted(at for _, at in calls), TERMS.window_s)
+    assert together > bound(LARGE)
+    assert max_within_window(calls, TERMS.window_s) <= bound(LARGE)
+
+
+def test_restarted_replica_that_catches_up_starts_empty() -> None:
+    """Guard against a burst for each restart.
+
+    The snapshot of a replica may be older than an organisation, which then
+    looks new, but the former process may just have granted its burst.
+    """
+    allocator = QuotaAllocator(TERMS, 100.0)
+    allocator.configure([], 5, 100.1)
+    quota = organisation("large", 5.0, 100.0)
+    for step in range(7):
+        allocator.observe(True, True, False, 100.1 + step / 10)
+    allocator.configure([quota], 5, 100.6)
+    allocator.observe(True, True, False, 101.0)
+    request = QuotaRequest("entry-1", [QuotaAsk("large", 50, 0)])
+    (grant,) = allocator.grant(request, 101.0).grants
+    assert grant.granted == 1
