--- a/packages/core/nutmegchute_core/quota_allocators.py
+++ b/packages/core/nutmegchute_core/quota_allocators.py
@@ -161,13 +161,13 @@
         "_contact_at",
         "_divided",
         "_divisor",
-        "_dropped",
-        "_from",
+        "_limit_ended_at",
+        "_grants_from",
         "_known",
         "_limited",
         "_member",
-        "_pending",
-        "_pending_at",
+        "_next_divisor",
+        "_next_divisor_at",
         "_seen_at",
         "_started_at",
         "_terms",
@@ -182,21 +182,21 @@
         self._limited: dict[str, Organisation] = {}
         # When limits of organisations ended, kept for one window: a limit
         # that returns sooner must not grant its burst a second time.
-        self._dropped: dict[str, float] = {}
+        self._limit_ended_at: dict[str, float] = {}
         self._known: set[str] = set()
         self._usage: dict[str, Usage] = {}
         # The number of parts that each quota is divided into, and a lower
         # one that applies at a later time.
         self._divisor = 0
-        self._pending = 0
-        self._pending_at = inf
+        self._next_divisor = 0
+        self._next_divisor_at = inf
         self._contact_at = -inf
         # Contact before this time does not count.
         self._trusted_from = started_at
         # Whether this replica is a member, None until that is known.
         self._member: bool | None = None
         # No grants before this time.
-        self._from = started_at + terms.lifetime_s
+        self._grants_from = started_at + terms.lifetime_s
         # None until the first observation: the start is no pause.
         self._seen_at: float | None = None
 
@@ -228,7 +228,7 @@
             return
         if self._member is False or (self._member is None and learner):
             # A learner that starts may have joined just before.
-            self._from = max(self._from, now + JOIN_S)
+            self._grants_from = max(self._grants_from, now + JOIN_S)
         self._member = True
         if in_contact and now >= self._trusted_from:
             self._contact_at = now
@@ -245,10 +245,10 @@
                 limited[one.name] = one
         for name in self._buckets.keys() - limited.keys():
             del self._buckets[name]
-            self._dropped[name] = now
-        for name, dropped_at in list(self._dropped.items()):
-            if now - dropped_at > self._terms.window_s:
-                del self._dropped[name]
+            self._limit_ended_at[name] = now
+        for name, ended_at in list(self._limit_ended_at.items()):
+            if now - ended_at > self._terms.window_s:
+                del self._limit_ended_at[name]
         for name in self._usage.keys() - known:
             del self._usage[name]
         self._known = known
@@ -258,7 +258,7 @@
 
     def may_grant(self, now: float) -> bool:
         """Return whether this replica grants permits at present."""
-        if not self._member or now < self._from or not self._divisor:
+        if not self._member or now < self._grants_from or not self._divisor:
             return False
         return now - self._contact_at <= CONTACT_S
 
@@ -268,7 +268,7 @@
         lifetime_s = self._terms.lifetime_s
         if not self.may_grant(now):
             return QuotaReply([], lifetime_s, False)
-        if now >= self._pending_at:
+        if now >= self._next_divisor_at:
             self._divide(now)
         position = xxhash.xxh64_intdigest(request.entry.encode()) % COUNT_BITS
         grants = []
@@ -310,23 +310,23 @@
         return QuotaGrant(ask.organisation, wanted, 0.0)
 
     def _set_replicas(self, replicas: int, now: float) -> None:
-        self._apply_pending(now)
+        self._apply_next_divisor(now)
         if replicas >= self._divisor:
             self._divisor = replicas
-            self._pending_at = inf
+            self._next_divisor_at = inf
             return
-        if self._pending_at == inf or replicas != self._pending:
-            self._pending = replicas
-            self._pending_at = now + JOIN_S
+        if self._next_divisor_at == inf or replicas != self._next_divisor:
+            self._next_divisor = replicas
+            self._next_divisor_at = now + JOIN_S
 
-    def _apply_pending(self, now: float) -> None:
-        if now >= self._pending_at:
-            self._divisor = self._pending
-            self._pending_at = inf
+    def _apply_next_divisor(self, now: float) -> None:
+        if now >= self._next_divisor_at:
+            self._divisor = self._next_divisor
+            self._next_divisor_at = inf
 
     def _divide(self, now: float) -> None:
         """Set each bucket to this replica's part of the quota."""
-        self._apply_pending(now)
+        self._apply_next_divisor(now)
         parts = max(1, self._divisor)
         # Within a window of the start an organisation that is new here may
         # have used its quota before: the tree is empty until the log is
@@ -335,9 +335,9 @@
         is_starting = now - self._started_at <= recent_s
         for name, one in self._limited.items():
             bucket = self._buckets.get(name)
-            is_new = bucket is None and name not in self._dropped
+            is_new = bucket is None and name not in self._limit_ended_at
             if bucket is None:
-                returns = name in self._dropped
+                returns = name in self._limit_ended_at
                 filled_from = now if returns else self._started_at
                 bucket = self._buckets[name] = TokenBucket(filled_from)
             depth = max(1.0, (one.burst + self._terms.slack / 2) / parts)
@@ -353,7 +353,9 @@
     def _restart(self, now: float) -> None:
         self._contact_at = -inf
         self._trusted_from = now + RESUME_S
-        self._from = max(self._from, now + self._terms.lifetime_s)
+        self._grants_from = max(
+            self._grants_from, now + self._terms.lifetime_s
+        )
         self._seen_at = now
         for bucket in self._buckets.values():
             bucket.empty(now)
--- a/packages/core/nutmegchute_core/quota_ledgers.py
+++ b/packages/core/nutmegchute_core/quota_ledgers.py
@@ -225,7 +225,7 @@
         "_held",
         "_lifetime_s",
         "_limited",
-        "_needy",
+        "_due",
         "_random",
         "_ready_at",
         "_refused",
@@ -248,7 +248,7 @@
         self._limited: dict[str, Organisation] = {}
         self._accounts: dict[str, Account[T]] = {}
         # Organisations for which a request is due, in order.
-        self._needy: dict[str, None] = {}
+        self._due: dict[str, None] = {}
         self._busy: set[str] = set()
         # Organisations whose calls wait until a replica has started.
         self._held: dict[str, None] = {}
@@ -298,7 +298,7 @@
                 self._accounts[name].change_quota(quota)
                 continue
             account = self._accounts.pop(name)
-            self._needy.pop(name, None)
+            self._due.pop(name, None)
             for call in account.waiting:
                 self._decisions.append(Admitted(call, None))
 
@@ -326,7 +326,7 @@
             self._refuse(account, call, now)
             return
         account.waiting[call] = now
-        self._needy[organisation] = None
+        self._due[organisation] = None
         if account.pending is None:
             self._advance(account, now)
 
@@ -357,7 +357,7 @@
         """
         self._advance_held(now)
         asks: dict[str, list[QuotaAsk]] = {}
-        for name in list(self._needy):
+        for name in list(self._due):
             account = self._accounts[name]
             if account.pending is not None:
                 continue
@@ -365,7 +365,7 @@
             if replica is None:
                 continue
             ask = self._build_ask(account, now)
-            del self._needy[name]
+            del self._due[name]
             if not ask.waiting and not ask.expected:
                 continue
             account.pending = replica
@@ -384,7 +384,7 @@
         """Return when ``poll`` may have a further request, if known."""
         if self._held:
             return now + STARTING_AVOID_S
-        if not self._needy:
+        if not self._due:
             return None
         known = set(self._replicas())
         for gone in self._ready_at.keys() - known:
@@ -440,7 +440,7 @@
             if account is not None and account.pending == replica:
                 account.pending = None
                 self._advance(account, now)
-        for name in list(self._needy):
+        for name in list(self._due):
             account = self._accounts[name]
             if account.pending is None:
                 self._advance(account, now)
@@ -510,7 +510,7 @@
             return
         if 2 * len(account.permits) < self._expected(account, now):
             account.next_ahead = now + self._lifetime_s / 4
-            self._needy[account.quota.name] = None
+            self._due[account.quota.name] = None
 
     def _expected(self, account: Account[T], now: float) -> int:
         return int(account.demand.per_s(now) * self._lifetime_s / 2)
@@ -586,9 +586,9 @@
             account.end_round()
             return
         if self._usable(account):
-            self._needy[name] = None
+            self._due[name] = None
             return
-        self._needy.pop(name, None)
+        self._due.pop(name, None)
         if self._may_hold(account, now):
             self._held[name] = None
             account.end_round()
