--- a/tests/test_quotas_wire.py
+++ b/tests/test_quotas_wire.py
@@ -197,8 +197,10 @@
         def list_runs() -> list[float]:
             runs: list[float] = []
             for one in cluster.upstreams:
+                # It may still start.
                 url = f"http://{one.address}{SEEN_PATH}"
-                runs.extend(send_request("GET", url).json())
+                answer = wait_for(partial(send_request, "GET", url), url)
+                runs.extend(answer.json())
             return runs
 
         check_load(partial(call_entry, cluster), list_runs)
