Keep the fingerprint of a call that is identified twice

A call that waits for a permit while the configuration changes is routed and identified again, and its fingerprint was derived twice. Other entries would not recognize the same request when it crashes endpoints. The new test failed before.

--- a/packages/daemon/nutmegchute_daemon/identities.py
+++ b/packages/daemon/nutmegchute_daemon/identities.py
@@ -60,10 +60,12 @@
         organisation = self._organisations.find(key)
         if organisation is None:
             return Deny(0, KEY_UNKNOWN)
+        # A call that waited through a change is identified twice.
+        if call.organisation is None:
+            call.fingerprint = add_organisation(
+                call.fingerprint, organisation.name
+            )
         self._name(call, organisation)
-        call.fingerprint = add_organisation(
-            call.fingerprint, organisation.name
-        )
         return None
 
     def knows(self, call: PendingCall) -> bool:
--- a/tests/test_identities.py
+++ b/tests/test_identities.py
@@ -146,6 +146,18 @@
     assert len({first, third, unknown}) == 3
 
 
+def test_call_identified_twice_keeps_its_fingerprint() -> None:
+    """Guard against another fingerprint after a change of the tree.
+
+    Other entries would not recognize the request that crashes endpoints.
+    """
+    identifier = build_identifier(cusco=["k1"])
+    once, twice = build_call(b"k1"), build_call(b"k1")
+    for call in (once, twice, twice):
+        assert identifier.identify(call, False) is None
+    assert twice.fingerprint == once.fingerprint
+
+
 def test_fingerprint_without_organisations_stays_as_it_was() -> None:
     """Tell callers apart by the header where no keys are declared.
 
