Look for a call's action without a timeout in the tests of permits

The stack showed SimpleQueue.get with a timeout of 1 ms in a wait without end: CPython 3.11 waits for ever if the timeout runs out between its two attempts to take the lock. Entries wait with a timeout of ten minutes, so calls are not affected.

--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -119,8 +119,8 @@
 
 def last_action(call: PendingCall) -> Any:
     """Return the only action of a call."""
-    action, _ = call.next_action(0.001)
-    assert call.next_action(0.001)[0] is None
+    action, _ = call.next_action(0.0)
+    assert call.next_action(0.0)[0] is None
     return action
 
 
