--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -190,9 +190,10 @@
     usual. ``failed`` marks an answer that shows a broken endpoint (a 5xx
     status other than "not run"). ``shed`` marks a "not run" sent by the
     endpoint; without it the call did not reach the endpoint. ``loss`` says
-    how an attempt was lost, ``crashed`` that the endpoint's process is
-    known to have ended with it. ``notice`` is what the endpoint's answer asks
-    of its callers, None without an answer.
+    how an attempt was lost or why no connection could be opened, ``reused``
+    that it used a connection that was open before it, ``crashed`` that the
+    endpoint's process is known to have ended with it. ``notice`` is what the
+    endpoint's answer asks of its callers, None without an answer.
     """
 
     __slots__ = (
@@ -205,6 +206,7 @@
         "loss",
         "notice",
         "outcome",
+        "reused",
         "shed",
         "stretch",
     )
@@ -222,9 +224,11 @@
         loss: str = "",
         crashed: bool = False,
         notice: Notice | None = None,
+        reused: bool = False,
     ) -> None:
         self.notice = notice
         self.loss = loss
+        self.reused = reused
         self.crashed = crashed
         self.shed = shed
         self.stretch = stretch
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -264,6 +264,7 @@
             crashed=reply.loss == CLOSED
             and self._sender.refuses_connections(send.endpoint),
             notice=reply.notice(send.process_key, send.sent_at),
+            reused=reply.reused,
         )
         self._runner.schedule(self.dispatcher.end_attempt, call, result)
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -170,6 +170,8 @@
                 _log_notice(send, result.notice)
             if result.loss:
                 send["loss"] = result.loss
+            if result.reused:
+                send["reused"] = True
             if result.crashed:
                 self._report_crash(call, send)
         self.perform(self._balancer.finish(result, self._loop.time()))
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -57,6 +57,10 @@
 # How an attempt was lost, for the log; CLOSED is one more.
 TIMED_OUT = "timed out"
 MALFORMED = "malformed answer"
+# Why no connection could be opened, so that nothing was sent.
+CONNECT_REFUSED = "connection refused"
+CONNECT_TIMED_OUT = "connection timed out"
+CONNECT_FAILED = "connection failed"
 
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _LINE_FOLD = re.compile(r"[\r\n]+[ \t]*")
@@ -135,12 +139,22 @@
         "_wait_s",
         "is_misdirected",
         "loss",
+        "reused",
     )
 
-    def __init__(self, outcome: str, latency_s: float, loss: str = "") -> None:
+    def __init__(
+        self,
+        outcome: str,
+        latency_s: float,
+        loss: str = "",
+        reused: bool = False,
+    ) -> None:
         self.is_misdirected = False
-        # How the attempt was lost; empty where it was not.
+        # How the attempt was lost or why no connection could be opened;
+        # empty where neither is so.
         self.loss = loss
+        # Whether the attempt used a connection that was open before it.
+        self.reused = reused
         self._outcome = outcome
         self._latency_s = latency_s
         self._response: HTTPResponse | None = None
@@ -389,9 +403,14 @@
         """Make one attempt and read the answer's head and first bytes."""
         started = time.monotonic()
         deadline = started + remaining_s
-        connection = self._connect(endpoint, remaining_s)
+        connection = self._connections.acquire(endpoint)
+        reused = connection is not None
         if connection is None:
-            return Reply(NOT_RUN, time.monotonic() - started)
+            try:
+                connection = self._connect(endpoint, remaining_s)
+            except (HTTPError, OSError) as error:
+                latency_s = time.monotonic() - started
+                return Reply(NOT_RUN, latency_s, _connect_failure(error))
         sock = connection.sock
         assert sock is not None
         wait_s = deadline - time.monotonic()
@@ -400,7 +419,7 @@
             # or the call ended meanwhile.
             connection.close()
             outcome = CANCELLED if exchange.ended else NOT_RUN
-            return Reply(outcome, time.monotonic() - started)
+            return Reply(outcome, time.monotonic() - started, reused=reused)
         response = None
         try:
             response = self._send_request(
@@ -422,11 +441,12 @@
             connection.close()
             latency_s = time.monotonic() - started
             if exchange.ended:
-                return Reply(CANCELLED, latency_s)
+                return Reply(CANCELLED, latency_s, reused=reused)
             reply = Reply(LOST, latency_s, _loss_reason(error))
             if isinstance(error, UnprovenRefusalError):
                 assert response is not None
                 reply.set_refusal(response, self._format)
+        reply.reused = reused
         return reply
 
     def refuses_connections(self, endpoint: str) -> bool:
@@ -446,17 +466,19 @@
             connection.close()
         return False
 
-    def _connect(self, endpoint: str, remaining_s: float) -> Connection | None:
-        connection = self._connections.acquire(endpoint)
-        if connection is not None:
-            return connection
+    def _connect(self, endpoint: str, remaining_s: float) -> Connection:
+        """Open a connection.
+
+        :raises HTTPError: it was refused or timed out
+        :raises OSError: the network failed otherwise
+        """
         timeout_s = max(MIN_TIMEOUT_S, min(CONNECT_TIMEOUT_S, remaining_s))
         connection = self._connections.create(endpoint, timeout_s)
         try:
             connection.connect()
         except (HTTPError, OSError):
             connection.close()
-            return None
+            raise
         return connection
 
     def _send_request(
@@ -545,6 +567,17 @@
     return MALFORMED
 
 
+def _connect_failure(error: Exception) -> str:
+    """Return why no connection could be opened."""
+    if isinstance(error, NewConnectionError):
+        # A subclass of the library's error for a timeout.
+        refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return CONNECT_REFUSED if refused else CONNECT_FAILED
+    if isinstance(error, (TimeoutError, HTTPTimeoutError)):
+        return CONNECT_TIMED_OUT
+    return CONNECT_FAILED
+
+
 def connection_options(value: str) -> set[str]:
     """Return the header names listed in a Connection header."""
     return {
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -16,6 +16,8 @@
 from nutmegchute_daemon.connections import ConnectionPool
 from nutmegchute_daemon.connections import Exchange
 from nutmegchute_daemon.senders import BodyRemainder
+from nutmegchute_daemon.senders import CONNECT_REFUSED
+from nutmegchute_daemon.senders import CONNECT_TIMED_OUT
 from nutmegchute_daemon.senders import MALFORMED
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
@@ -110,7 +112,9 @@
 
 def test_refused_connection_is_not_run() -> None:
     """Report "not run" if nothing listens at the address."""
-    assert EndpointClient(find_free_address()).send() == NOT_RUN
+    client = EndpointClient(find_free_address())
+    assert client.send() == NOT_RUN
+    assert client.reply.loss == CONNECT_REFUSED
 
 
 def test_connect_timeout_is_not_run() -> None:
@@ -121,7 +125,9 @@
         for one in pending:
             one.setblocking(False)
             one.connect_ex((host, port))
-        assert EndpointClient(f"{host}:{port}").send() == NOT_RUN
+        client = EndpointClient(f"{host}:{port}")
+        assert client.send() == NOT_RUN
+        assert client.reply.loss == CONNECT_TIMED_OUT
         for one in pending:
             one.close()
 
@@ -289,8 +295,9 @@
     ):
         upstream = start(behaviour)
         client = EndpointClient(upstream.address)
-        for _ in range(3):
+        for number in range(3):
             assert client.send() == ANSWERED
+            assert client.reply.reused == (number > 0)
             assert client.body()
         assert upstream.connections == 1
 
