Reproduce entries cut off from every endpoint, as known red

What callers saw: from 3 s after the cut, entries and routers that had lost their links to all endpoints served none of their first tries, the others all of them. Real processes on loopback, upstreams behind proxies that cut off single processes; entries 0 of 236 with connections that hang and 0 of 240 with connections that are reset, routers 0 of 180 in both. With new connections refused and kept ones alive all are served at this load.

--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -148,9 +148,11 @@
         self._start_control(len(self.controls), own, [*self.peers, own])
         return own
 
-    def add_upstream(self, service: str, **options: Any) -> Process:
+    def add_upstream(
+        self, service: str, address: str = "", **options: Any
+    ) -> Process:
         """Start a fake upstream; ``options`` are command-line options."""
-        address = find_free_address()
+        address = address or find_free_address()
         number = len(self.upstreams)
         command = [
             sys.executable,
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -3,7 +3,7 @@
 Usage:
   upstreams --service=NAME --address=ADDRESS
       --zone=NAME --entries=ADDRESSES [--slots=N] [--service-ms=MS]
-      [--key=KEY] [--record=PATH] [--reset-at=N]
+      [--key=KEY] [--record=PATH] [--reset-at=N] [--announce-as=ADDRESS]
 
 Options:
   --service=NAME       Service to announce.
@@ -15,6 +15,7 @@
   --key=KEY            Key of the service, sent with announcements.
   --record=PATH        File that gets a line per run, kept after a kill.
   --reset-at=N         Calls in flight at which further ones are reset.
+  --announce-as=ADDRESS  Address to announce, that of a proxy.
 
 A call to CRASH_PATH is recorded and ends the process. A JSON object sent to
 DEMANDS_PATH sets what the upstream asks of entries in all its answers, a GET
@@ -316,7 +317,7 @@
     slots = int(arguments["--slots"])
     upstream = FakeUpstream(
         service=arguments["--service"],
-        address=arguments["--address"],
+        address=arguments["--announce-as"] or arguments["--address"],
         zone=arguments["--zone"],
         slots=slots,
         service_s=float(arguments["--service-ms"]) / 1000,
--- /dev/null
+++ b/tests/test_cut_off_entries_wire.py
@@ -0,0 +1,217 @@
+"""Test over loopback that entries cut off from all endpoints serve calls."""
+
+import itertools
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+
+import pytest
+from nutmegchute_fakes.clusters import Cluster
+from nutmegchute_fakes.clusters import find_free_address
+from nutmegchute_fakes.clusters import OPERATOR_KEY
+from nutmegchute_fakes.demo import apply_declaration
+from nutmegchute_fakes.demo import build_declaration
+from nutmegchute_fakes.partitions import FORMS
+from nutmegchute_fakes.partitions import Partitions
+from platform_standins import Endpoint
+from platform_standins import send_request
+from platform_standins import Site
+from platform_standins import wait_for
+from test_platform_wire import build_configuration
+from test_platform_wire import HeartbeatSender
+from test_platform_wire import LOAN
+from test_platform_wire import LOOK
+from test_rate_limits_wire import has_accepted
+from test_rate_limits_wire import lists_all
+
+ZONES = ["miraflores", "san-isidro", "surco"]
+ENTRIES = 6
+# Entries of all three zones.
+CUT = (0, 1, 2, 3)
+ROUTERS = 4
+CUT_ROUTERS = (1, 2, 3)
+# The bound holds from this time after the cut began.
+CONTACT_S = 3.0
+MEASURED_S = 3.0
+CALL_GAP_S = 0.05
+CALLERS = 200
+HTTP_OK = 200
+# First tries at cut-off entries are served this much of the time that the
+# others' are, or this many of all first tries may fail there.
+SERVED_SHARE = 2 / 3
+ALLOWED_FAILURES = 10
+ALLOWED_FAILED_SHARE = 1 / 50
+
+# Sends one request to the entry of a number and returns the status.
+Call = Callable[[int], int]
+
+
+@pytest.fixture
+def partitions() -> Iterator[Partitions]:
+    """Run proxies that cut processes off."""
+    found = Partitions()
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def cluster(tmp_path: Path, partitions: Partitions) -> Iterator[Cluster]:
+    """Run entries in three zones, and upstreams behind proxies."""
+    found = Cluster(tmp_path, ZONES)
+    try:
+        found.start(3, ENTRIES, entries_keep_s=1.0)
+        controls = [one.address for one in found.controls]
+        document = build_declaration(2000)
+        apply_declaration(tmp_path, document, controls, OPERATOR_KEY)
+        for number in range(ENTRIES):
+            address = find_free_address()
+            found.add_upstream(
+                "prestamos",
+                address,
+                announce_as=partitions.add_proxy(address),
+                record=tmp_path / f"ran-{number}",
+            )
+        for number, entry in enumerate(found.entries):
+            found.wait_for(entry.name, partial(lists_all, found, entry))
+            call = partial(call_entry, found, number)
+            wait_for(lambda call=call: call() == HTTP_OK, entry.name)
+        yield found
+    finally:
+        found.stop()
+
+
+def call_entry(cluster: Cluster, number: int) -> int:
+    """Send a lookup to an entry; return its status, 0 without an answer."""
+    url = f"http://{cluster.entries[number].address}/call/prestamos/shelf"
+    answer = send_request("GET", url)
+    return 0 if answer is None else answer.status
+
+
+class FirstTries:
+    """Send requests to every entry at a steady rate and count the served.
+
+    A caller stays at its entry, and a request that fails is not repeated.
+    """
+
+    def __init__(self, call: Call, entries: int, cut: Collection[int]) -> None:
+        self._call = call
+        self._cut = cut
+        self._entries = entries
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._measured = threading.Event()
+        self.sent: Counter[bool] = Counter()
+        self.served: Counter[bool] = Counter()
+        self._threads = ThreadPoolExecutor(CALLERS)
+        self._pacer = threading.Thread(target=self._run)
+        self._pacer.start()
+
+    def measure(self) -> None:
+        """Count from CONTACT_S on, for MEASURED_S, and stop."""
+        time.sleep(CONTACT_S)
+        self._measured.set()
+        time.sleep(MEASURED_S)
+        self.stop()
+
+    def stop(self) -> None:
+        """Send no more requests."""
+        self._stop.set()
+        self._pacer.join()
+        self._threads.shutdown()
+
+    @property
+    def within_bound(self) -> bool:
+        """Return whether the cut-off entries served enough first tries."""
+        failed = self.sent[True] - self.served[True]
+        total = self.sent[True] + self.sent[False]
+        if failed <= ALLOWED_FAILURES + total * ALLOWED_FAILED_SHARE:
+            return True
+        cut_share = self.served[True] / max(1, self.sent[True])
+        other_share = self.served[False] / max(1, self.sent[False])
+        return cut_share >= SERVED_SHARE * other_share
+
+    def _run(self) -> None:
+        # A request that hangs does not delay the next ones.
+        while not self._stop.wait(CALL_GAP_S):
+            for number in range(self._entries):
+                self._threads.submit(
+                    self._send, number, self._measured.is_set()
+                )
+
+    def _send(self, number: int, measured: bool) -> None:
+        served = self._call(number) == HTTP_OK
+        if not measured:
+            return
+        is_cut = number in self._cut
+        with self._lock:
+            self.sent[is_cut] += 1
+            self.served[is_cut] += served
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("form", FORMS)
+def test_cut_off_entry_serves_calls(
+    cluster: Cluster, partitions: Partitions, form: str
+) -> None:
+    """Guard against callers refused by entries that lost every upstream."""
+    tries = FirstTries(partial(call_entry, cluster), ENTRIES, CUT)
+    try:
+        time.sleep(0.5)
+        partitions.cut([cluster.entries[one].pid for one in CUT], form)
+        tries.measure()
+    finally:
+        tries.stop()
+    print(form, dict(tries.served), dict(tries.sent))
+    assert tries.within_bound, f"{tries.served} served of {tries.sent}"
+
+
+NAMES = itertools.count()
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("form", FORMS)
+def test_cut_off_router_serves_requests(
+    tmp_path: Path, partitions: Partitions, form: str
+) -> None:
+    """Guard against the same failure through the platform's interface."""
+    site = Site(tmp_path, 1, ROUTERS)
+    endpoints = [
+        Endpoint(f"i-{number}", "desk") for number in range(1, ROUTERS + 1)
+    ]
+    for endpoint in endpoints:
+        endpoint.address = partitions.add_proxy(endpoint.address)
+    heartbeats = HeartbeatSender(site, *endpoints)
+
+    def call(number: int) -> int:
+        answer = site.request("/look/1", f"cut-{next(NAMES)}", number)
+        return 0 if answer is None else int(answer.status)
+
+    try:
+        site.start_all()
+        configuration = build_configuration(1, 0, LOAN, LOOK)
+        wait_for(partial(has_accepted, site, configuration), "r1")
+        for number in range(ROUTERS):
+            wait_for(lambda: call(number) == HTTP_OK, f"router {number}")
+        pids = [
+            site.processes[site.routers[number]].pid for number in CUT_ROUTERS
+        ]
+        tries = FirstTries(call, ROUTERS, CUT_ROUTERS)
+        try:
+            time.sleep(0.5)
+            partitions.cut(pids, form)
+            tries.measure()
+        finally:
+            tries.stop()
+        print(form, dict(tries.served), dict(tries.sent))
+        assert tries.within_bound, f"{tries.served} served of {tries.sent}"
+    finally:
+        heartbeats.stop()
+        site.stop()
+        for endpoint in endpoints:
+            endpoint.stop()
