Cut entries off from upstreams in the soak

Upstreams run behind proxies that hang, reset or refuse the connections of one entry for 0.5 to 4 s, beside and across the other faults.

--- a/packages/fakes/nutmegchute_fakes/faults.py
+++ b/packages/fakes/nutmegchute_fakes/faults.py
@@ -8,11 +8,15 @@
 
 from .clusters import Cluster
 from .clusters import Process
+from .partitions import FORMS
+from .partitions import Partitions
 
 KILL = "kill"
 FREEZE = "freeze"
 DRAIN = "drain"
 RACE = "race"
+# An entry loses its links to all upstreams, in one of FORMS.
+CUT = "cut"
 
 INTERVAL_S = (0.3, 2.0)
 DOWN_S = (0.5, 4.0)
@@ -25,6 +29,8 @@
     ("entry", KILL),
     ("entry", FREEZE),
     ("entry", DRAIN),
+    ("entry", CUT),
+    ("entry", CUT),
     ("upstream", KILL),
     ("upstream", KILL),
     ("upstream", FREEZE),
@@ -38,11 +44,18 @@
 class Fault:
     """Hold the kind of a fault, its process, its start and its duration."""
 
-    __slots__ = ("at_s", "down_s", "index", "kind", "role")
+    __slots__ = ("at_s", "down_s", "form", "index", "kind", "role")
 
     def __init__(
-        self, at_s: float, role: str, index: int, kind: str, down_s: float
+        self,
+        at_s: float,
+        role: str,
+        index: int,
+        kind: str,
+        down_s: float,
+        form: str = "",
     ) -> None:
+        self.form = form
         self.at_s = at_s
         self.role = role
         self.index = index
@@ -51,8 +64,9 @@
 
     def __str__(self) -> str:
         """Return the fault in one line."""
+        kind = f"{self.kind} {self.form}" if self.form else self.kind
         return (
-            f"{self.at_s:6.2f} s {self.kind} {self.role}-{self.index + 1} "
+            f"{self.at_s:6.2f} s {kind} {self.role}-{self.index + 1} "
             f"for {self.down_s:.2f} s"
         )
 
@@ -67,7 +81,8 @@
         role, kind = random.choice(FAULT_CHOICES)
         index = random.randrange(sizes.get(role, 1))
         down_s = random.uniform(*DOWN_S)
-        faults.append(Fault(at_s, role, index, kind, down_s))
+        form = random.choice(FORMS) if kind == CUT else ""
+        faults.append(Fault(at_s, role, index, kind, down_s, form))
         at_s += random.uniform(*INTERVAL_S)
     return faults
 
@@ -106,8 +121,15 @@
     """Inject faults on time and repair each after its down time."""
 
     def __init__(
-        self, cluster: Cluster, faults: list[Fault], race: Callable[[], None]
+        self,
+        cluster: Cluster,
+        faults: list[Fault],
+        race: Callable[[], None],
+        partitions: Partitions,
     ) -> None:
+        self._partitions = partitions
+        # When each cut of an entry ends, by its process id.
+        self._cuts: dict[int, float] = {}
         self._processes = {
             "entry": cluster.entries,
             "control": cluster.controls,
@@ -124,8 +146,9 @@
     def run(self) -> None:
         """Inject all faults; all processes run again when it returns."""
         started = time.monotonic()
-        while self._faults or self._repairs:
+        while self._faults or self._repairs or self._cuts:
             self._now = time.monotonic() - started
+            self._heal_links()
             self._schedule_restarts()
             self._run_repairs()
             if self._faults and self._faults[0].at_s <= self._now:
@@ -138,6 +161,12 @@
             threading.Thread(target=self._race, daemon=True).start()
             return
         process = self._processes[fault.role][fault.index]
+        if fault.kind == CUT:
+            # Overlaps with the other faults of the entry.
+            self._cuts[process.pid] = self._now + fault.down_s
+            self._partitions.cut([process.pid], fault.form)
+            self._note_fault(process)
+            return
         if process.name in self._under_repair or not process.is_running:
             return
         self._under_repair.add(process.name)
@@ -151,6 +180,12 @@
         repair_at = self._now + fault.down_s
         self._repairs.append(Repair(process, fault.kind, repair_at))
 
+    def _heal_links(self) -> None:
+        for pid, until in list(self._cuts.items()):
+            if self._now >= until:
+                del self._cuts[pid]
+                self._partitions.heal([pid])
+
     def _schedule_restarts(self) -> None:
         """Schedule a restart of each upstream that exited by itself."""
         for process in self._processes["upstream"]:
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -53,6 +53,7 @@
 from .callers import UNKNOWN
 from .callers import WRONG
 from .clusters import Cluster
+from .clusters import find_free_address
 from .clusters import OPERATOR_KEY
 from .clusters import Process
 from .demands import Demander
@@ -72,6 +73,7 @@
 from .organisations import OrganisationRun
 from .organisations import SMALL
 from .organisations import SMALL_KEY
+from .partitions import Partitions
 from .upstreams import CRASH_PATH
 from .upstreams import KEY_PREFIX
 from .upstreams import RESET_LINE
@@ -199,6 +201,7 @@
         self._seconds = seconds
         self._rate = rate
         self._cluster = Cluster(folder, ZONES)
+        self._partitions = Partitions()
         self._records: list[RequestRecord] = []
         self._lock = threading.Lock()
         self._evacuator: Evacuator | None = None
@@ -220,11 +223,13 @@
             self._run_load(faults)
         finally:
             self._cluster.stop()
+            self._partitions.stop()
         return self._check_outcomes()
 
     def _start(self) -> None:
         cluster = self._cluster
         cluster.start(CONTROLS, ENTRIES, entries_keep_s=1.0)
+        self._partitions.track(lambda: [one.pid for one in cluster.entries])
         self._apply(2000)
         self._keys = KeyChanger(
             self._folder / "keys",
@@ -236,8 +241,17 @@
             service = "prestamos" if number % 2 else "catalogo"
             record = self._folder / f"ran-{number}"
             options = RESETTING if number == UPSTREAMS - 1 else {}
+            address = find_free_address()
+            proxy = self._partitions.add_proxy(address)
             cluster.add_upstream(
-                service, **{"service_ms": 5, "record": record, **options}
+                service,
+                **{
+                    "address": address,
+                    "announce_as": proxy,
+                    "service_ms": 5,
+                    "record": record,
+                    **options,
+                },
             )
         for entry in cluster.entries:
             cluster.wait_for(
@@ -250,7 +264,9 @@
         return status is not None and len(status["upstreams"]) == UPSTREAMS
 
     def _run_load(self, faults: list[Fault]) -> None:
-        injector = FaultInjector(self._cluster, faults, self._race)
+        injector = FaultInjector(
+            self._cluster, faults, self._race, self._partitions
+        )
         count = int(self._rate * (self._seconds + RECOVERY_S))
         with ThreadPoolExecutor(CALLERS) as pool:
             started = time.monotonic()
