--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -336,9 +336,6 @@
             result.crashed = False
         if self._relays.record_attempt(address, result, now):
             actions.extend(self._relays.begin_check(now))
-        self._apply_link_changes(now, actions)
-        if result.call_id not in self._calls:
-            return actions
         full = False
         if pool is not None:
             process = ""
@@ -353,6 +350,8 @@
         if pool is not None:
             self._dispatch(pool, now, actions)
             self._schedule_expiry(pool, call)
+        # Only now, as the call above may have run.
+        self._apply_link_changes(now, actions)
         return actions
 
     def apply_quarantine(
@@ -988,10 +987,17 @@
         return not self.demands.rate_limits.is_limited(endpoint)
 
     def _pass_on(self, call: Call, now: float) -> Action | None:
-        """Pass a call to a helper or refuse it, unless it may wait here."""
+        """Pass a call to a helper or refuse it, unless it may wait here.
+
+        It may wait only where no helper is known: otherwise it has neither a
+        permit nor a claim of this entry.
+        """
         if self._relays.may_pass_on(call, now):
             return self._relays.send(call, now)
-        if self._relays.reachability.hears(now) and not call.is_relayed:
+        is_alone = not call.helpers and not self.has_helper(now)
+        links = self._relays.reachability
+        may_serve = links.hears(now) or not links.is_certain
+        if is_alone and may_serve and not call.is_relayed:
             # Connections that are still open may serve it.
             return None
         del self._calls[call.call_id]
@@ -1030,45 +1036,27 @@
         if result.outcome != NOT_RUN:
             call.may_have_run = True
         if call.may_have_run or call.is_withdrawn or is_elsewhere(result):
-            self._finish_unserved(pool, call, result, now, actions)
+            actions.append(self._finish_unserved(pool, call, now))
             return
         del self._calls[call.call_id]
         call.step("refuse")
         actions.append(final_action(call, result))
 
     def _finish_unserved(
-        self,
-        pool: Pool | None,
-        call: Call,
-        result: Result,
-        now: float,
-        actions: list[Action],
-    ) -> None:
-        """Pass a call that a helper could not serve elsewhere, or end it."""
+        self, pool: Pool | None, call: Call, now: float
+    ) -> Action:
+        """Pass a call that a helper could not serve to another, or end it."""
         if call.is_withdrawn:
-            actions.append(self._deny_or_lose(pool, call, now))
-            return
+            return self._deny_or_lose(pool, call, now)
+        if not call.may_have_run and self._relays.may_pass_on(call, now):
+            return self._relays.send(call, now)
+        del self._calls[call.call_id]
         if call.may_have_run:
             # The helper has made the retries that the call may have.
-            del self._calls[call.call_id]
             call.step("lose")
-            actions.append(Lose(call.call_id, "no answer from another entry"))
-            return
-        if self.is_cut_off:
-            passed_on = self._pass_on(call, now)
-            if passed_on is not None:
-                actions.append(passed_on)
-                return
-        call.step("retry")
-        if pool is None:
-            actions.append(
-                self._refuse_or_lose(None, call, now, "unknown service")
-            )
-            return
-        self._enqueue(pool, call)
-        self._dispatch(pool, now, actions, call.call_id)
-        self._schedule_expiry(pool, call)
-        self._schedule_requery(pool, call, now)
+            return Lose(call.call_id, "no answer from another entry")
+        call.step("refuse")
+        return self._relays.refuse(call)
 
     def _apply_link_changes(self, now: float, actions: list[Action]) -> None:
         """Act on a loss or a return of the links to all endpoints."""
--- a/packages/core/nutmegchute_core/reachability.py
+++ b/packages/core/nutmegchute_core/reachability.py
@@ -26,6 +26,9 @@
 # queried in each.
 RECHECK_S = 0.25
 RECHECK_SIZE = 2
+# Time since the last answer after which endpoints that take connections and
+# stay silent count as lost.
+SILENT_S = 1.2
 # How long after an answer on an open connection such connections are taken
 # to work.
 HEARD_S = 0.5
@@ -84,6 +87,7 @@
         "_contact_at",
         "_endpoints",
         "_failures",
+        "_is_certain",
         "_is_due",
         "_may_query",
         "_new_failures",
@@ -109,6 +113,8 @@
         self._new_failures: dict[str, float] = {}
         self._failures: dict[str, float] = {}
         self._contact_at = -inf
+        # Whether the last check found no connection at all.
+        self._is_certain = False
         # Whether a check is due at _check_at.
         self._is_due = False
         self._check_at = -inf
@@ -125,6 +131,14 @@
         """Return whether no endpoint takes a new connection."""
         return self._state == CUT_OFF
 
+    @property
+    def is_certain(self) -> bool:
+        """Return whether a call sent from here would find no connection.
+
+        Otherwise endpoints took connections and did not answer in time.
+        """
+        return self._is_certain
+
     @property
     def is_suspected(self) -> bool:
         """Return whether a check is under way."""
@@ -243,6 +257,7 @@
         if self._state != CUT_OFF:
             return []
         self._queried = set()
+        self._results = []
         self._check_at = now + RECHECK_S
         return self._begin_round(RECHECK_SIZE, now)
 
@@ -258,6 +273,7 @@
 
     def _end_round(self, now: float) -> list[LinkCheck]:
         if self._state == CUT_OFF:
+            self._is_certain = SILENT not in self._results
             self._check_at = now + RECHECK_S
             return []
         if self._state != SUSPECTED:
@@ -267,8 +283,10 @@
             found = self._begin_round(ROUNDS[self._round], now)
             if found:
                 return found
-        if SILENT in self._results and self.hears(now):
-            # Full endpoints close new connections and answer on open ones.
+        self._is_certain = SILENT not in self._results
+        if not self._is_certain and now - self._contact_at <= SILENT_S:
+            # Full endpoints close new connections and answer on open ones;
+            # busy ones answer late.
             self._connect(now)
             return []
         self._state = CUT_OFF
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -122,6 +122,7 @@
             name=settings.name,
             body_bytes=settings.request_body_bytes,
             threads=settings.http_threads,
+            relay_connections=self._connections,
         )
         self._prober = Prober(
             self._runner, Sender(self._connections), LOAD_PATH
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -152,6 +152,7 @@
             body_bytes=settings.request_body_bytes,
             threads=settings.http_threads,
             call_format=self._format,
+            relay_connections=self._connections,
         )
         self._prober = Prober(
             self._runner, Sender(self._connections, self._format)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -172,6 +172,19 @@
     assert isinstance(refuse, Refuse)
 
 
+def test_call_that_comes_back_is_not_sent_from_here() -> None:
+    """Guard against a call without a permit once the links are back."""
+    entry = Entry(helpers=1)
+    entry.lose_links()
+    (relay,) = entry.arrive("POST")
+    entry.lost = False
+    entry.now += 1.0
+    entry.settle(entry.balancer.tick(entry.now))
+    assert not entry.balancer.is_cut_off
+    (refuse,) = entry.end(relay, NOT_RUN)
+    assert isinstance(refuse, Refuse)
+
+
 def test_refusal_by_a_helper_is_the_answer() -> None:
     """Guard against a call that several helpers refuse under overload."""
     entry = Entry()
