--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -303,8 +303,8 @@
             )
         if self.role != "control" and self.relay_address is None:
             found.append(
-                "relay_address: none, so this entry neither helps entries "
-                "that reach no endpoint nor is helped"
+                "relay_address: none, so this entry serves no calls of "
+                "entries that reach no endpoint"
             )
         if self._seeds:
             return found
