--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Answers that endpoints break off, some of them within the head."""
+"""Late second copies of rejections while unsafe requests are sent."""
 
 import os
 import random
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from clients import Clients  # noqa: E402
+from clients import judge_unsafe  # noqa: E402
 from deployment import CannotRunError  # noqa: E402
 from deployment import configuration  # noqa: E402
 from deployment import Deployment  # noqa: E402
@@ -23,84 +24,53 @@
 from runner import main  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# The default dose of garble, which is also the largest of its plain variant.
-SHARE = 0.5
-X = 0.02
+# The largest dose of garble "extra late" on the site: share and x.
+SHARE = 0.6
+X = 0.03
 GARBLE_S = 5.0
-CYCLE_S = 6.0
-LENGTH_S = 40.0
+# The largest dose of srv_grey "shed" on the site, of all endpoints.
+SHED_X = 0.55
+SHED_S = 8.5
+CYCLE_S = 10.0
+CLIENTS = 36
+LENGTH_S = 45.0
+
+
+def cycle_s():
+    """Return the time since the present cycle of disruptions began."""
+    return (time.monotonic() - STARTED) % CYCLE_S
+
+
 STARTED = time.monotonic()
 
 
-class SoundEndpoint(Endpoint):
-    """Write the head in the order of the example in PROTOCOL.md."""
-
-    def head(self, status, request, length, **headers):
-        lines = [f"HTTP/1.1 {status} X"]
-        if request.request_id:
-            lines.append(f"Request-Id: {request.request_id}")
-        for name, value in headers.items():
-            lines.append(f"{name.replace('_', '-')}: {value}")
-        lines.append(f"Instance-Id: {self.instance}")
-        lines.append(f"Instance-Load: {self.load()}")
-        lines.append(f"Keep-Alive: timeout={int(self.idle_s)}")
-        lines.append(f"Content-Length: {length}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-    async def answer(self, request, writer, state, data, status):
-        if status == 200:
-            head, _, body = data.partition(b"\r\n\r\n")
-            signature = [
-                line.partition(b": ")[2].decode()
-                for line in head.split(b"\r\n")
-                if line.lower().startswith(b"server-signature:")
-            ][0]
-            with self.farm.lock:
-                self.farm.sent = getattr(self.farm, "sent", {})
-                known = self.farm.sent.setdefault(request.request_id, [])
-                known.append((signature, body))
-        await super().answer(request, writer, state, data, status)
-
-
-class FaultyEndpoint(SoundEndpoint):
-    """Break off a part of the answers at any byte and close."""
-
-    async def _write(self, writer, data):
-        if b"Server-Signature" in data:
-            since = (time.monotonic() - STARTED) % CYCLE_S
-            if since < GARBLE_S and self.random.random() < X:
-                length = self.random.randrange(1, len(data))
-                head = data.index(b"\r\n\r\n")
-                part = "head" if length < head + 4 else "body"
-                self.farm.record.write(
-                    f"broken off in the {part} after {length} of {len(data)} "
-                    f"bytes at {self.instance}: {data[:length][-60:]!r}"
-                )
-                writer.write(data[:length])
-                await writer.drain()
-                writer.close()
-                raise ConnectionResetError
-        await super()._write(writer, data)
-
-
-def judge(clients, farm, record):
-    """Return the successes that are not an endpoint's whole answer."""
-    broken = []
-    for request_id, (_, path, found, _, _) in clients.answers.items():
-        if not 200 <= found.status < 300 or not found.complete:
-            continue
-        # A safe request may have been sent to two endpoints.
-        answers = farm.sent.get(request_id, [])
-        shown = found.headers.get("server-signature", "")
-        if (shown, found.body) not in answers:
-            broken.append(
-                f"MIXED {request_id} {path} got a complete {found.status} "
-                f"with signature {shown!r} and body {found.body!r}, the "
-                f"endpoints' whole answers were {answers!r}"
-            )
-    for line in broken:
-        record.write(f"broken {line}")
-    return broken
+class SheddingEndpoint(Endpoint):
+    """Reject part of the requests, while the health check is good."""
+
+    def should_reject(self, request):
+        return cycle_s() < SHED_S and self.random.random() < SHED_X
+
+
+class FaultyEndpoint(SheddingEndpoint):
+    """Send a part of the answers a second time, late.
+
+    The copy arrives where the next answer on the connection is expected.
+    """
+
+    async def after_answer(self, request, writer, state, data, status):
+        if cycle_s() < GARBLE_S and self.random.random() < X:
+            state["extra"] = (request.request_id, status, data)
+
+    async def before_answer(self, request, writer, state):
+        extra = state.pop("extra", None)
+        if extra is None:
+            return
+        old, status, data = extra
+        self.farm.record.write(
+            f"extra copy of the {status} to {old} at {self.instance} "
+            f"before the answer to {request.request_id}"
+        )
+        await self._write(writer, data)
 
 
 def run(record):
@@ -109,25 +79,23 @@
     clients = Clients(deployment, record)
     try:
         deployment.start_all()
-        routes = [
-            route("shelf", "safe", "desk"),
-            route("loan", "unsafe", "desk"),
-        ]
+        routes = [route("loan", "unsafe", "desk")]
         body = configuration(1, 0, ["desk"], routes)
         found = order(deployment, "POST", "/Config.Replace", body)
         if found.status != 200:
             raise CannotRunError(f"configuration: {found.status}")
-        total = 6
+        total = 5
         for number in range(total):
-            faulty = TROUBLE and number < int(SHARE * total)
-            kind = FaultyEndpoint if faulty else SoundEndpoint
+            kind = SheddingEndpoint if TROUBLE else Endpoint
+            if TROUBLE and number < int(SHARE * total):
+                kind = FaultyEndpoint
             farm.add(
                 kind(
                     farm,
                     "desk",
                     f"{deployment.prefix}.{201 + number}",
                     ZONES[number % 3],
-                    work_ms=(30.0, 90.0),
+                    work_ms=(80.0, 240.0),
                     seed=random.getrandbits(32),
                 )
             )
@@ -139,13 +107,13 @@
                 ),
                 f"router {number} serves",
             )
-        clients.start(6, "GET", ["/shelf/1", "/shelf/2"], lambda: 0.04)
-        clients.start(6, "POST", ["/loan/1"], lambda: 0.04)
+        clients.start(CLIENTS, "POST", ["/loan/1"], lambda: 0.15)
         time.sleep(LENGTH_S)
         clients.stop()
-        time.sleep(0.5)
-        broken = judge(clients, farm, record)
-        return finish(record, clients, deployment, broken)
+        time.sleep(1.0)
+        broken = judge_unsafe(clients, farm, record)
+        note = f"rejected by endpoints {sum(map(len, farm.rejected.values()))}"
+        return finish(record, clients, deployment, broken, note)
     finally:
         clients.stopping.set()
         farm.stop()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,5 @@
-"""Routers are killed while they pass on answers that have no length."""
+"""Answers that endpoints break off, some of them within the head."""
 
-import asyncio
 import os
 import random
 import sys
@@ -24,61 +23,64 @@
 from runner import main  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Dose of garble "unframed" on the site; the share is the default.
+# The default dose of garble, which is also the largest of its plain variant.
 SHARE = 0.5
-X = 0.05
-# Share of the routers that herd_kill ends at once on the site.
-ROUTERS = 5
-KILLED = 2
-# Answers without a length are given for UNFRAMED_S of each cycle, and the
-# routers are killed within that time.
+X = 0.02
+GARBLE_S = 5.0
 CYCLE_S = 6.0
-UNFRAMED_S = 5.0
-KILL_AT_S = 4.0
-DOWN_S = 0.5
-LENGTH_S = 90.0
-PIECES = 8
-PIECE_BYTES = 1500
+LENGTH_S = 40.0
+STARTED = time.monotonic()
 
 
-class StreamingEndpoint(Endpoint):
-    """Send each answer in pieces, as it is produced.
+class SoundEndpoint(Endpoint):
+    """Write the head in the order of the example in PROTOCOL.md."""
 
-    A part of the answers of some endpoints has no length and ends with the
-    connection.
-    """
-
-    unframed = 0.0
+    def head(self, status, request, length, **headers):
+        lines = [f"HTTP/1.1 {status} X"]
+        if request.request_id:
+            lines.append(f"Request-Id: {request.request_id}")
+        for name, value in headers.items():
+            lines.append(f"{name.replace('_', '-')}: {value}")
+        lines.append(f"Instance-Id: {self.instance}")
+        lines.append(f"Instance-Load: {self.load()}")
+        lines.append(f"Keep-Alive: timeout={int(self.idle_s)}")
+        lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     async def answer(self, request, writer, state, data, status):
-        if status != 200:
-            await super().answer(request, writer, state, data, status)
-            return
-        lines = [
-            f"{self.instance} {request.request_id} {n} " for n in range(PIECES)
-        ]
-        pieces = [(one * PIECE_BYTES)[:PIECE_BYTES].encode() for one in lines]
-        body = b"".join(pieces)
-        signature = f"s.{self.instance}"
-        with self.farm.lock:
-            known = self.farm.sent.setdefault(request.request_id, [])
-            known.append((signature, body))
-        head = self.head(200, request, len(body), Server_Signature=signature)
-        is_due = (time.monotonic() - self.farm.since) % CYCLE_S < UNFRAMED_S
-        without = is_due and self.random.random() < self.unframed
-        if without:
-            length = f"Content-Length: {len(body)}\r\n".encode()
-            head = head.replace(length, b"Connection: close\r\n")
-            self.farm.record.write(
-                f"answer without length to {request.request_id} at "
-                f"{self.instance}"
-            )
-        await self._write(writer, head)
-        for piece in pieces:
-            await self._write(writer, piece)
-            await asyncio.sleep(0.05)
-        if without:
-            state["close"] = True
+        if status == 200:
+            head, _, body = data.partition(b"\r\n\r\n")
+            signature = [
+                line.partition(b": ")[2].decode()
+                for line in head.split(b"\r\n")
+                if line.lower().startswith(b"server-signature:")
+            ][0]
+            with self.farm.lock:
+                self.farm.sent = getattr(self.farm, "sent", {})
+                known = self.farm.sent.setdefault(request.request_id, [])
+                known.append((signature, body))
+        await super().answer(request, writer, state, data, status)
+
+
+class FaultyEndpoint(SoundEndpoint):
+    """Break off a part of the answers at any byte and close."""
+
+    async def _write(self, writer, data):
+        if b"Server-Signature" in data:
+            since = (time.monotonic() - STARTED) % CYCLE_S
+            if since < GARBLE_S and self.random.random() < X:
+                length = self.random.randrange(1, len(data))
+                head = data.index(b"\r\n\r\n")
+                part = "head" if length < head + 4 else "body"
+                self.farm.record.write(
+                    f"broken off in the {part} after {length} of {len(data)} "
+                    f"bytes at {self.instance}: {data[:length][-60:]!r}"
+                )
+                writer.write(data[:length])
+                await writer.drain()
+                writer.close()
+                raise ConnectionResetError
+        await super()._write(writer, data)
 
 
 def judge(clients, farm, record):
@@ -87,25 +89,23 @@
     for request_id, (_, path, found, _, _) in clients.answers.items():
         if not 200 <= found.status < 300 or not found.complete:
             continue
+        # A safe request may have been sent to two endpoints.
         answers = farm.sent.get(request_id, [])
         shown = found.headers.get("server-signature", "")
-        if (shown, found.body) in answers:
-            continue
-        broken.append(
-            f"MIXED {request_id} {path} got {found.status}, ended without a "
-            f"reset, with {len(found.body)} of "
-            f"{[len(body) for _, body in answers]} bytes"
-        )
+        if (shown, found.body) not in answers:
+            broken.append(
+                f"MIXED {request_id} {path} got a complete {found.status} "
+                f"with signature {shown!r} and body {found.body!r}, the "
+                f"endpoints' whole answers were {answers!r}"
+            )
     for line in broken:
         record.write(f"broken {line}")
     return broken
 
 
 def run(record):
-    deployment = Deployment(record, controls=3, routers=ROUTERS)
+    deployment = Deployment(record, controls=3, routers=3)
     farm = Farm(deployment, record)
-    farm.sent = {}
-    farm.since = time.monotonic()
     clients = Clients(deployment, record)
     try:
         deployment.start_all()
@@ -117,20 +117,21 @@
         found = order(deployment, "POST", "/Config.Replace", body)
         if found.status != 200:
             raise CannotRunError(f"configuration: {found.status}")
-        total = 20
+        total = 6
         for number in range(total):
-            endpoint = StreamingEndpoint(
-                farm,
-                "desk",
-                f"{deployment.prefix}.{201 + number}",
-                ZONES[number % 3],
-                work_ms=(20.0, 60.0),
-                seed=random.getrandbits(32),
+            faulty = TROUBLE and number < int(SHARE * total)
+            kind = FaultyEndpoint if faulty else SoundEndpoint
+            farm.add(
+                kind(
+                    farm,
+                    "desk",
+                    f"{deployment.prefix}.{201 + number}",
+                    ZONES[number % 3],
+                    work_ms=(30.0, 90.0),
+                    seed=random.getrandbits(32),
+                )
             )
-            if number < SHARE * total:
-                endpoint.unframed = X
-            farm.add(endpoint)
-        for number in range(ROUTERS):
+        for number in range(3):
             wait_until(
                 lambda number=number: (
                     clients.send("POST", "/loan/ready", number)[1].status
@@ -138,29 +139,13 @@
                 ),
                 f"router {number} serves",
             )
-        clients.start(40, "GET", ["/shelf/1", "/shelf/2"], lambda: 0.1)
-        clients.start(40, "POST", ["/loan/1"], lambda: 0.1)
-        farm.since = time.monotonic()
-        turn = 0
-        for cycle in range(int(LENGTH_S / CYCLE_S)):
-            kill_at = farm.since + cycle * CYCLE_S + KILL_AT_S
-            time.sleep(max(0.0, kill_at - time.monotonic()))
-            if not TROUBLE:
-                continue
-            killed = []
-            for _ in range(KILLED):
-                killed.append(deployment.routers[turn % ROUTERS])
-                turn += 1
-            for ip in killed:
-                deployment.kill(ip)
-            time.sleep(DOWN_S)
-            for ip in killed:
-                deployment.start(ip)
-        time.sleep(CYCLE_S - KILL_AT_S)
+        clients.start(6, "GET", ["/shelf/1", "/shelf/2"], lambda: 0.04)
+        clients.start(6, "POST", ["/loan/1"], lambda: 0.04)
+        time.sleep(LENGTH_S)
         clients.stop()
         time.sleep(0.5)
         broken = judge(clients, farm, record)
-        return finish(record, clients, deployment, broken, f"kills {turn}")
+        return finish(record, clients, deployment, broken)
     finally:
         clients.stopping.set()
         farm.stop()
