Log which request an answer names, and by what a call is taken as not run

The record of the incident could not tell a rejection of the request itself from one of another request, a new connection from a kept one, or a refusal after an answer from one of the entry's own. The metric misnamed counts answers that name another request, none or several; explain prints what the caller got. Nothing decides by it yet.

Test: tests/test_platform_answers.py, eight forms of naming over a kept connection.

--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -164,9 +164,18 @@
         f"{call.get('timestamp', '')} {call.get('daemon', '')}: "
         f"route {call['route'] or '-'}, service {call['service'] or '-'}, "
         f"{call['ms']} ms, status {call['status']}: {meaning}{reason}"
+        f"{_describe_told(call)}"
     )
 
 
+def _describe_told(call: Line) -> str:
+    """Return what the caller was told, as far as the line says it."""
+    told = call.get("told")
+    if told is None:
+        return ""
+    return f"; the caller got {told or 'no answer'}"
+
+
 def _find_last(
     lines: list[Line],
     number: str,
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -4,6 +4,7 @@
 
 from .charts import Chart
 from .charts import load_chart
+from .evidence import Evidence
 from .members import ProcessKey
 from .notices import Notice
 from .organisations import Organisation
@@ -262,22 +263,30 @@
     that it used a connection that was open before it, ``crashed`` that the
     endpoint's process is known to have ended with it. ``notice`` is what the
     endpoint's answer asks of its callers, None without an answer.
-    ``refusal`` is that of a helper, None without one.
+    ``refusal`` is that of a helper, None without one. ``status`` is that of
+    the answer, 0 without one; ``naming`` says whether the answer names the
+    request. ``carried`` is the number of requests that the connection had
+    carried before, None without a connection. ``evidence`` shows that the
+    attempt did not run, None without such evidence.
     """
 
     __slots__ = (
         "attempt",
         "call_id",
+        "carried",
         "crashed",
+        "evidence",
         "failed",
         "latency_s",
         "load",
         "loss",
+        "naming",
         "notice",
         "outcome",
         "refusal",
         "reused",
         "shed",
+        "status",
         "stretch",
     )
 
@@ -296,7 +305,15 @@
         notice: Notice | None = None,
         reused: bool = False,
         refusal: Refusal | None = None,
+        status: int = 0,
+        naming: str = "",
+        carried: int | None = None,
+        evidence: Evidence | None = None,
     ) -> None:
+        self.evidence = evidence
+        self.status = status
+        self.naming = naming
+        self.carried = carried
         self.refusal = refusal
         self.notice = notice
         self.loss = loss
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -5,6 +5,7 @@
 from math import nan
 
 from nutmegchute_core.calls import Refusal
+from nutmegchute_core.evidence import REJECTED
 from urllib3 import HTTPHeaderDict
 from urllib3.response import HTTPResponse
 
@@ -30,6 +31,12 @@
 # cannot be true.
 SHED_STATUSES = frozenset({429, 503})
 
+# How an answer names the request that it belongs to.
+NAMES_REQUEST = "this request"
+NAMES_ANOTHER = "another request"
+NAMES_NONE = "no request"
+NAMES_SEVERAL = "several requests"
+
 # Headers that only the entry may send to a caller. Forwarded from an
 # upstream, they would claim what the upstream cannot know.
 ENTRY_HEADERS = frozenset(
@@ -60,6 +67,9 @@
 
     __slots__ = ()
 
+    # The kind of evidence that an answer gives which says "not run".
+    evidence = REJECTED
+
     def is_not_run(self, response: HTTPResponse) -> bool:
         """Return whether the answer reports that the call did not run."""
         return (
@@ -74,6 +84,10 @@
             what cannot be true
         """
 
+    def naming(self, sent: HTTPHeaderDict, response: HTTPResponse) -> str:
+        """Return how the answer names its request, empty if it cannot."""
+        return ""
+
     def is_misdirected(self, response: HTTPResponse) -> bool:
         """Return whether another process has the endpoint's address now."""
         return False
@@ -121,6 +135,15 @@
         return name not in ENTRY_HEADERS
 
 
+def compare_names(sent: str | None, received: list[str]) -> str:
+    """Return how an answer names its request, by the ids that it has."""
+    if not received or received == [""]:
+        return NAMES_NONE
+    if len(received) > 1:
+        return NAMES_SEVERAL
+    return NAMES_REQUEST if received[0] == sent else NAMES_ANOTHER
+
+
 def read_rate_limit(text: str | None) -> float | None:
     """Return a limit in calls a second; None if there is no valid one."""
     if text is None:
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -21,6 +21,7 @@
 from nutmegchute_core.claims import MISMATCH
 from nutmegchute_core.claims import OPEN
 from nutmegchute_core.claims import RAN
+from nutmegchute_core.evidence import Evidence
 from nutmegchute_core.routes import BUFFER_BYTES
 
 from .answers import BrokenAnswerError
@@ -230,6 +231,7 @@
         finally:
             # Set here, since the loop closes the call up to one sweep later.
             call.record.ended_at = time.monotonic()
+            call.record.told = http.told
             call.close()
             self._runner.defer(self.dispatcher.close_call, call)
 
@@ -298,6 +300,9 @@
         return self.attempt(call, send, exchange)
 
     def _report_end(self, call: PendingCall, send: Send, reply: Reply) -> None:
+        evidence = None
+        if reply.evidence:
+            evidence = Evidence(reply.evidence, send.call_id, send.attempt)
         result = Result(
             call_id=send.call_id,
             attempt=send.attempt,
@@ -314,6 +319,10 @@
             notice=reply.notice(send.process_key, send.sent_at),
             reused=reply.reused,
             refusal=reply.relay_refusal,
+            status=reply.head_status,
+            naming=reply.naming,
+            carried=reply.carried,
+            evidence=evidence,
         )
         self._runner.schedule(self.dispatcher.end_attempt, call, result)
 
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -99,6 +99,8 @@
     answer: Answer | None = None
     # Whether the endpoint stopped reading before the end of the request.
     partly_sent = False
+    # Requests that were written to the connection, in full or in part.
+    carried = 0
 
     @property
     def is_reusable(self) -> bool:
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -25,6 +25,8 @@
 from nutmegchute_core.claims import RAN
 from nutmegchute_core.claims import UNKNOWN
 from nutmegchute_core.evacuations import EvacuationUpdate
+from nutmegchute_core.evidence import Evidence
+from nutmegchute_core.evidence import UNSENT
 from nutmegchute_core.limit_boards import LimitUpdate
 from nutmegchute_core.members import ProcessKey
 from nutmegchute_core.notices import Notice
@@ -38,6 +40,7 @@
 from nutmegchute_core.reachability import LinkCheck
 from nutmegchute_core.rules import Rule
 
+from .answers import NAMES_REQUEST
 from .connections import Exchange
 from .events import Event
 from .events import log
@@ -171,6 +174,8 @@
         if call.worker_attempt == result.attempt:
             call.worker_attempt = None
         self._metrics.count(f"attempts.{result.outcome}")
+        if result.naming not in ("", NAMES_REQUEST):
+            self._metrics.count("misnamed")
         self._metrics.time_ms("attempt", result.latency_s * 1000)
         send = call.record.sends.get(result.attempt)
         if send is not None:
@@ -184,6 +189,14 @@
                 send["loss"] = result.loss
             if result.reused:
                 send["reused"] = True
+            if result.evidence is not None:
+                send["evidence"] = result.evidence.kind
+            if result.status:
+                send["status"] = result.status
+            if result.naming:
+                send["names"] = result.naming
+            if result.carried is not None:
+                send["carried"] = result.carried
             if result.crashed:
                 self._report_crash(call, send)
         self.perform(self._balancer.finish(result, self._loop.time()))
@@ -450,7 +463,10 @@
             return
         if self._hedges_in_flight >= HEDGE_THREADS:
             # A hedge that has to wait for a thread is too late to help.
-            result = Result(send.call_id, send.attempt, NOT_RUN, 0.0)
+            evidence = Evidence(UNSENT, send.call_id, send.attempt)
+            result = Result(
+                send.call_id, send.attempt, NOT_RUN, 0.0, evidence=evidence
+            )
             self._loop.call_soon(self.end_attempt, call, result)
             return
         self._hedges_in_flight += 1
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -195,6 +195,8 @@
         self.call_opened = False
         # Whether another entry has passed the request on.
         self.is_relayed = False
+        # The status of the answer, 0 until its head is written.
+        self.told = 0
 
     def read_request_headers(self) -> bool:
         """Read the headers; return False if a refusal was written."""
@@ -230,6 +232,7 @@
         """Write the head of an answer."""
         reason = responses.get(status, "Unknown")
         line = f"{status} {reason}"
+        self.told = status
         self.status = line.encode("latin-1")  # type: ignore[assignment]
         for name, value in headers:
             self.outheaders.append((name.encode(), value.encode("latin-1")))
@@ -257,6 +260,7 @@
         """Refuse a request before it reaches the loop, or report a failure."""
         status = str(status)
         outcome = UNKNOWN if self.call_opened else NOT_RUN
+        self.told = int(status[:3])
         body = msgspec.json.encode({"reason": msg or status[4:]})
         self.close_connection = True
         head = (
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -27,6 +27,7 @@
     "calls": (COUNTER, "calls"),
     "attempts.OUTCOME": (COUNTER, "attempts"),
     "attempt": (TIMER, "milliseconds"),
+    "misnamed": (COUNTER, "attempts"),
     "refused": (COUNTER, "calls"),
     "denied": (COUNTER, "calls"),
     "withdrawn": (COUNTER, "calls"),
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -88,6 +88,7 @@
         "route",
         "sends",
         "service",
+        "told",
     )
 
     def __init__(self) -> None:
@@ -98,6 +99,8 @@
         self.route = ""
         self.service = ""
         self.outcome = "gone"
+        # The status that was written to the caller; 0 without an answer.
+        self.told = 0
         self.reason = ""
         self.ahead: int | None = None
         self.priority: int | None = None
--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -11,6 +11,7 @@
 from nutmegchute_core.calls import Refusal
 from nutmegchute_core.calls import Relay
 from nutmegchute_core.directories import RelayAddress
+from nutmegchute_core.evidence import RELAYED
 from urllib3 import HTTPHeaderDict
 from urllib3.response import HTTPResponse
 
@@ -48,6 +49,8 @@
 
     __slots__ = ("_calls",)
 
+    evidence = RELAYED
+
     def __init__(self, calls: CallFormat) -> None:
         self._calls = calls
 
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -427,6 +427,7 @@
             quota=record.quota,
             outcome=record.outcome,
             status=call.status,
+            told=record.told,
             reason=record.reason,
             ahead=record.ahead,
             priority=record.priority,
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -12,6 +12,7 @@
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refusal
+from nutmegchute_core.evidence import UNSENT
 from nutmegchute_core.members import ProcessKey
 from nutmegchute_core.notices import Notice
 from urllib3 import HTTPHeaderDict
@@ -138,9 +139,13 @@
         "_refusal",
         "_response",
         "_wait_s",
+        "carried",
+        "evidence",
+        "head_status",
         "is_misdirected",
         "is_relayed",
         "loss",
+        "naming",
         "reused",
     )
 
@@ -152,6 +157,8 @@
         reused: bool = False,
     ) -> None:
         self.is_misdirected = False
+        # The kind of evidence that the attempt did not run, empty without.
+        self.evidence = UNSENT if outcome == NOT_RUN else ""
         # Whether another entry has answered.
         self.is_relayed = False
         # How the attempt was lost or why no connection could be opened;
@@ -159,6 +166,13 @@
         self.loss = loss
         # Whether the attempt used a connection that was open before it.
         self.reused = reused
+        # Requests that the connection had carried before, None without one.
+        self.carried: int | None = None
+        # How the answer names the request; empty without an answer, and
+        # where answers have no names.
+        self.naming = ""
+        # The status in the head that was read, also of a broken answer.
+        self.head_status = 0
         self._outcome = outcome
         self._latency_s = latency_s
         self._response: HTTPResponse | None = None
@@ -178,6 +192,8 @@
     ) -> None:
         """Set the answer after its head has been read."""
         self._format = answer_format
+        if self._outcome == NOT_RUN:
+            self.evidence = answer_format.evidence
         self.is_misdirected = answer_format.is_misdirected(response)
         self._response = response
         self._connection = connection
@@ -438,6 +454,8 @@
             outcome = CANCELLED if exchange.ended else NOT_RUN
             return Reply(outcome, time.monotonic() - started, reused=reused)
         response = None
+        carried = connection.carried
+        connection.carried += 1
         try:
             response = self._send_request(
                 request, connection, exchange, deadline
@@ -458,12 +476,17 @@
             connection.close()
             latency_s = time.monotonic() - started
             if exchange.ended:
-                return Reply(CANCELLED, latency_s, reused=reused)
-            reply = Reply(LOST, latency_s, _loss_reason(error))
+                reply = Reply(CANCELLED, latency_s)
+            else:
+                reply = Reply(LOST, latency_s, _loss_reason(error))
             if isinstance(error, UnprovenRefusalError):
                 assert response is not None
                 reply.set_refusal(response, self._format)
         reply.reused = reused
+        reply.carried = carried
+        if response is not None:
+            reply.head_status = response.status
+            reply.naming = self._format.naming(request.headers, response)
         return reply
 
     def refuses_connections(self, endpoint: str) -> bool:
--- /dev/null
+++ b/tests/test_platform_answers.py
@@ -0,0 +1,105 @@
+"""Test what the platform's answers prove, over real connections."""
+
+from collections.abc import Iterator
+
+import pytest
+from nutmegchute_daemon.answers import NAMES_ANOTHER
+from nutmegchute_daemon.answers import NAMES_NONE
+from nutmegchute_daemon.answers import NAMES_REQUEST
+from nutmegchute_daemon.answers import NAMES_SEVERAL
+from nutmegchute_daemon.connections import ConnectionPool
+from nutmegchute_daemon.connections import Exchange
+from nutmegchute_daemon.senders import Reply
+from nutmegchute_daemon.senders import Request
+from nutmegchute_daemon.senders import Sender
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
+from nutmegchute_fakes.faulty_upstreams import UpstreamConnection
+from nutmegchute_platform.calls import PlatformCalls
+from urllib3 import HTTPHeaderDict
+
+WAIT_S = 5.0
+
+
+def build_answer(status: int, *lines: str, body: str = "") -> bytes:
+    """Return an answer with these header lines."""
+    head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines]
+    return ("\r\n".join(head) + "\r\n\r\n" + body).encode()
+
+
+def rejection(name: str, status: int = 503) -> bytes:
+    """Return a rejection of the request with this id."""
+    return build_answer(status, f"Request-Id: {name}", "Not-Executed: 1")
+
+
+class Endpoint(FaultyUpstream):
+    """Answer request after request with prepared bytes.
+
+    An item of ``answers`` is written after the request with its number has
+    been read; requests beyond the last item get no answer.
+    """
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self._answers = list(answers)
+        super().__init__(self._answer)
+
+    def _answer(self, connection: UpstreamConnection) -> None:
+        while connection.read() is not None:
+            if not self._answers:
+                connection.wait_for_close()
+                return
+            connection.write(self._answers.pop(0))
+
+
+class Client:
+    """Send requests to one endpoint over kept connections."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self.endpoint = Endpoint(answers)
+        self.sender = Sender(ConnectionPool(), PlatformCalls())
+
+    def send(self, name: str, wait_s: float = WAIT_S) -> Reply:
+        """Send a request with this id and return the reply."""
+        headers = HTTPHeaderDict({"Request-Id": name})
+        request = Request("POST", "/loan", headers, b"atlas")
+        return self.sender.send(
+            request, self.endpoint.address, wait_s, Exchange()
+        )
+
+
+@pytest.fixture
+def clients() -> Iterator[list[Client]]:
+    """Yield a list of clients whose endpoints are stopped at the end."""
+    built: list[Client] = []
+    yield built
+    for one in built:
+        one.endpoint.stop()
+
+
+@pytest.mark.parametrize(
+    ("lines", "naming"),
+    [
+        (["Request-Id: b"], NAMES_REQUEST),
+        (["request-id: b"], NAMES_REQUEST),
+        (["Request-Id: a"], NAMES_ANOTHER),
+        (["Request-Id: B"], NAMES_ANOTHER),
+        ([], NAMES_NONE),
+        (["Request-Id: "], NAMES_NONE),
+        (["Request-Id: b", "Request-Id: b"], NAMES_SEVERAL),
+        (["Request-Id: b", "Request-Id: a"], NAMES_SEVERAL),
+    ],
+)
+def test_log_tells_which_request_an_answer_names(
+    clients: list[Client], lines: list[str], naming: str
+) -> None:
+    """Report how a rejection names its request, and on which connection.
+
+    Without it the log cannot tell a rejection from one of another request.
+    """
+    first = build_answer(200, "Request-Id: a")
+    second = build_answer(503, "Not-Executed: 1", *lines)
+    client = Client([first, second])
+    clients.append(client)
+    assert client.send("a").carried == 0
+    reply = client.send("b")
+    assert reply.naming == naming
+    assert (reply.head_status, reply.carried) == (503, 1)
