Show that a late rejection is taken for the answer to the next request

Callers were told "not run" of requests that ran. An endpoint rejects request a; the second, late copy of the rejection arrives after request b has been sent on the same connection, and b counts as not run while it runs.

--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -3,6 +3,10 @@
 from collections.abc import Iterator
 
 import pytest
+from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.evidence import REJECTED
 from nutmegchute_daemon.answers import NAMES_ANOTHER
 from nutmegchute_daemon.answers import NAMES_NONE
 from nutmegchute_daemon.answers import NAMES_REQUEST
@@ -28,7 +32,14 @@
 
 def rejection(name: str, status: int = 503) -> bytes:
     """Return a rejection of the request with this id."""
-    return build_answer(status, f"Request-Id: {name}", "Not-Executed: 1")
+    lines = [f"Request-Id: {name}", "Not-Executed: 1"]
+    return build_answer(status, *lines)
+
+
+def success(name: str) -> bytes:
+    """Return a success for the request with this id."""
+    lines = [f"Request-Id: {name}", "Server-Signature: s"]
+    return build_answer(200, *lines, body=name)
 
 
 class Endpoint(FaultyUpstream):
@@ -57,12 +68,15 @@
         self.endpoint = Endpoint(answers)
         self.sender = Sender(ConnectionPool(), PlatformCalls())
 
-    def send(self, name: str, wait_s: float = WAIT_S) -> Reply:
+    def send(self, name: str) -> Reply:
         """Send a request with this id and return the reply."""
         headers = HTTPHeaderDict({"Request-Id": name})
         request = Request("POST", "/loan", headers, b"atlas")
+        return self._send(request)
+
+    def _send(self, request: Request) -> Reply:
         return self.sender.send(
-            request, self.endpoint.address, wait_s, Exchange()
+            request, self.endpoint.address, WAIT_S, Exchange()
         )
 
 
@@ -75,6 +89,27 @@
         one.endpoint.stop()
 
 
+@pytest.mark.known_red
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_late_copy_of_a_rejection_is_no_answer_to_the_next_request(
+    clients: list[Client], status: int
+) -> None:
+    """Take a late second copy of a rejection for no other request's answer.
+
+    Otherwise a loan that runs is reported as not run, or sent elsewhere.
+    """
+    copy = rejection("a", status)
+    client = Client([copy, copy + success("b"), success("c")])
+    clients.append(client)
+    first = client.send("a")
+    assert (first.outcome, first.evidence) == (NOT_RUN, REJECTED)
+    second = client.send("b")
+    assert (second.outcome, second.evidence) == (LOST, "")
+    assert not second.is_misdirected
+    third = client.send("c")
+    assert (third.outcome, third.carried) == (ANSWERED, 0)
+
+
 @pytest.mark.parametrize(
     ("lines", "naming"),
     [
