Believe no rejection that another answer contradicts

An endpoint may send a second answer right behind the first one. A rejection followed at once by a success to the same request was believed, and the request was sent elsewhere although it had run. What has arrived behind a rejection is now looked at: if it does not begin with the same status, the attempt counts as one that may have run. A rejection that is merely doubled is still believed, and its connection closed as before.

Test: a rejection and a success in one write; not_run before, lost now.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -26,6 +26,7 @@
 MAX_IDLE_S = 60.0
 
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3}) ")
 _TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
 
@@ -81,7 +82,17 @@
 class Answer(http.client.HTTPResponse):
     """Detect bytes that follow the end of an answer."""
 
-    has_excess_data = False
+    # What had arrived behind the answer when its end was read; None if the
+    # connection was reset.
+    excess_data: bytes | None = b""
+
+    @property
+    def is_contradicted(self) -> bool:
+        """Return whether what follows is no copy of this answer."""
+        if not self.excess_data:
+            return False
+        found = _STATUS_LINE.match(self.excess_data)
+        return found is None or int(found[1]) != self.status
 
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
@@ -89,7 +100,7 @@
         # receive the rest of a second, unsolicited answer.
         file = self.fp
         if file is not None and not self.will_close:
-            self.has_excess_data = _has_more_data(file)
+            self.excess_data = _peek(file)
         super()._close_conn()  # type: ignore[misc]
 
 
@@ -107,7 +118,7 @@
         """Return whether the connection can serve another exchange."""
         if self.sock is None or self.answer is None or self.partly_sent:
             return False
-        return not self.answer.has_excess_data
+        return self.answer.excess_data == b""
 
     def response_class(  # type: ignore[override]
         self, *args: Any, **values: Any
@@ -195,16 +206,17 @@
     return min(MAX_IDLE_S, int(found[1]) * KEEP_ALIVE_SHARE)
 
 
-def _has_more_data(file: io.BufferedReader) -> bool:
+def _peek(file: io.BufferedReader) -> bytes | None:
+    """Return bytes that have arrived, or None after a reset."""
     sock = getattr(file.raw, "_sock", None)
     if sock is None:
-        return False
+        return b""
     timeout_s = sock.gettimeout()
     try:
         sock.settimeout(0.0)
-        return bool(file.peek(1))
+        return file.peek(1)
     except OSError:
-        return True
+        return None
     finally:
         with contextlib.suppress(OSError):
             sock.settimeout(timeout_s)
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -1,5 +1,6 @@
 """Send one attempt of a call to an endpoint and read its answer."""
 
+import contextlib
 import http.client
 import re
 import time
@@ -595,17 +596,26 @@
             wait_s,
             self._format,
         )
-        try:
-            reply.read_start()
-        except BrokenAnswerError:
-            if not shed:
-                raise
         if shed:
-            # The head reported "not run"; the body is not needed.
-            reply.close()
+            self._end_rejection(reply, connection)
+        else:
+            reply.read_start()
         reply.latency_s = time.monotonic() - started
         return reply
 
+    def _end_rejection(self, reply: Reply, connection: Connection) -> None:
+        """Read the rest of a rejection; the head has said "not run".
+
+        :raises BrokenAnswerError: it is followed by another answer
+        """
+        answer = connection.answer
+        assert answer is not None
+        with contextlib.suppress(BrokenAnswerError):
+            reply.read_start()
+        reply.close()
+        if answer.is_contradicted:
+            raise BrokenAnswerError("answers that contradict each other")
+
 
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -147,6 +147,26 @@
     assert (reply.outcome, reply.evidence) == (LOST, "")
 
 
+def test_answers_that_contradict_each_other_prove_nothing(
+    clients: list[Client],
+) -> None:
+    """Believe no rejection that a success follows at once."""
+    client = Client([rejection("b") + success("b")])
+    clients.append(client)
+    reply = client.send("b")
+    assert (reply.outcome, reply.evidence) == (LOST, "")
+
+
+def test_doubled_rejection_still_sends_the_request_elsewhere(
+    clients: list[Client],
+) -> None:
+    """Believe a doubled rejection, and use its connection no more."""
+    client = Client([rejection("a") + rejection("a"), success("b")])
+    clients.append(client)
+    assert client.send("a").outcome == NOT_RUN
+    assert client.send("b").carried == 0
+
+
 def test_late_rejection_of_a_call_is_no_answer_to_a_load_query(
     clients: list[Client],
 ) -> None:
