Send no request where its own rejection may still arrive late

A retry bears the request id of the first try. Sent on the connection that carried the first try's rejection, it would meet a late copy that names it, and count as not run while it runs. A connection keeps the names of the requests that were rejected on it, at most 100, and is not lent to these again.

Test: the second try went over the kept connection before (carried 1) and opens one now; other requests still use the kept one.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -26,6 +26,9 @@
 MAX_IDLE_S = 60.0
 
 
+# Rejections after which a connection is closed, as it keeps their names.
+MAX_REJECTED = 100
+
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3}) ")
 _TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
@@ -113,13 +116,28 @@
     # Requests that were written to the connection, in full or in part.
     carried = 0
 
+    def __init__(self, *args: Any, **values: Any) -> None:
+        super().__init__(*args, **values)
+        self.rejected: set[str] = set()
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can serve another exchange."""
         if self.sock is None or self.answer is None or self.partly_sent:
             return False
+        if len(self.rejected) >= MAX_REJECTED:
+            return False
         return self.answer.excess_data == b""
 
+    def record_rejection(self, name: str | None) -> None:
+        """Record that the endpoint rejected a request with this name.
+
+        A request that bears the name again is not sent here: a late copy of
+        the rejection would name it.
+        """
+        if name is not None:
+            self.rejected.add(name)
+
     def response_class(  # type: ignore[override]
         self, *args: Any, **values: Any
     ) -> Answer:
@@ -138,15 +156,24 @@
         # Each with the time until which it may be reused.
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
 
-    def acquire(self, endpoint: str) -> Connection | None:
-        """Remove and return an idle connection that looks open, if any."""
+    def acquire(
+        self, endpoint: str, name: str | None = None
+    ) -> Connection | None:
+        """Remove and return an idle connection that looks open, if any.
+
+        It has not carried the rejection of a request with this name.
+        """
         now = time.monotonic()
         while True:
             with self._lock:
                 idle = self._idle.get(endpoint)
                 if not idle:
                     return None
-                until, connection = idle.pop()
+                index = _find_last(idle, name)
+                if index is None:
+                    return None
+                until, connection = idle[index]
+                del idle[index]
             # Readable while idle means closed, or an unsolicited answer,
             # which the next call must not receive.
             sock = connection.sock
@@ -206,6 +233,16 @@
     return min(MAX_IDLE_S, int(found[1]) * KEEP_ALIVE_SHARE)
 
 
+def _find_last(
+    idle: deque[tuple[float, Connection]], name: str | None
+) -> int | None:
+    """Return the index of the last connection without this rejection."""
+    for index in range(len(idle) - 1, -1, -1):
+        if name not in idle[index][1].rejected:
+            return index
+    return None
+
+
 def _peek(file: io.BufferedReader) -> bytes | None:
     """Return bytes that have arrived, or None after a reset."""
     sock = getattr(file.raw, "_sock", None)
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -436,7 +436,8 @@
         deadline = started + remaining_s
         connection = None
         if not fresh:
-            connection = self._connections.acquire(endpoint)
+            name = self._format.request_name(request.headers)
+            connection = self._connections.acquire(endpoint, name)
         reused = connection is not None
         if connection is None:
             try:
@@ -465,6 +466,7 @@
             )
             evidence = self._format.read_evidence(request.headers, response)
             reply = self._read_reply(
+                request,
                 response,
                 evidence,
                 connection,
@@ -575,6 +577,7 @@
 
     def _read_reply(
         self,
+        request: Request,
         response: HTTPResponse,
         evidence: str,
         connection: Connection,
@@ -597,17 +600,20 @@
             self._format,
         )
         if shed:
-            self._end_rejection(reply, connection)
+            self._end_rejection(request, reply, connection)
         else:
             reply.read_start()
         reply.latency_s = time.monotonic() - started
         return reply
 
-    def _end_rejection(self, reply: Reply, connection: Connection) -> None:
+    def _end_rejection(
+        self, request: Request, reply: Reply, connection: Connection
+    ) -> None:
         """Read the rest of a rejection; the head has said "not run".
 
         :raises BrokenAnswerError: it is followed by another answer
         """
+        connection.record_rejection(self._format.request_name(request.headers))
         answer = connection.answer
         assert answer is not None
         with contextlib.suppress(BrokenAnswerError):
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -167,6 +167,20 @@
     assert client.send("b").carried == 0
 
 
+def test_retry_avoids_the_connection_that_carried_its_rejection(
+    clients: list[Client],
+) -> None:
+    """Keep a late copy of the first try's rejection from its second try.
+
+    Both tries have the same id, so that the copy would name the second one.
+    """
+    client = Client([rejection("a"), success("a"), success("b")])
+    clients.append(client)
+    assert client.send("a").outcome == NOT_RUN
+    assert client.send("a").carried == 0
+    assert client.send("b").carried == 1
+
+
 def test_late_rejection_of_a_call_is_no_answer_to_a_load_query(
     clients: list[Client],
 ) -> None:
