Do not wait for the body of a rejection

The head says that the request did not run; the call waited all the same for a body that did not come, up to its deadline, and was then refused instead of sent elsewhere. The body is read only as far as it has arrived, and the connection is closed if it is not complete.

Test: a rejection whose body stays away took the whole 5 s; it is believed at once now.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -97,6 +97,12 @@
         found = _STATUS_LINE.match(self.excess_data)
         return found is None or int(found[1]) != self.status
 
+    def has_body(self) -> bool:
+        """Return whether the whole body has arrived."""
+        if not self.length or self.fp is None:
+            return self.length == 0
+        return len(_peek(self.fp) or b"") >= self.length
+
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
         # answer would be lost, and the next call on the connection would
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -1,6 +1,5 @@
 """Send one attempt of a call to an endpoint and read its answer."""
 
-import contextlib
 import http.client
 import re
 import time
@@ -609,16 +608,18 @@
     def _end_rejection(
         self, request: Request, reply: Reply, connection: Connection
     ) -> None:
-        """Read the rest of a rejection; the head has said "not run".
+        """Read the rest of a rejection, as far as it has arrived.
 
         :raises BrokenAnswerError: it is followed by another answer
         """
         connection.record_rejection(self._format.request_name(request.headers))
         answer = connection.answer
         assert answer is not None
-        with contextlib.suppress(BrokenAnswerError):
-            reply.read_start()
-        reply.close()
+        if not answer.has_body():
+            # The call can be sent elsewhere without the rest.
+            reply.close()
+            return
+        reply.read_start()
         if answer.is_contradicted:
             raise BrokenAnswerError("answers that contradict each other")
 
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -181,6 +181,19 @@
     assert client.send("b").carried == 1
 
 
+def test_rejection_with_a_missing_body_is_believed_at_once(
+    clients: list[Client],
+) -> None:
+    """Do not wait for the body of a rejection before the next endpoint."""
+    whole = rejection("a", body="full" * 9)
+    client = Client([whole[:-30], success("b")])
+    clients.append(client)
+    reply = client.send("a")
+    assert (reply.outcome, reply.evidence) == (NOT_RUN, REJECTED)
+    assert reply.latency_s < WAIT_S / 2
+    assert client.send("b").carried == 0
+
+
 def test_late_rejection_of_a_call_is_no_answer_to_a_load_query(
     clients: list[Client],
 ) -> None:
