Let upstreams of the soak send answers that belong to no request

The soak never met an answer that is late, doubled, unnamed, cut within its head or without end, so it could not find refused requests that ran. Up to three upstreams at a time now shed calls that they could run, send answers again when the next one is due on the connection (load queries too), leave out the name of a shed attempt, end answers within the head or go on without end, in shares that a seed draws. The checks are unchanged: what callers were told against what the upstreams ran.

--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -60,6 +60,7 @@
 from .demands import find_excess
 from .demo import apply_declaration
 from .demo import build_declaration
+from .disorders import Disorderer
 from .evacuations import EvacuationPeriod
 from .evacuations import Evacuator
 from .evacuations import find_forbidden_runs
@@ -294,6 +295,13 @@
                 target=self._demander.run, args=(self._seconds,), daemon=True
             )
             demander_thread.start()
+            disorderer = Disorderer(
+                self._cluster.upstreams, Random(self._seed + 3)
+            )
+            disorderer_thread = threading.Thread(
+                target=disorderer.run, args=(self._seconds,), daemon=True
+            )
+            disorderer_thread.start()
             key_threads = self._start_key_threads()
             callers = [self._build_caller(number) for number in range(CALLERS)]
             idle = list(callers)
@@ -305,9 +313,11 @@
             crash_thread.join()
             evacuator_thread.join()
             demander_thread.join()
+            disorderer_thread.join()
             for thread in key_threads:
                 thread.join()
             self._entry_faults = injector.entry_faults
+        print(f"{disorderer.count} disorders of upstreams")
         time.sleep(SETTLE_S)
 
     def _send_crashing_requests(self) -> None:
--- a/packages/fakes/nutmegchute_fakes/upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/upstreams.py
@@ -20,7 +20,8 @@
 A call to CRASH_PATH is recorded and ends the process. A JSON object sent to
 DEMANDS_PATH sets what the upstream asks of entries in all its answers, a GET
 returns it; SEEN_PATH lists the Unix times at which calls and load queries
-arrived.
+arrived. A JSON object sent to DISORDERS_PATH sets which shares of the answers
+are spoiled.
 """
 
 import errno
@@ -43,6 +44,10 @@
 from docopt import docopt
 from urllib3.exceptions import HTTPError
 
+from .disorders import Disorder
+from .disorders import Disorders
+from .disorders import DISORDERS_PATH
+
 ANNOUNCE_INTERVAL_S = 0.5
 DRAIN_DELAY_S = 1.5
 EXTRA_THREADS = 8
@@ -91,6 +96,7 @@
     __slots__ = (
         "_address",
         "_demands",
+        "_disorder",
         "_draining",
         "_free_slots",
         "_in_flight",
@@ -129,6 +135,7 @@
         self._record = record.open("a") if record is not None else None
         self._draining = False
         self._demands = Demands()
+        self._disorder = Disorder()
         self._seen: list[float] = []
         self._incarnation = time.time_ns()
 
@@ -156,10 +163,17 @@
             return _answer(start_response, self._demands, [])
         if path == SEEN_PATH:
             return _answer(start_response, self._seen, [])
+        if path == DISORDERS_PATH:
+            content = environ["wsgi.input"].read()
+            self._disorder.shares = msgspec.json.decode(
+                content, type=Disorders
+            )
+            return _answer(start_response, {}, [])
         self._seen.append(time.time())
+        self._disorder.send_late_copy()
         if path == "/nutmegchute/load":
             headers = self._report_headers(self._in_flight)
-            return _answer(start_response, {}, headers)
+            return self._answer_call(start_response, {}, headers)
         return self._run(environ, start_response)
 
     def drain(self) -> None:
@@ -213,20 +227,23 @@
                 *name,
                 *self._report_headers(self._in_flight),
             ]
-            return _answer(start_response, {}, headers, "503 Rest")
+            return self._answer_call(start_response, {}, headers, "503 Rest")
         if self._reset_at is not None and self._in_flight >= self._reset_at:
             reset_connection()
         with self._lock:
             overloaded = self._in_flight >= self._slots * MAX_CALLS_PER_SLOT
+            overloaded |= self._disorder.draws(self._disorder.shares.shed)
             if not overloaded:
                 self._in_flight += 1
         if overloaded:
+            if self._disorder.draws(self._disorder.shares.unnamed):
+                name = []
             headers = [
                 ("Nutmegchute-Not-Run", "shed"),
                 *name,
                 *self._report_headers(self._in_flight),
             ]
-            return _answer(start_response, {}, headers, "503 Shed")
+            return self._answer_call(start_response, {}, headers, "503 Shed")
         with self._free_slots:
             time.sleep(self._service_s)
             request_id = environ.get("HTTP_X_REQUEST_ID", "")
@@ -243,7 +260,19 @@
             "bytes": len(body),
         }
         headers = [*name, *self._report_headers(load)]
-        return _answer(start_response, answer, headers)
+        return self._answer_call(start_response, answer, headers)
+
+    def _answer_call(
+        self,
+        start_response: StartResponse,
+        value: Any,
+        headers: list[tuple[str, str]],
+        status: str = "200 OK",
+    ) -> list[bytes]:
+        body = msgspec.json.encode(value)
+        length = ("Content-Length", str(len(body)))
+        self._disorder.spoil(status, [length, *headers], body)
+        return _answer(start_response, value, headers, status)
 
 
 class Announcer:
