Show with real processes that refused requests ran

Callers of an unsafe route were answered 503 for requests that an endpoint ran, and some requests ran twice. Endpoints reject every second request and send each rejection once more when the next request has arrived on its connection. The router takes that copy, which names the request before, for the answer. The same with 421: after a restart at the same address, requests under way to the former instance leave connections on which a copy is due; the first request of the latter instance on one of them is taken as not run and the instance as ended.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -86,6 +86,13 @@
         self.gate.set()
         self.sequence = 0
         self.connections: list[socket.socket] = []
+        # Returns, for its id, whether a request is rejected.
+        self.sheds: Callable[[str], bool] = lambda name: False
+        # The requests that were rejected, by status.
+        self.rejected: Counter[int] = Counter()
+        # Whether each rejection is sent a second time, late: when the next
+        # request has arrived on its connection.
+        self.repeats_rejections = False
         # Returns, for path and body, whether a request ends this process.
         self.crashes: Callable[[str, bytes], bool] = lambda path, body: False
         self.crashed = threading.Event()
@@ -137,24 +144,28 @@
         def setup(self) -> None:
             super().setup()
             endpoint.connections.append(self.connection)
+            # The rejection that is due a second time on this connection.
+            self._repeated: tuple[int, dict[str, str]] | None = None
 
         def do_GET(self) -> None:  # noqa: N802
             length = int(self.headers.get("Content-Length", 0))
             content = self.rfile.read(length)
+            self._send_late_copy()
             if self.path == "/healthz":
                 endpoint.arrivals.append(time.monotonic())
                 warm_up = str(endpoint.warm_up_ms)
                 self._respond(200, b"", Warmup_Ms=warm_up, **endpoint.headers)
                 return
+            name = self.headers.get("Request-Id", "")
+            sheds = endpoint.sheds(name)
             target_instance = self.headers.get("Target-Instance")
             if target_instance != endpoint.instance:
                 self._reject(421)
                 return
             endpoint.arrivals.append(time.monotonic())
-            name = self.headers.get("Request-Id", "")
             endpoint.received.append(list(self.headers.items()))
             endpoint.gate.wait(WAIT_S)
-            if endpoint.mode == "full":
+            if endpoint.mode == "full" or sheds:
                 self._reject(503, **endpoint.headers)
                 return
             if endpoint.mode == "rest":
@@ -186,10 +197,21 @@
         do_POST = do_DELETE = do_GET  # noqa: N815
 
         def _reject(self, status: int, **headers: str) -> None:
+            endpoint.rejected[status] += 1
+            headers["Not_Executed"] = "1"
             name = self.headers.get("Request-Id")
             if name is not None:
                 headers["Request_Id"] = name
-            self._respond(status, b"", Not_Executed="1", **headers)
+            self._respond(status, b"", **headers)
+            if endpoint.repeats_rejections:
+                self._repeated = (status, headers)
+
+        def _send_late_copy(self) -> None:
+            if self._repeated is None:
+                return
+            status, headers = self._repeated
+            self._repeated = None
+            self._respond(status, b"", **headers)
 
         def _respond(self, status: int, body: bytes, **headers: str) -> None:
             self.send_response(status)
