--- a/tests/test_refused_requests_wire.py
+++ b/tests/test_refused_requests_wire.py
@@ -85,7 +85,6 @@
     return broken, sum(runs > 1 for runs in ran.values())
 
 
-@pytest.mark.known_red
 def test_late_copies_of_rejections_are_not_believed(site: Site) -> None:
     """Guard against a copy that is taken for the answer to a request."""
     endpoints = [Endpoint(f"i-{n}", "desk") for n in range(3)]
@@ -109,7 +108,6 @@
             endpoint.stop()
 
 
-@pytest.mark.known_red
 def test_late_copies_of_misdirections_are_not_believed(site: Site) -> None:
     """Guard against a copy that also ends the instance that runs a request.
 
