Take only a whole and unambiguous head for that of an answer

With neither a length nor a coding read so far, the body counted as empty and complete. A rejection that broke off after its "not run" was believed.

The same parser read heads on whose end two parsers disagree: a length beside a coding, a length of "1_0" or "+2", a coding other than chunked (forwarded as if it were none), a space before the colon, a line feed without carriage return, a bare CR, a NUL, HTTP/1.2 and 0.9. A 304 with "chunked" waited for a body up to its deadline.

Answer.begin reads the head by a parser of its own, which wants each line's CRLF and the empty line, and raises otherwise: the attempt is lost, whatever the lines before said. The head has limits in total size, lines and interim answers. Lines that continue a header stay allowed, joined by a space, except in the headers that tell the end of the body. A status of 600 or more, which has no class, is no answer either.

--- /dev/null
+++ b/packages/daemon/nutmegchute_daemon/answer_heads.py
@@ -0,0 +1,172 @@
+"""Read the lines of an endpoint's answer strictly and up to a limit."""
+
+import http.client
+import re
+from typing import Any
+from typing import Protocol
+
+CRLF = b"\r\n"
+# All heads of an answer, interim ones included.
+MAX_HEAD_BYTES = 65536
+MAX_HEADERS = 100
+MAX_INTERIM_ANSWERS = 4
+
+CONTINUE = 100
+FIRST_INVALID_STATUS = 600
+HTTP_1_0 = 10
+HTTP_1_1 = 11
+
+CONTENT_LENGTH = "content-length"
+TRANSFER_ENCODING = "transfer-encoding"
+FRAMING_HEADERS = frozenset({CONTENT_LENGTH, TRANSFER_ENCODING})
+
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
+)
+_FIELD = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t\x20-\x7e\x80-\xff]*)"
+)
+_FOLD = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
+_LENGTH = re.compile(r"[0-9]{1,18}")
+
+
+class MalformedAnswerError(http.client.HTTPException):
+    """Report bytes that are no answer, or one without a clear end."""
+
+
+class LineSource(Protocol):
+    """Return lines with their ends, and what is left at the end."""
+
+    def readline(self, size: int, /) -> bytes:
+        """Return a line of up to ``size`` bytes."""
+
+
+class AnswerLines:
+    """Read lines up to a total size."""
+
+    __slots__ = ("_file", "_left_bytes")
+
+    def __init__(self, file: LineSource, max_bytes: int) -> None:
+        self._file = file
+        self._left_bytes = max_bytes
+
+    def read(self) -> bytes:
+        """Return the next line without its end.
+
+        :raises MalformedAnswerError: the lines are too long or end otherwise
+        :raises RemoteDisconnected: the endpoint closed within the line
+        """
+        line = self._file.readline(self._left_bytes)
+        self._left_bytes -= len(line)
+        if line.endswith(CRLF):
+            return line[:-2]
+        if line.endswith(b"\n"):
+            raise MalformedAnswerError("line without a carriage return")
+        if self._left_bytes <= 0:
+            raise MalformedAnswerError("lines are too long")
+        raise http.client.RemoteDisconnected("closed within a line")
+
+
+class Head:
+    """Hold the head of a final answer."""
+
+    __slots__ = (
+        "fields",
+        "is_chunked",
+        "length",
+        "reason",
+        "status",
+        "version",
+    )
+
+    def __init__(self, version: int, status: int, reason: str) -> None:
+        self.version = version
+        self.status = status
+        self.reason = reason
+        self.fields: list[tuple[str, str]] = []
+        self.is_chunked = False
+        # The announced length of the body, None without one.
+        self.length: int | None = None
+
+
+def read_head(file: LineSource) -> Head:
+    """Read the head of the next answer; skip the interim ones before it.
+
+    :raises MalformedAnswerError: it is malformed or too long
+    :raises RemoteDisconnected: the endpoint closed before its end
+    """
+    lines = AnswerLines(file, MAX_HEAD_BYTES)
+    for _ in range(MAX_INTERIM_ANSWERS + 1):
+        head = _read_status_line(lines)
+        head.fields = _read_fields(lines)
+        if head.status != CONTINUE:
+            _check_framing(head)
+            return head
+    raise MalformedAnswerError("too many interim answers")
+
+
+def build_message(head: Head) -> http.client.HTTPMessage:
+    """Return the header fields in the form that the library expects."""
+    message = http.client.HTTPMessage()
+    # Assigned otherwise, the message would check each field once more.
+    store: Any = message.set_raw
+    for name, value in head.fields:
+        store(name, value)
+    return message
+
+
+def _read_status_line(lines: AnswerLines) -> Head:
+    line = lines.read()
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError("malformed status line")
+    status = int(found[2])
+    if status >= FIRST_INVALID_STATUS:
+        raise MalformedAnswerError("unknown class of status")
+    version = HTTP_1_1 if found[1] == b"1" else HTTP_1_0
+    return Head(
+        version, status, line[found.end(2) :].decode("latin-1").strip()
+    )
+
+
+def _read_fields(lines: AnswerLines) -> list[tuple[str, str]]:
+    fields: list[tuple[str, str]] = []
+    while line := lines.read():
+        found = _FIELD.fullmatch(line)
+        if found is not None:
+            value = found[2].strip(b" \t").decode("latin-1")
+            fields.append((found[1].decode("ascii"), value))
+            if len(fields) > MAX_HEADERS:
+                raise MalformedAnswerError("too many headers")
+            continue
+        if not fields or not _FOLD.fullmatch(line):
+            raise MalformedAnswerError("malformed header")
+        name, value = fields[-1]
+        if name.lower() in FRAMING_HEADERS:
+            raise MalformedAnswerError("folded length")
+        folded = line.strip(b" \t").decode("latin-1")
+        fields[-1] = (name, f"{value} {folded}")
+    return fields
+
+
+def _check_framing(head: Head) -> None:
+    lengths = set()
+    codings = []
+    for name, value in head.fields:
+        lower = name.lower()
+        if lower == CONTENT_LENGTH:
+            lengths.add(value)
+        elif lower == TRANSFER_ENCODING:
+            codings.append(value.lower())
+    if codings:
+        if lengths:
+            raise MalformedAnswerError("both a length and a coding")
+        if codings != ["chunked"] or head.version != HTTP_1_1:
+            raise MalformedAnswerError("coding must be chunked")
+        head.is_chunked = True
+    if not lengths:
+        return
+    length = lengths.pop()
+    if lengths or not _LENGTH.fullmatch(length):
+        raise MalformedAnswerError("no single length")
+    head.length = int(length)
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -13,6 +13,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from .answer_heads import build_message
+from .answer_heads import read_head
 from .settings import split_address
 
 MAX_IDLE_PER_ENDPOINT = 64
@@ -25,6 +27,7 @@
 KEEP_ALIVE_SHARE = 0.75
 MAX_IDLE_S = 60.0
 
+BODILESS_STATUSES = frozenset({204, 304})
 
 _TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 
@@ -79,10 +82,35 @@
 
 
 class Answer(http.client.HTTPResponse):
-    """Detect bytes that follow the end of an answer."""
+    """Read an answer strictly; detect bytes that follow its end."""
 
     has_excess_data = False
 
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises MalformedAnswerError: it is malformed or too long
+        :raises RemoteDisconnected: the endpoint closed before its end
+        """
+        # The library's own parser takes the end of the connection for the
+        # end of the head, and skips what it cannot parse.
+        assert self.fp is not None
+        head = read_head(self.fp)
+        self.version = head.version
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.headers = self.msg = build_message(head)
+        self.chunked = head.is_chunked
+        self.chunk_left = None
+        self.length = head.length
+        method = self._method  # type: ignore[attr-defined]
+        if method == "HEAD" or head.status in BODILESS_STATUSES:
+            self.chunked = False
+            self.length = 0
+        self.will_close = self._check_close()  # type: ignore[attr-defined]
+        if not self.chunked and self.length is None:
+            self.will_close = True
+
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
         # answer would be lost, and the next call on the connection would
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -1,7 +1,6 @@
 """Send one attempt of a call to an endpoint and read its answer."""
 
 import http.client
-import re
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -64,9 +63,6 @@
 CONNECT_TIMED_OUT = "connection timed out"
 CONNECT_FAILED = "connection failed"
 
-_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_LINE_FOLD = re.compile(r"[\r\n]+[ \t]*")
-
 
 class BodyRemainder:
     """Stream the rest of a long body as it arrives; it can be read once."""
@@ -315,7 +311,7 @@
                 if length_seen:
                     continue
                 length_seen = True
-            forwarded.append((name, _LINE_FOLD.sub(" ", value)))
+            forwarded.append((name, value))
         return forwarded
 
     def read_start(self) -> None:
@@ -559,9 +555,6 @@
             # The library returns an interim answer, such as an early hint,
             # as the final one; the next call would receive the real answer.
             raise BrokenAnswerError("interim answer")
-        for name in response.headers:
-            if not _NAME.fullmatch(name):
-                raise BrokenAnswerError("malformed header")
         return response
 
     def _read_reply(
