Bound the time and the bytes of an answer that has no end

An endpoint that sends bytes without end held its reader: 100 Continue heads in a loop were skipped forever; a line a byte at a time stayed below the time-out of the socket, which covers a single read; trailers had no limit in number; a rejection with a slow body kept its call from going elsewhere. Nothing ends a load query but its 0.1 s, so each such endpoint took probe threads, of which there are 6, until it closed: no loads, no checks of links.

All reads of an answer now go through AnswerSource, which gives each the time that is left to the connection's deadline, set for the attempt and for each piece of a body from what is left of its wait. Sizes of chunks and trailers are read by the same strict lines as the head, with limits. "0x5", "-5" or "1_0" as a size, a chunk without its CRLF and an end of the connection within the trailers were accepted before and now break the answer. The body of a rejection is waited for 20 ms: it serves to keep the connection only. A malformed chunk counts as a malformed answer and no longer as a connection that was closed, so it starts no check whether the endpoint's process ended.

--- a/packages/daemon/nutmegchute_daemon/answer_heads.py
+++ b/packages/daemon/nutmegchute_daemon/answer_heads.py
@@ -8,8 +8,12 @@
 CRLF = b"\r\n"
 # All heads of an answer, interim ones included.
 MAX_HEAD_BYTES = 65536
+# Lines of one head.
 MAX_HEADERS = 100
 MAX_INTERIM_ANSWERS = 4
+MAX_CHUNK_LINE_BYTES = 256
+MAX_TRAILERS = 32
+MAX_TRAILER_BYTES = 8192
 
 CONTINUE = 100
 FIRST_INVALID_STATUS = 600
@@ -28,6 +32,9 @@
 )
 _FOLD = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
 _LENGTH = re.compile(r"[0-9]{1,18}")
+_CHUNK_SIZE = re.compile(
+    rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?"
+)
 
 
 class MalformedAnswerError(http.client.HTTPException):
@@ -105,6 +112,33 @@
     raise MalformedAnswerError("too many interim answers")
 
 
+def read_chunk_size(file: LineSource) -> int:
+    """Read the line before a chunk; return 0 for the last one.
+
+    :raises MalformedAnswerError: it is malformed or too long
+    :raises RemoteDisconnected: the endpoint closed before its end
+    """
+    line = AnswerLines(file, MAX_CHUNK_LINE_BYTES).read()
+    found = _CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError("malformed chunk size")
+    return int(found[1], 16)
+
+
+def skip_trailers(file: LineSource) -> None:
+    """Read the lines after the last chunk, the empty one included.
+
+    :raises MalformedAnswerError: they are malformed or too long
+    :raises RemoteDisconnected: the endpoint closed before their end
+    """
+    lines = AnswerLines(file, MAX_TRAILER_BYTES)
+    count = 0
+    while line := lines.read():
+        count += 1
+        if count > MAX_TRAILERS or not _FIELD.fullmatch(line):
+            raise MalformedAnswerError("malformed trailer")
+
+
 def build_message(head: Head) -> http.client.HTTPMessage:
     """Return the header fields in the form that the library expects."""
     message = http.client.HTTPMessage()
@@ -131,13 +165,14 @@
 
 def _read_fields(lines: AnswerLines) -> list[tuple[str, str]]:
     fields: list[tuple[str, str]] = []
-    while line := lines.read():
+    for _ in range(MAX_HEADERS + 1):
+        line = lines.read()
+        if not line:
+            return fields
         found = _FIELD.fullmatch(line)
         if found is not None:
             value = found[2].strip(b" \t").decode("latin-1")
             fields.append((found[1].decode("ascii"), value))
-            if len(fields) > MAX_HEADERS:
-                raise MalformedAnswerError("too many headers")
             continue
         if not fields or not _FOLD.fullmatch(line):
             raise MalformedAnswerError("malformed header")
@@ -146,7 +181,7 @@
             raise MalformedAnswerError("folded length")
         folded = line.strip(b" \t").decode("latin-1")
         fields[-1] = (name, f"{value} {folded}")
-    return fields
+    raise MalformedAnswerError("too many headers")
 
 
 def _check_framing(head: Head) -> None:
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -14,7 +14,11 @@
 from urllib3.util.wait import wait_for_read
 
 from .answer_heads import build_message
+from .answer_heads import CRLF
+from .answer_heads import MalformedAnswerError
+from .answer_heads import read_chunk_size
 from .answer_heads import read_head
+from .answer_heads import skip_trailers
 from .settings import split_address
 
 MAX_IDLE_PER_ENDPOINT = 64
@@ -81,11 +85,63 @@
                 self._socket.shutdown(socket.SHUT_RDWR)
 
 
+class AnswerSource(io.RawIOBase):
+    """Read an answer from a socket until a deadline.
+
+    A time-out of the socket covers a single read: an endpoint that sends a
+    byte now and then would hold its reader without end.
+    """
+
+    def __init__(self, sock: socket.socket, deadline: float) -> None:
+        # On the monotonic clock.
+        self.deadline = deadline
+        # While set, reads return None if nothing has arrived.
+        self.polls = False
+        # The socket stays open until this is closed, even if the connection
+        # is closed before.
+        self._file = sock.makefile("rb", buffering=0)
+        self._socket = sock
+
+    def readable(self) -> bool:
+        """Return True, as the socket can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into a buffer what has arrived or arrives next.
+
+        :raises TimeoutError: the deadline has passed
+        """
+        if self.polls:
+            self._socket.settimeout(0.0)
+            try:
+                return self._socket.recv_into(buffer)
+            except BlockingIOError:
+                return None
+        left_s = self.deadline - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("deadline has passed")
+        self._socket.settimeout(left_s)
+        return self._socket.recv_into(buffer)
+
+    def close(self) -> None:
+        """Let go of the socket."""
+        super().close()
+        self._file.close()
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Return the buffered reader that the library asks a socket for."""
+        return io.BufferedReader(self)
+
+
 class Answer(http.client.HTTPResponse):
     """Read an answer strictly; detect bytes that follow its end."""
 
     has_excess_data = False
 
+    def __init__(self, source: AnswerSource, **values: Any) -> None:
+        super().__init__(source, **values)  # type: ignore[arg-type]
+        self.source = source
+
     def begin(self) -> None:
         """Read the head.
 
@@ -117,9 +173,31 @@
         # receive the rest of a second, unsolicited answer.
         file = self.fp
         if file is not None and not self.will_close:
-            self.has_excess_data = _has_more_data(file)
+            self.has_excess_data = self._has_more_data(file)
         super()._close_conn()  # type: ignore[misc]
 
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of the chunk, None after the last one."""
+        if self.chunk_left:
+            return self.chunk_left
+        assert self.fp is not None
+        if self.chunk_left == 0 and self.fp.read(len(CRLF)) != CRLF:
+            raise MalformedAnswerError("chunk without its end")
+        self.chunk_left = read_chunk_size(self.fp) or None
+        if self.chunk_left is None:
+            skip_trailers(self.fp)
+            self._close_conn()
+        return self.chunk_left
+
+    def _has_more_data(self, file: io.BufferedReader) -> bool:
+        self.source.polls = True
+        try:
+            return bool(file.peek(1))
+        except OSError:
+            return True
+        finally:
+            self.source.polls = False
+
 
 class Connection(HTTPConnection):
     """Connect to an endpoint and detect whether it can be reused."""
@@ -129,6 +207,8 @@
     partly_sent = False
     # Requests that were written to the connection, in full or in part.
     carried = 0
+    # On the monotonic clock.
+    _deadline = 0.0
 
     @property
     def is_reusable(self) -> bool:
@@ -137,11 +217,17 @@
             return False
         return not self.answer.has_excess_data
 
+    def limit(self, deadline: float) -> None:
+        """Set the time until which all reads of an answer may last."""
+        self._deadline = deadline
+        if self.answer is not None:
+            self.answer.source.deadline = deadline
+
     def response_class(  # type: ignore[override]
-        self, *args: Any, **values: Any
+        self, sock: socket.socket, **values: Any
     ) -> Answer:
         """Build the answer that is read next, and store it."""
-        self.answer = Answer(*args, **values)
+        self.answer = Answer(AnswerSource(sock, self._deadline), **values)
         return self.answer
 
 
@@ -221,18 +307,3 @@
     if found is None:
         return DEFAULT_IDLE_S
     return min(MAX_IDLE_S, int(found[1]) * KEEP_ALIVE_SHARE)
-
-
-def _has_more_data(file: io.BufferedReader) -> bool:
-    sock = getattr(file.raw, "_sock", None)
-    if sock is None:
-        return False
-    timeout_s = sock.gettimeout()
-    try:
-        sock.settimeout(0.0)
-        return bool(file.peek(1))
-    except OSError:
-        return True
-    finally:
-        with contextlib.suppress(OSError):
-            sock.settimeout(timeout_s)
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -22,6 +22,7 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from .answer_heads import MalformedAnswerError
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
 from .answers import UnprovenRefusalError
@@ -36,6 +37,9 @@
 REFUSAL_TIMEOUT_S = 0.1
 BUFFER_BYTES = 65536
 MIN_TIMEOUT_S = 0.001
+# The wait for the body of a rejection, which only serves to keep the
+# connection; the call is sent elsewhere after it.
+REJECTION_BODY_S = 0.02
 FIRST_FINAL_STATUS = 200
 FIRST_FAILED_STATUS = 500
 
@@ -372,6 +376,7 @@
         assert response is not None
         started = time.monotonic()
         self._exchange.wait_until = started + self._wait_s
+        self._connection.limit(started + self._wait_s)
         try:
             piece = response.read1(BUFFER_BYTES, decode_content=False)
         except (HTTPError, OSError, http.client.HTTPException) as error:
@@ -525,6 +530,7 @@
         deadline: float,
     ) -> HTTPResponse:
         exchange.wait_until = deadline
+        connection.limit(deadline)
         connection.timeout = max(MIN_TIMEOUT_S, deadline - time.monotonic())
         headers = request.headers
         pieces = request.pieces()
@@ -569,6 +575,8 @@
         shed = self._format.is_not_run(response)
         reply = Reply(NOT_RUN if shed else ANSWERED, 0.0)
         wait_s = deadline - time.monotonic()
+        if shed:
+            wait_s = min(wait_s, REJECTION_BODY_S)
         reply.set_answer(
             response,
             connection,
@@ -593,6 +601,8 @@
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
     cause = error.__cause__ if isinstance(error, BrokenAnswerError) else error
+    if cause is not None and isinstance(cause.__cause__, MalformedAnswerError):
+        return MALFORMED
     if isinstance(cause, (TimeoutError, HTTPTimeoutError)):
         return TIMED_OUT
     if isinstance(cause, (OSError, ProtocolError)):
