Forward an answer without a length in chunks, so that a cut one shows

The router wrote the answer without framing too and relied on a reset of its own, but a killed process resets nothing: the kernel closes in order.

A caller of HTTP/1.1 now gets such an answer in chunks. The last chunk is written only after the endpoint's orderly close; a reset by the endpoint, the deadline or an end of the attempt by this entry resets the caller's connection as before. A caller of HTTP/1.0 reads no chunks and gets the answer as before, by the end of the connection. That an endpoint itself ends such an answer in order, but too early, can't be seen by anyone.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -54,6 +54,7 @@
 
 ACTION_GRACE_S = 5.0
 FULL_RETRY_S = 1.0
+HTTP_1_0 = "HTTP/1.0"
 # Names the scheme of the keys in answers to calls without a valid one.
 CHALLENGE = "Bearer"
 # One in so many worker threads is reserved for pages: if calls could hold
@@ -336,12 +337,11 @@
         headers = [*reply.headers(), (ENTRY_HEADER, self._name)]
         if http.is_relayed:
             headers.extend(describe_outcome(RELAY_ANSWERED))
-        if not reply.is_framed:
-            # Nothing shows whether such an answer is complete. It is written
-            # without framing too, so that the caller does not take a broken
-            # one for complete.
+        if not reply.is_framed and http.response_protocol == HTTP_1_0:
+            # Nothing shows whether such an answer is complete. Others get it
+            # in chunks, with the last one only after the endpoint's orderly
+            # close: ended by the kernel, their answer is visibly incomplete.
             http.close_connection = True
-            http.response_protocol = "HTTP/1.0"
             headers.append(("Connection", "close"))
         http.begin(reply.status, headers)
         try:
--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,161 @@
+"""Test that a cut answer without a length never looks complete."""
+
+import http.client
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from nutmegchute_fakes.call_servers import CallServer
+from nutmegchute_fakes.call_servers import read_to_end
+from nutmegchute_fakes.call_servers import RESET
+from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
+from nutmegchute_fakes.faulty_upstreams import UpstreamConnection
+
+WAIT_S = 20.0
+DEADLINE_MS = 20000
+TARGET = "/call/catalogo/a"
+LAST_CHUNK = b"0\r\n\r\n"
+START = b"half of the catalogue, "
+REST = b"and the other half"
+ENTRY = """
+import sys
+from nutmegchute_fakes.call_servers import CallServer
+server = CallServer([sys.argv[1]], deadline_ms=int(sys.argv[2]))
+print(server.address, flush=True)
+sys.stdin.read()
+server.stop()
+"""
+
+
+class Unframed(FaultyUpstream):
+    """Send half of an answer, and the rest or a reset after the release."""
+
+    def __init__(self, head: bytes = b"HTTP/1.1 200 OK\r\n\r\n") -> None:
+        self.head = head
+        self.resets = False
+        super().__init__(self._answer)
+
+    def _answer(self, connection: UpstreamConnection) -> None:
+        connection.read()
+        connection.write(self.head + START)
+        self.release.wait(WAIT_S)
+        if self.resets:
+            connection.reset()
+            return
+        connection.write(REST)
+
+
+class Pair:
+    """Run an entry in front of one endpoint."""
+
+    def __init__(self, endpoint: FaultyUpstream) -> None:
+        self.endpoint = endpoint
+        self.server = CallServer([endpoint.address], deadline_ms=DEADLINE_MS)
+
+    def read(self, version: str, resets: bool = False) -> bytes:
+        """Return the answer to one call, with half of it read at first."""
+        request = f"GET {TARGET} HTTP/{version}\r\nHost: x\r\n"
+        with self.server.connect() as sock:
+            sock.sendall(f"{request}Connection: close\r\n\r\n".encode())
+            answer = b""
+            while START not in answer:
+                answer += sock.recv(65536)
+            if version == "1.1":
+                assert LAST_CHUNK not in answer
+            assert isinstance(self.endpoint, Unframed)
+            self.endpoint.resets = resets
+            self.endpoint.release.set()
+            return answer + read_to_end(sock)
+
+    def stop(self) -> None:
+        """Stop both."""
+        self.endpoint.stop()
+        self.server.stop()
+
+
+@pytest.fixture
+def build() -> Iterator[Any]:
+    """Yield a builder of pairs and stop them at the end."""
+    built: list[Pair] = []
+
+    def one(endpoint: FaultyUpstream) -> Pair:
+        built.append(Pair(endpoint))
+        return built[-1]
+
+    yield one
+    for pair in built:
+        pair.stop()
+
+
+HEADS = [b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.0 200 OK\r\n\r\n"]
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_unframed_answer_is_forwarded_in_chunks(
+    build: Any, head: bytes
+) -> None:
+    """Write the last chunk only after the endpoint's orderly close.
+
+    Without chunks a caller takes any end of its connection for the end.
+    """
+    answer = build(Unframed(head)).read("1.1")
+    assert b"Transfer-Encoding: chunked\r\n" in answer
+    assert answer.endswith(LAST_CHUNK)
+    assert START in answer
+    assert REST in answer
+
+
+def test_reset_within_an_unframed_answer_is_passed_on(build: Any) -> None:
+    """Reset the caller's connection, without a last chunk."""
+    answer = build(Unframed()).read("1.1", resets=True)
+    assert answer.endswith(RESET)
+    assert LAST_CHUNK not in answer
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_unframed_answer_to_an_old_caller_ends_with_its_connection(
+    build: Any, resets: bool
+) -> None:
+    """Send no chunks to a caller of HTTP/1.0, which cannot read them."""
+    answer = build(Unframed()).read("1.0", resets)
+    assert b"Transfer-Encoding" not in answer
+    if resets:
+        assert answer.endswith(RESET)
+        return
+    assert answer.endswith(b"\r\n\r\n" + START + REST)
+
+
+def test_answer_of_a_killed_entry_is_incomplete() -> None:
+    """Never let a kill of the entry end an answer that looks complete.
+
+    The kernel closes the caller's connection in order, not by a reset.
+    """
+    endpoint = Unframed()
+    entry = subprocess.Popen(
+        [sys.executable, "-c", ENTRY, endpoint.address, str(DEADLINE_MS)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        env=os.environ,
+    )
+    assert entry.stdin is not None
+    assert entry.stdout is not None
+    try:
+        address = entry.stdout.readline().decode().strip()
+        caller = http.client.HTTPConnection(address, timeout=WAIT_S)
+        caller.request("GET", TARGET)
+        response = caller.getresponse()
+        assert response.read(len(START)) == START
+        entry.kill()
+        entry.wait(WAIT_S)
+        with pytest.raises(http.client.IncompleteRead):
+            response.read()
+        caller.close()
+    finally:
+        entry.kill()
+        entry.wait(WAIT_S)
+        entry.stdin.close()
+        entry.stdout.close()
+        endpoint.stop()
