Frame the body of a 205, which came before the next answer

The HTTP server writes the body of a 205 without a length raw, and keeps the connection: a caller that read the chunks of an endpoint's 205 got no end, and the bytes of the body before its next answer. An endpoint that sends garbled bytes can turn any status into 205.

--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -24,6 +24,8 @@
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILERS = 32
 CRLF = b"\r\n"
+# A status for which the server frames no body, though one may follow.
+RESET_CONTENT = b"205"
 
 # Headers that may occur only once. With two values, two servers on the path
 # could disagree on where a request ends, and the rest of it would be parsed
@@ -241,8 +243,21 @@
     def send_headers(self) -> None:
         """Write the head; it is sent with the first piece of the body."""
         self.conn.wfile.hold()
+        if self.status.startswith(RESET_CONTENT):  # type: ignore[arg-type]
+            self._frame_body()
         super().send_headers()
 
+    def _frame_body(self) -> None:
+        """Frame a body of unknown length, which the server does not do."""
+        for name, _ in self.outheaders:
+            if name.lower() == b"content-length":
+                return
+        if self.response_protocol != "HTTP/1.1":
+            self.close_connection = True
+        elif self.method != b"HEAD":
+            self.chunked_write = True
+            self.outheaders.append((b"Transfer-Encoding", b"chunked"))
+
     def write(self, chunk: bytes) -> None:
         """Write a piece of the body, the head before it."""
         if self.method == b"HEAD":
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -159,3 +159,29 @@
         entry.stdin.close()
         entry.stdout.close()
         endpoint.stop()
+
+
+def reset_content(connection: UpstreamConnection) -> None:
+    """Answer 205 with a body."""
+    while connection.read() is not None:
+        connection.write(
+            b"HTTP/1.1 205 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"5\r\nwhole\r\n0\r\n\r\n"
+        )
+
+
+def test_body_of_205_is_not_read_as_the_next_answer(build: Any) -> None:
+    """Frame the body of a 205 too, or end the connection after it.
+
+    Otherwise its bytes come before the next answer on the connection.
+    """
+    pair = build(FaultyUpstream(reset_content))
+    caller = http.client.HTTPConnection(pair.server.address, timeout=WAIT_S)
+    for _ in range(3):
+        caller.request("GET", TARGET)
+        response = caller.getresponse()
+        assert (response.status, response.read()) == (205, b"whole")
+    caller.close()
+    request = f"GET {TARGET} HTTP/1.0\r\nConnection: keep-alive\r\n"
+    answer = pair.server.send_raw(f"{request}Host: x\r\n\r\n".encode())
+    assert answer.endswith(b"\r\n\r\nwhole")
