--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -13,6 +13,12 @@
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from .answer_heads import build_message
+from .answer_heads import CRLF
+from .answer_heads import MalformedAnswerError
+from .answer_heads import read_chunk_size
+from .answer_heads import read_head
+from .answer_heads import skip_trailers
 from .settings import split_address
 
 MAX_IDLE_PER_ENDPOINT = 64
@@ -25,6 +31,7 @@
 KEEP_ALIVE_SHARE = 0.75
 MAX_IDLE_S = 60.0
 
+BODILESS_STATUSES = frozenset({204, 304})
 
 # Rejections after which a connection is closed, as it keeps their names.
 MAX_REJECTED = 100
@@ -82,13 +89,65 @@
                 self._socket.shutdown(socket.SHUT_RDWR)
 
 
+class AnswerSource(io.RawIOBase):
+    """Read an answer from a socket until a deadline.
+
+    A time-out of the socket covers a single read: an endpoint that sends a
+    byte now and then would hold its reader without end.
+    """
+
+    def __init__(self, sock: socket.socket, deadline: float) -> None:
+        # On the monotonic clock.
+        self.deadline = deadline
+        # While set, reads return None if nothing has arrived.
+        self.polls = False
+        # The socket stays open until this is closed, even if the connection
+        # is closed before.
+        self._file = sock.makefile("rb", buffering=0)
+        self._socket = sock
+
+    def readable(self) -> bool:
+        """Return True, as the socket can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into a buffer what has arrived or arrives next.
+
+        :raises TimeoutError: the deadline has passed
+        """
+        if self.polls:
+            self._socket.settimeout(0.0)
+            try:
+                return self._socket.recv_into(buffer)
+            except BlockingIOError:
+                return None
+        left_s = self.deadline - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("deadline has passed")
+        self._socket.settimeout(left_s)
+        return self._socket.recv_into(buffer)
+
+    def close(self) -> None:
+        """Let go of the socket."""
+        super().close()
+        self._file.close()
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Return the buffered reader that the library asks a socket for."""
+        return io.BufferedReader(self)
+
+
 class Answer(http.client.HTTPResponse):
-    """Detect bytes that follow the end of an answer."""
+    """Read an answer strictly; detect bytes that follow its end."""
 
     # What had arrived behind the answer when its end was read; None if the
     # connection was reset.
     excess_data: bytes | None = b""
 
+    def __init__(self, source: AnswerSource, **values: Any) -> None:
+        super().__init__(source, **values)  # type: ignore[arg-type]
+        self.source = source
+
     @property
     def is_contradicted(self) -> bool:
         """Return whether what follows is no copy of this answer."""
@@ -101,7 +160,32 @@
         """Return whether the whole body has arrived."""
         if not self.length or self.fp is None:
             return self.length == 0
-        return len(_peek(self.fp) or b"") >= self.length
+        return len(self._peek(self.fp) or b"") >= self.length
+
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises MalformedAnswerError: it is malformed or too long
+        :raises RemoteDisconnected: the endpoint closed before its end
+        """
+        # The library's own parser takes the end of the connection for the
+        # end of the head, and skips what it cannot parse.
+        assert self.fp is not None
+        head = read_head(self.fp)
+        self.version = head.version
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.headers = self.msg = build_message(head)
+        self.chunked = head.is_chunked
+        self.chunk_left = None
+        self.length = head.length
+        method = self._method  # type: ignore[attr-defined]
+        if method == "HEAD" or head.status in BODILESS_STATUSES:
+            self.chunked = False
+            self.length = 0
+        self.will_close = self._check_close()  # type: ignore[attr-defined]
+        if not self.chunked and self.length is None:
+            self.will_close = True
 
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
@@ -109,9 +193,32 @@
         # receive the rest of a second, unsolicited answer.
         file = self.fp
         if file is not None and not self.will_close:
-            self.excess_data = _peek(file)
+            self.excess_data = self._peek(file)
         super()._close_conn()  # type: ignore[misc]
 
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of the chunk, None after the last one."""
+        if self.chunk_left:
+            return self.chunk_left
+        assert self.fp is not None
+        if self.chunk_left == 0 and self.fp.read(len(CRLF)) != CRLF:
+            raise MalformedAnswerError("chunk without its end")
+        self.chunk_left = read_chunk_size(self.fp) or None
+        if self.chunk_left is None:
+            skip_trailers(self.fp)
+            self._close_conn()
+        return self.chunk_left
+
+    def _peek(self, file: io.BufferedReader) -> bytes | None:
+        """Return bytes that have arrived, or None after a reset."""
+        self.source.polls = True
+        try:
+            return file.peek(1)
+        except OSError:
+            return None
+        finally:
+            self.source.polls = False
+
 
 class Connection(HTTPConnection):
     """Connect to an endpoint and detect whether it can be reused."""
@@ -121,6 +228,8 @@
     partly_sent = False
     # Requests that were written to the connection, in full or in part.
     carried = 0
+    # On the monotonic clock.
+    _deadline = 0.0
 
     def __init__(self, *args: Any, **values: Any) -> None:
         super().__init__(*args, **values)
@@ -144,11 +253,17 @@
         if name is not None:
             self.rejected.add(name)
 
+    def limit(self, deadline: float) -> None:
+        """Set the time until which all reads of an answer may last."""
+        self._deadline = deadline
+        if self.answer is not None:
+            self.answer.source.deadline = deadline
+
     def response_class(  # type: ignore[override]
-        self, *args: Any, **values: Any
+        self, sock: socket.socket, **values: Any
     ) -> Answer:
         """Build the answer that is read next, and store it."""
-        self.answer = Answer(*args, **values)
+        self.answer = Answer(AnswerSource(sock, self._deadline), **values)
         return self.answer
 
 
@@ -247,19 +362,3 @@
         if name not in idle[index][1].rejected:
             return index
     return None
-
-
-def _peek(file: io.BufferedReader) -> bytes | None:
-    """Return bytes that have arrived, or None after a reset."""
-    sock = getattr(file.raw, "_sock", None)
-    if sock is None:
-        return b""
-    timeout_s = sock.gettimeout()
-    try:
-        sock.settimeout(0.0)
-        return file.peek(1)
-    except OSError:
-        return None
-    finally:
-        with contextlib.suppress(OSError):
-            sock.settimeout(timeout_s)
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -1,7 +1,6 @@
 """Send one attempt of a call to an endpoint and read its answer."""
 
 import http.client
-import re
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -23,6 +22,7 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from .answer_heads import MalformedAnswerError
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
 from .answers import UnprovenRefusalError
@@ -64,9 +64,6 @@
 CONNECT_TIMED_OUT = "connection timed out"
 CONNECT_FAILED = "connection failed"
 
-_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_LINE_FOLD = re.compile(r"[\r\n]+[ \t]*")
-
 
 class BodyRemainder:
     """Stream the rest of a long body as it arrives; it can be read once."""
@@ -314,7 +311,7 @@
                 if length_seen:
                     continue
                 length_seen = True
-            forwarded.append((name, _LINE_FOLD.sub(" ", value)))
+            forwarded.append((name, value))
         return forwarded
 
     def read_start(self) -> None:
@@ -375,6 +372,7 @@
         assert response is not None
         started = time.monotonic()
         self._exchange.wait_until = started + self._wait_s
+        self._connection.limit(started + self._wait_s)
         try:
             piece = response.read1(BUFFER_BYTES, decode_content=False)
         except (HTTPError, OSError, http.client.HTTPException) as error:
@@ -539,6 +537,7 @@
         deadline: float,
     ) -> HTTPResponse:
         exchange.wait_until = deadline
+        connection.limit(deadline)
         connection.timeout = max(MIN_TIMEOUT_S, deadline - time.monotonic())
         headers = request.headers
         pieces = request.pieces()
@@ -569,9 +568,6 @@
             # The library returns an interim answer, such as an early hint,
             # as the final one; the next call would receive the real answer.
             raise BrokenAnswerError("interim answer")
-        for name in response.headers:
-            if not _NAME.fullmatch(name):
-                raise BrokenAnswerError("malformed header")
         return response
 
     def _read_reply(
@@ -627,6 +623,8 @@
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
     cause = error.__cause__ if isinstance(error, BrokenAnswerError) else error
+    if cause is not None and isinstance(cause.__cause__, MalformedAnswerError):
+        return MALFORMED
     if isinstance(cause, (TimeoutError, HTTPTimeoutError)):
         return TIMED_OUT
     if isinstance(cause, (OSError, ProtocolError)):
