Skip a late answer to an earlier request and wait for the right one

An unsafe request whose connection brought a late copy of an earlier answer first was answered 502 although its endpoint ran it and answered: its own answer was never read. The protocol says that the id identifies an extra answer. One that names one of the last eight requests of its connection alone, with a length of at most 64 KiB, is now skipped, at most four in a row; the answer that follows is judged as before, and the connection is closed after it. All others still end the attempt: an answer with an unknown id, with several, chunked, or after a HEAD request, whose late copy has no body.

--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -266,7 +266,8 @@
     ``refusal`` is that of a helper, None without one. ``status`` is that of
     the answer, 0 without one; ``naming`` says whether the answer names the
     request. ``carried`` is the number of requests that the connection had
-    carried before, None without a connection. ``evidence`` shows that the
+    carried before, None without a connection, ``strays`` that of late answers
+    to them which came before this one. ``evidence`` shows that the
     attempt did not run, None without such evidence.
     """
 
@@ -287,6 +288,7 @@
         "reused",
         "shed",
         "status",
+        "strays",
         "stretch",
     )
 
@@ -309,8 +311,10 @@
         naming: str = "",
         carried: int | None = None,
         evidence: Evidence | None = None,
+        strays: int = 0,
     ) -> None:
         self.evidence = evidence
+        self.strays = strays
         self.status = status
         self.naming = naming
         self.carried = carried
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -325,6 +325,7 @@
             status=reply.head_status,
             naming=reply.naming,
             carried=reply.carried,
+            strays=reply.strays,
             evidence=evidence,
         )
         self._runner.schedule(self.dispatcher.end_attempt, call, result)
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -15,6 +15,7 @@
 
 from .answer_heads import build_message
 from .answer_heads import CRLF
+from .answer_heads import Head
 from .answer_heads import MalformedAnswerError
 from .answer_heads import read_chunk_size
 from .answer_heads import read_head
@@ -33,6 +34,12 @@
 
 BODILESS_STATUSES = frozenset({204, 304})
 
+# Late answers to earlier requests that are skipped before the expected one,
+# and the largest body of such an answer.
+MAX_STRAYS = 4
+MAX_STRAY_BYTES = 65536
+# Earlier requests of a connection whose late answers are known as such.
+MAX_EARLIER = 8
 # Rejections after which a connection is closed, as it keeps their names.
 MAX_REJECTED = 100
 
@@ -144,9 +151,14 @@
     # connection was reset.
     excess_data: bytes | None = b""
 
-    def __init__(self, source: AnswerSource, **values: Any) -> None:
+    def __init__(
+        self, source: AnswerSource, earlier: "EarlierRequests", **values: Any
+    ) -> None:
         super().__init__(source, **values)  # type: ignore[arg-type]
         self.source = source
+        self._earlier = earlier
+        # Late answers to earlier requests that came before this one.
+        self.strays = 0
 
     @property
     def is_contradicted(self) -> bool:
@@ -172,6 +184,10 @@
         # end of the head, and skips what it cannot parse.
         assert self.fp is not None
         head = read_head(self.fp)
+        while self._earlier.is_named(head) and self.strays < MAX_STRAYS:
+            self._skip_body(head)
+            self.strays += 1
+            head = read_head(self.fp)
         self.version = head.version
         self.code = self.status = head.status
         self.reason = head.reason
@@ -187,6 +203,18 @@
         if not self.chunked and self.length is None:
             self.will_close = True
 
+    def _skip_body(self, head: Head) -> None:
+        """Skip the body of a late answer to an earlier request.
+
+        :raises MalformedAnswerError: its end cannot be told
+        """
+        assert self.fp is not None
+        length = 0 if head.status in BODILESS_STATUSES else head.length
+        if length is None or length > MAX_STRAY_BYTES:
+            raise MalformedAnswerError("long answer to another request")
+        if len(self.fp.read(length)) < length:
+            raise http.client.RemoteDisconnected("closed within a body")
+
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
         # answer would be lost, and the next call on the connection would
@@ -220,6 +248,41 @@
             self.source.polls = False
 
 
+class EarlierRequests:
+    """Hold the names of the last requests of a connection."""
+
+    __slots__ = ("_header", "_name", "_names")
+
+    def __init__(self) -> None:
+        self._header = ""
+        self._name: str | None = None
+        self._names: deque[str] = deque(maxlen=MAX_EARLIER)
+
+    def begin(self, header: str, name: str | None, method: str) -> None:
+        """Record that a request is sent whose answers bear this name.
+
+        The answer to a HEAD request has no body whatever its length, so that
+        a late copy of it cannot be skipped.
+        """
+        if self._name is not None:
+            self._names.append(self._name)
+        self._header = header.lower()
+        self._name = None if method == "HEAD" else name
+
+    def is_named(self, head: Head) -> bool:
+        """Return whether an answer names an earlier request alone."""
+        if not self._names:
+            return False
+        found = [
+            value
+            for name, value in head.fields
+            if name.lower() == self._header
+        ]
+        if len(found) != 1 or found[0] == self._name:
+            return False
+        return found[0] in self._names
+
+
 class Connection(HTTPConnection):
     """Connect to an endpoint and detect whether it can be reused."""
 
@@ -234,6 +297,7 @@
     def __init__(self, *args: Any, **values: Any) -> None:
         super().__init__(*args, **values)
         self.rejected: set[str] = set()
+        self.earlier = EarlierRequests()
 
     @property
     def is_reusable(self) -> bool:
@@ -242,7 +306,7 @@
             return False
         if len(self.rejected) >= MAX_REJECTED:
             return False
-        return self.answer.excess_data == b""
+        return not self.answer.strays and self.answer.excess_data == b""
 
     def record_rejection(self, name: str | None) -> None:
         """Record that the endpoint rejected a request with this name.
@@ -263,7 +327,8 @@
         self, sock: socket.socket, **values: Any
     ) -> Answer:
         """Build the answer that is read next, and store it."""
-        self.answer = Answer(AnswerSource(sock, self._deadline), **values)
+        source = AnswerSource(sock, self._deadline)
+        self.answer = Answer(source, self.earlier, **values)
         return self.answer
 
 
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -174,7 +174,7 @@
         if call.worker_attempt == result.attempt:
             call.worker_attempt = None
         self._metrics.count(f"attempts.{result.outcome}")
-        if result.naming not in ("", NAMES_REQUEST):
+        if result.naming not in ("", NAMES_REQUEST) or result.strays:
             self._metrics.count("misnamed")
         self._metrics.time_ms("attempt", result.latency_s * 1000)
         send = call.record.sends.get(result.attempt)
@@ -197,6 +197,8 @@
                 send["names"] = result.naming
             if result.carried is not None:
                 send["carried"] = result.carried
+            if result.strays:
+                send["strays"] = result.strays
             if result.crashed:
                 self._report_crash(call, send)
         self.perform(self._balancer.finish(result, self._loop.time()))
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -144,6 +144,7 @@
         "loss",
         "naming",
         "reused",
+        "strays",
     )
 
     def __init__(
@@ -169,6 +170,8 @@
         # How the answer names the request; empty without an answer, and
         # where answers have no names.
         self.naming = ""
+        # Late answers to earlier requests that came before this one.
+        self.strays = 0
         # The status in the head that was read, also of a broken answer.
         self.head_status = 0
         self._outcome = outcome
@@ -457,6 +460,11 @@
         response = None
         carried = connection.carried
         connection.carried += 1
+        connection.earlier.begin(
+            self._format.name_header,
+            self._format.request_name(request.headers),
+            request.method,
+        )
         try:
             response = self._send_request(
                 request, connection, exchange, deadline
@@ -492,6 +500,8 @@
                 reply.set_refusal(response, self._format)
         reply.reused = reused
         reply.carried = carried
+        if connection.answer is not None:
+            reply.strays = connection.answer.strays
         if response is not None:
             reply.head_status = response.status
             reply.naming = self._format.naming(request.headers, response)
