--- a/benchmarks/policy_upstreams.py
+++ b/benchmarks/policy_upstreams.py
@@ -25,6 +25,8 @@
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_core.evidence import Evidence
+from nutmegchute_core.evidence import REJECTED
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.reachability import ANSWERED as ANSWERED_CHECK
 from nutmegchute_core.reachability import LinkCheck
@@ -438,6 +440,9 @@
         if failed:
             self._failed_attempts.add(key)
         latency_s = self.now - job.sent_at
+        evidence = None
+        if outcome == NOT_RUN:
+            evidence = Evidence(REJECTED, job.call_id, job.attempt)
         result = Result(
             job.call_id,
             job.attempt,
@@ -448,6 +453,7 @@
             stretch,
             job.shed,
             loss,
+            evidence=evidence,
         )
         balancer = self._balancers[job.entry]
         self.perform(job.entry, balancer.finish(result, self.now))
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -14,7 +14,6 @@
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refuse
-from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.quarantines import Quarantine
@@ -26,6 +25,7 @@
 from nutmegchute_core.reachability import UNCONNECTED
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
+from support import build_result
 
 SERVICE = "desk"
 SLOTS = 3
@@ -394,7 +394,7 @@
         crashed: bool = False,
     ) -> None:
         entry, call_id, attempt = key
-        result = Result(
+        result = build_result(
             call_id,
             attempt,
             outcome,
--- a/tests/demand_model.py
+++ b/tests/demand_model.py
@@ -33,6 +33,7 @@
 from nutmegchute_core.reachability import LinkCheck
 from nutmegchute_core.rules import Rule
 from nutmegchute_core.rules import Service
+from support import build_result
 
 SERVICE = "desk"
 ZONES = ["az-1", "az-2", "az-3"]
@@ -327,7 +328,7 @@
     def _answer(
         self, entry: Entry, send: Send, upstream: Upstream, outcome: str
     ) -> None:
-        result = Result(
+        result = build_result(
             call_id=send.call_id,
             attempt=send.attempt,
             outcome=outcome,
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,10 @@
 
 from typing import Any
 
+from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.calls import Result
+from nutmegchute_core.evidence import Evidence
+from nutmegchute_core.evidence import REJECTED
 from nutmegchute_core.members import Announcement
 
 
@@ -33,3 +37,12 @@
     }
     fields.update(values)
     return Announcement(**fields)
+
+
+def build_result(
+    call_id: int, attempt: int, outcome: str, *args: Any, **values: Any
+) -> Result:
+    """Build the result of an attempt; "not run" carries its evidence."""
+    if outcome == NOT_RUN:
+        values["evidence"] = Evidence(REJECTED, call_id, attempt)
+    return Result(call_id, attempt, outcome, *args, **values)
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -19,6 +19,7 @@
 from nutmegchute_core.reachability import LinkCheck
 from nutmegchute_core.rules import read_services
 from support import announcement
+from support import build_result
 from support import rule
 from support import team
 
@@ -72,7 +73,7 @@
     """A call that an endpoint did not run is sent to another endpoint."""
     balancer = build_balancer("a:1", "b:1")
     send = arrive(balancer, "POST")
-    result = Result(send.call_id, send.attempt, NOT_RUN, 0.001)
+    result = build_result(send.call_id, send.attempt, NOT_RUN, 0.001)
     actions = balancer.finish(result, 0.001)
     assert isinstance(actions[0], Send)
     assert actions[0].endpoint != send.endpoint
@@ -107,7 +108,7 @@
     draining = announcement("b:1", state=DRAINING)
     balancer.update_upstreams([announcement("a:1"), draining], 0.0)
     send = arrive(balancer, "GET")
-    result = Result(send.call_id, send.attempt, outcome, 0.001)
+    result = build_result(send.call_id, send.attempt, outcome, 0.001)
     actions = balancer.finish(result, 0.001)
     assert [type(action) for action in actions] == [end]
     assert balancer.in_flight == 0
@@ -144,7 +145,7 @@
     """
     balancer = build_balancer("a:1")
     send = arrive(balancer, "POST")
-    result = Result(send.call_id, send.attempt, NOT_RUN, 0.001, load=0)
+    result = build_result(send.call_id, send.attempt, NOT_RUN, 0.001, load=0)
     (refusal,) = balancer.finish(result, 0.001)
     assert isinstance(refusal, Refuse)
     assert 0 < refusal.retry_after_s <= 0.01
@@ -163,7 +164,9 @@
     for deadline_s in (1.0, 1.0, 0.9):
         _, (send,) = balancer.arrive("catalogo", "POST", "/", 0.0, deadline_s)
         assert isinstance(send, Send)
-        result = Result(send.call_id, send.attempt, NOT_RUN, 0.001, load=0)
+        result = build_result(
+            send.call_id, send.attempt, NOT_RUN, 0.001, load=0
+        )
         actions = balancer.finish(result, 0.001)
         outcomes.append([type(one) for one in actions])
     assert outcomes == [[Send], [Refuse], [Send]]
--- a/tests/test_balancers_stateful.py
+++ b/tests/test_balancers_stateful.py
@@ -26,6 +26,7 @@
 from nutmegchute_core.reachability import LinkCheck
 from nutmegchute_core.rules import read_services
 from support import announcement
+from support import build_result
 from support import rule
 
 SLOTS = 2
@@ -170,7 +171,7 @@
         failed = failed and outcome == ANSWERED
         if outcome == LOST or failed:
             call.may_have_run = True
-        result = Result(call_id, attempt, outcome, 0.01, load, failed)
+        result = build_result(call_id, attempt, outcome, 0.01, load, failed)
         actions = self.balancer.finish(result, self.now)
         if outcome == ANSWERED and not failed:
             assert isinstance(actions[0], Finish)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -20,6 +20,7 @@
 from nutmegchute_core.messages import LogEntry
 from nutmegchute_core.rules import read_services
 from nutmegchute_core.sessions import choose_entries
+from support import build_result
 from support import rule
 from support import team
 
@@ -142,7 +143,9 @@
             actions = balancer.tick(now + 0.09)
             for hedge in sends(actions):
                 reached.append(hedge.endpoint)
-            result = Result(call_id, send.attempt, NOT_RUN, 0.01, shed=True)
+            result = build_result(
+                call_id, send.attempt, NOT_RUN, 0.01, shed=True
+            )
             actions = balancer.finish(result, now + 0.09)
         balancer.abandon(call_id, now + 0.09)
     assert len(reached) > 30
--- a/tests/test_inquiries.py
+++ b/tests/test_inquiries.py
@@ -22,6 +22,7 @@
 from nutmegchute_core.pools import SHED_RETRY_S
 from nutmegchute_core.routes import Route
 from nutmegchute_core.rules import Service
+from support import build_result
 
 SERVICE = "prestamos"
 ZONE = "surco"
@@ -491,7 +492,7 @@
             action = actions.pop()
             if not isinstance(action, Send):
                 continue
-            shed = Result(
+            shed = build_result(
                 call_id, action.attempt, NOT_RUN, 0.001, None, shed=True
             )
             actions += balancer.finish(shed, now)
--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -12,7 +12,6 @@
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refuse
-from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.calls import Throttle
 from nutmegchute_core.quota_ledgers import MAX_STARTING_WAIT_S
@@ -32,6 +31,7 @@
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.settings import Settings
 from support import announcement
+from support import build_result
 from support import rule
 from support import team
 from urllib3 import HTTPHeaderDict
@@ -278,7 +278,9 @@
         await asyncio.sleep(0.1)
         send, _ = call.next_action(0.0)
         assert isinstance(send, Send)
-        result = Result(send.call_id, send.attempt, outcome, 0.01, shed=True)
+        result = build_result(
+            send.call_id, send.attempt, outcome, 0.01, shed=True
+        )
         dispatcher.end_attempt(call, result)
         action = last_action(call)
         assert isinstance(action, Refuse if outcome == NOT_RUN else Lose)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,7 +15,6 @@
 from nutmegchute_core.calls import Refusal
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Relay
-from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.calls import Throttle
 from nutmegchute_core.reachability import ANSWERED as CHECK_ANSWERED
@@ -24,6 +23,7 @@
 from nutmegchute_core.relays import CUT_OFF
 from nutmegchute_core.rules import read_services
 from support import announcement
+from support import build_result
 from support import rule
 from support import team
 from test_helpers import build_entry
@@ -76,7 +76,9 @@
 
     def end(self, send: Send, outcome: str, **values: Any) -> list[Any]:
         """End an attempt; return what follows."""
-        result = Result(send.call_id, send.attempt, outcome, 0.001, **values)
+        result = build_result(
+            send.call_id, send.attempt, outcome, 0.001, **values
+        )
         return self.settle(self.balancer.finish(result, self.now))
 
     def lose_links(self) -> None:
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -28,6 +28,7 @@
 from nutmegchute_core.reachability import LinkCheck
 from nutmegchute_core.rules import read_services
 from support import announcement
+from support import build_result
 from support import rule
 from support import team
 
@@ -82,7 +83,7 @@
 
 def end(send: Send, outcome: str, **values: Any) -> Result:
     """Build the result of an attempt."""
-    return Result(send.call_id, send.attempt, outcome, 0.001, **values)
+    return build_result(send.call_id, send.attempt, outcome, 0.001, **values)
 
 
 def test_queued_calls_end_and_none_takes_their_place() -> None:
