Take a call as not run only by evidence that names call and attempt

Callers were told "not run" of requests that ran, and unsafe requests were sent again. In the core every result "not run" was believed: whoever built it decided that the request did not run, whatever that was based on, and an attempt counted as one that may have run only where LOST or CANCELLED said so. So one wrong "not run" of the daemon led to a second send, or to a refusal.

Now the type decides. An attempt may have run unless its result bears the evidence of this call and this attempt; Call.end_attempt is the one place that records it, and turns "not run" without it into a loss, also for the figures of the endpoint. Call.is_unrun says whether no attempt has run or can still run; a call that is not idempotent is sent again only then. LOST and ANSWERED outweigh evidence. A cancelled attempt may have run, unless its own result, while it is outstanding, bears evidence that it was not sent (the sender gives none yet). A call on lost links no longer counts as one that may have run before its attempt has ended.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -6,12 +6,9 @@
 from .calls import ANSWERED
 from .calls import Call
 from .calls import Cancel
-from .calls import CANCELLED
 from .calls import Deny
 from .calls import Finish
 from .calls import Lose
-from .calls import LOST
-from .calls import NOT_RUN
 from .calls import Probe
 from .calls import Refuse
 from .calls import Result
@@ -325,7 +322,7 @@
             # The call was abandoned or another attempt answered first; the
             # slot was released on cancellation.
             return actions
-        call.outstanding.discard(result.attempt)
+        call.end_attempt(result)
         pool = self._pools.get(call.service)
         if self._relays.is_relay(call.call_id, result.attempt):
             self._finish_relay(pool, call, result, now, actions)
@@ -732,19 +729,16 @@
         actions: list[Action],
         by_full_endpoint: bool,
     ) -> None:
-        if result.outcome == LOST or result.outcome == CANCELLED:
-            call.may_have_run = True
         if result.outcome == ANSWERED:
-            if result.failed and self._retry(pool, call, result, now):
-                # The endpoint may have executed the call before it failed.
-                call.may_have_run = True
+            # The endpoint may have executed the call before it failed.
+            if result.failed and self._retry(pool, call, now):
                 return
             call.step("answer")
             del self._calls[call.call_id]
             actions.append(Finish(call.call_id, result.attempt))
             self._cancel(pool, call, now, actions)
             return
-        if self._retry(pool, call, result, now, by_full_endpoint):
+        if self._retry(pool, call, now, by_full_endpoint):
             return
         if call.outstanding:
             return
@@ -759,7 +753,6 @@
         self,
         pool: Pool | None,
         call: Call,
-        result: Result,
         now: float,
         by_full_endpoint: bool = False,
     ) -> bool:
@@ -769,7 +762,7 @@
             return True
         if call.is_withdrawn:
             return False
-        may_repeat = result.outcome == NOT_RUN or call.rule.idempotent
+        may_repeat = call.is_unrun or call.rule.idempotent
         if (
             pool is None
             or not may_repeat
@@ -934,12 +927,11 @@
         now: float,
         actions: list[Action],
     ) -> None:
-        for attempt in sorted(call.outstanding):
+        for attempt in call.cancel_attempts():
             actions.append(Cancel(call.call_id, attempt))
             self._relays.record_cancel(call.call_id, attempt)
             if pool is not None:
                 pool.record_cancel(call, attempt, now)
-        call.outstanding.clear()
 
     def _refuse_or_lose(
         self,
@@ -1012,7 +1004,7 @@
         """
         if not self._relays.may_pass_on(call, now):
             return False
-        if not call.may_have_run:
+        if call.is_unrun:
             return True
         if pool is None or not call.rule.idempotent:
             return False
@@ -1033,8 +1025,6 @@
             del self._calls[call.call_id]
             actions.append(Finish(call.call_id, result.attempt))
             return
-        if result.outcome != NOT_RUN:
-            call.may_have_run = True
         if call.may_have_run or call.is_withdrawn or is_elsewhere(result):
             actions.append(self._finish_unserved(pool, call, now))
             return
@@ -1080,7 +1070,6 @@
                 if not call.rule.idempotent:
                     # It may have run, and its answer may still come.
                     continue
-                call.may_have_run = True
                 if not self._may_pass_on(pool, call, now):
                     continue
                 self._cancel(pool, call, now, actions)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -335,9 +335,19 @@
             return True
         return self.notice is not None
 
+    @property
+    def shows_unrun(self) -> bool:
+        """Return whether evidence shows that this attempt did not run."""
+        if self.outcome not in (NOT_RUN, CANCELLED) or self.evidence is None:
+            return False
+        return self.evidence.names(self.call_id, self.attempt)
+
 
 class Call:
-    """Track one call from its arrival to its single outcome."""
+    """Track one call from its arrival to its single outcome.
+
+    Each attempt may have run, until evidence of its own shows otherwise.
+    """
 
     __slots__ = (
         "_arrived_at",
@@ -346,6 +356,8 @@
         "_chart",
         "_deadline_at",
         "_is_retry",
+        "_may_have_run",
+        "_outstanding",
         "_rule",
         "_sent_at",
         "_service",
@@ -356,10 +368,8 @@
         "is_first_try",
         "is_relayed",
         "is_withdrawn",
-        "may_have_run",
         "objective_at",
         "organisation",
-        "outstanding",
         "requery_pending",
         "trial_token",
     )
@@ -398,8 +408,9 @@
         self._sent_at: dict[int, float] = {}
         # Whether the caller is known not to have sent the request before.
         self.is_first_try = False
-        self.may_have_run = False
-        self.outstanding: set[int] = set()
+        # Whether an attempt has ended without evidence that it did not run.
+        self._may_have_run = False
+        self._outstanding: set[int] = set()
         # Whether another entry, which is cut off, passed the call on.
         self.is_relayed = False
         # Names of the entries that the call was passed to.
@@ -452,6 +463,25 @@
         """Return the endpoint of each attempt, by attempt number."""
         return self._attempts
 
+    @property
+    def outstanding(self) -> frozenset[int]:
+        """Return the attempts whose end is not known."""
+        return frozenset(self._outstanding)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt that has ended may have run."""
+        return self._may_have_run
+
+    @property
+    def is_unrun(self) -> bool:
+        """Return whether no attempt has run or can still run.
+
+        Only then may the caller be told so, and may a call that is not
+        idempotent be sent again.
+        """
+        return not self._may_have_run and not self._outstanding
+
     def step(self, event: str) -> None:
         """Apply an event; raise ChartError if the state does not allow it."""
         self._state = self._chart.step(self._state, event)
@@ -473,5 +503,29 @@
         attempt = len(self._attempts) + 1
         self._attempts[attempt] = endpoint
         self._sent_at[attempt] = now
-        self.outstanding.add(attempt)
+        self._outstanding.add(attempt)
         return attempt
+
+    def end_attempt(self, result: Result) -> None:
+        """Record how an outstanding attempt ended.
+
+        "Not run" without the evidence of this attempt becomes a loss.
+        """
+        self._outstanding.remove(result.attempt)
+        if result.shows_unrun:
+            return
+        self._may_have_run = True
+        if result.outcome == NOT_RUN:
+            result.outcome = LOST
+            result.shed = False
+
+    def cancel_attempts(self) -> list[int]:
+        """Record that the outstanding attempts are cancelled; return them.
+
+        Nothing shows that the endpoints do not run them.
+        """
+        cancelled = sorted(self._outstanding)
+        self._outstanding.clear()
+        if cancelled:
+            self._may_have_run = True
+        return cancelled
--- a/packages/core/nutmegchute_core/evidence.py
+++ b/packages/core/nutmegchute_core/evidence.py
@@ -20,3 +20,7 @@
         self.kind = kind
         self.call_id = call_id
         self.attempt = attempt
+
+    def names(self, call_id: int, attempt: int) -> bool:
+        """Return whether this is the evidence of one attempt."""
+        return (self.call_id, self.attempt) == (call_id, attempt)
