Let a sent call go on when its service leaves the configuration

A call that waited in the queue and was sent, on an answer to another call's load query, while a load query of its own was open was refused at the end of that query if its service had been removed meanwhile: "not run" of a request that an endpoint was running. Balancer._end_inquiry looked for the service before it looked whether the call was sent. It now leaves sent calls alone first.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -631,6 +631,9 @@
         if inquiry.for_hedge:
             self._send_hedge(call, now, actions)
             return
+        if call.state not in (ADMITTED, QUEUED):
+            # Sent meanwhile, after an answer to another call's query.
+            return
         pool = self._pools.get(call.service)
         if pool is None:
             actions.append(
@@ -639,9 +642,6 @@
             return
         if call.state == ADMITTED:
             self._enqueue(pool, call)
-        elif call.state != QUEUED:
-            # Sent meanwhile, after an answer to another call's query.
-            return
         # Endpoints that answer no load query may still run calls.
         exempt = None if inquiry.has_load else call.call_id
         self._dispatch(pool, now, actions, exempt)
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -9,9 +9,11 @@
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import Deny
+from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Lose
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.calls import Probe
 from nutmegchute_core.calls import Refusal
 from nutmegchute_core.calls import Refuse
 from nutmegchute_core.calls import Relay
@@ -25,6 +27,7 @@
 from support import announcement
 from support import rule
 from support import team
+from test_helpers import build_entry
 from test_relays import Entry
 
 # Call and attempt that evidence names, relative to those of the attempt.
@@ -209,3 +212,70 @@
         result = end(actions[0])
         actions = entry.settle(entry.balancer.finish(result, entry.now))
     assert kinds(actions) == [Refuse]
+
+
+def answer(send: Send) -> Result:
+    """Build an answer that reports a free endpoint."""
+    return Result(
+        send.call_id, send.attempt, ANSWERED, 0.01, load=0, stretch=1.0
+    )
+
+
+def send_during_its_inquiry(balancer: Balancer, method: str) -> Send:
+    """Let a call wait and query an endpoint; send it before the answer."""
+    # Endpoints are queried only once an answer has reported load.
+    balancer.finish(answer(arrive(balancer, method)), 0.0)
+    balancer.limit_inquiries(1000.0, 1.0)
+
+    def report(address: str, load: int, now: float) -> list[Action]:
+        """Report the calls in flight at an endpoint."""
+        return balancer.record_probe(
+            "catalogo", address, load, 0.001, now, 1.0, True
+        )
+
+    for address in ("a:1", "b:1"):
+        report(address, 2, 0.02)
+    call_id, actions = balancer.arrive("catalogo", method, "/", 0.02)
+    while actions:
+        (probe,) = actions
+        assert isinstance(probe, Probe)
+        actions = report(probe.endpoint, 2, 0.02)
+    now = 0.02
+    while not actions:
+        now = balancer.next_wakeup() or now
+        actions = balancer.tick(now)
+    (probe,) = actions
+    assert isinstance(probe, Probe)
+    other = "b:1" if probe.endpoint == "a:1" else "a:1"
+    (send,) = report(other, 0, now)
+    assert isinstance(send, Send)
+    assert send.call_id == call_id
+    return send
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_sent_call_is_not_refused_when_its_service_disappears(
+    method: str,
+) -> None:
+    """Guard against "not run" at the end of load queries after the send."""
+    balancer = build_balancer("a:1", "b:1")
+    send = send_during_its_inquiry(balancer, method)
+    balancer.configure({}, 0.2)
+    assert balancer.tick(0.5) == []
+    assert kinds(balancer.finish(answer(send), 0.6)) == [Finish]
+
+
+def test_sent_loan_is_not_passed_on_when_its_service_disappears() -> None:
+    """Guard against a loan that runs at an endpoint and at a helper."""
+    balancer = build_balancer("a:1", "b:1")
+    send = send_during_its_inquiry(balancer, "POST")
+    balancer.update_helpers([build_entry(1, "surco", False)])
+    services = read_services({"lending": team(desk=RULES)})
+    balancer.configure(services, 0.1)
+    live = [announcement(one, service="desk") for one in ("c:1", "d:1")]
+    balancer.update_upstreams(live, 0.1)
+    for one in live:
+        # The links are checked once both have failed.
+        balancer.record_probe("desk", one.endpoint, None, 0.1, 0.1)
+    assert balancer.tick(0.2) == []
+    assert kinds(balancer.finish(answer(send), 0.6)) == [Finish]
