Return every "not run" of an admitted call from one function

Refuse, Throttle, Deny and Reject were built at six places of the balancer, each with its own check, or none, of whether an attempt may have run; none looked for an attempt that is outstanding. Balancer._end_unrun now returns all of them, and "unknown" instead unless Call.is_unrun. No behaviour changes but for that.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -13,6 +13,7 @@
 from .calls import Refuse
 from .calls import Result
 from .calls import Send
+from .calls import UnrunAction
 from .demands import Demands
 from .directories import EntryInfo
 from .entry_groups import EntryGroups
@@ -61,7 +62,7 @@
 WITHDRAWN = "the key is no longer valid"
 TOO_MANY_SUSPECTS = "too many suspects wait"
 # Reasons for which any other entry would refuse a call as well.
-DECIDED = frozenset({CRASHES, WITHDRAWN, TOO_MANY_SUSPECTS})
+DECIDED = frozenset({CRASHES, TOO_MANY_SUSPECTS})
 
 
 class Balancer:
@@ -325,7 +326,7 @@
         call.end_attempt(result)
         pool = self._pools.get(call.service)
         if self._relays.is_relay(call.call_id, result.attempt):
-            self._finish_relay(pool, call, result, now, actions)
+            self._finish_relay(call, result, now, actions)
             return actions
         address = call.attempts[result.attempt]
         if self.is_cut_off:
@@ -459,18 +460,14 @@
             pool = self._pools.get(call.service)
             if pool is not None:
                 pool.queue.remove(call_id)
-            actions.append(self._deny_or_lose(pool, call, now))
+            actions.append(self._deny_or_lose(call))
         if actions:
             actions.extend(self._dispatch_all(now))
         return actions
 
-    def _deny_or_lose(
-        self, pool: Pool | None, call: Call, now: float
-    ) -> Action:
-        final = self._refuse_or_lose(pool, call, now, WITHDRAWN)
-        if isinstance(final, Refuse):
-            return Deny(call.call_id, WITHDRAWN)
-        return final
+    def _deny_or_lose(self, call: Call) -> Action:
+        self._isolation.end_call(call, call.state != QUEUED)
+        return self._end_unrun(call, Deny(call.call_id, WITHDRAWN))
 
     def next_wakeup(self) -> float | None:
         """Return the time by which tick must run, in seconds, if any."""
@@ -743,7 +740,7 @@
         if call.outstanding:
             return
         if call.is_withdrawn:
-            actions.append(self._deny_or_lose(pool, call, now))
+            actions.append(self._deny_or_lose(call))
             return
         actions.append(
             self._refuse_or_lose(pool, call, now, "no upstream answered")
@@ -944,15 +941,7 @@
         if reason not in DECIDED and self._may_pass_on(pool, call, now):
             self._isolation.end_call(call, call.state != QUEUED)
             return self._relays.send(call, now)
-        del self._calls[call.call_id]
         self._isolation.end_call(call, call.state != QUEUED)
-        if call.may_have_run:
-            # An earlier attempt was lost after bytes had been sent, so the
-            # call may have run. After "not run" the caller could send it
-            # again, and it would run twice.
-            call.step("lose")
-            return Lose(call.call_id, reason)
-        call.step("refuse")
         if retry_after_s is None:
             retry_after_s = 0.0
             if pool is not None:
@@ -964,7 +953,21 @@
         if pool is not None and call.organisation is not None:
             refuse.ahead = pool.count_ahead(call, now)
             refuse.priority = call.organisation.priority
-        return refuse
+        return self._end_unrun(call, refuse)
+
+    def _end_unrun(self, call: Call, final: UnrunAction) -> Action:
+        """End a call with "not run", or "unknown" if it may have run.
+
+        Every "not run" of an admitted call is returned from here. After it
+        the caller may send the call again, and if an attempt ran, or still
+        runs, the call would run twice.
+        """
+        del self._calls[call.call_id]
+        if call.is_unrun:
+            call.step("refuse")
+            return final
+        call.step("lose")
+        return Lose(call.call_id, final.reason)
 
     def _may_query(self, announcement: Announcement, now: float) -> bool:
         """Return whether an endpoint may be queried to check the links."""
@@ -992,10 +995,8 @@
         if is_alone and may_serve and not call.is_relayed:
             # Connections that are still open may serve it.
             return None
-        del self._calls[call.call_id]
         self._isolation.end_call(call, call.state != QUEUED)
-        call.step("refuse")
-        return self._relays.refuse(call)
+        return self._end_unrun(call, self._relays.refuse(call))
 
     def _may_pass_on(self, pool: Pool | None, call: Call, now: float) -> bool:
         """Return whether a helper gets a call that would be refused.
@@ -1011,12 +1012,7 @@
         return pool.may_retry(call, False)
 
     def _finish_relay(
-        self,
-        pool: Pool | None,
-        call: Call,
-        result: Result,
-        now: float,
-        actions: list[Action],
+        self, call: Call, result: Result, now: float, actions: list[Action]
     ) -> None:
         """Record how the attempt at a helper ended."""
         self._relays.record_result(result, now)
@@ -1025,28 +1021,22 @@
             del self._calls[call.call_id]
             actions.append(Finish(call.call_id, result.attempt))
             return
-        if call.may_have_run or call.is_withdrawn or is_elsewhere(result):
-            actions.append(self._finish_unserved(pool, call, now))
+        if not call.is_unrun or call.is_withdrawn or is_elsewhere(result):
+            actions.append(self._finish_unserved(call, now))
             return
-        del self._calls[call.call_id]
-        call.step("refuse")
-        actions.append(final_action(call, result))
+        actions.append(self._end_unrun(call, final_action(call, result)))
 
-    def _finish_unserved(
-        self, pool: Pool | None, call: Call, now: float
-    ) -> Action:
+    def _finish_unserved(self, call: Call, now: float) -> Action:
         """Pass a call that a helper could not serve to another, or end it."""
         if call.is_withdrawn:
-            return self._deny_or_lose(pool, call, now)
-        if not call.may_have_run and self._relays.may_pass_on(call, now):
-            return self._relays.send(call, now)
-        del self._calls[call.call_id]
-        if call.may_have_run:
+            return self._deny_or_lose(call)
+        if not call.is_unrun:
             # The helper has made the retries that the call may have.
-            call.step("lose")
-            return Lose(call.call_id, "no answer from another entry")
-        call.step("refuse")
-        return self._relays.refuse(call)
+            reason = "no answer from another entry"
+            return self._end_unrun(call, Refuse(call.call_id, reason, 0.0))
+        if self._relays.may_pass_on(call, now):
+            return self._relays.send(call, now)
+        return self._end_unrun(call, self._relays.refuse(call))
 
     def _apply_link_changes(self, now: float, actions: list[Action]) -> None:
         """Act on a loss or a return of the links to all endpoints."""
@@ -1078,7 +1068,7 @@
                 continue
             if pool is not None:
                 pool.queue.remove(call.call_id)
-            if call.may_have_run:
+            if not call.is_unrun:
                 actions.append(self._refuse_or_lose(pool, call, now, CUT_OFF))
                 continue
             self._isolation.end_call(call, call.state != QUEUED)
--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -245,9 +245,9 @@
         self.process_key = process_key or (endpoint, "", 0)
 
 
-CallAction = (
-    Send | Refuse | Reject | Deny | Throttle | Lose | Finish | Known | Cancel
-)
+# The final answers that say "not run".
+UnrunAction = Refuse | Throttle | Deny | Reject
+CallAction = Send | UnrunAction | Lose | Finish | Known | Cancel
 Action = CallAction | Probe | LinkCheck
 
 
--- a/packages/core/nutmegchute_core/relays.py
+++ b/packages/core/nutmegchute_core/relays.py
@@ -10,6 +10,7 @@
 from .calls import Relay
 from .calls import Result
 from .calls import Throttle
+from .calls import UnrunAction
 from .directories import EntryInfo
 from .helpers import Helpers
 from .members import Announcement
@@ -30,8 +31,6 @@
 NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
 
-FinalAction = Refuse | Throttle | Deny | Reject
-
 
 class Relays:
     """Decide for one entry which calls are passed to which helper."""
@@ -171,7 +170,7 @@
     return result.refusal is None or result.refusal.elsewhere
 
 
-def final_action(call: Call, result: Result) -> FinalAction:
+def final_action(call: Call, result: Result) -> UnrunAction:
     """Build the answer that a helper's refusal leads to."""
     refusal = result.refusal
     assert refusal is not None
