--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -7,6 +7,7 @@
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import ANSWERED
+from nutmegchute_core.calls import Call
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import Deny
 from nutmegchute_core.calls import Finish
@@ -24,6 +25,7 @@
 from nutmegchute_core.evidence import RELAYED
 from nutmegchute_core.evidence import UNSENT
 from nutmegchute_core.rules import read_services
+from nutmegchute_core.rules import Rule
 from support import announcement
 from support import rule
 from support import team
@@ -279,3 +281,32 @@
         balancer.record_probe("desk", one.endpoint, None, 0.1, 0.1)
     assert balancer.tick(0.2) == []
     assert kinds(balancer.finish(answer(send), 0.6)) == [Finish]
+
+
+def test_call_with_an_outstanding_attempt_is_not_unrun() -> None:
+    """Guard against "not run" while an attempt is under way."""
+    call = Call(1, "catalogo", Rule(RULES[1]), 0.0, 1.0)
+    assert call.is_unrun
+    first = call.record_send("a:1", 0.0)
+    second = call.record_send("b:1", 0.0)
+    assert not call.is_unrun
+    for attempt, is_unrun in ((first, False), (second, True)):
+        evidence = Evidence(UNSENT, 1, attempt)
+        call.end_attempt(Result(1, attempt, NOT_RUN, 0.0, evidence=evidence))
+        assert call.is_unrun == is_unrun
+
+
+def test_cancelled_call_is_not_unrun() -> None:
+    """Guard against "not run" of an attempt whose connection was closed."""
+    call = Call(1, "catalogo", Rule(RULES[1]), 0.0, 1.0)
+    attempt = call.record_send("a:1", 0.0)
+    assert call.cancel_attempts() == [attempt]
+    assert not call.outstanding
+    assert call.may_have_run
+    assert not call.is_unrun
+
+
+def test_loan_is_not_hedged_even_if_its_rule_says_so() -> None:
+    """Guard against a second send of a loan that is under way."""
+    assert not Rule({**RULES[0], "hedge": True}).hedge
+    assert Rule({**RULES[1], "hedge": True}).hedge
