--- a/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
@@ -65,6 +65,10 @@
         )
         self._socket.close()
 
+    def close(self) -> None:
+        """Close in order, before the behaviour ends."""
+        self._socket.close()
+
     def wait_for_close(self) -> None:
         """Wait until the peer has closed the connection."""
         with contextlib.suppress(OSError):
@@ -144,6 +148,8 @@
             except OSError:
                 return
             self._connections += 1
+            # Bytes sent in several pieces arrive at once.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
                 target=self._handle, args=(sock,), daemon=True
             ).start()
