Reset the connection of a caller that does not read its answer

An answer that a caller stops reading for 10 s is given up. The connection was then closed in order: a caller of HTTP/1.0 that read on later got the part that had been sent before, and its end, which look like a complete answer without a length. Any other failure while an answer is passed on ended the same way. Found while the forwarding of such answers was read.

Whatever ends the forwarding before the answer's end now resets the caller's connection, as a broken answer already did.

test_answer_that_is_not_read_is_reset (an endpoint that sends without end, a caller that does not read) failed before and passes; it also checks that the worker thread is free afterwards.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -344,14 +344,18 @@
             http.close_connection = True
             headers.append(("Connection", "close"))
         http.begin(reply.status, headers)
+        whole = False
         try:
             for piece in reply.body():
                 http.write(piece)
+            whole = True
         except BrokenAnswerError:
-            # The head has been sent already. A clean end would look like a
-            # complete answer, so the connection is reset instead.
-            http.abort()
+            pass
         finally:
+            if not whole:
+                # The head has been sent already. A clean end would look like
+                # a complete answer, so the connection is reset instead.
+                http.abort()
             reply.close()
 
     def _refuse(
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -4,10 +4,12 @@
 import os
 import subprocess
 import sys
+import threading
 from collections.abc import Iterator
 from typing import Any
 
 import pytest
+from nutmegchute_daemon import exchanges
 from nutmegchute_fakes.call_servers import CallServer
 from nutmegchute_fakes.call_servers import read_to_end
 from nutmegchute_fakes.call_servers import RESET
@@ -128,6 +130,40 @@
     assert answer.endswith(b"\r\n\r\n" + START + REST)
 
 
+def test_answer_that_is_not_read_is_reset(
+    build: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Reset the connection of a caller that has stopped reading.
+
+    Closed in order, it would give the caller a part that looks complete
+    when it reads on.
+    """
+    monkeypatch.setattr(exchanges, "CALLER_TIMEOUT_S", 1.0)
+    ended = threading.Event()
+
+    def go_on(connection: UpstreamConnection) -> None:
+        connection.read()
+        connection.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        try:
+            while True:
+                connection.write(b"x" * 65536)
+        finally:
+            ended.set()
+
+    pair = build(FaultyUpstream(go_on))
+    with pair.server.connect() as sock:
+        sock.sendall(f"GET {TARGET} HTTP/1.0\r\nHost: x\r\n\r\n".encode())
+        # Set once the entry has given up: it closes both connections.
+        assert ended.wait(WAIT_S)
+        answer = read_to_end(sock)
+    assert answer.endswith(RESET)
+    for _ in range(1000):
+        if not pair.server.handler.active:
+            return
+        threading.Event().wait(WAIT_S / 1000)
+    raise AssertionError("a thread is held")
+
+
 def test_answer_of_a_killed_entry_is_incomplete() -> None:
     """Never let a kill of the entry end an answer that looks complete.
 
