Believe an answer to a call that is passed on only if it names the attempt

RelayFormat.check, which decides before the outcome is read, counts an attempt as lost unless the answer has exactly this id once, and Sender then closes the connection. As no other call has the id, no answer to another call can be believed.

On the addresses for relays it now waits for the first bytes, in the selector and without a thread.

--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -15,7 +15,9 @@
 from .errors import DaemonError
 from .protocols import NOT_RUN
 from .protocols import OUTCOME_HEADER
+from .protocols import RELAY_CALL_HEADER
 from .protocols import UNKNOWN
+from .relay_ids import find_relay_id
 
 MAX_HEADERS = 100
 # The connection of a caller that neither sends nor reads for this long is
@@ -89,9 +91,11 @@
     def __call__(self, rfile: Any, hdict: Any = None) -> Any:
         """Parse the headers into the dictionary and store every line."""
         lines = HeaderLines(rfile)
+        # Set before they are read: a refusal of a malformed head names the
+        # call by the headers read until then.
+        self._request.fields = lines.fields
         headers = super().__call__(lines, hdict)
         _check_framing(headers, self._request.response_protocol)
-        self._request.fields = lines.fields
         return headers
 
 
@@ -198,6 +202,14 @@
         # The status of the answer, 0 until its head is written.
         self.told = 0
 
+    @property
+    def relay_id(self) -> str:
+        """Return the id that the entry which passed the request on gave it.
+
+        It is empty unless the request has exactly one.
+        """
+        return find_relay_id(self.fields)
+
     def read_request_headers(self) -> bool:
         """Read the headers; return False if a refusal was written."""
         read = super().read_request_headers
@@ -236,6 +248,10 @@
         self.status = line.encode("latin-1")  # type: ignore[assignment]
         for name, value in headers:
             self.outheaders.append((name.encode(), value.encode("latin-1")))
+        if self.is_relayed and self.relay_id:
+            self.outheaders.append(
+                (RELAY_CALL_HEADER.encode(), self.relay_id.encode())
+            )
         self.ensure_headers_sent()
 
     def send_headers(self) -> None:
@@ -269,8 +285,11 @@
             "Content-Type: application/json\r\n"
             f"{OUTCOME_HEADER}: {outcome}\r\n"
             "Retry-After: 1\r\n"
-            "Connection: close\r\n\r\n"
+            "Connection: close\r\n"
         )
+        if self.relay_id:
+            head += f"{RELAY_CALL_HEADER}: {self.relay_id}\r\n"
+        head += "\r\n"
         self.conn.wfile.write(head.encode("latin-1") + body)
         self.conn.wfile.flush()
 
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -13,6 +13,8 @@
 RAN_STATUS_HEADER = "Nutmegchute-Ran-Status"
 # Between entries only.
 RELAY_PREFIX = "nutmegchute-relay-"
+# Names the attempt of a call, in its request and in the answer to it.
+RELAY_CALL_HEADER = "Nutmegchute-Relay-Call"
 RELAY_CLAIMED_HEADER = "Nutmegchute-Relay-Claimed"
 RELAY_KEY_HEADER = "Nutmegchute-Relay-Key"
 RELAY_OUTCOME_HEADER = "Nutmegchute-Relay-Outcome"
--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -17,6 +17,8 @@
 
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
+from .answers import compare_names
+from .answers import NAMES_REQUEST
 from .call_formats import CallFormat
 from .exchanges import StrictRequest
 from .identities import prove_key
@@ -24,6 +26,7 @@
 from .protocols import ENTRY_HEADER
 from .protocols import NOT_RUN
 from .protocols import OUTCOME_HEADER
+from .protocols import RELAY_CALL_HEADER
 from .protocols import RELAY_CLAIMED_HEADER
 from .protocols import RELAY_KEY_HEADER
 from .protocols import RELAY_OUTCOME_HEADER
@@ -31,6 +34,7 @@
 from .protocols import RELAY_REASON_HEADER
 from .protocols import RELAY_RETRY_HEADER
 from .protocols import RELAY_TOKEN_HEADER
+from .relay_ids import build_relay_id
 
 # Values of RELAY_OUTCOME_HEADER besides "not-run" and "unknown": an answer
 # for the caller, and calls that another helper may serve. One that is full
@@ -42,23 +46,30 @@
 RETRIED = "retried"
 UNAVAILABLE = 503
 TOKEN_BYTES = 12
+ORIGIN_BYTES = 12
 
 
 class RelayFormat(AnswerFormat):
     """Write calls to a helper and read what its answers say of them."""
 
-    __slots__ = ("_calls",)
+    __slots__ = ("_calls", "_origin")
 
     evidence = RELAYED
 
     def __init__(self, calls: CallFormat) -> None:
         self._calls = calls
+        # Tells the attempts of this process from those of all others.
+        self._origin = secrets.token_urlsafe(ORIGIN_BYTES)
 
     def headers(
         self, call: PendingCall, relay: Relay, remaining_ms: int
     ) -> HTTPHeaderDict:
         """Return the headers of a call that is passed on."""
-        headers = self._calls.relayed_headers(call, remaining_ms)
+        relay_id = build_relay_id(self._origin, relay.call_id, relay.attempt)
+        # The first header, so that a helper that refuses a call before it has
+        # read all of the head knows the id.
+        headers = HTTPHeaderDict({RELAY_CALL_HEADER: relay_id})
+        headers.extend(self._calls.relayed_headers(call, remaining_ms))
         headers[RELAY_TOKEN_HEADER] = relay.token
         if call.arrival.key is not None:
             headers[RELAY_KEY_HEADER] = prove_key(
@@ -82,15 +93,22 @@
         return outcome in NOT_RUN_OUTCOMES
 
     def check(self, sent: HTTPHeaderDict, response: HTTPResponse) -> None:
-        """Check that a helper answered and knows the outcome.
+        """Check that a helper answered this attempt and knows the outcome.
 
         :raises BrokenAnswerError: the call may or may not have run
         """
+        if self.naming(sent, response) != NAMES_REQUEST:
+            raise BrokenAnswerError("answer does not name this attempt")
         if self.is_not_run(response):
             return
         if response.headers.get(RELAY_OUTCOME_HEADER) != ANSWERED:
             raise BrokenAnswerError("outcome unknown to the helper")
 
+    def naming(self, sent: HTTPHeaderDict, response: HTTPResponse) -> str:
+        """Return how the answer names the attempt that was sent."""
+        received = response.headers.getlist(RELAY_CALL_HEADER)
+        return compare_names(sent.get(RELAY_CALL_HEADER), received)
+
     def is_forwarded(self, name: str) -> bool:
         """Return whether a header, in lower case, is forwarded to callers."""
         if name.startswith(RELAY_PREFIX):
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -20,6 +20,8 @@
 from .events import log
 from .exchanges import CallerConnection
 from .exchanges import StrictRequest
+from .protocols import RELAY_CALL_HEADER
+from .relay_ids import read_relay_id
 from .settings import split_address
 
 RUN_TIMEOUT_S = 5.0
@@ -37,15 +39,15 @@
 STOP_TIMEOUT_S = 0
 # Threads of a listener at its start; more are started on demand.
 INITIAL_THREADS = 4
-FULL_ANSWER = (
+FULL_HEAD = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Nutmegchute-Outcome: not-run\r\n"
     b"Retry-After: 1\r\n"
     b"Connection: close\r\n"
     b"Content-Type: application/json\r\n"
-    b"Content-Length: 26\r\n\r\n"
-    b'{"reason":"entry is full"}'
+    b"Content-Length: 26\r\n"
 )
+FULL_BODY = b'{"reason":"entry is full"}'
 
 Handler = Callable[[StrictRequest], None]
 Application = Callable[..., Any]
@@ -98,6 +100,15 @@
     return []
 
 
+def build_full_answer(received: bytes) -> bytes:
+    """Return the refusal of a request of which some bytes have arrived."""
+    relay_id = read_relay_id(received)
+    if not relay_id:
+        return FULL_HEAD + b"\r\n" + FULL_BODY
+    line = f"{RELAY_CALL_HEADER}: {relay_id}\r\n\r\n".encode()
+    return FULL_HEAD + line + FULL_BODY
+
+
 class Gateway(wsgi.Gateway_10):
     """Route requests to their handler, or to the pages if there is none.
 
@@ -173,6 +184,8 @@
         )
         self.gateway = Gateway
         self.closing = False
+        # Whether a refusal waits for the head of its request.
+        self.names_calls = False
         self._handlers: list[tuple[bytes, Handler]] = []
         self._refused: deque[tuple[float, CallerConnection]] = deque()
 
@@ -200,6 +213,11 @@
         try:
             self.requests.put(conn)
         except queue.Full:
+            if self.names_calls and not _has_received(conn.socket):
+                # New connections come here before their first request, and a
+                # refusal would name no call.
+                self.put_conn(conn)
+                return
             self._refuse(conn)
 
     def sweep(self) -> None:
@@ -223,11 +241,12 @@
         # caller would lose the refusal. So what has arrived is read, the
         # sending side is shut down, and the socket is closed a second later.
         sock = conn.socket
+        received = b""
         with contextlib.suppress(OSError):
             sock.settimeout(0.0)
             with contextlib.suppress(BlockingIOError):
-                sock.recv(DISCARD_BYTES)
-            sock.send(FULL_ANSWER)
+                received = sock.recv(DISCARD_BYTES)
+            sock.send(build_full_answer(received))
             sock.shutdown(socket.SHUT_WR)
         self._refused.append((time.monotonic(), conn))
 
@@ -252,6 +271,10 @@
         """Route requests whose target starts with a prefix to a handler."""
         self._server.add_handler(prefix, handler)
 
+    def name_calls(self) -> None:
+        """Name the call in every refusal, as other entries expect it."""
+        self._server.names_calls = True
+
     def limit_body(self, limit: int) -> None:
         """Set the size limit of request bodies, in bytes."""
         self._server.max_request_body_size = limit
@@ -284,3 +307,14 @@
         """Stop listening and join the worker threads."""
         self._server.stop()
         self._thread.join()
+
+
+def _has_received(sock: socket.socket) -> bool:
+    """Return whether bytes have arrived or the connection has ended."""
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/packages/fakes/nutmegchute_fakes/call_servers.py
+++ b/packages/fakes/nutmegchute_fakes/call_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import threading
+from functools import partial
 from typing import Any
 
 from nutmegchute_core.balancers import Balancer
@@ -17,6 +18,8 @@
 from nutmegchute_daemon.metrics import Metrics
 from nutmegchute_daemon.pending_calls import PendingCall
 from nutmegchute_daemon.readers import CALL_PATH
+from nutmegchute_daemon.relays import build_door
+from nutmegchute_daemon.relays import RelayDoor
 from nutmegchute_daemon.senders import Sender
 from nutmegchute_daemon.servers import HttpServer
 from nutmegchute_daemon.servers import LoopRunner
@@ -62,10 +65,29 @@
             Announcement(SERVICE, endpoint, ZONE, slots, 1)
             for endpoint in endpoints
         ]
+        # Set by accept_relays.
+        self._relays: HttpServer | None = None
         self._runner.run_sync(self._build, document, announcements)
         self._http.add_handler(CALL_PATH, self.handler)
         self._http.start()
 
+    def accept_relays(self, threads: int = 4) -> RelayDoor:
+        """Serve calls that other entries pass on, at an address for them."""
+        door = build_door(find_free_address())
+        assert door is not None
+        self._relays = HttpServer(door.address.address, threads)
+        self._relays.limit_body(BODY_BYTES)
+        self._relays.name_calls()
+        self._relays.add_handler(
+            b"/", partial(self.handler.answer_relayed, door=door)
+        )
+        self._relays.start()
+        return door
+
+    def end_calls(self) -> None:
+        """End all calls as an entry does that stops at once."""
+        self._runner.run_sync(self.dispatcher.end_all)
+
     def limit_bodies(self, max_body_bytes: int, buffer_bytes: int) -> None:
         """Set the maximum size of a body and how much of it is buffered."""
         self._http.limit_body(max_body_bytes)
@@ -110,6 +132,8 @@
     def stop(self) -> None:
         """Stop the server, the dispatcher and the event loop."""
         self._http.stop()
+        if self._relays is not None:
+            self._relays.stop()
         self.dispatcher.stop()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
