Close the connection after an answer to a call that has no name

An entry of an earlier build believes any answer on a relay connection, and this build cannot change that. With the connection closed after each answer to a call without exactly one id, no late or second copy can come before the answer to its next call.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -142,6 +142,10 @@
     def answer_relayed(self, http: StrictRequest, door: RelayDoor) -> None:
         """Answer a call that another entry passes on."""
         http.is_relayed = True
+        if not http.relay_id:
+            # The entry cannot tell answers apart, so none may follow another
+            # on its connection. It is of an earlier build.
+            http.close_connection = True
         if not door.admits(http):
             # Of an earlier process at this address, or from outside.
             http.close_connection = True
--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -404,6 +404,19 @@
     assert b" 200 " in answer[:20] and b"Relay-Call" not in answer
 
 
+def test_calls_without_a_name_get_connections_of_their_own(
+    site: Site,
+) -> None:
+    """Guard against answers that an earlier build takes for another call."""
+    site.serve_by(faulty_upstreams.answer, 1000)
+    unnamed = HEAD.replace(OWN, b"%s") + b"Content-Length: 1\r\n\r\nx"
+    for names, answers in ((OWN, 2), (b"", 1), (OWN + OWN, 1)):
+        line = b"Nutmegchute-Relay-Token: " + site.balancer.token.encode()
+        request = unnamed % (names + line + b"\r\n")
+        answer = send_relayed(site, request * 2, False)
+        assert answer.count(b"HTTP/1.1 200") == answers
+
+
 def test_failure_of_a_helper_is_no_refusal(
     site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
