Keep the sending side of the test's sender open

test_failure_of_a_helper_is_no_refusal failed once in about ten runs: the sender shut its sending side down, so a call older than 0.1 s on a busy machine was ended as abandoned before its answer was forwarded. What is asserted is the same.

--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -353,8 +353,10 @@
     assert result.evidence is not None and result.naming == "this request"
 
 
-HEAD = b"POST /call/catalogo/a HTTP/1.1\r\nNutmegchute-Relay-Call: a.1.1\r\n"
 OWN = b"Nutmegchute-Relay-Call: a.1.1\r\n"
+LINE = b"POST /call/catalogo/a HTTP/1.1\r\n"
+CLOSE = b"Connection: close\r\n"
+HEAD = LINE + OWN + CLOSE
 # Requests that the HTTP server or the call handler refuses by itself.
 BAD_REQUESTS = {
     "malformed header": HEAD + b"X A: b\r\n\r\n",
@@ -369,16 +371,21 @@
 }
 
 
-def send_relayed(site: Site, request: bytes, with_token: bool = True) -> bytes:
-    """Send bytes to a helper as another entry; return its answer."""
-    address, token = site.balancer.helper, site.balancer.token
-    line = b"Nutmegchute-Relay-Token: " + token.encode() + b"\r\n"
+def send_relayed(
+    site: Site, request: bytes, with_token: bool = True, cut: bool = False
+) -> bytes:
+    """Send bytes to a helper as another entry; return its answers.
+
+    ``cut`` closes the sending side, as if the sender had gone.
+    """
+    line = b"Nutmegchute-Relay-Token: " + site.balancer.token.encode()
     if with_token:
-        request = request.replace(OWN, OWN + line, 1)
-    host, _, port = address.rpartition(":")
+        request = request.replace(OWN, OWN + line + b"\r\n", 1)
+    host, _, port = site.balancer.helper.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=10.0) as sock:
         sock.sendall(request)
-        sock.shutdown(socket.SHUT_WR)
+        if cut:
+            sock.shutdown(socket.SHUT_WR)
         return read_to_end(sock)
 
 
@@ -388,7 +395,9 @@
 ) -> None:
     """Guard against refusals that no entry can assign to a call."""
     site.serve_by(faulty_upstreams.answer, 1000)
-    answer = send_relayed(site, BAD_REQUESTS[name], name != "no token")
+    answer = send_relayed(
+        site, BAD_REQUESTS[name], name != "no token", name == "short body"
+    )
     assert answer.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5"))
     assert REFUSED in answer and answer.count(OWN) == 1
     assert site.count_ran() == 0
@@ -409,11 +418,11 @@
 ) -> None:
     """Guard against answers that an earlier build takes for another call."""
     site.serve_by(faulty_upstreams.answer, 1000)
-    unnamed = HEAD.replace(OWN, b"%s") + b"Content-Length: 1\r\n\r\nx"
     for names, answers in ((OWN, 2), (b"", 1), (OWN + OWN, 1)):
         line = b"Nutmegchute-Relay-Token: " + site.balancer.token.encode()
-        request = unnamed % (names + line + b"\r\n")
-        answer = send_relayed(site, request * 2, False)
+        head = LINE + names + line + b"\r\n"
+        request = head + b"\r\n" + head + CLOSE + b"\r\n"
+        answer = send_relayed(site, request, False)
         assert answer.count(b"HTTP/1.1 200") == answers
 
 
