--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -45,6 +45,7 @@
 NOT_RUN_OUTCOMES = frozenset({NOT_RUN, ELSEWHERE, FULL})
 RETRIED = "retried"
 UNAVAILABLE = 503
+FIRST_ERROR_STATUS = 400
 TOKEN_BYTES = 12
 ORIGIN_BYTES = 12
 
@@ -83,14 +84,17 @@
 
     def is_not_run(self, response: HTTPResponse) -> bool:
         """Return whether the helper says that the call did not run."""
+        if response.headers.get(OUTCOME_HEADER) != NOT_RUN:
+            return False
         outcome = response.headers.get(RELAY_OUTCOME_HEADER)
         if outcome is None:
             # The helper refused before it read the call.
-            return (
-                response.status == UNAVAILABLE
-                and response.headers.get(OUTCOME_HEADER) == NOT_RUN
-            )
-        return outcome in NOT_RUN_OUTCOMES
+            return response.status == UNAVAILABLE
+        # An answer that contradicts itself shows nothing.
+        return (
+            outcome in NOT_RUN_OUTCOMES
+            and response.status >= FIRST_ERROR_STATUS
+        )
 
     def check(self, sent: HTTPHeaderDict, response: HTTPResponse) -> None:
         """Check that a helper answered this attempt and knows the outcome.
--- a/tests/test_relay_headers.py
+++ b/tests/test_relay_headers.py
@@ -95,6 +95,7 @@
     assert relay.is_not_run(full) and relay.refusal(full).elsewhere
     final = build_answer(
         503,
+        Nutmegchute_Outcome="not-run",
         Nutmegchute_Relay_Outcome="not-run",
         Nutmegchute_Relay_Reason="too many wait",
         Nutmegchute_Relay_Retry="0.250",
@@ -104,6 +105,30 @@
     assert (refusal.reason, refusal.retry_after_s) == ("too many wait", 0.25)
 
 
+@pytest.mark.parametrize("outcome", ["not-run", "elsewhere", "full"])
+def test_refusal_that_contradicts_itself_is_not_believed(
+    outcome: str,
+) -> None:
+    """Guard against "not run" with a status or a word that it ran."""
+    relay = RelayFormat(CallFormat())
+    sent = HTTPHeaderDict({"Nutmegchute-Relay-Call": "a.1.1"})
+    for status, told in (
+        (200, "not-run"),
+        (302, "not-run"),
+        (502, "unknown"),
+        (503, "not-run, unknown"),
+        (503, ""),
+    ):
+        answer = build_answer(
+            status,
+            Nutmegchute_Outcome=told,
+            Nutmegchute_Relay_Call="a.1.1",
+            Nutmegchute_Relay_Outcome=outcome,
+        )
+        with pytest.raises(BrokenAnswerError, match="outcome unknown"):
+            relay.check(sent, answer)
+
+
 def build_relayed_call(door: RelayDoor, key: bytes) -> PendingCall:
     """Build a call as a helper reads it, with the proof of a key."""
     request = Request("GET", "/", HTTPHeaderDict())
