Never write a status that says "not run" for an open call

The HTTP server answers by itself when a handler fails: 408 where the error looks like a timeout, and others where it finds a request at fault. For a call that had been passed to the loop, and maybe sent, that said "unknown" in a header, but callers who go by the status take 408, 421, 429 and 503 for "not run", and Retry-After asks them to come again. From then on the status is 500 or 502, without Retry-After.

Not seen in a deployment; it takes a fault of this program after the call was opened. Without the change 7 of 14 cases fail: tests/test_exchanges.py, and tests/test_callers.py, where a 408 is written for a request that an upstream answered.

--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -24,6 +24,9 @@
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILERS = 32
 CRLF = b"\r\n"
+# Statuses of answers after which the outcome is unknown.
+INTERNAL_ERROR = "500"
+BAD_GATEWAY = "502 Bad Gateway"
 
 # Headers that may occur only once. With two values, two servers on the path
 # could disagree on where a request ends, and the rest of it would be parsed
@@ -257,9 +260,17 @@
         self.conn.reset()
 
     def simple_response(self, status: str, msg: str = "") -> None:
-        """Refuse a request before it reaches the loop, or report a failure."""
+        """Refuse a request before it reaches the loop, or report a failure.
+
+        Once the call is open it may have run. The server's own statuses say
+        otherwise: callers take 408, 421, 429 and 503 for "not run".
+        """
         status = str(status)
-        outcome = UNKNOWN if self.call_opened else NOT_RUN
+        outcome, retry = NOT_RUN, "Retry-After: 1\r\n"
+        if self.call_opened:
+            outcome, retry = UNKNOWN, ""
+            if not status.startswith(INTERNAL_ERROR):
+                status = BAD_GATEWAY
         self.told = int(status[:3])
         body = msgspec.json.encode({"reason": msg or status[4:]})
         self.close_connection = True
@@ -267,8 +278,7 @@
             f"{self.server.protocol} {status}\r\n"
             f"Content-Length: {len(body)}\r\n"
             "Content-Type: application/json\r\n"
-            f"{OUTCOME_HEADER}: {outcome}\r\n"
-            "Retry-After: 1\r\n"
+            f"{OUTCOME_HEADER}: {outcome}\r\n{retry}"
             "Connection: close\r\n\r\n"
         )
         self.conn.wfile.write(head.encode("latin-1") + body)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,6 +12,7 @@
 from nutmegchute_core.calls import Finish
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
+from nutmegchute_daemon.callers import CallHandler
 from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.call_servers import BODY_BYTES
 from nutmegchute_fakes.call_servers import CallServer
@@ -388,6 +389,31 @@
         assert read_to_end(sock).count(b"z") == 8_000_000
 
 
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [(TimeoutError("timed out"), b" 502 "), (ValueError("fault"), b" 500 ")],
+)
+def test_fault_after_the_send_is_no_refusal(
+    build: Any,
+    monkeypatch: pytest.MonkeyPatch,
+    error: Exception,
+    status: bytes,
+) -> None:
+    """Guard against a 408, taken for "not run", of a call that was sent."""
+    harness = build(faulty_upstreams.answer)
+
+    def fail(*_: Any) -> None:
+        """Raise an error in the worker after the attempt."""
+        raise error
+
+    monkeypatch.setattr(CallHandler, "_report_end", fail)
+    answer = harness.server.call("/shelf")
+    assert status in answer[:13]
+    assert UNKNOWN in answer
+    assert b"Retry-After" not in answer
+    assert harness.ran == 1
+
+
 class HedgingBalancer:
     """Send each call to all endpoints, like a balancer that hedges at once."""
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,10 +1,12 @@
 """Test that closing a connection shows its caller the true outcome."""
 
+import io
 import socket
 from types import SimpleNamespace
 
 import pytest
 from nutmegchute_daemon.exchanges import CallerConnection
+from nutmegchute_daemon.exchanges import StrictRequest
 
 UNREAD = b"x" * 100000
 
@@ -43,3 +45,35 @@
     connection.close()
     with caller, pytest.raises(ConnectionResetError):
         caller.recv(100)
+
+
+@pytest.mark.parametrize("opened", [True, False])
+@pytest.mark.parametrize(
+    "status",
+    [
+        "408 Request Timeout",
+        "413 Request Entity Too Large",
+        "421 Misdirected Request",
+        "429 Too Many Requests",
+        "500 Internal Server Error",
+        "503 Service Unavailable",
+    ],
+)
+def test_server_promises_nothing_of_an_open_call(
+    status: str, opened: bool
+) -> None:
+    """Guard against a status that says "not run" of a call that may run."""
+    written = io.BytesIO()
+    http = SimpleNamespace(protocol="HTTP/1.1", ssl_adapter=None)
+    request = StrictRequest(http, SimpleNamespace(wfile=written))
+    request.call_opened = opened
+    request.simple_response(status)
+    answer = written.getvalue().decode()
+    outcome = "unknown" if opened else "not-run"
+    assert f"Nutmegchute-Outcome: {outcome}\r\n" in answer
+    told = int(answer.split(" ")[1])
+    assert told == request.told
+    if opened:
+        assert told in (500, 502)
+    else:
+        assert answer.startswith(f"HTTP/1.1 {status}\r\n")
