Test that an answer without end holds no caller of an entry

The forms of tests/test_endless_answers.py went straight through Sender. Eight of them, one for each place of reading, now go through CallServer too, fast and slow: the caller must see a break, the endpoint's connection must close and the worker thread be free.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import os
 import queue
+import socket
 import threading
 import tracemalloc
 from collections.abc import Callable
@@ -24,6 +25,8 @@
 from nutmegchute_daemon.senders import Request
 from nutmegchute_daemon.senders import Sender
 from nutmegchute_daemon.servers import LoopRunner
+from nutmegchute_fakes.call_servers import CallServer
+from nutmegchute_fakes.call_servers import RESET
 from nutmegchute_fakes.faulty_upstreams import FaultyUpstream
 from nutmegchute_fakes.faulty_upstreams import UpstreamConnection
 from urllib3 import HTTPHeaderDict
@@ -74,6 +77,18 @@
     "chunk size": (REJECTION + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
 }
 
+# Those that are sent through an entry: one for each place of reading.
+ENTRY_FORMS = (
+    "interim answers",
+    "header line",
+    "header lines",
+    "no length",
+    "long length",
+    "small chunks",
+    "chunk size",
+    "trailers",
+)
+
 
 class EndlessEndpoint(FaultyUpstream):
     """Answer with a start and bytes that go on until the peer closes."""
@@ -198,6 +213,48 @@
     assert reply.latency_s < WAIT_S
 
 
+@pytest.mark.parametrize("speed", ["slow", "fast"])
+@pytest.mark.parametrize("name", ENTRY_FORMS)
+def test_endless_answer_holds_no_caller(
+    start: Callable[..., EndlessEndpoint], name: str, speed: str
+) -> None:
+    """End a caller's wait, its thread and the endpoint's connection.
+
+    The caller must see that the answer is not complete.
+    """
+    endpoint = start({**ENDLESS_HEADS, **ENDLESS_BODIES}[name], speed)
+    server = CallServer([endpoint.address], deadline_ms=int(DEADLINE_S * 1000))
+    try:
+        with server.connect() as sock:
+            sock.settimeout(WAIT_S)
+            sock.sendall(b"POST /call/catalogo/a HTTP/1.1\r\nHost: x\r\n\r\n")
+            start_of, end_of = _read_ends(sock)
+        if b"Nutmegchute-Outcome: unknown" not in start_of:
+            assert end_of == RESET
+        assert endpoint.connection_ended.wait(WAIT_S)
+        for _ in range(1000):
+            if not server.handler.active:
+                return
+            threading.Event().wait(WAIT_S / 1000)
+        raise AssertionError("a thread is held")
+    finally:
+        server.stop()
+
+
+def _read_ends(sock: socket.socket) -> tuple[bytes, bytes]:
+    """Return the first bytes, and RESET if the connection ends by one."""
+    first = sock.recv(65536)
+    # The entry keeps the connection after an answer of its own.
+    if b"Nutmegchute-Outcome: unknown" in first:
+        return first, b""
+    try:
+        while sock.recv(65536):
+            pass
+    except ConnectionResetError:
+        return first, RESET
+    return first, b""
+
+
 class Runner:
     """Collect what the threads schedule on the loop."""
 
