Take a 204 that announces a body for no answer

A 204 has no body, and must have neither a length nor a coding. With one, parsers disagree on whether a body follows. Where an endpoint spoils a digit of a 200, callers got a success without its body. A length of 0 is accepted, as some servers send it.

test_204_with_a_body_is_no_answer: both forms were delivered on (2 failed), and are lost now. A 304 may have either, so a 200 that becomes a 304 can't be told.

--- a/packages/daemon/nutmegchute_daemon/answer_heads.py
+++ b/packages/daemon/nutmegchute_daemon/answer_heads.py
@@ -16,6 +16,7 @@
 MAX_TRAILER_BYTES = 8192
 
 CONTINUE = 100
+NO_CONTENT = 204
 FIRST_INVALID_STATUS = 600
 HTTP_1_0 = 10
 HTTP_1_1 = 11
@@ -198,6 +199,8 @@
             raise MalformedAnswerError("both a length and a coding")
         if codings != ["chunked"] or head.version != HTTP_1_1:
             raise MalformedAnswerError("coding must be chunked")
+        if head.status == NO_CONTENT:
+            raise MalformedAnswerError("coding without a body")
         head.is_chunked = True
     if not lengths:
         return
@@ -205,3 +208,5 @@
     if lengths or not _LENGTH.fullmatch(length):
         raise MalformedAnswerError("no single length")
     head.length = int(length)
+    if head.status == NO_CONTENT and head.length:
+        raise MalformedAnswerError("length without a body")
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -161,6 +161,7 @@
         ("HEAD", OK + CHUNKED),
         ("HEAD", OK + LENGTH),
         ("GET", b"HTTP/1.1 204 X\r\n"),
+        ("GET", b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n"),
         ("GET", b"HTTP/1.1 304 X\r\n" + CHUNKED),
         ("GET", b"HTTP/1.1 304 X\r\n" + LENGTH),
     ],
@@ -175,6 +176,18 @@
     assert b"".join(reply.body()) == b""
 
 
+@pytest.mark.parametrize(
+    "rest", [LENGTH + b"\r\nok", CHUNKED + b"\r\n2\r\nok\r\n0\r\n\r\n"]
+)
+def test_204_with_a_body_is_no_answer(endpoint: Endpoint, rest: bytes) -> None:
+    """Never deliver an answer without its body as a success.
+
+    A changed digit makes a 204 of a 200, whose body would be left out.
+    """
+    reply = endpoint.send(b"HTTP/1.1 204 X\r\n" + rest)
+    assert (reply.outcome, reply.loss) == (LOST, MALFORMED)
+
+
 def test_whole_rejection_is_believed(endpoint: Endpoint) -> None:
     """Report "not run" after a whole head that says so."""
     assert endpoint.send(REJECTION + b"\r\n").outcome == NOT_RUN
