Reserve ports and networks of the tests across processes

Seen: test_stopping_replica_gives_up_its_vote failed at a landing because the port of its fourth replica was in use.

Cause: find_free_address remembered the ports drawn by its own process only, while all test workers draw from one range, and a port is free to a bind until the daemon that it was drawn for has started. Site drew its network in the same way. Endpoint and test_links took an ephemeral port, which any connection can take once it is closed; tests start an endpoint again at the address of one that ended.

A lock on one byte of a file in the folder for temporary files stands for each port and network. The kernel grants it to one process at a time and releases it when that process ends, so nothing is left behind by a worker that is killed. A port is still probed, for strangers.

--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -2,31 +2,26 @@
 
 import contextlib
 import hashlib
-import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
-from random import SystemRandom
 from typing import Any
 
 import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from .reservations import RESERVATIONS
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 LOG_TAIL_LINES = 12
 OPERATOR_KEY = "loopback-operator-key"
-PORTS = (10000, 32000)
-MAX_PORT_TRIES = 1000
-
-_RANDOM = SystemRandom()
-_ALLOCATED_PORTS: set[int] = set()
 
 
 class ClusterError(Exception):
-    """Report that a condition was not met in time or no port was free."""
+    """Report that a condition was not met in time."""
 
 
 class Process:
@@ -268,25 +263,8 @@
 def find_free_address() -> str:
     """Return a loopback address with a free port.
 
-    No port is returned twice in one process. The ports lie below the
-    kernel's range for outgoing connections, so that no connection takes the
-    port of a daemon while it restarts.
+    No process of the machine gets the port again while this one lives.
 
-    :raises ClusterError: no port was free
+    :raises ReservationError: no port was free
     """
-    for _ in range(MAX_PORT_TRIES):
-        port = _RANDOM.randrange(*PORTS)
-        if port in _ALLOCATED_PORTS or not _is_free(port):
-            continue
-        _ALLOCATED_PORTS.add(port)
-        return f"127.0.0.1:{port}"
-    raise ClusterError("no free port on loopback")
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+    return f"127.0.0.1:{RESERVATIONS.take_port()}"
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -19,6 +18,8 @@
 
 import msgspec
 import urllib3
+from nutmegchute_fakes.clusters import find_free_address
+from nutmegchute_fakes.reservations import RESERVATIONS
 
 WAIT_S = 30.0
 HOST = "a.example"
@@ -89,12 +90,12 @@
         # Returns, for path and body, whether a request ends this process.
         self.crashes: Callable[[str, bytes], bool] = lambda path, body: False
         self.crashed = threading.Event()
-        host, _, port = (address or "127.0.0.1:0").rpartition(":")
+        host, _, port = (address or find_free_address()).rpartition(":")
         self._server = ThreadingHTTPServer(
             (host, int(port)), _build_handler_class(self)
         )
         self._server.daemon_threads = True
-        self.address = f"{host}:{self._server.server_address[1]}"
+        self.address = f"{host}:{port}"
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
@@ -210,8 +211,7 @@
 
     def __init__(self, folder: Path, controls: int, routers: int) -> None:
         self._folder = folder
-        # A random network, so that parallel runs rarely collide.
-        network = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
+        network = RESERVATIONS.take_network()
         self.controls = [f"{network}.{n}" for n in range(1, controls + 1)]
         self.routers = [f"{network}.{n}" for n in range(101, 101 + routers)]
         self.seeds = self.controls[:3]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,17 +8,11 @@
 from nutmegchute_core.peers import Confirmation
 from nutmegchute_daemon.links import Links
 from nutmegchute_daemon.methods import SEEN
+from nutmegchute_fakes.clusters import find_free_address
 
 TIMEOUT_S = 10.0
 
 
-def find_free_address() -> str:
-    """Return an address on which nothing listens."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def interrupt_request(cancel: bool) -> Acknowledgement | None:
     """Send a request, then drop the channel or cancel the task."""
     address = find_free_address()
