--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -2,31 +2,27 @@
 
 import contextlib
 import hashlib
-import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
-from random import SystemRandom
 from typing import Any
 
 import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from .partitions import Partitions
+from .reservations import RESERVATIONS
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 LOG_TAIL_LINES = 12
 OPERATOR_KEY = "loopback-operator-key"
-PORTS = (10000, 32000)
-MAX_PORT_TRIES = 1000
-
-_RANDOM = SystemRandom()
-_ALLOCATED_PORTS: set[int] = set()
 
 
 class ClusterError(Exception):
-    """Report that a condition was not met in time or no port was free."""
+    """Report that a condition was not met in time."""
 
 
 class Process:
@@ -92,10 +88,19 @@
 
 
 class Cluster:
-    """Start control replicas, entries and fake upstreams."""
+    """Start control replicas, entries and fake upstreams.
 
-    def __init__(self, folder: Path, zones: list[str]) -> None:
+    ``partitions`` may cut entries off by their names.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        zones: list[str],
+        partitions: Partitions | None = None,
+    ) -> None:
         self.folder = folder
+        self._partitions = partitions
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
         self.grpc_ports: list[int] = []
@@ -253,7 +258,12 @@
         name = document["name"]
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
-        command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
+        command = [sys.executable, "-m", "nutmegchute_daemon"]
+        if self._partitions is not None and document["role"] == "entry":
+            command = self._partitions.build_command(
+                name, "nutmegchute_daemon"
+            )
+        command.append(str(path))
         log = self.folder / f"{name}.log"
         process = Process(name, command, document["http_address"], log)
         process.grpc_address = document["grpc_address"]
@@ -268,25 +278,8 @@
 def find_free_address() -> str:
     """Return a loopback address with a free port.
 
-    No port is returned twice in one process. The ports lie below the
-    kernel's range for outgoing connections, so that no connection takes the
-    port of a daemon while it restarts.
+    No process of the machine gets the port again while this one lives.
 
-    :raises ClusterError: no port was free
+    :raises ReservationError: no port was free
     """
-    for _ in range(MAX_PORT_TRIES):
-        port = _RANDOM.randrange(*PORTS)
-        if port in _ALLOCATED_PORTS or not _is_free(port):
-            continue
-        _ALLOCATED_PORTS.add(port)
-        return f"127.0.0.1:{port}"
-    raise ClusterError("no free port on loopback")
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+    return f"127.0.0.1:{RESERVATIONS.take_port()}"
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -19,6 +18,9 @@
 
 import msgspec
 import urllib3
+from nutmegchute_fakes.clusters import find_free_address
+from nutmegchute_fakes.partitions import Partitions
+from nutmegchute_fakes.reservations import RESERVATIONS
 
 WAIT_S = 30.0
 HOST = "a.example"
@@ -96,12 +98,12 @@
         # Returns, for path and body, whether a request ends this process.
         self.crashes: Callable[[str, bytes], bool] = lambda path, body: False
         self.crashed = threading.Event()
-        host, _, port = (address or "127.0.0.1:0").rpartition(":")
+        host, _, port = (address or find_free_address()).rpartition(":")
         self._server = ThreadingHTTPServer(
             (host, int(port)), _build_handler_class(self)
         )
         self._server.daemon_threads = True
-        self.address = f"{host}:{self._server.server_address[1]}"
+        self.address = f"{host}:{port}"
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
@@ -230,12 +232,21 @@
 
 
 class Site:
-    """Run control replicas and routers, each on its own loopback address."""
+    """Run control replicas and routers, each on its own loopback address.
 
-    def __init__(self, folder: Path, controls: int, routers: int) -> None:
+    ``partitions`` may cut routers off by their addresses.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        controls: int,
+        routers: int,
+        partitions: Partitions | None = None,
+    ) -> None:
         self._folder = folder
-        # A random network, so that parallel runs rarely collide.
-        network = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
+        self._partitions = partitions
+        network = RESERVATIONS.take_network()
         self.controls = [f"{network}.{n}" for n in range(1, controls + 1)]
         self.routers = [f"{network}.{n}" for n in range(101, 101 + routers)]
         self.seeds = self.controls[:3]
@@ -276,11 +287,16 @@
             settings["metrics_address"] = f"{ip}:7005"
             settings["extra_fixed"] = 60
             settings["probes_per_s"] = 60
+        command = [sys.executable, "-m", "nutmegchute_platform"]
+        if self._partitions is not None and role == "router":
+            command = self._partitions.build_command(
+                ip, "nutmegchute_platform"
+            )
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         with (self._folder / f"{name}.log").open("ab") as output:
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "nutmegchute_platform"],
+                command,
                 env={**os.environ, "NUTMEGCHUTE_BOOT": str(path)},
                 stdout=output,
                 stderr=output,
