--- a/packages/core/nutmegchute_core/directories.py
+++ b/packages/core/nutmegchute_core/directories.py
@@ -14,11 +14,13 @@
 class RelayAddress(msgspec.Struct, frozen=True, array_like=True):
     """Hold where an entry takes the calls of others, and with which token.
 
-    The token is known to the daemons of the deployment only.
+    The token is known to the daemons of the deployment only. ``names_calls``
+    says that its answers name the calls; those of earlier builds do not.
     """
 
     address: str
     token: str
+    names_calls: bool = False
 
 
 class EntryInfo(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/core/nutmegchute_core/helpers.py
+++ b/packages/core/nutmegchute_core/helpers.py
@@ -112,6 +112,10 @@
             self._avoided_until[name] = now + AVOID_S
 
     def _is_usable(self, name: str, now: float) -> bool:
+        relay = self._entries[name].relay
+        if relay is None or not relay.names_calls:
+            # Its answers would leave open whether a call has run.
+            return False
         return self._avoided_until.get(name, now) <= now
 
 
--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -146,7 +146,7 @@
     __slots__ = ("address",)
 
     def __init__(self, address: str, token: str) -> None:
-        self.address = RelayAddress(address, token)
+        self.address = RelayAddress(address, token, names_calls=True)
 
     def admits(self, http: StrictRequest) -> bool:
         """Return whether a request bears the token of this entry."""
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -19,7 +19,7 @@
 
 def build_entry(number: int, zone: str, cut_off: bool) -> EntryInfo:
     """Describe an entry."""
-    relay = RelayAddress(f"10.0.0.{number}:81", f"token-{number}")
+    relay = RelayAddress(f"10.0.0.{number}:81", f"token-{number}", True)
     return EntryInfo(
         f"entry-{number}",
         f"10.0.0.{number}:80",
@@ -114,3 +114,20 @@
     assert set(found) == {"10.0.0.4:80", "10.0.0.5:80"}
     all_cut = build_entries(6, 3, set(range(6)))
     assert choose_entries(all_cut, ZONES[0], 64, 1)
+
+
+def test_helper_whose_answers_name_no_calls_gets_none() -> None:
+    """Pass no call to an earlier build, whose "not run" proves nothing."""
+    helpers = Helpers()
+    earlier = EntryInfo(
+        "entry-1",
+        "10.0.0.1:80",
+        "surco",
+        relay=RelayAddress("10.0.0.1:81", "token-1"),
+    )
+    helpers.update([earlier])
+    assert not helpers.any_usable(0.0)
+    assert helpers.choose([], 0.0) is None
+    helpers.update([earlier, build_entry(2, "surco", False)])
+    chosen = helpers.choose([], 0.0)
+    assert chosen is not None and chosen.name == "entry-2"
