Cut processes off by the address at which they connect

Cause, in the stand-in:

- The proxies found the process of each new connection in /proc/net/tcp, on the loop that carries all bytes.

A proxy now listens at one host for each process that may be cut off. translations.py starts the daemon's module and connects it to that host where it names the announced one, as a network that translates addresses would; the code of the daemon runs as it is. So the address names the process at no cost, and a connection can be refused to one process: its listener is closed during the cut. A cut now outlives a restart of its process, as that of a network does.

The two tests named above are unchanged but for how they start and name processes.

--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -12,6 +12,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from .partitions import Partitions
 from .reservations import RESERVATIONS
 
 READY_TIMEOUT_S = 20.0
@@ -87,10 +88,19 @@
 
 
 class Cluster:
-    """Start control replicas, entries and fake upstreams."""
+    """Start control replicas, entries and fake upstreams.
 
-    def __init__(self, folder: Path, zones: list[str]) -> None:
+    ``partitions`` may cut entries off by their names.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        zones: list[str],
+        partitions: Partitions | None = None,
+    ) -> None:
         self.folder = folder
+        self._partitions = partitions
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
         self.grpc_ports: list[int] = []
@@ -248,7 +258,12 @@
         name = document["name"]
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
-        command = [sys.executable, "-m", "nutmegchute_daemon", str(path)]
+        command = [sys.executable, "-m", "nutmegchute_daemon"]
+        if self._partitions is not None and document["role"] == "entry":
+            command = self._partitions.build_command(
+                name, "nutmegchute_daemon"
+            )
+        command.append(str(path))
         log = self.folder / f"{name}.log"
         process = Process(name, command, document["http_address"], log)
         process.grpc_address = document["grpc_address"]
--- a/packages/fakes/nutmegchute_fakes/faults.py
+++ b/packages/fakes/nutmegchute_fakes/faults.py
@@ -128,8 +128,8 @@
         partitions: Partitions,
     ) -> None:
         self._partitions = partitions
-        # When each cut of an entry ends, by its process id.
-        self._cuts: dict[int, float] = {}
+        # When each cut of an entry ends, by its name.
+        self._cuts: dict[str, float] = {}
         self._processes = {
             "entry": cluster.entries,
             "control": cluster.controls,
@@ -163,8 +163,8 @@
         process = self._processes[fault.role][fault.index]
         if fault.kind == CUT:
             # Overlaps with the other faults of the entry.
-            self._cuts[process.pid] = self._now + fault.down_s
-            self._partitions.cut([process.pid], fault.form)
+            self._cuts[process.name] = self._now + fault.down_s
+            self._partitions.cut([process.name], fault.form)
             self._note_fault(process)
             return
         if process.name in self._under_repair or not process.is_running:
@@ -181,10 +181,10 @@
         self._repairs.append(Repair(process, fault.kind, repair_at))
 
     def _heal_links(self) -> None:
-        for pid, until in list(self._cuts.items()):
+        for name, until in list(self._cuts.items()):
             if self._now >= until:
-                del self._cuts[pid]
-                self._partitions.heal([pid])
+                del self._cuts[name]
+                self._partitions.heal([name])
 
     def _schedule_restarts(self) -> None:
         """Schedule a restart of each upstream that exited by itself."""
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -200,8 +200,8 @@
         self._seed = seed
         self._seconds = seconds
         self._rate = rate
-        self._cluster = Cluster(folder, ZONES)
         self._partitions = Partitions()
+        self._cluster = Cluster(folder, ZONES, self._partitions)
         self._records: list[RequestRecord] = []
         self._lock = threading.Lock()
         self._evacuator: Evacuator | None = None
@@ -229,7 +229,6 @@
     def _start(self) -> None:
         cluster = self._cluster
         cluster.start(CONTROLS, ENTRIES, entries_keep_s=1.0)
-        self._partitions.track(lambda: [one.pid for one in cluster.entries])
         self._apply(2000)
         self._keys = KeyChanger(
             self._folder / "keys",
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -19,6 +19,7 @@
 import msgspec
 import urllib3
 from nutmegchute_fakes.clusters import find_free_address
+from nutmegchute_fakes.partitions import Partitions
 from nutmegchute_fakes.reservations import RESERVATIONS
 
 WAIT_S = 30.0
@@ -207,10 +208,20 @@
 
 
 class Site:
-    """Run control replicas and routers, each on its own loopback address."""
+    """Run control replicas and routers, each on its own loopback address.
 
-    def __init__(self, folder: Path, controls: int, routers: int) -> None:
+    ``partitions`` may cut routers off by their addresses.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        controls: int,
+        routers: int,
+        partitions: Partitions | None = None,
+    ) -> None:
         self._folder = folder
+        self._partitions = partitions
         network = RESERVATIONS.take_network()
         self.controls = [f"{network}.{n}" for n in range(1, controls + 1)]
         self.routers = [f"{network}.{n}" for n in range(101, 101 + routers)]
@@ -252,11 +263,16 @@
             settings["metrics_address"] = f"{ip}:7005"
             settings["extra_fixed"] = 60
             settings["probes_per_s"] = 60
+        command = [sys.executable, "-m", "nutmegchute_platform"]
+        if self._partitions is not None and role == "router":
+            command = self._partitions.build_command(
+                ip, "nutmegchute_platform"
+            )
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         with (self._folder / f"{name}.log").open("ab") as output:
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "nutmegchute_platform"],
+                command,
                 env={**os.environ, "NUTMEGCHUTE_BOOT": str(path)},
                 stdout=output,
                 stderr=output,
--- a/tests/test_cut_off_entries_wire.py
+++ b/tests/test_cut_off_entries_wire.py
@@ -66,10 +66,9 @@
 @pytest.fixture
 def cluster(tmp_path: Path, partitions: Partitions) -> Iterator[Cluster]:
     """Run entries in three zones, and upstreams behind proxies."""
-    found = Cluster(tmp_path, ZONES)
+    found = Cluster(tmp_path, ZONES, partitions)
     try:
         found.start(3, ENTRIES, entries_keep_s=1.0)
-        partitions.track(lambda: [one.pid for one in found.entries])
         controls = [one.address for one in found.controls]
         document = build_declaration(2000)
         apply_declaration(tmp_path, document, controls, OPERATOR_KEY)
@@ -178,7 +177,7 @@
         tries = FirstTries(call, ENTRIES, CUT)
         try:
             time.sleep(0.5)
-            partitions.cut([cluster.entries[one].pid for one in CUT], form)
+            partitions.cut([cluster.entries[one].name for one in CUT], form)
             tries.measure()
         finally:
             tries.stop()
@@ -195,7 +194,7 @@
     tmp_path: Path, partitions: Partitions
 ) -> None:
     """Guard against the same failure through the platform's interface."""
-    site = Site(tmp_path, 1, ROUTERS)
+    site = Site(tmp_path, 1, ROUTERS, partitions)
     endpoints = [
         Endpoint(f"i-{number}", "desk") for number in range(1, ROUTERS + 1)
     ]
@@ -209,8 +208,7 @@
 
     try:
         site.start_all()
-        pids = [site.processes[site.routers[one]].pid for one in CUT_ROUTERS]
-        partitions.track(lambda: pids)
+        names = [site.routers[one] for one in CUT_ROUTERS]
         configuration = build_configuration(1, 0, LOAN, LOOK)
         wait_for(partial(has_accepted, site, configuration), "r1")
         for number in range(ROUTERS):
@@ -219,7 +217,7 @@
             tries = FirstTries(call, ROUTERS, CUT_ROUTERS, ROUTER_CALL_GAP_S)
             try:
                 time.sleep(0.5)
-                partitions.cut(pids, form)
+                partitions.cut(names, form)
                 tries.measure()
             finally:
                 tries.stop()
