Give the upstream of a slow reader time to answer on a busy machine

Cause: the fake upstream is a thread of the test's process and built its 8 MB answer within the rule's deadline of 300 ms.

The answer is built beforehand. The deadline is 2 s, and the reader starts after 2.7 s: as before 0.7 s more than the deadline, so a wait that counted would break the answer.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -376,15 +376,17 @@
 
 def test_slow_reader_gets_the_whole_answer(build: Any) -> None:
     """Do not count the wait for a slow reader against the upstream."""
+    answer = faulty_upstreams.build_answer(b"z" * 8_000_000)
 
     def long_answer(connection: faulty_upstreams.UpstreamConnection) -> None:
         connection.read()
-        connection.write(faulty_upstreams.build_answer(b"z" * 8_000_000))
+        connection.write(answer)
 
-    harness = build(long_answer, deadline_ms=300)
+    # The upstream's thread must get a processor within the deadline.
+    harness = build(long_answer, deadline_ms=2000)
     with harness.server.connect() as sock:
         sock.sendall(HEAD + b"Connection: close\r\n\r\n")
-        threading.Event().wait(1.0)
+        threading.Event().wait(2.7)
         assert read_to_end(sock).count(b"z") == 8_000_000
 
 
