Write anew what a start read back before the replica counts it

The core is killed while two replicas sync a change, starts again and acknowledges more; after a loss of power both replicas end on each start with "entry N is missing" or "damaged at byte N", and the acknowledged configuration cannot be read.

Cause: load took what it read for durable. A process killed before its sync returned leaves bytes that can be read and that no disk has. They were counted, and a newer segment was started behind them.

A start now syncs the folder, writes all that it read as the first frame of a new segment, and only then removes the old ones. That frame replaces what is before it, so an older segment that returns, or has a damaged end, is not read. A segment gets its name once its first frame is synced, so none can begin with a torn frame. If the load fails, recover() truncates nothing: what it would cut belongs to no failed save.

As one frame may now hold the whole log, its damage is refused if there is no other segment; it was taken for the end of an interrupted save before.

test_damage_before_the_last_segment_is_refused made its second segment by a restart, which leaves one segment now. It makes it by a compaction and asserts the same.

That the new one is synced before a start ends is shown by test_start_syncs_what_it_read_back, with real files.

--- a/packages/daemon/nutmegchute_daemon/storages.py
+++ b/packages/daemon/nutmegchute_daemon/storages.py
@@ -39,10 +39,14 @@
 
 
 class SaveRecord(msgspec.Struct, frozen=True):
-    """Hold the content of one save, which is durable as a whole."""
+    """Hold the content of one save, which is durable as a whole.
+
+    A record that ``is_base`` replaces all that was saved before it.
+    """
 
     hard_state: HardState | None
     entries: list[LogEntry]
+    is_base: bool = False
 
 
 _SAVE_DECODER = msgspec.msgpack.Decoder(SaveRecord)
@@ -55,7 +59,8 @@
 
     A frame holds all of one save, so a save that a crash interrupted is
     dropped as a whole. Entries are never overwritten in place: a frame
-    replaces the entries of earlier frames from its first index on.
+    replaces the entries of earlier frames from its first index on. The first
+    frame of a segment may replace all segments before it.
     """
 
     __slots__ = (
@@ -107,20 +112,25 @@
             raise self._storage_error(error) from error
 
     def load(self, genesis: Membership) -> StoredState:
-        """Load all that was synced; truncate an incomplete last frame.
+        """Load all that was saved and make it durable once more.
 
         :raises StorageError: data before the last frame is damaged
         """
         try:
             snapshot = self._load_snapshot(genesis)
-            entries = self._load_segments()
-            self._start_segment()
+            entries = self._entries_after(snapshot, self._load_segments())
+            # The process before may have been killed before a sync returned.
+            # First the name of its snapshot, which the new log continues.
+            self._disk.sync_folder()
+            self._replace_segments(entries)
         except OSError as error:
+            # No save has failed: recover() must truncate no segment.
+            self._segments = []
             raise self._storage_error(error) from error
         return StoredState(
             hard_state=self._hard_state,
             snapshot=snapshot,
-            entries=self._entries_after(snapshot, entries),
+            entries=entries,
         )
 
     def save(
@@ -144,7 +154,7 @@
         """
         try:
             self._save_snapshot(snapshot)
-            self._start_segment()
+            self._start_segment(SaveRecord(self._hard_state, []))
             self._remove_segments(self._segments[:-1])
         except OSError as error:
             raise self._storage_error(error) from error
@@ -156,7 +166,8 @@
         """
         try:
             self._save_snapshot(snapshot)
-            self._start_segment()
+            # Repeat the hard state: the segment that holds it may be removed.
+            self._start_segment(SaveRecord(self._hard_state, []))
             old = []
             for segment in self._segments[:-1]:
                 if self._last_indexes[segment] > snapshot.index:
@@ -199,17 +210,28 @@
                 self._last_indexes[segment], entry.index
             )
 
-    def _start_segment(self) -> None:
+    def _start_segment(self, first: SaveRecord) -> None:
         number = 0
         if self._segments:
             number = int(self._segments[-1].removeprefix(SEGMENT_PREFIX)) + 1
         segment = f"{SEGMENT_PREFIX}{number:012d}"
+        # The first frame is complete before the segment has its name, so a
+        # crash leaves no segment that hides the end of the one before.
+        self._synced_bytes = self._write_file(segment, first)
         self._segments.append(segment)
         self._last_indexes[segment] = 0
-        self._synced_bytes = 0
-        # Repeat the hard state: the segment that holds it may be removed.
-        self._append(SaveRecord(self._hard_state, []))
-        self._disk.sync_folder()
+        if first.entries:
+            self._last_indexes[segment] = first.entries[-1].index
+
+    def _replace_segments(self, entries: list[LogEntry]) -> None:
+        # Written anew, not only synced: after a failed sync Linux takes the
+        # pages for clean, and the next sync returns without writing them.
+        self._start_segment(SaveRecord(self._hard_state, entries, True))
+        # Not synced: a segment that returns is ignored on loading, and the
+        # next segment syncs the folder before this one can be removed.
+        for segment in self._segments[:-1]:
+            self._disk.remove(segment)
+        del self._segments[:-1]
 
     def _remove_segments(self, segments: list[str]) -> None:
         # Oldest first: if a later segment were removed and an earlier one
@@ -238,23 +260,39 @@
         return found
 
     def _load_segments(self) -> list[LogEntry]:
-        self._segments = [
+        # Until the load is over, recover() has nothing to truncate.
+        self._segments = []
+        self._last_indexes = {}
+        self._hard_state = HardState()
+        names = [
             name
             for name in self._disk.names()
             if name.startswith(SEGMENT_PREFIX)
         ]
-        self._hard_state = HardState()
+        loaded: list[list[SaveRecord]] = []
+        for name in reversed(names):
+            records = self._load_segment(name, name == names[-1])
+            if not records and len(names) == 1:
+                # No segment has its name before its first frame is durable.
+                raise StorageError(
+                    f"{self._disk.path}/{name}: damaged at byte 0"
+                )
+            loaded.append(records)
+            if records and records[0].is_base:
+                # Older segments are those whose removal was interrupted.
+                break
         entries: list[LogEntry] = []
-        for segment in self._segments:
-            last = segment == self._segments[-1]
-            self._load_segment(segment, last, entries)
+        for records in reversed(loaded):
+            for record in records:
+                if record.hard_state is not None:
+                    self._hard_state = record.hard_state
+                self._replace_tail(record.entries, entries)
+        self._segments = names
         return entries
 
-    def _load_segment(
-        self, segment: str, last: bool, entries: list[LogEntry]
-    ) -> None:
+    def _load_segment(self, segment: str, last: bool) -> list[SaveRecord]:
         data = self._disk.read(segment)
-        self._last_indexes[segment] = 0
+        records: list[SaveRecord] = []
         offset = 0
         while offset < len(data):
             payload = read_frame(data, offset)
@@ -264,24 +302,17 @@
                         f"{self._disk.path}/{segment}: damaged at byte "
                         f"{offset}"
                     )
-                self._disk.truncate(segment, offset)
-                self._disk.sync(segment)
-                return
-            record = _SAVE_DECODER.decode(payload)
-            if record.hard_state is not None:
-                self._hard_state = record.hard_state
-            self._replace_tail(segment, record.entries, entries)
+                # The end of a save that was not synced. It goes with this
+                # segment once the new one is durable.
+                return records
+            records.append(_SAVE_DECODER.decode(payload))
             offset += HEADER_BYTES + len(payload)
+        return records
 
     def _replace_tail(
-        self, segment: str, new: list[LogEntry], entries: list[LogEntry]
+        self, new: list[LogEntry], entries: list[LogEntry]
     ) -> None:
-        if not new:
-            return
-        self._last_indexes[segment] = max(
-            self._last_indexes[segment], new[-1].index
-        )
-        if entries:
+        if new and entries:
             kept = new[0].index - entries[0].index
             del entries[max(0, kept) :]
         entries.extend(new)
@@ -304,12 +335,15 @@
             expected += 1
         return later
 
-    def _write_file(self, name: str, value: Any) -> None:
+    def _write_file(self, name: str, value: Any) -> int:
+        """Write a file of one frame; return its size in bytes."""
+        data = encode_frame(_ENCODER.encode(value))
         self._disk.remove(TEMPORARY_FILE)
-        self._disk.append(TEMPORARY_FILE, encode_frame(_ENCODER.encode(value)))
+        self._disk.append(TEMPORARY_FILE, data)
         self._disk.sync(TEMPORARY_FILE)
         self._disk.rename(TEMPORARY_FILE, name)
         self._disk.sync_folder()
+        return len(data)
 
     def _read_file(self, name: str, decoder: Any) -> Any:
         try:
--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -1,5 +1,6 @@
 """Test what storage keeps over crashes and which damage it reports."""
 
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -101,18 +102,68 @@
 
 
 def test_damage_before_the_last_segment_is_refused(tmp_path: Path) -> None:
-    """An incomplete frame is truncated in the last segment only.
+    """An incomplete frame is accepted in the last segment only.
 
-    A restart starts a new segment, so the end of the one before was synced;
-    an incomplete frame there is damage, not the effect of a power cut.
+    A compaction starts a new segment, so the end of the one before was
+    synced; an incomplete frame there is damage, not the effect of a power
+    cut.
     """
-    path = save_entries(tmp_path)
-    assert load_entries(tmp_path) == ENTRIES
+    save_entries(tmp_path)
+    storage = open_storage(tmp_path)
+    assert storage.load(GENESIS).entries == ENTRIES
+    path = tmp_path / "log-000000000001"
+    storage.compact(Snapshot(2, 1, GENESIS, b"own"))
+    storage.close()
+    assert (tmp_path / "log-000000000002").exists()
     path.write_bytes(path.read_bytes()[:-3])
     with pytest.raises(StorageError, match=path.name):
         load_entries(tmp_path)
 
 
+@pytest.mark.parametrize("kept", [0, 20, None])
+def test_damage_of_the_only_frame_is_refused(
+    tmp_path: Path, kept: int | None
+) -> None:
+    """A start writes the whole log as one frame, which nothing replaces.
+
+    Taken for the end of an interrupted save, its damage would drop all that
+    the replica acknowledged, and its votes.
+    """
+    save_entries(tmp_path)
+    assert load_entries(tmp_path) == ENTRIES
+    path = tmp_path / "log-000000000001"
+    data = bytearray(path.read_bytes()[:kept])
+    if kept is None:
+        data[-1] ^= 1
+    path.write_bytes(bytes(data))
+    with pytest.raises(StorageError, match=f"{path}: damaged at byte 0"):
+        load_entries(tmp_path)
+
+
+def test_start_syncs_what_it_read_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process killed before its sync returned leaves unsynced entries.
+
+    They can be read, and the replica counts them after its start; a loss of
+    power would take them if no file that holds them was synced.
+    """
+    save_entries(tmp_path)
+    synced = {}
+    sync = os.fsync
+
+    def record(handle: int) -> None:
+        sync(handle)
+        synced[os.fstat(handle).st_ino] = os.fstat(handle).st_size
+
+    monkeypatch.setattr(os, "fsync", record)
+    assert load_entries(tmp_path) == ENTRIES
+    segments = list(tmp_path.glob("log-*"))
+    assert len(segments) == 1
+    for path in (segments[0], tmp_path):
+        assert synced[path.stat().st_ino] == path.stat().st_size
+
+
 def test_second_daemon_is_refused(tmp_path: Path) -> None:
     """Two daemons in one folder would overwrite each other's log."""
     storage = open_storage(tmp_path)
