--- a/packages/daemon/nutmegchute_daemon/storages.py
+++ b/packages/daemon/nutmegchute_daemon/storages.py
@@ -234,11 +234,12 @@
 
     def _remove_segments(self, segments: list[str]) -> None:
         # Oldest first: if a later segment were removed and an earlier one
-        # left, entries that the later one replaced would reappear.
+        # left, entries that the later one replaced would reappear. Only
+        # syncs of the folder keep the order over a loss of power.
         for segment in segments:
             self._disk.remove(segment)
             self._segments.remove(segment)
-        self._disk.sync_folder()
+            self._disk.sync_folder()
 
     def _save_snapshot(self, snapshot: Snapshot) -> None:
         name = f"{SNAPSHOT_PREFIX}{snapshot.index:012d}"
--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -443,26 +443,29 @@
     snapshot's term after the restart; the log would count as another
     leader's, and all that was saved since would be dropped with it.
     """
-    disk = FakeDisk(operations)
-    storage = Storage(disk)  # type: ignore[arg-type]
-    storage.save_identity(Identity("r1"))
-    storage.load(GENESIS)
-    storage.save(HardState(2, None), ENTRIES)
-    storage = Storage(disk)  # type: ignore[arg-type]
-    storage.load(GENESIS)
-    storage.save(None, [LogEntry(2, 3, NoOp())])
-    disk.power_cut_after = operations
-    try:
-        storage.compact(Snapshot(3, 2, GENESIS, b"own"))
-    except PowerCutError:
-        disk.crash()
-    disk.power_cut_after = None
-    for _ in range(2):
+    for seed in range(200):
+        disk = FakeDisk(seed)
         storage = Storage(disk)  # type: ignore[arg-type]
+        storage.save_identity(Identity("r1"))
         storage.load(GENESIS)
+        storage.save(HardState(2, None), ENTRIES)
+        storage.compact(Snapshot(1, 1, GENESIS, b"own"))
+        storage.save(None, [LogEntry(2, 3, NoOp())])
+        storage.compact(Snapshot(2, 1, GENESIS, b"own"))
         storage.save(None, [LogEntry(2, 4, NoOp())])
-    storage = Storage(disk)  # type: ignore[arg-type]
-    assert storage.load(GENESIS).entries[-1:] == [LogEntry(2, 4, NoOp())]
+        segments = [one for one in disk.names() if one.startswith("log-")]
+        assert len(segments) == 3
+        disk.power_cut_after = operations
+        try:
+            storage.compact(Snapshot(3, 2, GENESIS, b"own"))
+        except PowerCutError:
+            disk.crash()
+        disk.power_cut_after = None
+        for last in (4, 5):
+            storage = Storage(disk)  # type: ignore[arg-type]
+            entries = storage.load(GENESIS).entries
+            assert entries[-1:] == [LogEntry(2, last, NoOp())]
+            storage.save(None, [LogEntry(2, last + 1, NoOp())])
 
 
 def test_files_and_folder_belong_to_their_owner(tmp_path: Path) -> None:
