Let simulated replicas be killed without a loss of power

A kill now leaves the files as they are, half of the time.

Measured: test_nodes.py and test_replacements.py pass, 101 tests, one run.

--- a/packages/fakes/nutmegchute_fakes/disks.py
+++ b/packages/fakes/nutmegchute_fakes/disks.py
@@ -156,6 +156,13 @@
         """End the process that uses the disk: all stays as it is."""
         self.power_cut_after = None
 
+    def stop(self) -> None:
+        """End the process by a kill or a loss of power."""
+        if self._random.random() < 0.5:
+            self.kill()
+        else:
+            self.crash()
+
     def crash(self) -> None:
         """Lose any part of the names and data that were not synced."""
         folders = [self._durable_files, *self._unsynced_folders]
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -162,7 +162,7 @@
         self._proposals = {}
         self._queries = {}
         self._long_polls = LongPolls()
-        self.disk.crash()
+        self.disk.stop()
 
     def stop(self) -> None:
         """Stop in order, as the daemon does on a signal."""
