--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -1,9 +1,11 @@
 """Test what storage keeps over crashes and which damage it reports."""
 
+import os
 import subprocess
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 from nutmegchute_core.commands import NoOp
 from nutmegchute_core.memberships import Membership
@@ -12,8 +14,10 @@
 from nutmegchute_core.messages import Snapshot
 from nutmegchute_daemon.disks import Disk
 from nutmegchute_daemon.errors import StorageError
+from nutmegchute_daemon.frames import encode_frame
 from nutmegchute_daemon.storages import Identity
 from nutmegchute_daemon.storages import open_storage
+from nutmegchute_daemon.storages import SaveRecord
 from nutmegchute_daemon.storages import Storage
 from nutmegchute_fakes.disks import FakeDisk
 from nutmegchute_fakes.disks import PowerCutError
@@ -101,18 +105,68 @@
 
 
 def test_damage_before_the_last_segment_is_refused(tmp_path: Path) -> None:
-    """An incomplete frame is truncated in the last segment only.
+    """An incomplete frame is accepted in the last segment only.
 
-    A restart starts a new segment, so the end of the one before was synced;
-    an incomplete frame there is damage, not the effect of a power cut.
+    A compaction starts a new segment, so the end of the one before was
+    synced; an incomplete frame there is damage, not the effect of a power
+    cut.
     """
-    path = save_entries(tmp_path)
-    assert load_entries(tmp_path) == ENTRIES
+    save_entries(tmp_path)
+    storage = open_storage(tmp_path)
+    assert storage.load(GENESIS).entries == ENTRIES
+    path = tmp_path / "log-000000000001"
+    storage.compact(Snapshot(2, 1, GENESIS, b"own"))
+    storage.close()
+    assert (tmp_path / "log-000000000002").exists()
     path.write_bytes(path.read_bytes()[:-3])
     with pytest.raises(StorageError, match=path.name):
         load_entries(tmp_path)
 
 
+@pytest.mark.parametrize("kept", [0, 20, None])
+def test_damage_of_the_only_frame_is_refused(
+    tmp_path: Path, kept: int | None
+) -> None:
+    """A start writes the whole log as one frame, which nothing replaces.
+
+    Taken for the end of an interrupted save, its damage would drop all that
+    the replica acknowledged, and its votes.
+    """
+    save_entries(tmp_path)
+    assert load_entries(tmp_path) == ENTRIES
+    path = tmp_path / "log-000000000001"
+    data = bytearray(path.read_bytes()[:kept])
+    if kept is None:
+        data[-1] ^= 1
+    path.write_bytes(bytes(data))
+    with pytest.raises(StorageError, match=f"{path}: damaged at byte 0"):
+        load_entries(tmp_path)
+
+
+def test_start_syncs_what_it_read_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process killed before its sync returned leaves unsynced entries.
+
+    They can be read, and the replica counts them after its start; a loss of
+    power would take them if no file that holds them was synced.
+    """
+    save_entries(tmp_path)
+    synced = {}
+    sync = os.fsync
+
+    def record(handle: int) -> None:
+        sync(handle)
+        synced[os.fstat(handle).st_ino] = os.fstat(handle).st_size
+
+    monkeypatch.setattr(os, "fsync", record)
+    assert load_entries(tmp_path) == ENTRIES
+    segments = list(tmp_path.glob("log-*"))
+    assert len(segments) == 1
+    for path in (segments[0], tmp_path):
+        assert synced[path.stat().st_ino] == path.stat().st_size
+
+
 def test_second_daemon_is_refused(tmp_path: Path) -> None:
     """Two daemons in one folder would overwrite each other's log."""
     storage = open_storage(tmp_path)
@@ -324,36 +378,94 @@
 
 
 @pytest.mark.parametrize("operations", range(1, 16))
-def test_interrupted_removal_restores_no_replaced_entry(
+def test_entries_saved_after_an_interrupted_install_are_kept(
     operations: int,
 ) -> None:
-    """The power fails while segments before a snapshot are removed.
+    """A kill between an install and the removal of the log it replaces.
 
-    An older segment holds an entry that a later segment replaced. If the
-    later one were removed first, the replaced entry would differ from the
-    snapshot's term after the restart; the log would count as another
-    leader's, and all that was saved since would be dropped with it.
+    The old log has another term at the snapshot's index. If it stayed, all
+    that was saved after the restart would be dropped with it.
     """
     disk = FakeDisk(operations)
     storage = Storage(disk)  # type: ignore[arg-type]
     storage.save_identity(Identity("r1"))
     storage.load(GENESIS)
-    storage.save(HardState(2, None), ENTRIES)
-    storage = Storage(disk)  # type: ignore[arg-type]
-    storage.load(GENESIS)
-    storage.save(None, [LogEntry(2, 3, NoOp())])
+    storage.save(HardState(1, None), ENTRIES)
     disk.power_cut_after = operations
     try:
-        storage.compact(Snapshot(3, 2, GENESIS, b"own"))
+        storage.install(Snapshot(2, 5, GENESIS, b"leader's"))
     except PowerCutError:
-        disk.crash()
+        disk.kill()
     disk.power_cut_after = None
+    storage = Storage(disk)  # type: ignore[arg-type]
+    stored = storage.load(GENESIS)
+    later = [LogEntry(5, stored.snapshot.index + 1, NoOp())]
+    storage.save(None, later)
     for _ in range(2):
         storage = Storage(disk)  # type: ignore[arg-type]
+        assert storage.load(GENESIS).entries == later
+
+
+def test_entries_replaced_after_an_installed_snapshot_are_dropped() -> None:
+    """A folder of an earlier version holds the log before a snapshot.
+
+    That log ends before the snapshot, and an entry after the snapshot was
+    saved twice. The first of the two was kept, and the start ended with
+    "entry is missing".
+    """
+    disk = FakeDisk(1)
+    storage = Storage(disk)  # type: ignore[arg-type]
+    storage.save_identity(Identity("r1"))
+    storage.load(GENESIS)
+    storage.save(HardState(1, None), ENTRIES)
+    storage.install(Snapshot(50, 5, GENESIS, b"leader's"))
+    for name in disk.names():
+        if name.startswith("log-"):
+            disk.remove(name)
+    later = [LogEntry(5, 51, NoOp()), LogEntry(5, 52, NoOp())]
+    replacing = LogEntry(6, 52, NoOp())
+    for number, entries in enumerate((ENTRIES, later, [replacing])):
+        record = SaveRecord(None, entries)
+        frame = encode_frame(msgspec.msgpack.encode(record))
+        disk.append(f"log-{number:012d}", frame)
+    storage = Storage(disk)  # type: ignore[arg-type]
+    assert storage.load(GENESIS).entries == [later[0], replacing]
+
+
+@pytest.mark.parametrize("operations", range(1, 16))
+def test_interrupted_removal_restores_no_replaced_entry(
+    operations: int,
+) -> None:
+    """The power fails while segments before a snapshot are removed.
+
+    An older segment holds an entry that a later segment replaced. If the
+    later one were removed first, the replaced entry would differ from the
+    snapshot's term after the restart; the log would count as another
+    leader's, and all that was saved since would be dropped with it.
+    """
+    for seed in range(200):
+        disk = FakeDisk(seed)
+        storage = Storage(disk)  # type: ignore[arg-type]
+        storage.save_identity(Identity("r1"))
         storage.load(GENESIS)
+        storage.save(HardState(2, None), ENTRIES)
+        storage.compact(Snapshot(1, 1, GENESIS, b"own"))
+        storage.save(None, [LogEntry(2, 3, NoOp())])
+        storage.compact(Snapshot(2, 1, GENESIS, b"own"))
         storage.save(None, [LogEntry(2, 4, NoOp())])
-    storage = Storage(disk)  # type: ignore[arg-type]
-    assert storage.load(GENESIS).entries[-1:] == [LogEntry(2, 4, NoOp())]
+        segments = [one for one in disk.names() if one.startswith("log-")]
+        assert len(segments) == 3
+        disk.power_cut_after = operations
+        try:
+            storage.compact(Snapshot(3, 2, GENESIS, b"own"))
+        except PowerCutError:
+            disk.crash()
+        disk.power_cut_after = None
+        for last in (4, 5):
+            storage = Storage(disk)  # type: ignore[arg-type]
+            entries = storage.load(GENESIS).entries
+            assert entries[-1:] == [LogEntry(2, last, NoOp())]
+            storage.save(None, [LogEntry(2, last + 1, NoOp())])
 
 
 def test_files_and_folder_belong_to_their_owner(tmp_path: Path) -> None:
