--- a/packages/core/nutmegchute_core/directories.py
+++ b/packages/core/nutmegchute_core/directories.py
@@ -11,16 +11,24 @@
 MAX_ENTRIES = 64
 
 
+# Begins the tokens of entries whose answers name the calls that were passed
+# on. Those of earlier builds have no full stop.
+NAMING_MARK = "n."
+
+
 class RelayAddress(msgspec.Struct, frozen=True, array_like=True):
     """Hold where an entry takes the calls of others, and with which token.
 
-    The token is known to the daemons of the deployment only. ``names_calls``
-    says that its answers name the calls; those of earlier builds do not.
+    The token is known to the daemons of the deployment only.
     """
 
     address: str
     token: str
-    names_calls: bool = False
+
+    @property
+    def names_calls(self) -> bool:
+        """Return whether its answers name the calls, by its token."""
+        return self.token.startswith(NAMING_MARK)
 
 
 class EntryInfo(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/daemon/nutmegchute_daemon/answers.py
+++ b/packages/daemon/nutmegchute_daemon/answers.py
@@ -57,7 +57,7 @@
 
 
 class UnprovenRefusalError(BrokenAnswerError):
-    """Report a refusal by the endpoint that does not say "not run"."""
+    """Report a refusal that does not prove that the call did not run."""
 
 
 class AnswerFormat:
--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -10,6 +10,7 @@
 
 from nutmegchute_core.calls import Refusal
 from nutmegchute_core.calls import Relay
+from nutmegchute_core.directories import NAMING_MARK
 from nutmegchute_core.directories import RelayAddress
 from nutmegchute_core.evidence import RELAYED
 from urllib3 import HTTPHeaderDict
@@ -146,7 +147,7 @@
     __slots__ = ("address",)
 
     def __init__(self, address: str, token: str) -> None:
-        self.address = RelayAddress(address, token, names_calls=True)
+        self.address = RelayAddress(address, token)
 
     def admits(self, http: StrictRequest) -> bool:
         """Return whether a request bears the token of this entry."""
@@ -169,7 +170,8 @@
     """Build the door of an entry at an address, if it has one."""
     if address is None:
         return None
-    return RelayDoor(address, secrets.token_urlsafe(TOKEN_BYTES))
+    token = NAMING_MARK + secrets.token_urlsafe(TOKEN_BYTES)
+    return RelayDoor(address, token)
 
 
 def describe_outcome(
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -19,7 +19,7 @@
 
 def build_entry(number: int, zone: str, cut_off: bool) -> EntryInfo:
     """Describe an entry."""
-    relay = RelayAddress(f"10.0.0.{number}:81", f"token-{number}", True)
+    relay = RelayAddress(f"10.0.0.{number}:81", f"n.token-{number}")
     return EntryInfo(
         f"entry-{number}",
         f"10.0.0.{number}:80",
