Send series of signals in the soak, and let it grow

The soak left a process alone while it was being repaired, so no process got a second signal while it stopped, and its size was fixed.

--- a/packages/fakes/nutmegchute_fakes/faults.py
+++ b/packages/fakes/nutmegchute_fakes/faults.py
@@ -17,6 +17,29 @@
 RACE = "race"
 # An entry loses its links to all upstreams, in one of FORMS.
 CUT = "cut"
+# A process gets one of SERIES_FORMS: signals, each after seconds.
+SERIES = "series"
+SERIES_FORMS = {
+    "double-drain": ((0.0, signal.SIGTERM), (0.4, signal.SIGTERM)),
+    "drain-kill": ((0.0, signal.SIGTERM), (0.3, signal.SIGKILL)),
+    "frozen-drain": (
+        (0.0, signal.SIGSTOP),
+        (0.1, signal.SIGTERM),
+        (0.9, signal.SIGCONT),
+    ),
+    "freezes": (
+        (0.0, signal.SIGSTOP),
+        (0.3, signal.SIGCONT),
+        (0.4, signal.SIGSTOP),
+        (0.7, signal.SIGCONT),
+        (0.8, signal.SIGTERM),
+    ),
+    "drain-freeze": (
+        (0.0, signal.SIGTERM),
+        (0.1, signal.SIGSTOP),
+        (1.2, signal.SIGCONT),
+    ),
+}
 
 INTERVAL_S = (0.3, 2.0)
 DOWN_S = (0.5, 4.0)
@@ -38,6 +61,9 @@
     ("control", KILL),
     ("control", FREEZE),
     ("operator", RACE),
+    ("entry", SERIES),
+    ("upstream", SERIES),
+    ("control", SERIES),
 )
 
 
@@ -81,7 +107,11 @@
         role, kind = random.choice(FAULT_CHOICES)
         index = random.randrange(sizes.get(role, 1))
         down_s = random.uniform(*DOWN_S)
-        form = random.choice(FORMS) if kind == CUT else ""
+        form = ""
+        if kind == CUT:
+            form = random.choice(FORMS)
+        elif kind == SERIES:
+            form = random.choice(list(SERIES_FORMS))
         faults.append(Fault(at_s, role, index, kind, down_s, form))
         at_s += random.uniform(*INTERVAL_S)
     return faults
@@ -139,6 +169,8 @@
         self._race = race
         self._repairs: list[Repair] = []
         self._under_repair: set[str] = set()
+        # Signals of series that are still to be sent, with their times.
+        self._signals: list[tuple[float, Process, signal.Signals]] = []
         self._now = 0.0
         # Unix times at which entries were disturbed or restored.
         self.entry_faults: list[float] = []
@@ -149,6 +181,7 @@
         while self._faults or self._repairs or self._cuts:
             self._now = time.monotonic() - started
             self._heal_links()
+            self._send_signals()
             self._schedule_restarts()
             self._run_repairs()
             if self._faults and self._faults[0].at_s <= self._now:
@@ -171,15 +204,30 @@
             return
         self._under_repair.add(process.name)
         self._note_fault(process)
-        if fault.kind == KILL:
+        repair_at = self._now + fault.down_s
+        if fault.kind == SERIES:
+            for after_s, number in SERIES_FORMS[fault.form]:
+                at_s = self._now + after_s
+                self._signals.append((at_s, process, number))
+                repair_at = max(repair_at, at_s + POLL_INTERVAL_S)
+            self._send_signals()
+        elif fault.kind == KILL:
             process.kill()
         elif fault.kind == FREEZE:
             process.signal(signal.SIGSTOP)
         else:
             process.signal(signal.SIGTERM)
-        repair_at = self._now + fault.down_s
         self._repairs.append(Repair(process, fault.kind, repair_at))
 
+    def _send_signals(self) -> None:
+        waiting = []
+        for at_s, process, number in self._signals:
+            if self._now < at_s:
+                waiting.append((at_s, process, number))
+                continue
+            process.signal(number)
+        self._signals = waiting
+
     def _heal_links(self) -> None:
         for name, until in list(self._cuts.items()):
             if self._now >= until:
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -1,12 +1,13 @@
 """Inject faults into real processes under load and check every outcome.
 
 Usage:
-  soak [--seconds=S] [--seed=N] [--rate=R] [--keep=PATH]
+  soak [--seconds=S] [--seed=N] [--rate=R] [--size=N] [--keep=PATH]
 
 Options:
   --seconds=S  Duration of the faults [default: 60].
   --seed=N     Seed of the fault schedule; random by default.
   --rate=R     Requests per second [default: 60].
+  --size=N     Multiply entries, upstreams and callers by N [default: 1].
   --keep=PATH  Folder for logs and records, kept afterwards.
 
 The seed determines the schedule of faults; the timing within the processes
@@ -92,6 +93,7 @@
 MAX_LOAN_ATTEMPTS = 12
 SETTLE_S = 3.0
 MAX_SEED = 10**6
+EXIT_USAGE = 2
 # A request that crashes each upstream that runs it is sent at this interval.
 # After three crashes it may still reach upstreams for QUARANTINE_DELAY_S,
 # since control replicas fail meanwhile, and after that crash at most
@@ -195,8 +197,16 @@
     """Run a cluster under load and faults, then check the outcomes."""
 
     def __init__(
-        self, folder: Path, seed: int, seconds: float, rate: float
+        self,
+        folder: Path,
+        seed: int,
+        seconds: float,
+        rate: float,
+        size: int = 1,
     ) -> None:
+        self._entries = ENTRIES * size
+        self._upstreams = UPSTREAMS * size
+        self._callers = CALLERS * size
         self._folder = folder
         self._seed = seed
         self._seconds = seconds
@@ -216,7 +226,11 @@
         faults = draw_schedule(
             Random(self._seed),
             self._seconds,
-            {"entry": ENTRIES, "control": CONTROLS, "upstream": UPSTREAMS},
+            {
+                "entry": self._entries,
+                "control": CONTROLS,
+                "upstream": self._upstreams,
+            },
         )
         print(f"soak seed {self._seed}: {len(faults)} faults", flush=True)
         try:
@@ -229,7 +243,7 @@
 
     def _start(self) -> None:
         cluster = self._cluster
-        cluster.start(CONTROLS, ENTRIES, entries_keep_s=1.0)
+        cluster.start(CONTROLS, self._entries, entries_keep_s=1.0)
         self._apply(2000)
         self._keys = KeyChanger(
             self._folder / "keys",
@@ -237,10 +251,10 @@
             Random(self._seed + 2),
         )
         self._keys.start()
-        for number in range(UPSTREAMS):
+        for number in range(self._upstreams):
             service = "prestamos" if number % 2 else "catalogo"
             record = self._folder / f"ran-{number}"
-            options = RESETTING if number == UPSTREAMS - 1 else {}
+            options = RESETTING if number == self._upstreams - 1 else {}
             address = find_free_address()
             proxy = self._partitions.add_proxy(address)
             cluster.add_upstream(
@@ -261,14 +275,16 @@
 
     def _lists_all_upstreams(self, entry: Process) -> bool:
         status = self._cluster.fetch(entry)
-        return status is not None and len(status["upstreams"]) == UPSTREAMS
+        if status is None:
+            return False
+        return len(status["upstreams"]) == self._upstreams
 
     def _run_load(self, faults: list[Fault]) -> None:
         injector = FaultInjector(
             self._cluster, faults, self._race, self._partitions
         )
         count = int(self._rate * (self._seconds + RECOVERY_S))
-        with ThreadPoolExecutor(CALLERS) as pool:
+        with ThreadPoolExecutor(self._callers) as pool:
             started = time.monotonic()
             injector_thread = threading.Thread(
                 target=injector.run, daemon=True
@@ -302,7 +318,9 @@
             )
             disorderer_thread.start()
             key_threads = self._start_key_threads()
-            callers = [self._build_caller(number) for number in range(CALLERS)]
+            callers = []
+            for number in range(self._callers):
+                callers.append(self._build_caller(number))
             idle = list(callers)
             for number in range(count):
                 due = started + number / self._rate
@@ -524,7 +542,7 @@
         if self._demander is None:
             return []
         periods = self._demander.periods
-        return find_excess(periods, ENTRIES, self._entry_faults)
+        return find_excess(periods, self._entries, self._entry_faults)
 
     @property
     def _evacuation_periods(self) -> list[EvacuationPeriod]:
@@ -553,6 +571,10 @@
 def main() -> int:
     """Run a soak; return 0 unless the oracle finds a violation."""
     arguments = docopt(__doc__)
+    size = arguments["--size"]
+    if not size.isdecimal() or int(size) < 1:
+        print(f"soak: --size is {size!r}, not a whole number above 0")
+        return EXIT_USAGE
     seed = arguments["--seed"]
     number = int(seed) if seed else SystemRandom().randrange(MAX_SEED)
     keep = arguments["--keep"]
@@ -564,6 +586,7 @@
             number,
             float(arguments["--seconds"]),
             float(arguments["--rate"]),
+            int(size),
         )
         return 0 if soak.run() else 1
     finally:
