Read no name out of an id that is cut short

A rejection that an answer to the same request contradicts proves nothing. The check takes the contradiction for a late answer to an earlier request if it names one. Where only part of its head has arrived, the last line was taken as whole: "ab" cut to "a" was the name of an earlier request, and the rejection was believed.

Evidence: the test failed with 'not_run' instead of 'lost'. Lines that have not ended are no longer looked at, as in the reading of relayed ids.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -295,8 +295,12 @@
 
     def is_named_in(self, data: bytes) -> bool:
         """Return whether the start of an answer names an earlier request."""
-        head = data.partition(b"\r\n\r\n")[0]
-        for line in head.split(b"\r\n")[1:]:
+        head, end, _ = data.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        if not end:
+            # The rest of the last line is still to come.
+            del lines[-1]
+        for line in lines[1:]:
             name, _, value = line.decode("latin-1").partition(":")
             if name.lower() != self._header:
                 continue
--- /dev/null
+++ b/tests/test_unrun_proofs.py
@@ -0,0 +1,55 @@
+"""Test what proves that a request did not run, in rare orders of events."""
+
+from collections.abc import Iterator
+
+import pytest
+from nutmegchute_core.calls import LOST
+from test_late_answers import Steps
+from test_platform_answers import Client
+from test_platform_answers import rejection
+from test_platform_answers import success
+
+Piece = tuple[float, bytes]
+
+
+class Clients:
+    """Build clients of endpoints that write pieces with delays."""
+
+    def __init__(self) -> None:
+        self._built: list[Client] = []
+
+    def build(self, *steps: list[Piece]) -> Client:
+        """Build a client; each request gets the pieces of one step."""
+        client = Client([])
+        client.endpoint.stop()
+        client.endpoint = Steps(list(steps))  # type: ignore[assignment]
+        self._built.append(client)
+        return client
+
+    def stop(self) -> None:
+        """Stop the endpoints."""
+        for client in self._built:
+            client.endpoint.stop()
+
+
+@pytest.fixture
+def clients() -> Iterator[Clients]:
+    """Yield a builder of clients; stop their endpoints at the end."""
+    found = Clients()
+    yield found
+    found.stop()
+
+
+def test_part_of_an_id_names_no_earlier_request(clients: Clients) -> None:
+    """Guard against a contradiction that is missed as its id is cut.
+
+    The start of this request's id is that of an earlier one.
+    """
+    answer = success("ab")
+    cut = answer[: answer.index(b"ab\r\n") + 1]
+    client = clients.build(
+        [(0.0, success("a"))], [(0.0, rejection("ab") + cut)]
+    )
+    b"".join(client.send("a").body())
+    reply = client.send("ab")
+    assert (reply.outcome, reply.evidence) == (LOST, "")
