Compare what follows a rejection by its mark, not by its status

A rejection is not believed if an answer follows it that contradicts it. That was told by the status line alone: a 503 behind a rejection with 503 passed for its copy, even one without the mark of a rejection. An endpoint that rejects a request, runs it and fails made "not run" untrue, and the request was sent elsewhere.

If the head behind a rejection is whole and names the request, it is now read by the same rule as the rejection itself. Copies that differ in other headers still prove the same, which a test shows.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -173,6 +173,18 @@
         start = b"HTTP/1.%d %d" % (self.version % 10, self.status)
         return not start.startswith(self.excess_data[: len(start)])
 
+    @property
+    def next_head(self) -> Head | None:
+        """Return the head that follows, None if it is not whole.
+
+        It is also None for a late answer to an earlier request.
+        """
+        try:
+            head = read_head(io.BytesIO(self.excess_data or b""))
+        except http.client.HTTPException:
+            return None
+        return None if self._earlier.is_named(head) else head
+
     def has_body(self) -> bool:
         """Return whether the whole body has arrived."""
         if self.fp is None:
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -22,10 +22,12 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from .answer_heads import Head
 from .answer_heads import MalformedAnswerError
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
 from .answers import NAMES_NONE
+from .answers import NAMES_REQUEST
 from .answers import UnprovenRefusalError
 from .body_pacers import BodyPacer
 from .connections import Connection
@@ -654,9 +656,24 @@
         reply.read_start()
         for _ in reply.body():
             continue
-        if answer.is_contradicted:
+        if answer.is_contradicted or self._is_run(request, answer.next_head):
             raise BrokenAnswerError("answers that contradict each other")
 
+    def _is_run(self, request: Request, head: Head | None) -> bool:
+        """Return whether an answer to a request is no rejection of it."""
+        if head is None:
+            return False
+        response = HTTPResponse(
+            headers=HTTPHeaderDict(head.fields), status=head.status
+        )
+        naming = self._format.naming(request.headers, response)
+        if naming != NAMES_REQUEST:
+            return False
+        try:
+            return not self._format.read_evidence(request.headers, response)
+        except BrokenAnswerError:
+            return True
+
 
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
--- a/tests/test_unrun_proofs.py
+++ b/tests/test_unrun_proofs.py
@@ -4,7 +4,9 @@
 
 import pytest
 from nutmegchute_core.calls import LOST
+from nutmegchute_core.calls import NOT_RUN
 from test_late_answers import Steps
+from test_platform_answers import build_answer
 from test_platform_answers import Client
 from test_platform_answers import rejection
 from test_platform_answers import success
@@ -53,3 +55,32 @@
     b"".join(client.send("a").body())
     reply = client.send("ab")
     assert (reply.outcome, reply.evidence) == (LOST, "")
+
+
+FAILURE = build_answer(503, "Request-Id: b", "Server-Signature: s", body="x")
+
+
+@pytest.mark.parametrize("follows", [FAILURE, FAILURE[:-1], FAILURE * 2])
+def test_failure_with_the_status_of_a_rejection_contradicts_it(
+    clients: Clients, follows: bytes
+) -> None:
+    """Guard against a rejection that is believed though the run failed.
+
+    The status is the same; only the mark of a rejection is missing.
+    """
+    client = clients.build([(0.0, rejection("b") + follows)])
+    reply = client.send("b")
+    assert (reply.outcome, reply.evidence) == (LOST, "")
+
+
+def test_copy_with_a_later_load_contradicts_no_rejection(
+    clients: Clients,
+) -> None:
+    """Guard against true rejections lost as their copies differ a little."""
+    lines = ["Request-Id: b", "Not-Executed: 1"]
+    copies = [
+        build_answer(503, *lines, f"Instance-Load: {load},0,3")
+        for load in (3, 2)
+    ]
+    client = clients.build([(0.0, b"".join(copies))])
+    assert client.send("b").outcome == NOT_RUN
