Lend no call the connection of a load query rejected with 429

A load query and its answer bear no id, so a connection on which one was rejected is closed: the late copy of the rejection would come before the answer to the next call, which would then end as "may have run". That held for 5xx only, though an endpoint at its limit rejects load queries with 429.

Other statuses below 500, such as 404 of an endpoint without a load page, still keep their connection.

--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -28,6 +28,7 @@
 from .answers import BrokenAnswerError
 from .answers import NAMES_NONE
 from .answers import NAMES_REQUEST
+from .answers import SHED_STATUSES
 from .answers import UnprovenRefusalError
 from .body_pacers import BodyPacer
 from .connections import Connection
@@ -603,7 +604,7 @@
             if connection.carried > 1:
                 raise BrokenAnswerError("answer that names no request")
             connection.is_doubtful = True
-        if not naming and response.status >= FIRST_FAILED_STATUS:
+        if not naming and _may_be_repeated(response.status):
             # A load query was rejected, or a late answer came before its own.
             connection.is_doubtful = True
         return evidence
@@ -675,6 +676,11 @@
             return True
 
 
+def _may_be_repeated(status: int) -> bool:
+    """Return whether a load query's answer with this status may come late."""
+    return status in SHED_STATUSES or status >= FIRST_FAILED_STATUS
+
+
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
     cause = error.__cause__ if isinstance(error, BrokenAnswerError) else error
--- a/tests/test_unrun_proofs.py
+++ b/tests/test_unrun_proofs.py
@@ -84,3 +84,16 @@
     ]
     client = clients.build([(0.0, b"".join(copies))])
     assert client.send("b").outcome == NOT_RUN
+
+
+def test_rate_limited_query_leaves_its_connection_to_no_call(
+    clients: Clients,
+) -> None:
+    """Guard against calls lost to the late copy of a load query's 429."""
+    limited = build_answer(429, "Not-Executed: 1")
+    client = clients.build(
+        [(0.0, rejection("a"))], [(0.0, limited)], [(0.0, success("b"))]
+    )
+    client.send("a")
+    assert client.query().carried == 1
+    assert client.send("b").carried == 0
