Give calls without an id a connection of their own

On the platform's interface an attempt bears the client's id. A client may send none, or drop it by naming it in Connection, and load queries have none either: on a kept connection the late second answer to a load query was taken for that to the call, and the client got it.

Evidence: with a health page that is answered twice, the call was 'answered' with 200 on the query's connection; the test here failed with carried 1. A call without a name is now sent over a new connection only. Endpoints answer such calls with 400, so that no usual call opens a connection more.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -185,7 +185,12 @@
             request.method, target, headers, request.body, request.remainder
         )
         reply = sender.send(
-            attempt_request, send.endpoint, send.remaining_s, exchange
+            attempt_request,
+            send.endpoint,
+            send.remaining_s,
+            exchange,
+            # Without a name, nothing tells its answer from a late one.
+            fresh=sender.request_name(headers) is None,
         )
         reply.is_relayed = isinstance(send, Relay)
         call.status = reply.status
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -424,6 +424,10 @@
         self._format = answer_format or AnswerFormat()
         self._pacer = pacer or BodyPacer()
 
+    def request_name(self, headers: HTTPHeaderDict) -> str | None:
+        """Return the name that the answer must repeat, None without one."""
+        return self._format.request_name(headers)
+
     def send(
         self,
         request: Request,
