Send no attempt for which the time is over, and tell what is left

The time of an attempt began anew when a worker thread took it up. After a pause of the process, or while no thread ran, a request was written after its deadline: it ran for a caller that had given up, and the endpoint was told to work as long as if no time had passed.

Evidence: two tests failed, with 'answered' for an attempt taken up 50 ms after its deadline, and with Deadline-Ms 2000 for one of 2 s taken up 0.1 s late. The time since the decision is now taken off, and an attempt without time is not sent, which is evidence that it did not run.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -170,7 +170,9 @@
     ) -> Reply:
         """Make one attempt, store its reply and report its end to the loop."""
         request = call.request
-        remaining_ms = max(1, int(send.remaining_s * 1000))
+        # The process may have been paused since the decision.
+        remaining_s = send.remaining_s - exchange.age_s
+        remaining_ms = max(1, int(remaining_s * 1000))
         sender = self._sender
         target = request.target
         if isinstance(send, Relay):
@@ -187,7 +189,7 @@
         reply = sender.send(
             attempt_request,
             send.endpoint,
-            send.remaining_s,
+            remaining_s,
             exchange,
             # Without a name, nothing tells its answer from a late one.
             fresh=sender.request_name(headers) is None,
--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -50,16 +50,22 @@
 class Exchange:
     """Hold the connection of one attempt, so that the loop can end it."""
 
-    __slots__ = ("_ended", "_lock", "_socket", "wait_until")
+    __slots__ = ("_begun_at", "_ended", "_lock", "_socket", "wait_until")
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._ended = False
+        self._begun_at = time.monotonic()
         # When the wait for the endpoint times out, on the monotonic clock;
         # None while there is no wait.
         self.wait_until: float | None = None
 
+    @property
+    def age_s(self) -> float:
+        """Return the time since the attempt was decided, in seconds."""
+        return time.monotonic() - self._begun_at
+
     @property
     def ended(self) -> bool:
         """Return whether the exchange was ended by another thread."""
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -440,6 +440,8 @@
 
         ``fresh`` opens a connection even if one is idle.
         """
+        if remaining_s <= 0:
+            return Reply(NOT_RUN, 0.0, evidence=UNSENT)
         started = time.monotonic()
         deadline = started + remaining_s
         connection = None
