--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -46,6 +46,8 @@
 RETRIED = "retried"
 UNAVAILABLE = 503
 FIRST_ERROR_STATUS = 400
+# Status of a call whose idempotency key belongs to another request.
+MISMATCHED = 422
 TOKEN_BYTES = 12
 ORIGIN_BYTES = 12
 
@@ -107,6 +109,10 @@
             return
         if response.headers.get(RELAY_OUTCOME_HEADER) != ANSWERED:
             raise BrokenAnswerError("outcome unknown to the helper")
+        if response.headers.get(OUTCOME_HEADER) != NOT_RUN:
+            return
+        if response.status != MISMATCHED:
+            raise BrokenAnswerError("answer that says that nothing ran")
 
     def read_evidence(
         self, sent: HTTPHeaderDict, response: HTTPResponse
--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -215,6 +215,24 @@
     assert helper.connections == 1
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"429 No", b"503 No"])
+def test_answer_of_a_helper_is_no_refusal(site: Site, status: bytes) -> None:
+    """Guard against "not run" beside a mark that the call was answered."""
+
+    def contradict(connection: UpstreamConnection) -> None:
+        request = connection.read() or b""
+        found = build_answer(request, "not-run").replace(b"503 No", status)
+        connection.write(
+            found.replace(
+                b"Relay-Outcome: not-run", b"Relay-Outcome: answered"
+            )
+        )
+
+    site.help_by(contradict)
+    answer = site.entry.call("/loan", "POST", b"x")
+    assert REFUSED not in answer and UNKNOWN in answer
+
+
 @pytest.mark.parametrize("first", ["not-run", "answered"])
 def test_second_copy_of_an_answer_is_not_that_to_the_next_call(
     site: Site, first: str
