--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -50,16 +50,22 @@
 class Exchange:
     """Hold the connection of one attempt, so that the loop can end it."""
 
-    __slots__ = ("_ended", "_lock", "_socket", "wait_until")
+    __slots__ = ("_begun_at", "_ended", "_lock", "_socket", "wait_until")
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._ended = False
+        self._begun_at = time.monotonic()
         # When the wait for the endpoint times out, on the monotonic clock;
         # None while there is no wait.
         self.wait_until: float | None = None
 
+    @property
+    def age_s(self) -> float:
+        """Return the time since the attempt was decided, in seconds."""
+        return time.monotonic() - self._begun_at
+
     @property
     def ended(self) -> bool:
         """Return whether the exchange was ended by another thread."""
@@ -173,6 +179,18 @@
         start = b"HTTP/1.%d %d" % (self.version % 10, self.status)
         return not start.startswith(self.excess_data[: len(start)])
 
+    @property
+    def next_head(self) -> Head | None:
+        """Return the head that follows, None if it is not whole.
+
+        It is also None for a late answer to an earlier request.
+        """
+        try:
+            head = read_head(io.BytesIO(self.excess_data or b""))
+        except http.client.HTTPException:
+            return None
+        return None if self._earlier.is_named(head) else head
+
     def has_body(self) -> bool:
         """Return whether the whole body has arrived."""
         if self.fp is None:
@@ -295,8 +313,12 @@
 
     def is_named_in(self, data: bytes) -> bool:
         """Return whether the start of an answer names an earlier request."""
-        head = data.partition(b"\r\n\r\n")[0]
-        for line in head.split(b"\r\n")[1:]:
+        head, end, _ = data.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        if not end:
+            # The rest of the last line is still to come.
+            del lines[-1]
+        for line in lines[1:]:
             name, _, value = line.decode("latin-1").partition(":")
             if name.lower() != self._header:
                 continue
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -22,10 +22,13 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from .answer_heads import Head
 from .answer_heads import MalformedAnswerError
 from .answers import AnswerFormat
 from .answers import BrokenAnswerError
 from .answers import NAMES_NONE
+from .answers import NAMES_REQUEST
+from .answers import SHED_STATUSES
 from .answers import UnprovenRefusalError
 from .body_pacers import BodyPacer
 from .connections import Connection
@@ -421,6 +424,10 @@
         self._format = answer_format or AnswerFormat()
         self._pacer = pacer or BodyPacer()
 
+    def request_name(self, headers: HTTPHeaderDict) -> str | None:
+        """Return the name that the answer must repeat, None without one."""
+        return self._format.request_name(headers)
+
     def send(
         self,
         request: Request,
@@ -433,6 +440,8 @@
 
         ``fresh`` opens a connection even if one is idle.
         """
+        if remaining_s <= 0:
+            return Reply(NOT_RUN, 0.0, evidence=UNSENT)
         started = time.monotonic()
         deadline = started + remaining_s
         connection = None
@@ -601,7 +610,7 @@
             if connection.carried > 1:
                 raise BrokenAnswerError("answer that names no request")
             connection.is_doubtful = True
-        if not naming and response.status >= FIRST_FAILED_STATUS:
+        if not naming and _may_be_repeated(response.status):
             # A load query was rejected, or a late answer came before its own.
             connection.is_doubtful = True
         return evidence
@@ -654,9 +663,29 @@
         reply.read_start()
         for _ in reply.body():
             continue
-        if answer.is_contradicted:
+        if answer.is_contradicted or self._is_run(request, answer.next_head):
             raise BrokenAnswerError("answers that contradict each other")
 
+    def _is_run(self, request: Request, head: Head | None) -> bool:
+        """Return whether an answer to a request is no rejection of it."""
+        if head is None:
+            return False
+        response = HTTPResponse(
+            headers=HTTPHeaderDict(head.fields), status=head.status
+        )
+        naming = self._format.naming(request.headers, response)
+        if naming != NAMES_REQUEST:
+            return False
+        try:
+            return not self._format.read_evidence(request.headers, response)
+        except BrokenAnswerError:
+            return True
+
+
+def _may_be_repeated(status: int) -> bool:
+    """Return whether a load query's answer with this status may come late."""
+    return status in SHED_STATUSES or status >= FIRST_FAILED_STATUS
+
 
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
