Give checks of the links threads of their own

A check whether an entry still reaches any endpoint shared six threads with up to 32 load queries. Where endpoints stay silent each query holds its thread for 0.1 s, so a check could wait for longer than its 0.3 s. It then counted as a connection without an answer although none had been tried, and the entry could take all its links for lost and pass its calls on.

Checks have five threads of their own, enough for both rounds of one. They are started only when a check is made.

--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -22,6 +22,8 @@
 
 LOAD_PATH = "/nutmegchute/load"
 PROBE_THREADS = 6
+# Covers both rounds of a check of the links, which may overlap.
+CHECK_THREADS = 5
 # An endpoint that takes longer to report is no candidate for a call.
 PROBE_TIMEOUT_S = 0.1
 MAX_PENDING = 32
@@ -46,6 +48,7 @@
     """Query loads on threads; drop queries that would be answered too late."""
 
     __slots__ = (
+        "_check_threads",
         "_path",
         "_pending",
         "_runner",
@@ -66,6 +69,9 @@
         self._sender = sender
         self._path = path
         self._threads = ThreadPoolExecutor(PROBE_THREADS, "probe")
+        # A check that waits for load queries to silent endpoints would be
+        # taken for one that got no answer.
+        self._check_threads = ThreadPoolExecutor(CHECK_THREADS, "check")
         # Changed by the loop and the probing threads without a lock; a count
         # that is briefly off by one only shifts the limit by one.
         self._pending = 0
@@ -81,11 +87,12 @@
 
     def check(self, check: LinkCheck) -> None:
         """Query an endpoint over a new connection; the loop calls this."""
-        self._threads.submit(self._check, check)
+        self._check_threads.submit(self._check, check)
 
     def stop(self) -> None:
-        """Drop the probes that have not started."""
-        self._threads.shutdown(wait=False, cancel_futures=True)
+        """Drop the probes and checks that have not started."""
+        for threads in (self._threads, self._check_threads):
+            threads.shutdown(wait=False, cancel_futures=True)
 
     def _query(self, probe: Probe) -> None:
         started = time.monotonic()
