Take no endpoint for silent whose load query had no thread

A load query waits for one of six threads, and is dropped when 32 wait. Calls wait 15 ms for its answer. Then the endpoint was avoided for 0.25 s and more as one that does not answer, also if its query had not begun: a few silent endpoints kept the threads busy, and healthy ones were taken for unreachable.

The prober knows which queries were dropped, or waited for a thread for more than a third of that time. The loop asks for them before it ends a round of queries, and they mark no endpoint. Calls wait as long as before.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -404,6 +404,14 @@
             self._dispatch(pool, now, actions)
         return actions
 
+    def record_untried_probe(self, probe: Probe) -> None:
+        """Record that no thread was free for a load query.
+
+        That it has no answer in time says nothing of its endpoint.
+        """
+        for inquiry in self._inquiries.values():
+            inquiry.record_untried(probe.endpoint)
+
     def record_check(
         self, endpoint: str, result: str, now: float
     ) -> list[Action]:
--- a/packages/core/nutmegchute_core/inquiries.py
+++ b/packages/core/nutmegchute_core/inquiries.py
@@ -78,6 +78,7 @@
         "_pending",
         "_queried",
         "_round",
+        "_untried",
         "round_ends_at",
     )
 
@@ -88,6 +89,7 @@
         self._excluded = excluded
         self._for_hedge = for_hedge
         self._pending: set[str] = set()
+        self._untried: set[str] = set()
         self._round = MAX_ROUNDS - 1 if held else 0
         self._has_load = False
         self.round_ends_at = 0.0
@@ -129,16 +131,21 @@
 
     @property
     def unanswered(self) -> list[str]:
-        """Return the addresses without an answer in this round, sorted."""
-        return sorted(self._pending)
+        """Return the addresses queried in vain in this round, sorted."""
+        return sorted(self._pending - self._untried)
 
     def begin_round(self, addresses: list[str], round_ends_at: float) -> None:
         """Begin a round of queries that ends at the given time."""
         self.round_ends_at = round_ends_at
         self._round += 1
         self._pending = set(addresses)
+        self._untried = set()
         self._queried = [*self._queried, *addresses]
 
+    def record_untried(self, address: str) -> None:
+        """Record that no thread was free for the query of an endpoint."""
+        self._untried.add(address)
+
     def record_answer(self, address: str, has_load: bool) -> bool:
         """Record the end of a query; return whether this call sent it."""
         if address not in self._pending:
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -83,6 +83,7 @@
         "on_links",
         "on_reports",
         "on_not_run",
+        "pop_untried_queries",
     )
 
     def __init__(
@@ -117,6 +118,8 @@
         self.on_links: Callable[[], None] = _ignore_links
         # Called with each call that has ended without having run.
         self.on_not_run: Callable[[PendingCall], None] = _ignore_not_run
+        # Returns load queries for which no thread was free.
+        self.pop_untried_queries: Callable[[], list[Probe]] = list
         self._ending = False
         self._hedge_threads = ThreadPoolExecutor(HEDGE_THREADS, "hedge")
 
@@ -506,6 +509,8 @@
 
     def _wake_up(self) -> None:
         self._timer = None
+        for probe in self.pop_untried_queries():
+            self._balancer.record_untried_probe(probe)
         self.perform(self._balancer.tick(self._loop.time()))
 
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -156,6 +156,7 @@
         )
         self._dispatcher.on_not_run = self._quotas.give_back
         self._dispatcher.check_link = self._prober.check
+        self._dispatcher.pop_untried_queries = self._prober.pop_untried
         self._dispatcher.on_links = self._report_links
         self._prober.on_check = self._dispatcher.record_check
         self._handler.dispatcher = self
--- a/packages/daemon/nutmegchute_daemon/probes.py
+++ b/packages/daemon/nutmegchute_daemon/probes.py
@@ -27,6 +27,9 @@
 # An endpoint that takes longer to report is no candidate for a call.
 PROBE_TIMEOUT_S = 0.1
 MAX_PENDING = 32
+# A load query that waits longer for a thread may be answered too late for its
+# call, whose wait is QUERY_TIMEOUT_S of core's inquiries.
+MAX_WAIT_S = 0.005
 
 OnResult = Callable[
     [
@@ -49,11 +52,13 @@
 
     __slots__ = (
         "_check_threads",
+        "_dropped",
         "_path",
         "_pending",
         "_runner",
         "_sender",
         "_threads",
+        "_untried",
         "on_check",
         "on_result",
     )
@@ -75,15 +80,26 @@
         # Changed by the loop and the probing threads without a lock; a count
         # that is briefly off by one only shifts the limit by one.
         self._pending = 0
+        # Queries that were dropped, and those that did not get a thread in
+        # time. Threads remove from the set, which the loop copies.
+        self._dropped: list[Probe] = []
+        self._untried: set[Probe] = set()
 
     def enqueue(self, probe: Probe) -> None:
         """Queue a load query for the threads; the loop calls this."""
         if self._pending >= MAX_PENDING:
             # All threads wait for slow endpoints. A late report is useless,
             # and a call that waits for this one waits only briefly.
+            self._dropped.append(probe)
             return
         self._pending += 1
-        self._threads.submit(self._query, probe)
+        self._untried.add(probe)
+        self._threads.submit(self._query, probe, time.monotonic())
+
+    def pop_untried(self) -> list[Probe]:
+        """Return queries that had no thread in time; the loop calls this."""
+        dropped, self._dropped = self._dropped, []
+        return [*dropped, *self._untried.copy()]
 
     def check(self, check: LinkCheck) -> None:
         """Query an endpoint over a new connection; the loop calls this."""
@@ -94,8 +110,10 @@
         for threads in (self._threads, self._check_threads):
             threads.shutdown(wait=False, cancel_futures=True)
 
-    def _query(self, probe: Probe) -> None:
+    def _query(self, probe: Probe, queued_at: float) -> None:
         started = time.monotonic()
+        if started - queued_at <= MAX_WAIT_S:
+            self._untried.discard(probe)
         request = self._build_request(probe.path)
         load = None
         stretch = None
@@ -117,6 +135,7 @@
             reply.close()
         finally:
             self._pending -= 1
+            self._untried.discard(probe)
         latency_s = time.monotonic() - started
         self._runner.schedule(
             self.on_result,
