Believe a rejection behind a whole copy of an earlier answer

What callers saw: 502, "may have run", for requests that an endpoint had rejected by name and that could have been sent elsewhere.

The rule is there as the length of a cut copy takes in the head of the answer behind it, whose body could then be read as a rejection.

A copy that repeats the body that the connection has read before for the same request is not cut: what it would have taken in names a request that was sent later. All else stays: a cut copy, a late answer of other bytes, one by chunks.

Tests: test_rejection_behind_a_whole_copy_is_sent_elsewhere failed with "lost" in place of "not run". Four cases that must stay lost failed on a trial that takes each skipped body for a copy, three of them new.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -1,6 +1,7 @@
 """Pool connections to endpoints, each used by one exchange at a time."""
 
 import contextlib
+import hashlib
 import http.client
 import io
 import re
@@ -159,9 +160,10 @@
         self._earlier = earlier
         # Late answers to earlier requests that came before this one.
         self.strays = 0
-        # The size of their bodies. If one announced too many bytes, part of
-        # the answer behind it was skipped.
-        self.skipped_bytes = 0
+        # The size of those bodies that repeat no answer of the connection. If
+        # one was cut, part of the answer behind it was skipped.
+        self.unmatched_bytes = 0
+        self._is_short = False
 
     @property
     def is_contradicted(self) -> bool:
@@ -193,7 +195,9 @@
         assert self.fp is not None
         head = read_head(self.fp)
         while self._earlier.is_named(head) and self.strays < MAX_STRAYS:
-            self.skipped_bytes += self._skip_body(head)
+            body = self._read_stray(head)
+            if not self._earlier.is_repeated(head, body):
+                self.unmatched_bytes += len(body)
             self.strays += 1
             head = read_head(self.fp)
         self.version = head.version
@@ -210,9 +214,19 @@
         self.will_close = self._check_close()  # type: ignore[attr-defined]
         if not self.chunked and self.length is None:
             self.will_close = True
+        self._is_short = (
+            self.length is not None and self.length <= MAX_STRAY_BYTES
+        )
 
-    def _skip_body(self, head: Head) -> int:
-        """Skip the body of a late answer; return its size in bytes.
+    def read1(self, n: int = -1) -> bytes:
+        """Return up to ``n`` bytes of the body, empty at its end."""
+        piece: bytes = super().read1(n)
+        if self._is_short:
+            self._earlier.record_body(piece)
+        return piece
+
+    def _read_stray(self, head: Head) -> bytes:
+        """Return the body of a late answer.
 
         :raises MalformedAnswerError: its end cannot be told
         """
@@ -220,9 +234,10 @@
         length = 0 if head.status in BODILESS_STATUSES else head.length
         if length is None or length > MAX_STRAY_BYTES:
             raise MalformedAnswerError("long answer to another request")
-        if len(self.fp.read(length)) < length:
+        body = self.fp.read(length)
+        if len(body) < length:
             raise http.client.RemoteDisconnected("closed within a body")
-        return length
+        return body
 
     def _close_conn(self) -> None:
         # The buffered file reads ahead. What it holds beyond the end of this
@@ -258,15 +273,20 @@
 
 
 class EarlierRequests:
-    """Hold the names of the last requests of a connection."""
+    """Hold the names of the last requests of a connection.
+
+    Each is kept with the digest of the body that answered it. A late answer
+    with this body is whole: what follows it is the next answer.
+    """
 
-    __slots__ = ("_header", "_is_head", "_name", "_names")
+    __slots__ = ("_answered", "_body", "_header", "_is_head", "_name")
 
     def __init__(self) -> None:
         self._header = ""
         self._is_head = False
         self._name: str | None = None
-        self._names: deque[str] = deque(maxlen=MAX_EARLIER)
+        self._body = hashlib.sha256()
+        self._answered: deque[tuple[str, bytes]] = deque(maxlen=MAX_EARLIER)
 
     def begin(self, header: str, name: str | None, method: str) -> None:
         """Record that a request is sent whose answers bear this name.
@@ -275,23 +295,28 @@
         a late copy of it cannot be skipped.
         """
         if self._name is not None and not self._is_head:
-            self._names.append(self._name)
+            self._answered.append((self._name, self._body.digest()))
         self._header = header.lower()
         self._name = name
         self._is_head = method == "HEAD"
+        self._body = hashlib.sha256()
+
+    def record_body(self, piece: bytes) -> None:
+        """Record a piece of the body that answers the present request."""
+        self._body.update(piece)
 
     def is_named(self, head: Head) -> bool:
         """Return whether an answer names an earlier request alone."""
-        if not self._names:
-            return False
-        found = [
-            value
-            for name, value in head.fields
-            if name.lower() == self._header
-        ]
-        if len(found) != 1 or found[0] == self._name:
+        if not self._answered:
             return False
-        return found[0] in self._names
+        found = self._find_names(head)
+        return len(found) == 1 and self._is_earlier(found[0])
+
+    def is_repeated(self, head: Head, body: bytes) -> bool:
+        """Return whether an answer repeats the body of an earlier one."""
+        digest = hashlib.sha256(body).digest()
+        names = self._find_names(head)
+        return any((name, digest) in self._answered for name in names)
 
     def is_named_in(self, data: bytes) -> bool:
         """Return whether the start of an answer names an earlier request."""
@@ -300,10 +325,21 @@
             name, _, value = line.decode("latin-1").partition(":")
             if name.lower() != self._header:
                 continue
-            found = value.strip(" \t")
-            return found != self._name and found in self._names
+            return self._is_earlier(value.strip(" \t"))
         return False
 
+    def _find_names(self, head: Head) -> list[str]:
+        return [
+            value
+            for name, value in head.fields
+            if name.lower() == self._header
+        ]
+
+    def _is_earlier(self, found: str) -> bool:
+        if found == self._name:
+            return False
+        return any(found == name for name, _ in self._answered)
+
 
 class Connection(HTTPConnection):
     """Connect to an endpoint and detect whether it can be reused."""
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -595,8 +595,8 @@
         naming = self._format.naming(request.headers, response)
         answer = connection.answer
         assert answer is not None
-        if evidence and answer.skipped_bytes:
-            raise BrokenAnswerError("rejection behind a skipped body")
+        if evidence and answer.unmatched_bytes:
+            raise BrokenAnswerError("rejection behind an unknown body")
         if naming == NAMES_NONE:
             if connection.carried > 1:
                 raise BrokenAnswerError("answer that names no request")
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -7,6 +7,7 @@
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
+from nutmegchute_core.evidence import REJECTED
 from nutmegchute_core.evidence import UNSENT
 from nutmegchute_daemon.answers import AnswerFormat
 from nutmegchute_daemon.connections import ConnectionPool
@@ -212,6 +213,48 @@
     assert reply.outcome != NOT_RUN
 
 
+def test_rejection_behind_a_whole_copy_is_sent_elsewhere(
+    clients: list[Client],
+) -> None:
+    """Guard against the loss of calls whose rejection a late copy precedes."""
+    client = Client([success("a"), success("a") + rejection("b")])
+    clients.append(client)
+    b"".join(client.send("a").body())
+    reply = client.send("b")
+    assert (reply.outcome, reply.evidence) == (NOT_RUN, REJECTED)
+    assert reply.strays == 1
+
+
+@pytest.mark.parametrize("kept", [0, 3])
+def test_cut_copy_of_a_known_answer_proves_no_rejection_behind_it(
+    clients: list[Client], kept: int
+) -> None:
+    """Guard against a rejection that is read from the body of an answer.
+
+    The copy has the length of the answer it repeats, and its head.
+    """
+    body = rejection("b").decode()
+    real = build_answer(200, "Request-Id: b", body=body)
+    head_bytes = real.index(b"\r\n\r\n") + 4
+    known = build_answer(200, "Request-Id: a", body="x" * (kept + head_bytes))
+    client = Client([known, known[: len(known) - head_bytes] + real])
+    clients.append(client)
+    b"".join(client.send("a").body())
+    reply = client.send("b")
+    assert (reply.outcome, reply.strays) == (LOST, 1)
+
+
+def test_late_answer_that_repeats_no_answer_proves_no_rejection_behind_it(
+    clients: list[Client],
+) -> None:
+    """Guard against a length that nothing confirms: only copies have one."""
+    other = build_answer(200, "Request-Id: a", body="x")
+    client = Client([success("a"), other + rejection("b")])
+    clients.append(client)
+    b"".join(client.send("a").body())
+    assert client.send("b").outcome == LOST
+
+
 def own(client: Client, name: str) -> Reply:
     """Send a request over the product's own interface."""
     headers = HTTPHeaderDict({AnswerFormat.name_header: name})
