Tell in the log of a call whether another router passed it on

A record of refused requests that ran had two lines NC3016 with outcome "refuse" and status 0, which nobody could place: no endpoint had answered, and the requests had run. In runs of real processes with copies of rejections and paused routers, seven such lines came up. The two others were of routers whose second attempt found no connection. The line does not say which of both it is.

NC3016 now has "relayed", and "explain" says whether the caller or the router that passed the call on got the answer. Without the change the test of the two kinds of lines fails, as does that of cut-off routers, where the field is missing; both pass with it.

--- a/packages/cli/nutmegchute_cli/explanations.py
+++ b/packages/cli/nutmegchute_cli/explanations.py
@@ -169,11 +169,15 @@
 
 
 def _describe_told(call: Line) -> str:
-    """Return what the caller was told, as far as the line says it."""
+    """Return what the caller was told, as far as the line says it.
+
+    That of a call which another entry has passed on is that entry.
+    """
     told = call.get("told")
     if told is None:
         return ""
-    return f"; the caller got {told or 'no answer'}"
+    caller = "router that passed it on" if call.get("relayed") else "caller"
+    return f"; the {caller} got {told or 'no answer'}"
 
 
 def _find_last(
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -428,6 +428,7 @@
             outcome=record.outcome,
             status=call.status,
             told=record.told,
+            relayed=call.is_relayed,
             reason=record.reason,
             ahead=record.ahead,
             priority=record.priority,
--- a/tests/test_cut_off_entries_wire.py
+++ b/tests/test_cut_off_entries_wire.py
@@ -12,6 +12,9 @@
 from pathlib import Path
 
 import pytest
+from nutmegchute_cli.explanations import CALL_ENDED
+from nutmegchute_cli.explanations import Line
+from nutmegchute_cli.explanations import read_lines
 from nutmegchute_fakes.clusters import Cluster
 from nutmegchute_fakes.clusters import find_free_address
 from nutmegchute_fakes.clusters import OPERATOR_KEY
@@ -190,6 +193,14 @@
 NAMES = itertools.count()
 
 
+def read_calls(folder: Path) -> list[Line]:
+    """Return the log lines of the calls that routers served."""
+    lines: list[Line] = []
+    for path in folder.rglob("*.log"):
+        lines.extend(read_lines(path))
+    return [one for one in lines if one["number"] == CALL_ENDED]
+
+
 def test_cut_off_routers_serve_requests(
     tmp_path: Path, partitions: Partitions
 ) -> None:
@@ -230,3 +241,17 @@
         site.stop()
         for endpoint in endpoints:
             endpoint.stop()
+    calls = read_calls(tmp_path)
+    relayed = {one["request"] for one in calls if one["relayed"]}
+    # Both sides are logged as what they are. Some lines may be dropped.
+    assert relayed & {
+        one["request"]
+        for one in calls
+        if any("helper" in send for send in one["sends"])
+    }
+    assert not any(
+        "helper" in send
+        for one in calls
+        if one["relayed"]
+        for send in one["sends"]
+    )
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -178,6 +178,21 @@
     assert "links to endpoints" not in capsys.readouterr().out
 
 
+def test_line_of_a_helper_is_told_from_that_of_a_router(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against a helper's refusal that is read as the caller's answer."""
+    log = tmp_path / "router.log"
+    for relayed, line in (
+        (False, "; the caller got 503"),
+        (True, "; the router that passed it on got 503"),
+    ):
+        call = build_call("q1", sends=[], told=503, relayed=relayed)
+        log.write_text(build_line("NC3016", "router-1", 6, **call))
+        assert main(["explain", "q1", str(log)]) == 0
+        assert line in capsys.readouterr().out
+
+
 def test_unknown_request_is_a_usage_error(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
