--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -560,6 +560,10 @@
 
     def _add_chunk(self, request: InstallRequest) -> tuple[int, bool]:
         """Return the number of bytes received, and whether that is all."""
+        if self._log.term_at(request.index) == request.snapshot_term:
+            # The log has all that the snapshot covers. Entries behind it may
+            # be acknowledged and must stay.
+            self._commit_index = max(self._commit_index, request.index)
         if request.index <= self._commit_index:
             self._incoming_snapshot = None
             return request.total, True
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,8 +12,10 @@
 from nutmegchute_core.memberships import Membership
 from nutmegchute_core.memberships import Reconfigure
 from nutmegchute_core.messages import AppendReply
+from nutmegchute_core.messages import AppendRequest
 from nutmegchute_core.messages import HandOver
 from nutmegchute_core.messages import HardState
+from nutmegchute_core.messages import InstallReply
 from nutmegchute_core.messages import InstallRequest
 from nutmegchute_core.messages import LogEntry
 from nutmegchute_core.messages import Snapshot
@@ -416,3 +418,63 @@
     assert snapshot is not None
     assert snapshot.state == state
     assert replica.commit_index == 7
+
+
+def install(replica: Replica, index: int, term: int) -> None:
+    """Let a replica receive a snapshot in one chunk, in term 2."""
+    replica.receive(
+        InstallRequest(
+            source="r2",
+            target="r1",
+            term=2,
+            round=2,
+            index=index,
+            snapshot_term=term,
+            membership=MEMBERS,
+            offset=0,
+            total=1,
+            piece=b"s",
+        ),
+        1.0,
+    )
+
+
+def build_follower(last: int) -> Replica:
+    """Build a follower that has acknowledged entries without a commit."""
+    log = Log(Snapshot(membership=MEMBERS), [])
+    replica = Replica("r1", HardState(), log, 0.0, 1)
+    entries = [LogEntry(2, n, NoOp()) for n in range(1, last + 1)]
+    replica.receive(AppendRequest("r2", "r1", 2, 1, 0, 0, entries, 0), 1.0)
+    (reply,) = replica.take_effects().messages
+    assert isinstance(reply, AppendReply) and reply.match_index == last
+    return replica
+
+
+@pytest.mark.parametrize("index", [7, 10])
+def test_late_snapshot_keeps_acknowledged_entries(index: int) -> None:
+    """Guard against the loss of entries that were committed by this replica.
+
+    The leader counts them as held. If it fails, a replica without them must
+    not be elected.
+    """
+    replica = build_follower(last=10)
+    install(replica, index, term=2)
+    effects = replica.take_effects()
+    (reply,) = effects.messages
+    assert isinstance(reply, InstallReply) and reply.done
+    assert effects.snapshot is None
+    assert [one.index for one in effects.committed] == list(
+        range(1, index + 1)
+    )
+    assert (replica.last_index, replica.commit_index) == (10, index)
+    replica.receive(VoteRequest("r3", "r1", 3, 9, 2, False), 9.0)
+    (vote,) = replica.take_effects().messages
+    assert isinstance(vote, VoteReply) and not vote.granted
+
+
+def test_snapshot_replaces_entries_that_contradict_it() -> None:
+    """Guard against entries that no leader has committed."""
+    replica = build_follower(last=10)
+    install(replica, 7, term=1)
+    assert replica.take_effects().snapshot is not None
+    assert (replica.last_index, replica.commit_index) == (7, 7)
