Let the test of two attempts run on a whole balancer

The stand-in lacked a method that the dispatcher calls after each batch of actions. Each batch ended in an AttributeError that only the loop's log had, and the test passed all the same. It is a subclass of the balancer now, as in the tests of relayed calls, and the log is empty.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import Action
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import Cancel
@@ -416,22 +417,12 @@
     assert harness.ran == 1
 
 
-class HedgingBalancer:
+class HedgingBalancer(Balancer):
     """Send each call to all endpoints, like a balancer that hedges at once."""
 
     def __init__(self, endpoints: list[str]) -> None:
+        super().__init__(1)
         self._endpoints = endpoints
-        self.in_flight = 0
-
-    def next_wakeup(self) -> None:
-        """Return no wake-up time."""
-
-    def configure(self, services: Any, now: float) -> None:
-        """Ignore the configuration."""
-
-    def update_upstreams(self, live: Any, now: float) -> list[Action]:
-        """Ignore the upstreams."""
-        return []
 
     def arrive(self, *_: Any) -> tuple[int, list[Action]]:
         """Send to every endpoint."""
