Say that a connection ends when the body of a refused call is not read

A long body in chunks whose call is refused is not read to its end, and the connection is closed after the refusal. The refusal did not say so: callers that kept the connection sent their next request on it and got a reset.

Evidence: two tests failed, as the refusal had no "Connection: close". It was decided after the head was written; now it is decided before.

--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -242,7 +242,7 @@
             self.conn.wfile.write(b"0\r\n\r\n")
         self.conn.wfile.flush()
         if self.chunked_read and not self.rfile.closed:
-            # The unread rest of the body would be parsed as a request.
+            # Part of the body was read after the head was written.
             self.close_connection = True
 
     def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
@@ -262,6 +262,9 @@
     def send_headers(self) -> None:
         """Write the head; it is sent with the first piece of the body."""
         self.conn.wfile.hold()
+        if self.chunked_read and not self.rfile.closed:
+            # The unread rest of the body would be parsed as a request.
+            self.close_connection = True
         if self.status.startswith(RESET_CONTENT):  # type: ignore[arg-type]
             self._frame_body()
         super().send_headers()
--- a/tests/test_unrun_calls.py
+++ b/tests/test_unrun_calls.py
@@ -79,7 +79,9 @@
             sock.sendall(head + framing + LAST)
         answer = read_to_end(sock)
     assert NOT_RUN in answer
-    # The connection ends where the end of the body is not read.
+    # The connection ends where the end of the body is not read, and says so.
+    refusal = answer[answer.index(b" 503 ") :].partition(b"\r\n\r\n")[0]
+    assert (b"Connection: close" in refusal) == is_chunked
     assert harness.ran == (not is_chunked)
 
 
