Show that the rejection of a long body is lost where nobody reads on

An endpoint may answer after the head of a request and leave the body unread. The sender writes the whole body before it reads the answer. A body longer than what the operating system takes blocks it until the deadline: the caller of a call that was rejected in time gets 502, "may have run", and the call is not sent elsewhere.

--- a/tests/test_unrun_calls.py
+++ b/tests/test_unrun_calls.py
@@ -25,6 +25,7 @@
 LAST = NEXT.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 LOAN = HEAD + b"Content-Length: 1\r\n\r\nx"
 SIZE = 200000
+LONG_BYTES = 16777216
 
 
 @pytest.fixture
@@ -148,3 +149,24 @@
     assert answer.startswith(b"HTTP/1.1 200")
     harness.wait_until(lambda: len(balancer.results) == 2)
     assert [len(one.requests) for one in harness.upstreams] == [1, 0]
+
+
+@pytest.mark.known_red
+def test_rejection_before_the_end_of_a_long_body_is_believed(
+    build: Any,
+) -> None:
+    """Guard against true rejections lost where the endpoint reads no more.
+
+    It answers after the head and keeps the connection; the body is longer
+    than what the operating system takes.
+    """
+
+    def shed_unread(connection: UpstreamConnection) -> None:
+        head = connection.read_head() or b""
+        connection.write(faulty_upstreams.build_shed(head))
+        connection.upstream.release.wait()
+
+    harness = build(shed_unread, deadline_ms=500)
+    harness.server.limit_bodies(LONG_BYTES, LONG_BYTES)
+    answer = harness.server.call("/loan", "POST", b"x" * LONG_BYTES)
+    assert NOT_RUN in answer
