Take an attempt that ended before its first byte as not run

An attempt whose exchange had ended before a byte was written was cancelled without evidence, so its call counted as one that may have run. A call that is admitted while an entry stops got 502 though nothing was sent, and its caller must not send a loan again after that.

Evidence: the test failed with 502 and "unknown"; the caller now gets "not run". The balancer believed such evidence already, and only this side left it out.

--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -464,9 +464,8 @@
             # or the call ended meanwhile.
             connection.close()
             latency_s = time.monotonic() - started
-            if exchange.ended:
-                return Reply(CANCELLED, latency_s, reused=reused)
-            return Reply(NOT_RUN, latency_s, reused=reused, evidence=UNSENT)
+            outcome = CANCELLED if exchange.ended else NOT_RUN
+            return Reply(outcome, latency_s, reused=reused, evidence=UNSENT)
         response = None
         carried = connection.carried
         connection.carried += 1
--- a/tests/test_unrun_calls.py
+++ b/tests/test_unrun_calls.py
@@ -170,3 +170,15 @@
     harness.server.limit_bodies(LONG_BYTES, LONG_BYTES)
     answer = harness.server.call("/loan", "POST", b"x" * LONG_BYTES)
     assert NOT_RUN in answer
+
+
+def test_loan_that_a_stopping_entry_never_sent_is_refused(build: Any) -> None:
+    """Guard against "may have run" of a call of which no byte was written.
+
+    It is admitted just after all others were ended.
+    """
+    harness = build(faulty_upstreams.answer, faulty_upstreams.answer)
+    harness.server.end_calls()
+    answer = harness.server.call("/loan", "POST", b"x")
+    assert NOT_RUN in answer and UNKNOWN not in answer
+    assert harness.ran == 0
