Test that a loan is refused when its time ends before its send

An attempt that is taken up after its deadline is not sent. This shows what the caller of a loan gets then: "not run" at once, and no endpoint has seen it.

--- a/tests/test_unrun_calls.py
+++ b/tests/test_unrun_calls.py
@@ -1,6 +1,7 @@
 """Test over loopback what callers are told in rare orders of events."""
 
 import contextlib
+import threading
 from collections.abc import Iterator
 from typing import Any
 
@@ -12,6 +13,7 @@
 from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.routes import BUFFER_BYTES
+from nutmegchute_daemon.pending_calls import PendingCall
 from nutmegchute_fakes import faulty_upstreams
 from nutmegchute_fakes.call_servers import BODY_BYTES
 from nutmegchute_fakes.call_servers import read_to_end
@@ -182,3 +184,21 @@
     answer = harness.server.call("/loan", "POST", b"x")
     assert NOT_RUN in answer and UNKNOWN not in answer
     assert harness.ran == 0
+
+
+def test_loan_whose_time_is_over_before_its_send_is_refused(
+    build: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a loan that runs after a pause of the whole process."""
+    harness = build(faulty_upstreams.answer, deadline_ms=100)
+    following = PendingCall.next_action
+
+    def follow_late(call: PendingCall, timeout_s: float) -> Any:
+        """Return the next action after the deadline."""
+        found = following(call, timeout_s)
+        threading.Event().wait(0.15)
+        return found
+
+    monkeypatch.setattr(PendingCall, "next_action", follow_late)
+    answer = harness.server.call("/loan", "POST", b"x")
+    assert NOT_RUN in answer and harness.ran == 0
