Test late copies of a 421 before the answer to the next request

The test of an ended instance sent each 421 once: no further request used its connection before the test ended. Now the connections stay open and the next requests to the instance that has the address since get a late copy each, which names the earlier request. They must all be answered 200 and run once: ended by a copy, the instance would be gone for the router. The copies come before load queries in one case, and only before calls in the other.

The test relied on 0.3 s in which eight requests arrive; on a machine with a load of 22 it had two of them once ("assert 2 > 2"). It waits for all eight now, and checks the same.

Without the skipping of late answers the case of calls fails with 502; also without the check of ids both fail, as the instance is ended by copies.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -95,6 +95,10 @@
         # Whether each rejection is sent a second time, late: when the next
         # request has arrived on its connection.
         self.repeats_rejections = False
+        # Whether load queries get no such second answer.
+        self.spares_queries = False
+        # The second answers that were sent, by status.
+        self.repeated: Counter[int] = Counter()
         # Returns, for path and body, whether a request ends this process.
         self.crashes: Callable[[str, bytes], bool] = lambda path, body: False
         self.crashed = threading.Event()
@@ -152,7 +156,8 @@
         def do_GET(self) -> None:  # noqa: N802
             length = int(self.headers.get("Content-Length", 0))
             content = self.rfile.read(length)
-            self._send_late_copy()
+            if self.path != "/healthz" or not endpoint.spares_queries:
+                self._send_late_copy()
             if self.path == "/healthz":
                 endpoint.arrivals.append(time.monotonic())
                 warm_up = str(endpoint.warm_up_ms)
@@ -162,7 +167,7 @@
             sheds = endpoint.sheds(name)
             target_instance = self.headers.get("Target-Instance")
             if target_instance != endpoint.instance:
-                self._reject(421)
+                self._reject(421, **endpoint.headers)
                 return
             endpoint.arrivals.append(time.monotonic())
             endpoint.received.append(list(self.headers.items()))
@@ -213,6 +218,7 @@
                 return
             status, headers = self._repeated
             self._repeated = None
+            endpoint.repeated[status] += 1
             self._respond(status, b"", **headers)
 
         def _respond(self, status: int, body: bytes, **headers: str) -> None:
--- a/tests/test_refused_requests_wire.py
+++ b/tests/test_refused_requests_wire.py
@@ -1,6 +1,7 @@
 """Test over loopback that "not run" is said only of requests that did not."""
 
 import itertools
+import threading
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -108,11 +109,15 @@
             endpoint.stop()
 
 
-def test_late_copies_of_misdirections_are_not_believed(site: Site) -> None:
+@pytest.mark.parametrize("spares_queries", [False, True])
+def test_late_copies_of_misdirections_are_not_believed(
+    site: Site, spares_queries: bool
+) -> None:
     """Guard against a copy that also ends the instance that runs a request.
 
     An endpoint restarts at its address. The router learns of it from the
-    first of several requests that are under way to the former instance.
+    first of several requests that are under way to the former instance. The
+    copies come before the answers to load queries, or to calls alone.
     """
     former = Endpoint("i-1", "desk")
     # All requests are sent at once, none waits for a slot.
@@ -126,12 +131,24 @@
         former.stop()
         latter = Endpoint("i-2", "desk", former.address)
         latter.repeats_rejections = True
+        latter.spares_queries = spares_queries
+        # The connections stay open for the next requests.
+        latter.headers = {"Keep_Alive": "timeout=60"}
         arrived = itertools.count()
+        all_arrived, is_answered = threading.Event(), threading.Event()
 
         def delay(name: str) -> bool:
             # The first answer comes when all requests have arrived, and the
             # others when the router has acted on it.
-            time.sleep(DELAY_S if next(arrived) == 0 else 2 * DELAY_S)
+            number = next(arrived)
+            if number == CLIENTS - 1:
+                all_arrived.set()
+            if number == 0:
+                all_arrived.wait(3 * DELAY_S)
+                is_answered.set()
+                return False
+            is_answered.wait(3 * DELAY_S)
+            time.sleep(DELAY_S)
             return False
 
         latter.sheds = delay
@@ -141,6 +158,10 @@
         latter.sheds = lambda name: False
         heartbeats = HeartbeatSender(site, latter)
         wait_for(lambda: clients.send(0) and latter.ran, "latter instance")
+        # Ended by a copy, it would get no request until its next heartbeat.
+        statuses = [clients.send(0) for _ in range(CLIENTS)]
+        assert statuses == [HTTP_OK] * CLIENTS
+        assert latter.repeated[MISDIRECTED] > 1
         broken, repeats = _count_breaks(clients, [former, latter])
         assert (dict(broken), repeats) == ({}, 0)
     finally:
