--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -457,17 +457,17 @@
             self._metrics.count("relayed")
         if self._ending:
             exchange.end()
+        if call.needs_helper and not isinstance(send, Relay):
+            # The links are back, and the key of the call is not claimed.
+            self._end_unsent(call, send)
+            return
         if call.worker_attempt is None:
             call.worker_attempt = send.attempt
             call.put(send, exchange)
             return
         if self._hedges_in_flight >= HEDGE_THREADS:
             # A hedge that has to wait for a thread is too late to help.
-            evidence = Evidence(UNSENT, send.call_id, send.attempt)
-            result = Result(
-                send.call_id, send.attempt, NOT_RUN, 0.0, evidence=evidence
-            )
-            self._loop.call_soon(self.end_attempt, call, result)
+            self._end_unsent(call, send)
             return
         self._hedges_in_flight += 1
         self._metrics.count("hedges")
@@ -476,6 +476,13 @@
             lambda _: self._loop.call_soon_threadsafe(self._count_hedge_end)
         )
 
+    def _end_unsent(self, call: PendingCall, send: Send) -> None:
+        evidence = Evidence(UNSENT, send.call_id, send.attempt)
+        result = Result(
+            send.call_id, send.attempt, NOT_RUN, 0.0, evidence=evidence
+        )
+        self._loop.call_soon(self.end_attempt, call, result)
+
     def _count_hedge_end(self) -> None:
         self._hedges_in_flight -= 1
 
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -268,9 +268,14 @@
             call.put(Refuse(0, "configuration not confirmed", RETRY_S))
             return
         rule = self._claimed_rule(call)
-        if rule is None or self._is_passed_on(call):
+        if rule is None:
             self._dispatcher.admit(call, call.arrival.deadline_s)
             return
+        if self._is_passed_on(call):
+            call.needs_helper = True
+            self._dispatcher.admit(call, call.arrival.deadline_s)
+            return
+        call.claimed = True
         started_at = self._loop.time()
         wait_s = call.arrival.min_deadline_s(rule.deadline_s)
 
@@ -340,7 +345,6 @@
         rule = service.rule_for(arrival.method, arrival.path)
         if rule is None or rule.idempotent:
             return None
-        call.claimed = True
         return rule
 
     def _check_claim(
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -121,8 +121,9 @@
     """Pass the loop's actions for one call to its worker thread.
 
     ``name`` is the caller's id of the request, if it has one. ``claim``
-    holds the call's idempotency key; ``claimed`` is set if its rule requires
-    one. ``status`` is that of the answer read last.
+    holds the call's idempotency key; ``claimed`` is set once this entry has
+    claimed it. If the rule requires a claim that a helper is to make, the call
+    ``needs_helper``. ``status`` is that of the answer read last.
     """
 
     __slots__ = (
@@ -139,6 +140,7 @@
         "is_relayed",
         "keyed_fingerprint",
         "name",
+        "needs_helper",
         "organisation",
         "permit",
         "record",
@@ -165,6 +167,7 @@
         # The permit that the organisation's quota requires, if any.
         self.permit: Permit | None = None
         self.claimed = False
+        self.needs_helper = False
         # Whether another entry has passed the call on.
         self.is_relayed = False
         self.status = 0
--- a/tests/test_cut_off_entries_wire.py
+++ b/tests/test_cut_off_entries_wire.py
@@ -15,6 +15,7 @@
 from nutmegchute_cli.explanations import CALL_ENDED
 from nutmegchute_cli.explanations import Line
 from nutmegchute_cli.explanations import read_lines
+from nutmegchute_daemon.events import Event
 from nutmegchute_fakes.clusters import Cluster
 from nutmegchute_fakes.clusters import find_free_address
 from nutmegchute_fakes.clusters import OPERATOR_KEY
@@ -22,10 +23,14 @@
 from nutmegchute_fakes.demo import build_declaration
 from nutmegchute_fakes.partitions import FORMS
 from nutmegchute_fakes.partitions import Partitions
+from nutmegchute_fakes.partitions import RESET
 from platform_standins import Endpoint
 from platform_standins import send_request
 from platform_standins import Site
 from platform_standins import wait_for
+from test_once import count_runs
+from test_once import outcome_of
+from test_once import send_loan
 from test_platform_wire import build_configuration
 from test_platform_wire import HeartbeatSender
 from test_platform_wire import LOAN
@@ -48,6 +53,8 @@
 ROUTER_CALL_GAP_S = 0.4
 CALLERS = 60
 HTTP_OK = 200
+# After an answer its outcome is recorded in the ledger.
+SETTLE_S = 0.5
 # First tries at cut-off entries are served this much of the time that the
 # others' are, or this many of all first tries may fail there.
 SERVED_SHARE = 2 / 3
@@ -190,6 +197,28 @@
             wait_for(partial(has_served, call, number), f"entry {number}")
 
 
+def test_loan_through_a_cut_off_entry_runs_once(
+    cluster: Cluster, partitions: Partitions
+) -> None:
+    """Guard against loans passed on without a claim on their key."""
+    cut, other = cluster.entries[0], cluster.entries[-1]
+    partitions.cut([cut.name], RESET)
+    log = cluster.folder / f"{cut.name}.log"
+
+    def has_lost_links() -> bool:
+        # Only calls show an entry that its links are lost.
+        call_entry(cluster, 0)
+        return Event.LINKS_LOST.number in log.read_text()
+
+    cluster.wait_for("the loss of all links", has_lost_links)
+    assert send_loan(cut, "passed-on").status == HTTP_OK
+    time.sleep(SETTLE_S)
+    for entry in (other, cut):
+        again = send_loan(entry, "passed-on")
+        assert (again.status, outcome_of(again)) == (409, "ran")
+    assert count_runs(cluster.folder, "passed-on") == 1
+
+
 NAMES = itertools.count()
 
 
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -1,5 +1,7 @@
 """Test what the calls of an entry are answered when it stops."""
 
+import asyncio
+
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import CallAction
 from nutmegchute_core.calls import Lose
@@ -48,13 +50,16 @@
             settle=lambda call, outcome: self.settled.append(outcome),
         )
 
-    def open(self, method: str = "POST") -> PendingCall:
+    def open(
+        self, method: str = "POST", needs_helper: bool = False
+    ) -> PendingCall:
         """Admit a call."""
         call = PendingCall(
             Arrival("desk", method, "/", 2.0, 1),
             Request(method, "/", HTTPHeaderDict(), b""),
             -1,
         )
+        call.needs_helper = needs_helper
         self.dispatcher.admit(call, 2.0)
         return call
 
@@ -113,3 +118,17 @@
         entry.dispatcher.stop()
 
     run_virtual(run())
+
+
+def test_call_for_a_helper_is_not_sent_to_an_endpoint() -> None:
+    """Guard against loans sent without a claim when the links come back."""
+
+    async def run() -> None:
+        entry = Entry("a:1", "b:1")
+        call = entry.open(needs_helper=True)
+        await asyncio.sleep(3.0)
+        (final,) = actions_of(call)
+        assert isinstance(final, Refuse)
+        entry.dispatcher.stop()
+
+    run_virtual(run())
