Bound the refusals beside a resting endpoint by the routers that are told

Cause: the premise of the test. Each router may refuse one request, that by whose answer it is told: the log shows it rejected by the resting endpoint and not sent again, as a router that has served one or two requests has earned no extra send yet. Three of 57 are more than 0.05, three of 68 are not, so the verdict hung on the number of requests that the machine got through in 2.5 s.

The test now waits until every router knows all three endpoints, and allows each router one refusal and no more, which is stricter from 61 requests on.

--- a/tests/test_rests_wire.py
+++ b/tests/test_rests_wire.py
@@ -12,6 +12,7 @@
 from platform_standins import send_request
 from platform_standins import Site
 from platform_standins import wait_for
+from test_departures import have_logged
 from test_platform_wire import build_configuration
 from test_platform_wire import HeartbeatSender
 from test_platform_wire import LOAN
@@ -54,6 +55,9 @@
     try:
         for number in range(ROUTERS):
             wait_for(partial(has_served, call, number), f"router {number}")
+        # Until the others are known, what rests cannot be sent elsewhere.
+        logs = [site.log(ip) for ip in site.routers]
+        wait_for(partial(have_logged, logs, '"endpoints": 3'), "all known")
         resting.rest = str(REST_S)
         resting.mode = "rest"
         begin = time.monotonic()
@@ -61,7 +65,10 @@
         callers.run_for(RUN_S)
         disturbances = [at for at in resting.arrivals if at > begin + GRACE_S]
         assert len(disturbances) <= ROUTERS * MAX_REQUESTS
-        assert callers.statuses.count(HTTP_OK) >= 0.95 * len(callers.statuses)
+        # A router that has served little may send nothing again yet, so it
+        # refuses the request by whose answer it is told.
+        refused = [one for one in callers.statuses if one != HTTP_OK]
+        assert len(refused) <= ROUTERS
     finally:
         heartbeats.stop()
         for endpoint in (resting, *others):
