Choose in the test which attempts of a chunked upload are shed

test_shed_chunked_upload_is_resent failed now and then beside load: an upload that one endpoint rejected got 503, "no upstream answered", though the other endpoint was idle.

The body was buffered and the other endpoint was reachable. The limit on extra sends refused the second attempt: an entry that has just started may resend three calls, and a fourth from its thirteenth call on. The test sent six and required 200 for each, although the choice between the two endpoints depends on measured latencies. After a first answer that is slow, the only endpoint that answers looks slower than the mean, and the endpoint that sheds comes first again.

Now the calls decide which attempts are shed, at either endpoint: every second call is shed once, three of six, and each is answered by its second attempt. Before, usually one of six was, and nothing required any. The test demands nine complete bodies, all unchanged. It fails if bodies are streamed, if calls are not resent and if a byte is cut from the second attempt's body.

--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -19,6 +19,7 @@
 NOT_RUN = b"Nutmegchute-Outcome: not-run"
 UNKNOWN = b"Nutmegchute-Outcome: unknown"
 HEAD = b"POST /call/catalogo/a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+SHED_FIRST = b"X-Shed-First: 1\r\n"
 WAIT_S = 5.0
 POLL_S = 0.05
 
@@ -39,6 +40,18 @@
     connection.write(build_shed(connection.read_head()))
 
 
+def shed_first_attempt(connection: UpstreamConnection) -> None:
+    """Shed the first attempt of a call that asks for it, answer the rest."""
+    while (request := connection.read()) is not None:
+        attempt_id = faulty_upstreams.read_attempt_id(request)
+        if SHED_FIRST in request and attempt_id.endswith(b".1"):
+            connection.write(faulty_upstreams.build_shed(request))
+            continue
+        connection.write(
+            faulty_upstreams.build_named_answer(request, attempt_id)
+        )
+
+
 class CallServerHarness:
     """Run an entry's call server in front of upstreams."""
 
@@ -151,17 +164,23 @@
 
 
 def test_shed_chunked_upload_is_resent(build: Any) -> None:
-    """Resend a body without a length, byte for byte."""
-    harness = build(faulty_upstreams.shed, faulty_upstreams.answer)
+    """Resend a body without a length, byte for byte.
+
+    The calls decide which attempts are shed, not the choice of endpoints: an
+    entry that has just started may resend three calls.
+    """
+    harness = build(shed_first_attempt, shed_first_attempt)
     chunks = b"".join(
         b"%x\r\n%b\r\n" % (len(piece), piece)
         for piece in (PHOTOS[:100000], PHOTOS[100000:])
     )
-    request = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
-    for _ in range(6):
-        answer = harness.server.send_raw(request + b"0\r\n\r\n")
+    body = b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    for number in range(6):
+        shed, attempt = (SHED_FIRST, 2) if number % 2 else (b"", 1)
+        answer = harness.server.send_raw(HEAD + shed + body)
         assert answer.startswith(b"HTTP/1.1 200"), answer[:200]
-    assert set(harness.bodies()) == {PHOTOS}
+        assert answer.endswith(b".%d" % attempt)
+    assert harness.bodies() == [PHOTOS] * 9
 
 
 def test_lost_upload_is_never_resent(build: Any) -> None:
