Wait for the log line of an exception, not only for the sink to close

Cause: closing a sink waits 0.5 s at most, on purpose, and its thread imports the library that renders lines only then. With the wait of the sink set to 5 ms the test fails the same way each time. It now waits up to 5 s for the line and checks the same text; with the wait of 5 ms it passes.

--- a/tests/test_handlers.py
+++ b/tests/test_handlers.py
@@ -1,5 +1,7 @@
 """Test that an exception in a page is logged and not shown."""
 
+import time
+
 import cherrypy
 import pytest
 import urllib3
@@ -9,6 +11,8 @@
 from nutmegchute_daemon.servers import HttpServer
 from nutmegchute_fakes.clusters import find_free_address
 
+LOG_WAIT_S = 5.0
+
 
 class BrokenPages:
     """Serve two pages, which fail in the two possible ways."""
@@ -53,6 +57,12 @@
     assert broken.status == 500
     assert b"the inside" not in broken.data
     sink.close()
-    out = capfd.readouterr().out
+    # The thread that writes may import a library first, longer than the sink
+    # waits for it when it is closed.
+    out = ""
+    until = time.monotonic() + LOG_WAIT_S
+    while "the inside" not in out and time.monotonic() < until:
+        out += capfd.readouterr().out
+        time.sleep(0.01)
     assert "NC3006" in out
     assert "the inside of the program" in out
