Skip interim answers other than 100 before the final one

Callers of an endpoint that sends an early hint (103) or a progress report (102) before each answer got 502 for every call, also for lookups, and no entry took the endpoint as healthy, since its load reports were lost as well.

Cause: read_head() skipped status 100 alone. Any other 1xx was returned as the final head, and the sender ended the attempt as lost.

Now every 1xx but 101 is skipped, within the bounds that hold for 100: four interim answers and 64 KiB of heads. An interim answer with a length or a coding is malformed. HTTP forbids a body there, and a 200 whose first digit was changed would otherwise have its body read as the head of the next answer. 101 is malformed too, as no request asks for another protocol. No evidence is read from an interim answer.

--- a/packages/daemon/nutmegchute_daemon/answer_heads.py
+++ b/packages/daemon/nutmegchute_daemon/answer_heads.py
@@ -15,7 +15,8 @@
 MAX_TRAILERS = 32
 MAX_TRAILER_BYTES = 8192
 
-CONTINUE = 100
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
 NO_CONTENT = 204
 FIRST_INVALID_STATUS = 600
 HTTP_1_0 = 10
@@ -107,9 +108,10 @@
     for _ in range(MAX_INTERIM_ANSWERS + 1):
         head = _read_status_line(lines)
         head.fields = _read_fields(lines)
-        if head.status != CONTINUE:
-            _check_framing(head)
+        _check_framing(head)
+        if head.status >= FIRST_FINAL_STATUS:
             return head
+        _check_interim(head)
     raise MalformedAnswerError("too many interim answers")
 
 
@@ -185,6 +187,15 @@
     raise MalformedAnswerError("too many headers")
 
 
+def _check_interim(head: Head) -> None:
+    if head.status == SWITCHING_PROTOCOLS:
+        raise MalformedAnswerError("protocol switched without a request")
+    if head.is_chunked or head.length:
+        # A changed digit makes an interim answer of a final one, whose body
+        # would be read as the next head.
+        raise MalformedAnswerError("interim answer with a body")
+
+
 def _check_framing(head: Head) -> None:
     lengths = set()
     codings = []
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -45,7 +45,6 @@
 BUFFER_BYTES = 65536
 MIN_TIMEOUT_S = 0.001
 QUERY_NAME_BYTES = 8
-FIRST_FINAL_STATUS = 200
 FIRST_FAILED_STATUS = 500
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -611,12 +610,7 @@
             # it a call that has not run would count as lost.
             connection.partly_sent = True
         connection.timeout = max(MIN_TIMEOUT_S, deadline - time.monotonic())
-        response = connection.getresponse()
-        if response.status < FIRST_FINAL_STATUS:
-            # The library returns an interim answer, such as an early hint,
-            # as the final one; the next call would receive the real answer.
-            raise BrokenAnswerError("interim answer")
-        return response
+        return connection.getresponse()
 
     def _read_evidence(
         self, request: Request, response: HTTPResponse, connection: Connection
--- a/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
@@ -272,10 +272,19 @@
 
 
 def send_early_hint(connection: UpstreamConnection) -> None:
-    """Send an interim answer (103) before the final one."""
+    """Send an interim answer (103) before each final one."""
     while (request := connection.read()) is not None:
         connection.write(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
-        connection.write(build_answer(request.split(b" ")[1]))
+        connection.write(build_named_answer(request, request.split(b" ")[1]))
+
+
+def switch_protocols(connection: UpstreamConnection) -> None:
+    """Announce another protocol that nobody asked for, then answer."""
+    while (request := connection.read()) is not None:
+        connection.write(
+            b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"
+            + build_answer(request.split(b" ")[1])
+        )
 
 
 def close_when_idle(connection: UpstreamConnection) -> None:
