--- a/packages/core/nutmegchute_core/nodes.py
+++ b/packages/core/nutmegchute_core/nodes.py
@@ -105,11 +105,12 @@
         effects = self._replica.take_effects()
         # Sync before sending: otherwise a crash could lose a vote or an
         # acknowledgement already sent, and the replica could contradict it.
-        if effects.hard_state is not None or effects.entries:
-            self._store.save(effects.hard_state, effects.entries)
         if effects.snapshot is not None:
+            # It replaces the log; the entries continue it.
             self._store.install(effects.snapshot)
             self._restore(effects.snapshot)
+        if effects.hard_state is not None or effects.entries:
+            self._store.save(effects.hard_state, effects.entries)
         decided = []
         for entry in effects.committed:
             outcome = self._machine.apply(entry)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """Test Raft on virtual time with lost, late and duplicate messages."""
 
+import msgspec
 import pytest
 from nutmegchute_core.commands import NoOp
 from nutmegchute_core.errors import ReconfigurationError
@@ -8,6 +9,7 @@
 from nutmegchute_core.follow_protocol import FollowRequest
 from nutmegchute_core.logs import Log
 from nutmegchute_core.long_polls import LongPolls
+from nutmegchute_core.machines import StateMachine
 from nutmegchute_core.memberships import Member
 from nutmegchute_core.memberships import Membership
 from nutmegchute_core.memberships import Reconfigure
@@ -27,6 +29,9 @@
 from nutmegchute_core.replicas import Replica
 from nutmegchute_core.trees import ACCEPTED
 from nutmegchute_core.trees import Change
+from nutmegchute_daemon.storages import Identity
+from nutmegchute_daemon.storages import Storage
+from nutmegchute_fakes.disks import FakeDisk
 from nutmegchute_fakes.replicas import FakeEntry
 from nutmegchute_fakes.replicas import SimulatedCluster
 from support import rule
@@ -420,7 +425,9 @@
     assert replica.commit_index == 7
 
 
-def install(replica: Replica, index: int, term: int) -> None:
+def install(
+    replica: Replica, index: int, term: int, state: bytes = b"s"
+) -> None:
     """Let a replica receive a snapshot in one chunk, in term 2."""
     replica.receive(
         InstallRequest(
@@ -432,8 +439,8 @@
             snapshot_term=term,
             membership=MEMBERS,
             offset=0,
-            total=1,
-            piece=b"s",
+            total=len(state),
+            piece=state,
         ),
         1.0,
     )
@@ -478,3 +485,23 @@
     install(replica, 7, term=1)
     assert replica.take_effects().snapshot is not None
     assert (replica.last_index, replica.commit_index) == (7, 7)
+
+
+def test_entries_behind_an_installed_snapshot_are_durable() -> None:
+    """Entries acknowledged together with a snapshot were not on the disk."""
+    disk = FakeDisk(1)
+    storage = Storage(disk)  # type: ignore[arg-type]
+    storage.save_identity(Identity("r1"))
+    node = Node("r1", storage.load(Membership()), storage, 0.0, 1)
+    state = msgspec.msgpack.encode(StateMachine().snapshot())
+    install(node.replica, 7, term=2, state=state)
+    entries = [LogEntry(2, index, NoOp()) for index in (8, 9)]
+    node.replica.receive(
+        AppendRequest("r2", "r1", 2, 2, 7, 2, entries, 0), 1.0
+    )
+    reply = node.flush().messages[-1]
+    assert isinstance(reply, AppendReply) and reply.match_index == 9
+    disk.crash()
+    stored = Storage(disk).load(Membership())  # type: ignore[arg-type]
+    assert stored.snapshot.index == 7
+    assert stored.entries == entries
