Sync the name of a new data folder before the replica uses it

After a loss of power the data folder of a new replica could be gone with all that it had acknowledged. The replica then starts under a new identity, as after the loss of its disk. If that happens to two of three at once, nobody can read the configuration any more.

Cause: Disk creates the folder and its parents, and syncs the files and the names within it, but never the folders that hold its own name. fsync(2) says that the sync of a file does not cover the entry in the folder that holds it; the same is true for a folder.

Now the parents up to the mount point are synced before the lock file is created. A start that finds no lock file repeats this, so that a kill between the two is no gap. Later starts pay nothing. Parents that may not be read were not made by this process (a service manager's private state folder, for example) and are passed over.

--- a/packages/daemon/nutmegchute_daemon/disks.py
+++ b/packages/daemon/nutmegchute_daemon/disks.py
@@ -1,5 +1,6 @@
 """Access and sync the files of one folder."""
 
+import contextlib
 import fcntl
 import os
 from pathlib import Path
@@ -21,7 +22,9 @@
         self._handles: dict[str, int] = {}
         # The files hold keys of callers. They are created for their owner
         # only, so that a folder that exists may stay as it is.
-        folder.mkdir(0o700, parents=True, exist_ok=True)
+        if not (folder / LOCK_FILE).exists():
+            folder.mkdir(0o700, parents=True, exist_ok=True)
+            _sync_names_of(folder)
         self._lock = os.open(folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             # Two daemons appending to one log would overwrite entries that
@@ -89,11 +92,7 @@
 
     def sync_folder(self) -> None:
         """Sync the names of the files, which makes them durable."""
-        handle = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+        _sync_folder(self._folder)
 
     def close(self) -> None:
         """Close all files and release the folder's lock."""
@@ -113,3 +112,21 @@
         handle = self._handles.pop(name, None)
         if handle is not None:
             os.close(handle)
+
+
+def _sync_names_of(folder: Path) -> None:
+    """Make a folder's own name and those of its parents durable."""
+    for parent in folder.resolve().parents:
+        # A parent that may not be read was not made by this process.
+        with contextlib.suppress(PermissionError):
+            _sync_folder(parent)
+        if parent.is_mount():
+            return
+
+
+def _sync_folder(folder: Path) -> None:
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
