Sync the name of an identity that a start reads back

A group of new replicas could stay without a leader for ever after a loss of power. A replica that was killed during its first start, after it had renamed the file of its identity and before the sync of the folder, reads the file back at the next start and introduces itself by it. If power is lost then, the file is gone and the replica comes back under another identity, while a replica that has saved the group already waits for the first one. If two of three meet this, there is no majority. Nothing was acknowledged by then.

What a start reads back was taken for durable. load() syncs the folder, but it comes after the group is formed.

Now identity() syncs the folder if the identity has no group yet. With a group load() does it before the replica counts, so later starts pay nothing.

--- a/packages/daemon/nutmegchute_daemon/storages.py
+++ b/packages/daemon/nutmegchute_daemon/storages.py
@@ -86,8 +86,8 @@
     def identity(self) -> Identity | None:
         """Return the folder's identity, None if the folder is empty.
 
-        :raises StorageError: the file is damaged, or missing beside a log
-            or snapshot
+        :raises StorageError: the file is damaged or not durable, or missing
+            beside a log or snapshot
         """
         names = self._disk.names()
         if IDENTITY_FILE not in names:
@@ -99,6 +99,10 @@
                     )
             return None
         found: Identity = self._read_file(IDENTITY_FILE, _IDENTITY_DECODER)
+        if found.group is None:
+            # The process before may have been killed before it synced the
+            # name. With a group, load() syncs the folder.
+            self._sync_names()
         return found
 
     def save_identity(self, identity: Identity) -> None:
@@ -354,6 +358,12 @@
             raise StorageError(f"{self._disk.path}/{name}: damaged at byte 0")
         return decoder.decode(payload)
 
+    def _sync_names(self) -> None:
+        try:
+            self._disk.sync_folder()
+        except OSError as error:
+            raise self._storage_error(error) from error
+
     def _storage_error(self, error: OSError) -> StorageError:
         return StorageError(f"{self._disk.path}: {error.strerror}")
 
--- a/tests/test_storages.py
+++ b/tests/test_storages.py
@@ -1,5 +1,6 @@
 """Test what storage keeps over crashes and which damage it reports."""
 
+import contextlib
 import os
 import subprocess
 import sys
@@ -229,6 +230,27 @@
         open_storage(tmp_path).identity()
 
 
+@pytest.mark.parametrize("operation", range(1, 7))
+@pytest.mark.parametrize("seed", range(8))
+def test_identity_read_back_survives_a_loss_of_power(
+    seed: int, operation: int
+) -> None:
+    """A replica lost the identity by which the others had formed a group.
+
+    It had been killed before its first start synced the name of the file.
+    """
+    disk = FakeDisk(seed)
+    disk.power_cut_after = operation
+    storage = Storage(disk)  # type: ignore[arg-type]
+    with contextlib.suppress(PowerCutError):
+        storage.save_identity(Identity("r1"))
+    disk.kill()
+    known = Storage(disk).identity()  # type: ignore[arg-type]
+    disk.crash()
+    if known is not None:
+        assert Storage(disk).identity() == known  # type: ignore[arg-type]
+
+
 class Script:
     """Run a fixed sequence of saves and record what was acknowledged."""
 
