--- a/packages/fakes/nutmegchute_fakes/clusters.py
+++ b/packages/fakes/nutmegchute_fakes/clusters.py
@@ -90,7 +90,8 @@
 class Cluster:
     """Start control replicas, entries and fake upstreams.
 
-    ``partitions`` may cut entries off by their names.
+    ``partitions`` may cut entries off by their names. ``launcher`` is a
+    module that runs the control replicas.
     """
 
     def __init__(
@@ -98,8 +99,10 @@
         folder: Path,
         zones: list[str],
         partitions: Partitions | None = None,
+        launcher: str | None = None,
     ) -> None:
         self.folder = folder
+        self._launcher = launcher
         self._partitions = partitions
         self._zones = zones
         self._pool = urllib3.PoolManager(timeout=2.0, retries=False)
@@ -259,6 +262,8 @@
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
         command = [sys.executable, "-m", "nutmegchute_daemon"]
+        if self._launcher is not None and document["role"] == "control":
+            command.insert(2, self._launcher)
         if self._partitions is not None and document["role"] == "entry":
             command = self._partitions.build_command(
                 name, "nutmegchute_daemon"
