Give callers of HTTP/1.0 a length for answers that come without one

A caller of HTTP/1.0 could take a part of an answer for the whole: an answer in chunks or without a length was passed on as it came, and its end was the end of the connection. If the entry was killed meanwhile, the kernel ended the connection in order, and the part that had arrived looked complete.

Cause: the head was sent before the end of the answer was known. Callers of HTTP/1.1 get such answers in chunks, where the last one is missing; HTTP/1.0 has no such mark.

The test that an answer to such a caller ends with its connection required the fault for short answers; it is kept for long ones, and the replacement for short ones checks length and body.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -351,12 +351,14 @@
         headers = [*reply.headers(), (ENTRY_HEADER, self._name)]
         if http.is_relayed:
             headers.extend(describe_outcome(RELAY_ANSWERED))
-        if not reply.is_framed and http.response_protocol == HTTP_1_0:
-            # Nothing shows whether such an answer is complete. Others get it
-            # in chunks, with the last one only after the endpoint's orderly
-            # close: ended by the kernel, their answer is visibly incomplete.
-            http.close_connection = True
-            headers.append(("Connection", "close"))
+        if http.response_protocol == HTTP_1_0 and not reply.has_length:
+            # Others get such an answer in chunks, with the last one only
+            # after its whole end: ended by the kernel, it is visibly cut.
+            try:
+                headers.extend(self._frame_without_chunks(http, reply))
+            except BrokenAnswerError:
+                self._answer_unknown(http, "answer broke off")
+                return
         http.begin(reply.status, headers)
         whole = False
         try:
@@ -372,6 +374,22 @@
                 http.abort()
             reply.close()
 
+    def _frame_without_chunks(
+        self, http: StrictRequest, reply: Reply
+    ) -> list[tuple[str, str]]:
+        """Return the headers that show where an answer ends.
+
+        A long answer ends with its connection: nothing shows then that it
+        was cut by the end of this process.
+
+        :raises BrokenAnswerError: the endpoint broke off or was too slow
+        """
+        length = reply.hold(BUFFER_BYTES)
+        if length is not None:
+            return [("Content-Length", str(length))]
+        http.close_connection = True
+        return [("Connection", "close")]
+
     def _refuse(
         self,
         http: StrictRequest,
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -253,6 +253,12 @@
         """Return whether the status reports a failure of the endpoint."""
         return not self.is_relayed and self.status >= FIRST_FAILED_STATUS
 
+    @property
+    def has_length(self) -> bool:
+        """Return whether the head tells where the body ends."""
+        response = self._response
+        return response is None or response.length_remaining is not None
+
     @property
     def is_framed(self) -> bool:
         """Return whether the end of a complete answer can be detected."""
@@ -367,6 +373,23 @@
         if self._finished:
             self._release()
 
+    def hold(self, max_bytes: int) -> int | None:
+        """Read on up to a size; return the body's length if it has ended.
+
+        :raises BrokenAnswerError: the endpoint broke off or was too slow
+        """
+        pieces = [self._first_bytes]
+        held = len(self._first_bytes)
+        while not self._finished and held <= max_bytes:
+            piece = self._read()
+            pieces.append(piece)
+            held += len(piece)
+            if not piece:
+                self._finished = True
+                self._release()
+        self._first_bytes = b"".join(pieces)
+        return held if self._finished else None
+
     def body(self) -> Iterator[bytes]:
         """Yield the body.
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from nutmegchute_core.routes import BUFFER_BYTES
 from nutmegchute_daemon import exchanges
 from nutmegchute_fakes.call_servers import CallServer
 from nutmegchute_fakes.call_servers import read_to_end
@@ -35,19 +36,26 @@
 class Unframed(FaultyUpstream):
     """Send half of an answer, and the rest or a reset after the release."""
 
-    def __init__(self, head: bytes = b"HTTP/1.1 200 OK\r\n\r\n") -> None:
+    def __init__(
+        self,
+        head: bytes = b"HTTP/1.1 200 OK\r\n\r\n",
+        start: bytes = START,
+        rest: bytes = REST,
+    ) -> None:
         self.head = head
+        self.start = start
+        self.rest = rest
         self.resets = False
         super().__init__(self._answer)
 
     def _answer(self, connection: UpstreamConnection) -> None:
         connection.read()
-        connection.write(self.head + START)
+        connection.write(self.head + self.start)
         self.release.wait(WAIT_S)
         if self.resets:
             connection.reset()
             return
-        connection.write(REST)
+        connection.write(self.rest)
 
 
 class Pair:
@@ -63,11 +71,10 @@
         with self.server.connect() as sock:
             sock.sendall(f"{request}Connection: close\r\n\r\n".encode())
             answer = b""
-            while START not in answer:
+            assert isinstance(self.endpoint, Unframed)
+            while version == "1.1" and START not in answer:
                 answer += sock.recv(65536)
-            if version == "1.1":
                 assert LAST_CHUNK not in answer
-            assert isinstance(self.endpoint, Unframed)
             self.endpoint.resets = resets
             self.endpoint.release.set()
             return answer + read_to_end(sock)
@@ -117,19 +124,65 @@
     assert LAST_CHUNK not in answer
 
 
-@pytest.mark.parametrize("resets", [False, True])
-def test_unframed_answer_to_an_old_caller_ends_with_its_connection(
-    build: Any, resets: bool
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@pytest.mark.parametrize(
+    ("head", "start", "rest"),
+    [
+        (HEADS[0], START, REST),
+        (HEADS[1], START, REST),
+        (CHUNKS, chunk(START), chunk(REST) + LAST_CHUNK),
+        (CHUNKS, chunk(START), chunk(REST) + b"0\r\nX-Sum: 1\r\n\r\n"),
+    ],
+)
+def test_old_caller_gets_a_length(
+    build: Any, head: bytes, start: bytes, rest: bytes
 ) -> None:
-    """Send no chunks to a caller of HTTP/1.0, which cannot read them."""
-    answer = build(Unframed()).read("1.0", resets)
+    """A caller of HTTP/1.0 took the end of a killed entry for the end."""
+    answer = build(Unframed(head, start, rest)).read("1.0")
     assert b"Transfer-Encoding" not in answer
-    if resets:
-        assert answer.endswith(RESET)
-        return
+    assert b"Content-Length: %d\r\n" % len(START + REST) in answer
     assert answer.endswith(b"\r\n\r\n" + START + REST)
 
 
+@pytest.mark.parametrize("head", [*HEADS, CHUNKS])
+def test_old_caller_gets_no_part_of_a_broken_answer(
+    build: Any, head: bytes
+) -> None:
+    """A caller of HTTP/1.0 got a success before the answer broke off."""
+    start = chunk(START) if head == CHUNKS else START
+    answer = build(Unframed(head, start)).read("1.0", resets=True)
+    assert answer.startswith(b"HTTP/1.1 502 ")
+    assert b"Nutmegchute-Outcome: unknown\r\n" in answer
+    assert START not in answer
+
+
+def test_long_answer_to_an_old_caller_ends_with_its_connection(
+    build: Any,
+) -> None:
+    """Send no chunks to a caller of HTTP/1.0, which cannot read them."""
+    long = b"x" * (BUFFER_BYTES + 1)
+    answer = build(Unframed(start=long)).read("1.0")
+    assert b"Transfer-Encoding" not in answer
+    assert b"Connection: close\r\n" in answer
+    assert answer.endswith(b"\r\n\r\n" + long + REST)
+
+
+def test_break_of_a_long_answer_to_an_old_caller_is_a_reset(
+    build: Any,
+) -> None:
+    """A caller of HTTP/1.0 took the part that had arrived for the whole."""
+    long = b"x" * (BUFFER_BYTES + 1)
+    answer = build(Unframed(start=long)).read("1.0", resets=True)
+    assert answer.endswith(RESET)
+
+
 def test_answer_that_is_not_read_is_reset(
     build: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
