--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -347,6 +347,31 @@
     assert REFUSED not in answer and UNKNOWN in answer
 
 
+@pytest.mark.parametrize("outcome", ["not-run", "answered"])
+def test_answer_that_a_helper_cuts_in_its_head_is_lost(
+    site: Site, outcome: str
+) -> None:
+    """Guard against half a head that says "not run" or passes for a success.
+
+    A helper that is killed while it writes leaves its answer like this.
+    """
+    cut = 0
+    head_bytes = 1
+
+    def help_in_part(connection: UpstreamConnection) -> None:
+        nonlocal head_bytes
+        answer = build_answer(connection.read() or b"", outcome)
+        head_bytes = answer.index(b"\r\n\r\n") + 4
+        connection.write(answer[:cut])
+
+    site.help_by(help_in_part)
+    while cut < head_bytes:
+        answer = site.entry.call("/loan", "POST", b"x")
+        assert answer.startswith(b"HTTP/1.1 502"), cut
+        assert REFUSED not in answer and UNKNOWN in answer
+        cut += 1
+
+
 def test_helper_names_the_calls_that_it_answers(site: Site) -> None:
     """Guard against a call lost because its true answer has no name."""
     site.serve_by(faulty_upstreams.answer, 1000)
