Sync no folder beyond the file system of the data folder

A daemon whose data folder is a mount point of its own synced the folders above it as well, before its first start. These may be on a file system that cannot be synced, such as the read-only root of a container, and the daemon would not have started. Its own name is not there: a mount point exists already.

The walk to the parents now ends with the folder at the mount point, and does not begin if that is the data folder itself. Found on reading the change again; the new test failed before for the second form.

--- a/packages/daemon/nutmegchute_daemon/disks.py
+++ b/packages/daemon/nutmegchute_daemon/disks.py
@@ -116,12 +116,12 @@
 
 def _sync_names_of(folder: Path) -> None:
     """Make a folder's own name and those of its parents durable."""
-    for parent in folder.resolve().parents:
+    path = folder.resolve()
+    while not path.is_mount():
+        path = path.parent
         # A parent that may not be read was not made by this process.
         with contextlib.suppress(PermissionError):
-            _sync_folder(parent)
-        if parent.is_mount():
-            return
+            _sync_folder(path)
 
 
 def _sync_folder(folder: Path) -> None:
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -40,6 +40,22 @@
     assert syncs.paths[:2] == [tmp_path / "state", tmp_path]
 
 
+def test_nothing_is_synced_beyond_the_file_system(
+    tmp_path: Path, syncs: Syncs, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A daemon could not start if the root of its container was read-only."""
+    folder = tmp_path / "volume" / "control-1"
+    for mounted, expected in ((folder.parent, [folder.parent]), (folder, [])):
+        folder.mkdir(parents=True, exist_ok=True)
+        monkeypatch.setattr(
+            Path, "is_mount", lambda path, root=mounted: path == root
+        )
+        syncs.paths.clear()
+        Disk(folder).close()
+        assert syncs.paths == expected
+        (folder / LOCK_FILE).unlink()
+
+
 def test_folder_of_an_interrupted_start_is_synced_by_the_next(
     tmp_path: Path, syncs: Syncs
 ) -> None:
