Test crowds of clients that do not behave

The tests start control and a router with the smallest vms of the deployments (200 MB and 296 MB), open 16 to 400 such requests, let each be sent again when it is refused, and check what does not depend on speed: the process lives, its memory, unread bytes included, stays within its vm's, its descriptors below their limit, and an ordinary request is answered beside the crowd and after it. Crowds and bounds come from the vms' sizes, not from measurements.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $() ,:,$(FOLDERS:%=$(CURDIR)/%))
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test known-red lint format charts soak proofs
+.PHONY: demo test crowds known-red lint format charts soak proofs
 
 ifeq ($(VENV),.venv)
 $(VENV)/ready: constraints.txt $(FOLDERS:%=%/pyproject.toml)
@@ -30,7 +30,12 @@
 	$(BIN)/python -m nutmegchute_fakes.demo
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest -m "not known_red" -n $(WORKERS)
+	$(BIN)/python -m pytest -m "not known_red and not crowd" \
+	  -n $(WORKERS)
+
+# Each measures the memory of a daemon, so they run one at a time.
+crowds: $(VENV)/ready
+	$(BIN)/python -m pytest -m "crowd and not known_red"
 
 known-red: $(VENV)/ready
 	.ci/known-red $(BIN)/python
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -78,6 +79,10 @@
         self.rest = "3"
         # Further headers of its answers.
         self.headers: dict[str, str] = {}
+        # Zeros behind the body of its answers.
+        self.padding_bytes = 0
+        # The sizes of the bodies that it read, by id.
+        self.body_sizes: dict[str, int] = {}
         # When requests, health checks included, arrived, by the monotonic
         # clock.
         self.arrivals: list[float] = []
@@ -154,8 +159,7 @@
             self._repeated: tuple[int, dict[str, str]] | None = None
 
         def do_GET(self) -> None:  # noqa: N802
-            length = int(self.headers.get("Content-Length", 0))
-            content = self.rfile.read(length)
+            content = self._read_content()
             if self.path != "/healthz" or not endpoint.spares_queries:
                 self._send_late_copy()
             if self.path == "/healthz":
@@ -181,6 +185,7 @@
                 )
                 return
             endpoint.ran[name] += 1
+            endpoint.body_sizes[name] = len(content)
             if endpoint.crashes(self.path, content):
                 endpoint.crashed.set()
                 self.close_connection = True
@@ -193,6 +198,7 @@
             if endpoint.mode == "cross":
                 name = "somebody-else"
             body = f"{endpoint.instance} {self.path}".encode()
+            body += bytes(endpoint.padding_bytes)
             self._respond(
                 200,
                 body,
@@ -203,6 +209,17 @@
 
         do_POST = do_DELETE = do_GET  # noqa: N815
 
+        def _read_content(self) -> bytes:
+            if "chunked" not in self.headers.get("Transfer-Encoding", ""):
+                length = int(self.headers.get("Content-Length", 0))
+                return self.rfile.read(length)
+            pieces = []
+            while size := int(self.rfile.readline() or b"0", 16):
+                pieces.append(self.rfile.read(size))
+                self.rfile.readline()
+            self.rfile.readline()
+            return b"".join(pieces)
+
         def _reject(self, status: int, **headers: str) -> None:
             endpoint.rejected[status] += 1
             headers["Not_Executed"] = "1"
@@ -257,6 +274,9 @@
         self.routers = [f"{network}.{n}" for n in range(101, 101 + routers)]
         self.seeds = self.controls[:3]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Further settings by role, and the limit of open files.
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.open_files: int | None = None
         self.starts: Counter[str] = Counter()
 
     def control(self, number: int = 0) -> str:
@@ -293,6 +313,7 @@
             settings["metrics_address"] = f"{ip}:7005"
             settings["extra_fixed"] = 60
             settings["probes_per_s"] = 60
+        settings.update(self.settings.get(role, {}))
         command = [sys.executable, "-m", "nutmegchute_platform"]
         if self._partitions is not None and role == "router":
             command = self._partitions.build_command(
@@ -307,6 +328,10 @@
                 stdout=output,
                 stderr=output,
             )
+        if self.open_files is not None:
+            limit = (self.open_files, self.open_files)
+            pid = self.processes[ip].pid
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limit)
 
     def log(self, ip: str) -> Path:
         """Return the log file of a daemon."""
