Bound the memory that requests hold, over all listeners

What callers saw: a control replica or an entry ran out of memory and ended, and its callers with it. 32 bodies of 16 MiB at control's address for operators, each without its last byte, took 586 MB of 296; as many calls with idempotency keys at an entry took 583 to 596 MB of 200 (test_control_bears_unfinished_bodies, test_entry_bears_unfinished_bodies_with_a_key, and /changes with 495 MB).

Cause: each request was held whole as it arrived, and nothing added up what all of them held. Limits were per request, and threads times limit exceeds the vm.

Now one account for the process, sized by the setting memory_bytes (default 200 MB, the smallest vm; the platform's settings name it), is charged before bytes are read and returned when the request ends, on each way out. If it is used up, the request that holds the most for the longest without progress, and that a thread is waiting for, is ended with 503 in favour of others; if none is, the one that asks for more is refused. The start of a body that is held only to be sent again is held in part instead. Held bodies are read in pieces long enough to be returned to the system: with the allocator's defaults, threads each kept an arena of what ended requests had held, and control still took 302 to 307 MB.

CherryPy's pages get their body from the same account and parse no forms.

--- a/packages/daemon/nutmegchute_daemon/__main__.py
+++ b/packages/daemon/nutmegchute_daemon/__main__.py
@@ -21,6 +21,7 @@
 from docopt import DocoptExit
 from returns.result import Failure
 
+from .allocators import return_freed_blocks
 from .daemons import Daemon
 from .errors import StartError
 from .events import configure_logs
@@ -105,6 +106,7 @@
 
 
 async def _run(settings: Settings, roles: Roles) -> None:
+    return_freed_blocks()
     # Before any thread starts, since threads inherit the restriction.
     _restrict_to_cpus(settings.cpus)
     sink = configure_logs(settings.log_level, settings.name)
--- a/packages/daemon/nutmegchute_daemon/announcements.py
+++ b/packages/daemon/nutmegchute_daemon/announcements.py
@@ -184,14 +184,13 @@
 
 
 def _read_body(http: StrictRequest) -> bytes:
-    body = Body(http, MAX_ANNOUNCEMENT_BYTES)
-    pieces = []
     try:
-        while not body.is_read:
-            pieces.append(body.read(MAX_ANNOUNCEMENT_BYTES + 1))
+        return Body(http, MAX_ANNOUNCEMENT_BYTES).read_all()
     except BadBodyError as error:
-        raise AnnouncementError(error.status, str(error)) from error
-    return b"".join(pieces)
+        http.close_connection = True
+        raise AnnouncementError(
+            error.status, str(error), error.retry_after_s or None
+        ) from error
 
 
 def parse_announcement(body: bytes) -> Announcement:
--- a/packages/daemon/nutmegchute_daemon/applications.py
+++ b/packages/daemon/nutmegchute_daemon/applications.py
@@ -27,7 +27,9 @@
     # CherryPy's own server would also listen on its default port, and a second
     # daemon on the vm would exit without an error message.
     cherrypy.server.unsubscribe()
-    cherrypy.tree.mount(root, "/", {"/": {"tools.gzip.on": False}})
+    # No page takes a form; parsing one would copy the body.
+    options = {"tools.gzip.on": False, "request.body.processors": {}}
+    cherrypy.tree.mount(root, "/", {"/": options})
     application: Application = cherrypy.tree
     return application
 
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -234,7 +234,10 @@
         except (BadRequestError, BadBodyError) as error:
             # The unread rest of the body would be parsed as the next request.
             http.close_connection = True
-            self._refuse(http, error.status, str(error), 0.0)
+            retry_after_s = 0.0
+            if isinstance(error, BadBodyError):
+                retry_after_s = error.retry_after_s
+            self._refuse(http, error.status, str(error), retry_after_s)
             return
         if door is not None:
             door.describe(http, call)
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -12,6 +12,7 @@
 from .events import Event
 from .events import log
 from .exchanges import StrictRequest
+from .guards import Guard
 from .links import Links
 from .metrics import Metrics
 from .periods import repeat
@@ -42,7 +43,10 @@
         self._runner = LoopRunner(self._loop)
         self._links = Links()
         self._metrics = Metrics(settings.statsd_address, settings.name)
-        self._http = HttpServer(settings.http_address, settings.http_threads)
+        self._guard = Guard(settings.memory_bytes)
+        self._http = HttpServer(
+            settings.http_address, settings.http_threads, self._guard
+        )
         # Additional listeners by the setting that holds their address.
         self._listeners: dict[str, HttpServer] = {}
         self._stopping = asyncio.Event()
@@ -70,6 +74,7 @@
             raise
         self._http.limit_body(self._settings.request_body_bytes)
         self.run_every(HTTP_SWEEP_PERIOD_S, self._http.sweep)
+        self.run_every(FLUSH_PERIOD_S, self._report_clients)
         self.run_every(FLUSH_PERIOD_S, self._metrics.flush)
         self.start_tasks()
         reporter = Reporter(self._metrics, self.gauges, self._loop.time)
@@ -103,6 +108,7 @@
         Roles extend this for settings that can change at run time.
         """
         self._settings = settings
+        self._guard.set_memory(settings.memory_bytes)
 
     def prepare(self) -> None:
         """Build the role's state and add its HTTP and gRPC handlers."""
@@ -128,7 +134,7 @@
         """Add a listener at the address that a setting holds, if any."""
         if address is None:
             return None
-        server = HttpServer(address, threads)
+        server = HttpServer(address, threads, self._guard)
         self._listeners[setting] = server
         return server
 
@@ -158,6 +164,14 @@
         """Run a coroutine as a task; cancel it when the daemon stops."""
         self._tasks.append(self._loop.create_task(work))
 
+    def _report_clients(self) -> None:
+        """Report what clients hold, and whom that was refused for."""
+        self._guard.report()
+        self._metrics.gauge("held_bytes", self._guard.held_bytes)
+        self._metrics.gauge("held_bytes_bound", self._guard.bound_bytes)
+        for reason, count in self._guard.pop_ended().items():
+            self._metrics.count(f"clients_ended.{reason}", count)
+
     def _on_signal(self) -> None:
         # A drain by an operator followed by the service manager's signal is
         # one graceful stop; only a second signal aborts the calls in flight.
--- a/packages/daemon/nutmegchute_daemon/documents.py
+++ b/packages/daemon/nutmegchute_daemon/documents.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import Meta
 from msgspec import Struct
+from nutmegchute_core.holdings import DEFAULT_MEMORY_BYTES
+from nutmegchute_core.holdings import MIN_MEMORY_BYTES
 from nutmegchute_core.quotas import DEFAULT_OVERAGE
 from nutmegchute_core.quotas import DEFAULT_SLACK
 from nutmegchute_core.quotas import DEFAULT_WINDOW_S
@@ -76,6 +78,9 @@
     cpus: list[NonNegativeInt] = []
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     request_body_bytes: NonNegativeInt = 1048576
+    memory_bytes: Annotated[int, Meta(ge=MIN_MEMORY_BYTES)] = (
+        DEFAULT_MEMORY_BYTES
+    )
     entries_keep_s: PositiveFloat = 5.0
     shutdown_limit_s: PositiveFloat = 60.0
     entries_answer: PositiveInt = 4
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -73,6 +73,7 @@
     ENDPOINT_LEAVING = ("NC3028", "endpoint says that it leaves")
     LINKS_LOST = ("NC3032", "no endpoint can be reached")
     LINKS_BACK = ("NC3033", "endpoints can be reached again")
+    CLIENTS_ENDED = ("NC3034", "requests refused or ended for others")
     QUOTA_REACHED = ("NC3029", "organisation at its quota")
     QUOTAS_UNCONFIRMED = ("NC3030", "no control replica grants permits")
     QUOTAS_CONFIRMED = ("NC3031", "control grants permits again")
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -11,8 +11,11 @@
 import msgspec
 from cheroot import server
 from cheroot.errors import MaxSizeExceeded
+from nutmegchute_core.holdings import TOO_SLOW
 
 from .errors import DaemonError
+from .guards import Client
+from .guards import OverloadError
 from .protocols import NOT_RUN
 from .protocols import OUTCOME_HEADER
 from .protocols import RELAY_CALL_HEADER
@@ -24,6 +27,12 @@
 # closed, which frees its worker thread.
 CALLER_TIMEOUT_S = 10.0
 MAX_CHUNK_LINE_BYTES = 256
+BUFFER_BYTES = 65536
+# Pieces of a long body that is held. Short ones would not be returned to the
+# system when they are freed.
+MAX_PIECE_BYTES = 1048576
+# The Retry-After of a request refused for want of memory or threads.
+OVERLOAD_RETRY_S = 1.0
 MAX_TRAILERS = 32
 CRLF = b"\r\n"
 # A status for which the server frames no body, though one may follow.
@@ -44,11 +53,17 @@
 
 
 class BadBodyError(DaemonError):
-    """Report why a request's body is not accepted; nothing ran."""
+    """Report why a request's body is not accepted; nothing ran.
 
-    def __init__(self, status: int, reason: str) -> None:
+    ``retry_after_s`` is 0 where the same request would be refused again.
+    """
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float = 0.0
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class HeaderLines:
@@ -159,12 +174,13 @@
         """
         if self._remaining_bytes == 0:
             return b""
+        self._check_length()
         try:
             data: bytes = self._read(size)
             if not data and self._remaining_bytes is None:
                 self._skip_trailers()
         except TimeoutError:
-            raise BadBodyError(408, "body did not come in time") from None
+            raise self._explain_timeout() from None
         except ValueError as error:
             raise BadBodyError(400, str(error)) from None
         except (OSError, MaxSizeExceeded):
@@ -183,6 +199,46 @@
         self._remaining_bytes -= len(data)
         return data
 
+    def hold(self, size: int) -> None:
+        """Let the request hold the next bytes of its body until its end.
+
+        :raises BadBodyError: no memory is left, or the body is too large
+        """
+        self._check_length()
+        if self._remaining_bytes is not None:
+            size = min(size, self._remaining_bytes)
+        self._hold(size)
+
+    def read_all(self) -> bytes:
+        """Return the whole body, which the request holds until its end.
+
+        :raises BadBodyError: as ``read`` and ``hold``
+        """
+        pieces = []
+        size = BUFFER_BYTES
+        while not self.is_read:
+            self.hold(size)
+            pieces.append(self.read(size))
+            size = min(2 * size, MAX_PIECE_BYTES)
+        return b"".join(pieces)
+
+    def _hold(self, size: int) -> None:
+        request = self._request
+        try:
+            request.server.guard.hold(request.conn.client, size)
+        except OverloadError as error:
+            raise BadBodyError(503, str(error), OVERLOAD_RETRY_S) from None
+
+    def _check_length(self) -> None:
+        if (self._remaining_bytes or 0) > self._limit - self._bytes_read:
+            raise BadBodyError(413, f"body is over {self._limit} bytes")
+
+    def _explain_timeout(self) -> BadBodyError:
+        reason = self._request.conn.client.ended
+        if reason and reason != TOO_SLOW:
+            return BadBodyError(503, reason, OVERLOAD_RETRY_S)
+        return BadBodyError(408, "body did not come in time")
+
     def _skip_trailers(self) -> None:
         # Left in the buffer they would be parsed as the next request.
         self._request.rfile.rfile.in_trailers = True
@@ -325,15 +381,27 @@
 class SocketReader(socket.SocketIO):
     """Read from a socket; while held, act as if no data had arrived."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, client: Client) -> None:
         super().__init__(sock, "rb")
+        self._client = client
         self.held = False
 
     def readinto(self, buffer: Any) -> int | None:
-        """Read into a buffer; return None if no data has arrived."""
+        """Read into a buffer; return None if no data has arrived.
+
+        :raises TimeoutError: the client is too slow or is being ended
+        """
         if self.held:
             return None
-        return super().readinto(buffer)
+        client = self._client
+        client.begin_wait(time.monotonic())
+        size = 0
+        try:
+            size = super().readinto(buffer) or 0
+        finally:
+            client.end_wait(size, time.monotonic())
+        client.check()
+        return size
 
 
 class RequestReader(io.BufferedReader):
@@ -343,8 +411,8 @@
     the processor time of a call.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
-        self._source = SocketReader(sock)
+    def __init__(self, sock: socket.socket, client: Client) -> None:
+        self._source = SocketReader(sock, client)
         super().__init__(self._source)
         self.bytes_read = 0
 
@@ -360,10 +428,11 @@
 class AnswerWriter:
     """Write to a socket; a held head is sent with what follows it."""
 
-    __slots__ = ("_held", "_holding", "_socket", "bytes_written")
+    __slots__ = ("_client", "_held", "_holding", "_socket", "bytes_written")
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, client: Client) -> None:
         self._socket = sock
+        self._client = client
         self._held = bytearray()
         self._holding = False
         self.bytes_written = 0
@@ -377,7 +446,7 @@
         if self._holding:
             self._held += data
         else:
-            self._socket.sendall(data)
+            self._send(data)
         return len(data)
 
     def flush(self) -> None:
@@ -385,12 +454,24 @@
         self._holding = False
         if self._held:
             held, self._held = self._held, bytearray()
-            self._socket.sendall(held)
-
-
-def open_file(sock: socket.socket, mode: str, size: int) -> Any:
-    """Open the reading or the writing side of a caller's connection."""
-    return RequestReader(sock) if "r" in mode else AnswerWriter(sock)
+            self._send(held)
+
+    def _send(self, data: bytes | bytearray) -> None:
+        client = self._client
+        left = memoryview(data)
+        deadline = time.monotonic() + CALLER_TIMEOUT_S
+        while left:
+            size = 0
+            client.is_writing = True
+            client.begin_wait(time.monotonic())
+            try:
+                size = self._socket.send(left)
+            finally:
+                client.end_wait(size, time.monotonic())
+                client.is_writing = False
+            left = left[size:]
+            if left and time.monotonic() >= deadline:
+                raise TimeoutError("timed out")
 
 
 class CallerConnection(server.HTTPConnection):
@@ -399,7 +480,8 @@
     RequestHandlerClass = StrictRequest
 
     def __init__(self, http: Any, sock: Any, makefile: Any = None) -> None:
-        super().__init__(http, sock, open_file)
+        self.client = Client(sock)
+        super().__init__(http, sock, self._open_file)
         # Not every system lets accepted sockets inherit the listener's
         # TCP_NODELAY, and one delayed acknowledgement costs a caller 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -407,6 +489,21 @@
         self.ready_at = time.monotonic()
         self._reset = False
 
+    def _open_file(self, sock: socket.socket, mode: str, size: int) -> Any:
+        """Open the reading or the writing side of the connection."""
+        if "r" in mode:
+            return RequestReader(sock, self.client)
+        return AnswerWriter(sock, self.client)
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether to keep the connection open."""
+        now = time.monotonic()
+        self.client.restart(now)
+        try:
+            return bool(super().communicate())  # type: ignore[no-untyped-call]
+        finally:
+            self.server.guard.release(self.client)
+
     def reset(self) -> None:
         """Set the socket to reset the connection when it is closed."""
         self._reset = True
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -41,6 +41,9 @@
     "hedges": (COUNTER, "attempts"),
     "relayed": (COUNTER, "calls"),
     "probes": (COUNTER, "probes"),
+    "clients_ended.REASON": (COUNTER, "requests"),
+    "held_bytes": (GAUGE, "bytes"),
+    "held_bytes_bound": (GAUGE, "bytes"),
     "in_flight": (GAUGE, "calls"),
     "upstreams": (GAUGE, "endpoints"),
     "limited": (GAUGE, "endpoints"),
@@ -136,7 +139,7 @@
             return
         with self._client.pipeline() as pipeline:
             for name, by in counts.items():
-                pipeline.incr(name, by)
+                pipeline.incr(_UNSAFE.sub("_", name), by)
             for name, value in gauges.items():
                 pipeline.gauge(_UNSAFE.sub("_", name), value)
             for name, value_ms in timings:
--- a/packages/daemon/nutmegchute_daemon/readers.py
+++ b/packages/daemon/nutmegchute_daemon/readers.py
@@ -10,7 +10,9 @@
 from .claims import build_claim
 from .claims import InvalidKeyError
 from .errors import DaemonError
+from .exchanges import BadBodyError
 from .exchanges import Body
+from .exchanges import MAX_PIECE_BYTES
 from .exchanges import StrictRequest
 from .pending_calls import Arrival
 from .pending_calls import PendingCall
@@ -129,7 +131,7 @@
     """
     headers = _end_to_end(http.fields)
     body = Body(http, body_bytes)
-    prefix = _read_prefix(body, prefix_bytes)
+    prefix = _read_prefix(body, prefix_bytes, prefix_bytes > body_bytes)
     request = Request(http.method.decode(), target, headers, prefix)
     if not body.is_read:
         request.remainder = BodyRemainder(body.read)
@@ -138,11 +140,24 @@
     return request
 
 
-def _read_prefix(body: Body, size: int) -> bytes:
-    pieces = []
+def _read_prefix(body: Body, size: int, is_whole: bool) -> bytes:
+    """Buffer the start of a body, or less while memory is short.
+
+    ``is_whole`` is whether all of it is needed.
+    """
+    pieces: list[bytes] = []
     length = 0
     while length < size and not body.is_read:
-        piece = body.read(min(BUFFER_BYTES, size - length))
+        wanted = max(BUFFER_BYTES, min(length, MAX_PIECE_BYTES))
+        wanted = min(wanted, size - length)
+        try:
+            body.hold(wanted)
+        except BadBodyError:
+            if is_whole or not pieces:
+                raise
+            # The rest is streamed, so it can be sent only once.
+            break
+        piece = body.read(wanted)
         pieces.append(piece)
         length += len(piece)
     return b"".join(pieces)
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import io
 import logging
 import queue
 import socket
@@ -10,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from http.client import responses
 from traceback import format_exc
 from typing import Any
 
@@ -18,8 +20,11 @@
 
 from .events import Event
 from .events import log
+from .exchanges import BadBodyError
+from .exchanges import Body
 from .exchanges import CallerConnection
 from .exchanges import StrictRequest
+from .guards import Guard
 from .protocols import RELAY_CALL_HEADER
 from .relay_ids import read_relay_id
 from .settings import split_address
@@ -30,6 +35,8 @@
 MAX_KEEP_ALIVE_CONNECTIONS = 4096
 SERVER_NAME = "nutmegchute"
 MAX_HEADER_BYTES = 65536
+# The longest body of a request for a page.
+PAGE_BODY_BYTES = 1048576
 DISCARD_BYTES = 65536
 LINGER_S = 1.0
 # All answers are written when the server stops, so a thread that still runs
@@ -125,7 +132,14 @@
         if handler is not None:
             handler(self.req)
             return
+        try:
+            body = Body(self.req, PAGE_BODY_BYTES).read_all()
+        except BadBodyError as error:
+            phrase = responses.get(error.status, "Unknown")
+            self.req.simple_response(f"{error.status} {phrase}", str(error))
+            return
         super().__init__(self.req)
+        self.env["wsgi.input"] = io.BytesIO(body)
         super().respond()
 
 
@@ -165,7 +179,8 @@
     max_request_header_size = MAX_HEADER_BYTES
     keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
 
-    def __init__(self, address: str, threads: int) -> None:
+    def __init__(self, address: str, threads: int, guard: Guard) -> None:
+        self.guard = guard
         super().__init__(
             split_address(address),
             answer_not_found,
@@ -256,9 +271,11 @@
 
     __slots__ = ("_server", "_thread", "address")
 
-    def __init__(self, address: str, threads: int) -> None:
+    def __init__(
+        self, address: str, threads: int, guard: Guard | None = None
+    ) -> None:
         self.address = address
-        self._server = Listener(address, threads)
+        self._server = Listener(address, threads, guard or Guard())
         self._thread = threading.Thread(
             target=self._server.serve, name="http", daemon=True
         )
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -170,6 +170,11 @@
         """Return the largest accepted request body, in bytes."""
         return int(self._values["request_body_bytes"])
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the process may use, in bytes."""
+        return int(self._values["memory_bytes"])
+
     @property
     def entries_keep_s(self) -> float:
         """Return how long callers may cache a list of entries, in seconds."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -86,10 +86,12 @@
             "router": {
                 "request_body_bytes": ENTRY_BODY_BYTES,
                 "http_threads": ENTRY_THREADS,
+                "memory_bytes": ENTRY_MB * MB,
             },
             "control": {
                 "request_body_bytes": CONTROL_BODY_BYTES,
                 "http_threads": CONTROL_THREADS,
+                "memory_bytes": CONTROL_MB * MB,
             },
         }
         self.site.start_all()
@@ -340,6 +342,7 @@
             controls=1,
             entries=1,
             request_body_bytes=CONTROL_BODY_BYTES,
+            memory_bytes=ENTRY_MB * MB,
         )
         controls = [process.address for process in cluster.controls]
         declaration = build_declaration(3000)
