Read chunked bodies piece by piece, whatever the size of the chunks

What callers saw: an entry of 200 MB ended under 16 calls of one chunk of 63 MiB without its last byte (718 MB), and a single body of the largest size in one chunk was refused with 413, also at control.

Cause: the library's reader holds each chunk as a whole, whatever the size of the buffer that asks, and counts the size lines to the body, so a chunk as long as the limit exceeds it.

The reader reads at most what is asked for from the present chunk. Size lines are bounded apart from the body, by the same limit. A chunk that is longer than the limit is refused before it arrives.

Failed before: test_entry_serves_the_largest_bodies[True] and test_control_serves_the_largest_bodies[True] (413), test_entry_bears_bodies_of_refused_calls[one_chunk] (718 MB). Bodies in random chunks are read back equal (property test).

--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -4,7 +4,9 @@
 import re
 import socket
 import struct
+import sys
 import time
+from collections.abc import Iterator
 from http.client import responses
 from typing import Any
 
@@ -119,26 +121,68 @@
         return headers
 
 
-class ChunkLines:
-    """Check the lines between the chunks of a body."""
+class ChunkedReader:
+    """Read a chunked body piece by piece, whatever the size of its chunks.
 
-    __slots__ = ("_rfile", "close", "in_trailers", "read")
+    The library's reader holds each chunk as a whole.
+    """
 
-    def __init__(self, rfile: Any) -> None:
+    __slots__ = ("_framing_bytes", "_left", "_limit", "_rfile", "closed")
+
+    def __init__(self, rfile: Any, limit: int) -> None:
         self._rfile = rfile
-        self.read = rfile.read
-        self.close = rfile.close
+        # Bounds the size lines as well as the body; 0 is no limit.
+        self._limit = limit
+        self._framing_bytes = 0
+        # Unread bytes of the present chunk.
+        self._left = 0
         # Whether the last chunk has been read, so that trailers follow.
-        self.in_trailers = False
+        self.closed = False
 
-    def readline(self) -> bytes:
-        """Return a chunk's size line; raise ValueError if it is malformed."""
+    def read(self, size: int | None = None) -> bytes:
+        """Return ``size`` bytes, or fewer at the end of the body.
+
+        :raises ValueError: it is malformed or cut short
+        :raises MaxSizeExceeded: a chunk or all size lines are too long
+        """
+        pieces = []
+        missing = sys.maxsize if size is None else size
+        while missing and not self.closed:
+            if not self._left:
+                self._begin_chunk()
+                continue
+            wanted = min(missing, self._left, BUFFER_BYTES)
+            piece = self._rfile.read(wanted)
+            if len(piece) < wanted:
+                raise ValueError("Body was cut short.")
+            pieces.append(piece)
+            missing -= wanted
+            self._left -= wanted
+            if not self._left and self._rfile.read(2) != CRLF:
+                raise ValueError("Malformed end of a chunk.")
+        return b"".join(pieces)
+
+    def read_trailer_lines(self) -> Iterator[bytes]:
+        """Yield the lines behind the last chunk."""
+        while True:
+            line: bytes = self._rfile.readline(MAX_CHUNK_LINE_BYTES)
+            if line == CRLF:
+                return
+            if not line.endswith(CRLF):
+                raise ValueError("HTTP requires CRLF terminators")
+            yield line
+
+    def _begin_chunk(self) -> None:
         line: bytes = self._rfile.readline(MAX_CHUNK_LINE_BYTES)
-        if self.in_trailers:
-            return line
+        self._framing_bytes += len(line)
+        if self._limit and self._framing_bytes > self._limit:
+            raise MaxSizeExceeded
         if not _CHUNK_LINE.fullmatch(line):
             raise ValueError("Malformed chunk size.")
-        return line
+        self._left = int(line.partition(b";")[0], 16)
+        if self._limit and self._left > self._limit:
+            raise MaxSizeExceeded
+        self.closed = not self._left
 
 
 class Body:
@@ -241,7 +285,6 @@
 
     def _skip_trailers(self) -> None:
         # Left in the buffer they would be parsed as the next request.
-        self._request.rfile.rfile.in_trailers = True
         for number, _ in enumerate(self._request.rfile.read_trailer_lines()):
             if number >= MAX_TRAILERS:
                 raise ValueError(f"More than {MAX_TRAILERS} trailers.")
@@ -284,8 +327,8 @@
     def respond(self) -> None:
         """Answer through the gateway and flush what is buffered."""
         if self.chunked_read:
-            self.rfile = server.ChunkedRFile(
-                ChunkLines(self.conn.rfile), self.server.max_request_body_size
+            self.rfile = ChunkedReader(
+                self.conn.rfile, self.server.max_request_body_size
             )
         else:
             length = int(self.inheaders.get(b"Content-Length", 0))
