Discard unread bodies in pieces and take no long ones at small doors

What callers saw: 16 calls to a host without a route, each with 63 MiB of body but for the last byte, took 851 MB at an entry of 200 MB. The doors for health, metrics and the directory read bodies of any size.

Cause: before it writes an answer, the library reads the rest of a body as a whole, to keep the connection open. The listeners beside the main one had no limit of a body: 16 bodies of 256 MiB took 595 MB at the door for health and 328 MB at that for metrics, 32 at the directory 2216 MB of 296.

A rest of up to 1 MiB is discarded in pieces; a longer one is answered at once, and the connection is closed behind the answer, once the caller has had a second to read it; what arrives meanwhile is discarded. At most 64 connections linger so. A listener without a limit takes 64 KiB.

--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -136,6 +136,7 @@
             return None
         server = HttpServer(address, threads, self._guard)
         self._listeners[setting] = server
+        self.run_every(HTTP_SWEEP_PERIOD_S, server.sweep)
         return server
 
     def add_relay_listener(
@@ -153,7 +154,6 @@
         server.add_handler(
             ALL_PATHS, partial(handler.answer_relayed, door=door)
         )
-        self.run_every(HTTP_SWEEP_PERIOD_S, server.sweep)
         return server
 
     def run_every(self, period_s: float, work: Work) -> None:
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -33,8 +33,12 @@
 # Pieces of a long body that is held. Short ones would not be returned to the
 # system when they are freed.
 MAX_PIECE_BYTES = 1048576
+# The longest rest of a body that is read to keep its connection open.
+DISCARD_BYTES = 1048576
 # The Retry-After of a request refused for want of memory or threads.
 OVERLOAD_RETRY_S = 1.0
+# Reads at a time from a connection that is about to be closed.
+MAX_DISCARDS = 4
 MAX_TRAILERS = 32
 CRLF = b"\r\n"
 # A status for which the server frames no body, though one may follow.
@@ -342,7 +346,7 @@
         self.conn.wfile.flush()
         if self.chunked_read and not self.rfile.closed:
             # Part of the body was read after the head was written.
-            self.close_connection = True
+            self._close_unread()
 
     def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Write the head of an answer."""
@@ -360,14 +364,35 @@
 
     def send_headers(self) -> None:
         """Write the head; it is sent with the first piece of the body."""
+        self._discard_body()
         self.conn.wfile.hold()
-        if self.chunked_read and not self.rfile.closed:
-            # The unread rest of the body would be parsed as a request.
-            self.close_connection = True
         if self.status.startswith(RESET_CONTENT):  # type: ignore[arg-type]
             self._frame_body()
         super().send_headers()
 
+    def _discard_body(self) -> None:
+        """Discard the rest of a body, or close behind the answer.
+
+        A rest that is left would be parsed as the next request. The library
+        reads it as a whole, however long it is.
+        """
+        if self.chunked_read:
+            if not self.rfile.closed:
+                self._close_unread()
+            return
+        left: int = self.rfile.remaining
+        if left and (self.close_connection or left > DISCARD_BYTES):
+            self._close_unread()
+            return
+        while self.rfile.remaining:
+            if not self.rfile.read(BUFFER_BYTES):
+                self.close_connection = True
+                return
+
+    def _close_unread(self) -> None:
+        self.close_connection = True
+        self.conn.lingers = True
+
     def _frame_body(self) -> None:
         """Frame a body of unknown length, which the server does not do."""
         for name, _ in self.outheaders:
@@ -405,6 +430,7 @@
             if not status.startswith(INTERNAL_ERROR):
                 status = BAD_GATEWAY
         self.told = int(status[:3])
+        self.conn.lingers = True
         body = msgspec.json.encode({"reason": msg or status[4:]})
         self.close_connection = True
         head = (
@@ -530,6 +556,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(CALLER_TIMEOUT_S)
         self.ready_at = time.monotonic()
+        # Whether to close only after the caller has had time to read.
+        self.lingers = False
         self._reset = False
 
     def _open_file(self, sock: socket.socket, mode: str, size: int) -> Any:
@@ -553,6 +581,30 @@
         linger = struct.pack("ii", 1, 0)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
+    def close(self) -> None:
+        """Close the connection, now or once the caller has had time to read.
+
+        Closing with unread bytes resets the connection, and the caller may
+        lose the answer.
+        """
+        if self.lingers and not self._reset:
+            self.lingers = False
+            self.server.linger(self)
+            return
+        super().close()
+
+    def discard(self) -> bool:
+        """Discard what has arrived; return whether more may come."""
+        try:
+            for _ in range(MAX_DISCARDS):
+                if not self.socket.recv(BUFFER_BYTES):
+                    return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return True
+
     def _close_kernel_socket(self) -> None:
         if not self._reset:
             super()._close_kernel_socket()  # type: ignore[misc]
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -35,10 +35,15 @@
 MAX_KEEP_ALIVE_CONNECTIONS = 4096
 SERVER_NAME = "nutmegchute"
 MAX_HEADER_BYTES = 65536
+# The largest body where no limit is set: that of health checks and the like.
+SMALL_BODY_BYTES = 65536
 # The longest body of a request for a page.
 PAGE_BODY_BYTES = 1048576
 DISCARD_BYTES = 65536
 LINGER_S = 1.0
+# Refused connections that wait for their callers to read; beyond these the
+# oldest are closed at once.
+MAX_LINGERING = 64
 # All answers are written when the server stops, so a thread that still runs
 # waits for the rest of a request, and its connection is closed at once. With
 # the library's five seconds, a router with an incomplete request pending
@@ -177,6 +182,7 @@
 
     ConnectionClass = CallerConnection
     max_request_header_size = MAX_HEADER_BYTES
+    max_request_body_size = SMALL_BODY_BYTES
     keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
 
     def __init__(self, address: str, threads: int, guard: Guard) -> None:
@@ -233,14 +239,32 @@
                 # refusal would name no call.
                 self.put_conn(conn)
                 return
-            self._refuse(conn)
+            self.refuse(conn)
+    def linger(self, conn: CallerConnection) -> None:
+        """Close a connection after its caller has had time to read."""
+        with contextlib.suppress(OSError):
+            conn.socket.settimeout(0.0)
+            conn.socket.shutdown(socket.SHUT_WR)
+        self._refused.append((time.monotonic(), conn))
+        while len(self._refused) > MAX_LINGERING:
+            with contextlib.suppress(IndexError):
+                self._refused.popleft()[1].close()
 
     def sweep(self) -> None:
-        """Close refused connections whose callers have had time to read."""
+        """Close refused connections whose callers have had time to read.
+
+        Until then what arrives is discarded, as unread bytes take memory.
+        """
         oldest = time.monotonic() - LINGER_S
-        while self._refused and self._refused[0][0] <= oldest:
-            _, conn = self._refused.popleft()
-            conn.close()
+        for _ in range(len(self._refused)):
+            try:
+                begun_at, conn = self._refused.popleft()
+            except IndexError:
+                return
+            if begun_at <= oldest or not conn.discard():
+                conn.close()
+                continue
+            self._refused.append((begun_at, conn))
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -251,7 +275,8 @@
         trace = format_exc() if traceback else ""
         log(Event.CALL_FAILED, "error", detail=msg, trace=trace)
 
-    def _refuse(self, conn: CallerConnection) -> None:
+    def refuse(self, conn: CallerConnection) -> None:
+        """Refuse a connection's next request."""
         # Closing with unread bytes would reset the connection, and the
         # caller would lose the refusal. So what has arrived is read, the
         # sending side is shut down, and the socket is closed a second later.
@@ -262,8 +287,7 @@
             with contextlib.suppress(BlockingIOError):
                 received = sock.recv(DISCARD_BYTES)
             sock.send(build_full_answer(received))
-            sock.shutdown(socket.SHUT_WR)
-        self._refused.append((time.monotonic(), conn))
+        self.linger(conn)
 
 
 class HttpServer:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -4,12 +4,15 @@
 import threading
 
 import pytest
+from nutmegchute_daemon.exchanges import DISCARD_BYTES
 from nutmegchute_daemon.exchanges import StrictRequest
 from nutmegchute_daemon.servers import HttpServer
 from nutmegchute_daemon.servers import INITIAL_THREADS
 from nutmegchute_daemon.servers import STOP_TIMEOUT_S
 from nutmegchute_fakes.clusters import find_free_address
 
+LONG_BODY = 4 * DISCARD_BYTES
+
 
 def test_incomplete_request_does_not_delay_a_stop(
     monkeypatch: pytest.MonkeyPatch,
@@ -57,3 +60,33 @@
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
         caller.close()
     server.stop()
+
+
+def answer_empty(http: StrictRequest) -> None:
+    """Answer without a body."""
+    http.begin(200, [("Content-Length", "0")])
+
+
+def connect(server: HttpServer) -> socket.socket:
+    """Open a connection to a server."""
+    host, _, port = server.address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=10.0)
+
+
+def test_unread_body_is_discarded_in_pieces() -> None:
+    """Guard against an unread body that is held as a whole."""
+    server = HttpServer(find_free_address(), 2)
+    server.limit_body(LONG_BODY)
+    server.add_handler(b"/", answer_empty)
+    server.start()
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+    with connect(server) as client:
+        client.sendall(head % DISCARD_BYTES + bytes(DISCARD_BYTES))
+        assert b"Connection: close" not in client.recv(1000)
+        # A longer one is answered at once, before it arrives.
+        client.sendall(head % LONG_BODY)
+        assert b"Connection: close" in client.recv(1000)
+        assert client.recv(1000) == b""
+    server.stop()
+
+
