Refuse documents that would not fit once they are decoded

What callers saw: a single configuration of 15 MB, within the limits, that consisted of empty lists took 440 MB at a control replica of 296 MB; with empty services 421 MB before its refusal.

Cause: a body was bounded by its bytes, and a value takes up to twenty times as many once decoded.

The values are counted before decoding, and their memory is charged to the account of requests; a document that can never fit gets 413.

Failed before: test_control_bears_bodies_of_many_values (200 for 413 and 440 MB).

--- a/packages/core/nutmegchute_core/holdings.py
+++ b/packages/core/nutmegchute_core/holdings.py
@@ -14,6 +14,9 @@
 BASE_BYTES = 56000000
 # Bodies are copied once, when their pieces are joined.
 COPIES = 2
+# Memory of a value of a decoded document, its place in a list or a
+# dictionary included.
+VALUE_BYTES = 112
 # Of the bytes of a process, a part that only small requests may use.
 SMALL_SHARE = 1 / 16
 # What a request may hold and still count as small.
@@ -42,6 +45,16 @@
     return (memory_bytes - BASE_BYTES) // COPIES
 
 
+def estimate_decoded(document: bytes) -> int:
+    """Return what a JSON document holds once decoded, in bytes.
+
+    An empty list takes three bytes in the document and twenty times as many
+    in memory.
+    """
+    values = sum(document.count(one) for one in (b"[", b"{", b","))
+    return values * VALUE_BYTES // COPIES
+
+
 class Holding:
     """Hold what one request occupies.
 
@@ -124,6 +137,11 @@
         """Change the bound; what is held beyond it stays."""
         self._bound_bytes = bound_bytes
 
+    @property
+    def largest_bytes(self) -> int:
+        """Return the most that a single request may hold, in bytes."""
+        return self._bound_for(self._bound_bytes)
+
     def grow(
         self, holding: Holding, size: int, now: float
     ) -> tuple[str, Holding | None]:
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -13,6 +13,7 @@
 import msgspec
 from cheroot import server
 from cheroot.errors import MaxSizeExceeded
+from nutmegchute_core.holdings import estimate_decoded
 from nutmegchute_core.holdings import TOO_SLOW
 
 from .errors import DaemonError
@@ -270,6 +271,17 @@
             size = min(2 * size, MAX_PIECE_BYTES)
         return b"".join(pieces)
 
+    def hold_decoded(self, document: bytes) -> None:
+        """Let the request hold what its body takes once it is decoded.
+
+        :raises BadBodyError: no memory is left, or it has too many values
+        """
+        request = self._request
+        size = estimate_decoded(document)
+        if not request.server.guard.fits(request.conn.client, size):
+            raise BadBodyError(413, "body has too many values")
+        self._hold(size)
+
     def _hold(self, size: int) -> None:
         request = self._request
         try:
--- a/packages/daemon/nutmegchute_daemon/guards.py
+++ b/packages/daemon/nutmegchute_daemon/guards.py
@@ -107,6 +107,10 @@
             ended, self._ended = self._ended, Counter()
         return ended
 
+    def fits(self, client: Holding, size: int) -> bool:
+        """Return whether a request could ever hold more bytes."""
+        return client.held_bytes + size <= self._holdings.largest_bytes
+
     def hold(self, client: Holding, size: int) -> None:
         """Let a request hold more bytes.
 
