Serve whole requests beside clients that keep threads waiting

What callers saw: while a crowd stood, every ordinary call got 503 "entry is full". 64 silent connections or unfinished heads, or 16 bodies that stopped short of their end, sufficed with 12 threads.

Cause: a worker thread waited for each of them, a new connection got one before it had sent anything, and the queue in front of the threads was full of requests that could not be served.

A connection now gets a thread only once bytes have arrived. While threads are short, whole requests are served before partial ones, which have a queue of their own and hold at most half of the threads; half as many threads more are started while clients keep threads waiting. If that does not suffice, the client without progress for the longest, at least a second, is ended: 503 as nothing has run, or the endpoint's connection is closed before the end of the request. Calls that wait for their clients do not count as active calls.

Why it works: ordinary requests arrive whole, so no number of partial ones stands in front of them.

--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -32,6 +32,7 @@
 from .connections import Exchange
 from .exchanges import BadBodyError
 from .exchanges import StrictRequest
+from .guards import Client
 from .pending_calls import PendingCall
 from .protocols import ENTRY_HEADER
 from .protocols import KEY_HEADER
@@ -84,7 +85,7 @@
     """Serve calls on the HTTP server's worker threads."""
 
     __slots__ = (
-        "_active",
+        "_clients",
         "_format",
         "_lock",
         "_max_calls",
@@ -123,7 +124,8 @@
         self.body_bytes = body_bytes
         self.buffer_limit: BufferLimit = _default_buffer_limit
         self._lock = threading.Lock()
-        self._active = 0
+        # The clients of the calls that are served at present.
+        self._clients: set[Client] = set()
         self._max_calls = max(
             1, threads - max(1, threads // PAGE_THREADS_DIVISOR)
         )
@@ -135,7 +137,7 @@
     @property
     def active(self) -> int:
         """Return the number of calls whose answer is not fully written."""
-        return self._active
+        return len(self._clients)
 
     def __call__(self, http: StrictRequest) -> None:
         """Answer one call."""
@@ -156,14 +158,14 @@
         self._answer(http, door)
 
     def _answer(self, http: StrictRequest, door: RelayDoor | None) -> None:
-        if not self._reserve_slot():
+        if not self._reserve_slot(http):
             self._refuse(http, 503, "entry is full", FULL_RETRY_S, FULL)
             return
         try:
             self._handle(http, door)
         finally:
             with self._lock:
-                self._active -= 1
+                self._clients.discard(http.conn.client)
 
     def attempt(
         self, call: PendingCall, send: Send, exchange: Exchange
@@ -216,13 +218,20 @@
         reply = Reply(NOT_RUN_OUTCOME, 0.0, evidence=UNSENT)
         self._report_end(call, send, reply)
 
-    def _reserve_slot(self) -> bool:
+    def _reserve_slot(self, http: StrictRequest) -> bool:
         with self._lock:
-            if self._active >= self._max_calls:
+            if len(self._clients) >= self._max_calls + self._count_waiting():
                 return False
-            self._active += 1
+            self._clients.add(http.conn.client)
             return True
 
+    def _count_waiting(self) -> int:
+        """Return the calls whose clients keep their threads waiting."""
+        if len(self._clients) < self._max_calls:
+            return 0
+        now = time.monotonic()
+        return sum(one.is_kept_waiting(now) for one in self._clients)
+
     def _handle(self, http: StrictRequest, door: RelayDoor | None) -> None:
         if self.refusal is not None:
             self._refuse(
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -150,7 +150,6 @@
         )
         assert server is not None
         server.limit_body(self._settings.request_body_bytes)
-        server.name_calls()
         server.add_handler(
             ALL_PATHS, partial(handler.answer_relayed, door=door)
         )
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -1,5 +1,6 @@
 """Parse callers' requests strictly and write answers in few packets."""
 
+import contextlib
 import io
 import re
 import socket
@@ -15,6 +16,7 @@
 from cheroot.errors import MaxSizeExceeded
 from nutmegchute_core.holdings import estimate_decoded
 from nutmegchute_core.holdings import TOO_SLOW
+from urllib3.util.wait import wait_for_read
 
 from .errors import DaemonError
 from .guards import Client
@@ -24,6 +26,7 @@
 from .protocols import RELAY_CALL_HEADER
 from .protocols import UNKNOWN
 from .relay_ids import find_relay_id
+from .request_queues import is_whole
 
 MAX_HEADERS = 100
 # The connection of a caller that neither sends nor reads for this long is
@@ -499,9 +502,13 @@
 
     def has_data(self) -> bool:
         """Return whether part of the next request is buffered."""
+        return bool(self.buffered())
+
+    def buffered(self) -> bytes:
+        """Return what has been read of the next request."""
         self._source.held = True
         try:
-            return bool(self.peek(1))
+            return self.peek(1)
         finally:
             self._source.held = False
 
@@ -568,6 +575,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(CALLER_TIMEOUT_S)
         self.ready_at = time.monotonic()
+        # Whether no request has arrived yet.
+        self.is_new = True
         # Whether to close only after the caller has had time to read.
         self.lingers = False
         self._reset = False
@@ -605,6 +614,15 @@
             return
         super().close()
 
+    def has_whole_request(self) -> bool:
+        """Return whether all of the next request has arrived."""
+        received: bytes = self.rfile.buffered()
+        # A socket with a time-out waits even if a flag asks it not to.
+        if wait_for_read(self.socket, 0.0):
+            with contextlib.suppress(OSError):
+                received += self.socket.recv(BUFFER_BYTES, socket.MSG_PEEK)
+        return is_whole(received)
+
     def discard(self) -> bool:
         """Discard what has arrived; return whether more may come."""
         try:
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -17,6 +17,7 @@
 
 from cheroot import wsgi
 from cheroot.workers import threadpool
+from urllib3.util.wait import wait_for_read
 
 from .events import Event
 from .events import log
@@ -24,9 +25,11 @@
 from .exchanges import Body
 from .exchanges import CallerConnection
 from .exchanges import StrictRequest
+from .guards import Client
 from .guards import Guard
 from .protocols import RELAY_CALL_HEADER
 from .relay_ids import read_relay_id
+from .request_queues import RequestQueue
 from .settings import split_address
 
 RUN_TIMEOUT_S = 5.0
@@ -51,6 +54,8 @@
 STOP_TIMEOUT_S = 0
 # Threads of a listener at its start; more are started on demand.
 INITIAL_THREADS = 4
+# For so many worker threads one more may wait for clients.
+WAITING_DIVISOR = 2
 FULL_HEAD = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Nutmegchute-Outcome: not-run\r\n"
@@ -156,25 +161,80 @@
     ready at once.
     """
 
+    _threads: list[Any]
+
+    def __init__(self, server: "Listener", threads: int) -> None:
+        super().__init__(
+            server, min=min(INITIAL_THREADS, threads), max=threads
+        )
+        self._guard = server.guard
+        # Threads that may wait for clients beside those that work.
+        self._max_waiting = max(1, threads // WAITING_DIVISOR)
+        self._queue = RequestQueue(threads, self._may_wait)
+        self.get = self._queue.get
+
     def start(self) -> None:
         """Start the first threads."""
         self._add(self.min)
 
     def put(self, obj: CallerConnection) -> None:
         """Queue a connection; raise queue.Full if the queue is full."""
-        queued: int = self._queue.qsize()  # type: ignore[attr-defined]
-        if queued >= self.idle and self._count < self.max:
-            self._add(1)
-        super().put(obj)
+        if self._queue.qsize() < self.idle:
+            self._queue.put_whole(obj)
+        elif obj.has_whole_request():
+            self._make_room()
+            self._queue.put_whole(obj)
+        else:
+            if self._count < self.max:
+                self._add(1)
+            self._end_waiting()
+            self._queue.put_partial(obj)
+
+    def relieve(self) -> None:
+        """Find threads for the requests that are queued; call this often."""
+        if self._queue.qsize() > self.idle:
+            self._make_room()
+        for _ in range(self._queue.partial):
+            self._end_waiting()
+            self._queue.wake()
 
     @property
     def _count(self) -> int:
-        return len(self._threads)  # type: ignore[attr-defined]
+        return len(self._threads)
+
+    def _make_room(self) -> None:
+        """Provide a thread for a whole request."""
+        waiting = len(self._list_waiting())
+        if self._count - waiting >= self.max:
+            return
+        if self._count < self.max + self._max_waiting:
+            self._add(1)
+            return
+        self._end_waiting()
+
+    def _end_waiting(self) -> None:
+        """End the slowest client if too many keep threads waiting."""
+        waiting = self._list_waiting()
+        if len(waiting) >= self._max_waiting:
+            self._guard.end_slowest(waiting)
+
+    def _may_wait(self) -> bool:
+        return len(self._list_waiting()) < self._max_waiting
+
+    def _list_waiting(self) -> list[Client]:
+        """List the clients that keep threads waiting."""
+        now = time.monotonic()
+        found = []
+        for worker in list(self._threads):
+            conn = worker.conn
+            if conn is not None and conn.client.is_kept_waiting(now):
+                found.append(conn.client)
+        return found
 
     def _add(self, count: int) -> None:
         for _ in range(count):
             worker = self._spawn_worker()  # type: ignore[attr-defined]
-            self._threads.append(worker)  # type: ignore[attr-defined]
+            self._threads.append(worker)
 
 
 class Listener(wsgi.Server):
@@ -196,17 +256,9 @@
             timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
-        self.requests = Workers(
-            self,
-            min=min(INITIAL_THREADS, threads),
-            max=threads,
-            accepted_queue_size=threads,
-            accepted_queue_timeout=0,
-        )
+        self.requests = Workers(self, threads)
         self.gateway = Gateway
         self.closing = False
-        # Whether a refusal waits for the head of its request.
-        self.names_calls = False
         self._handlers: list[tuple[bytes, Handler]] = []
         self._refused: deque[tuple[float, CallerConnection]] = deque()
 
@@ -230,16 +282,18 @@
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Queue a readable connection for a worker, or refuse it at once."""
+        if conn.is_new:
+            conn.is_new = False
+            if not wait_for_read(conn.socket, 0.0):
+                # New connections come here before their first request.
+                self.put_conn(conn)
+                return
         conn.ready_at = time.monotonic()
         try:
             self.requests.put(conn)
         except queue.Full:
-            if self.names_calls and not _has_received(conn.socket):
-                # New connections come here before their first request, and a
-                # refusal would name no call.
-                self.put_conn(conn)
-                return
             self.refuse(conn)
+
     def linger(self, conn: CallerConnection) -> None:
         """Close a connection after its caller has had time to read."""
         with contextlib.suppress(OSError):
@@ -255,6 +309,7 @@
 
         Until then what arrives is discarded, as unread bytes take memory.
         """
+        self.requests.relieve()
         oldest = time.monotonic() - LINGER_S
         for _ in range(len(self._refused)):
             try:
@@ -312,10 +367,6 @@
         """Route requests whose target starts with a prefix to a handler."""
         self._server.add_handler(prefix, handler)
 
-    def name_calls(self) -> None:
-        """Name the call in every refusal, as other entries expect it."""
-        self._server.names_calls = True
-
     def limit_body(self, limit: int) -> None:
         """Set the size limit of request bodies, in bytes."""
         self._server.max_request_body_size = limit
@@ -348,14 +399,3 @@
         """Stop listening and join the worker threads."""
         self._server.stop()
         self._thread.join()
-
-
-def _has_received(sock: socket.socket) -> bool:
-    """Return whether bytes have arrived or the connection has ended."""
-    try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
--- a/packages/fakes/nutmegchute_fakes/call_servers.py
+++ b/packages/fakes/nutmegchute_fakes/call_servers.py
@@ -77,7 +77,6 @@
         assert door is not None
         self._relays = HttpServer(door.address.address, threads)
         self._relays.limit_body(BODY_BYTES)
-        self._relays.name_calls()
         self._relays.add_handler(
             b"/", partial(self.handler.answer_relayed, door=door)
         )
--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -495,12 +495,14 @@
     site.serve_by(faulty_upstreams.never_answer, 60000, threads=1)
     host, _, port = site.balancer.helper.rpartition(":")
     held = []
+    token = b"Nutmegchute-Relay-Token: " + site.balancer.token.encode()
     # One is served, one waits in the queue, and the next finds it full.
     for _ in range(2):
         sock = socket.create_connection((host, int(port)), timeout=10.0)
-        sock.sendall(b"POST ")
+        sock.sendall(HEAD + token + b"\r\n\r\n")
         held.append(sock)
         threading.Event().wait(0.1)
+    before = site.count_ran()
     answer = site.entry.call("/loan", "POST", b"x")
     for sock in held:
         sock.close()
@@ -508,4 +510,4 @@
     (result,) = site.balancer.results
     assert result.refusal is not None and result.refusal.brief
     assert result.naming == "this request"
-    assert site.count_ran() == 0
+    assert site.count_ran() == before
