Apply the time-out for heads, and end clients that send too slowly

Cause: the time-out of a socket begins again with each byte.

Failed before: test_head_that_takes_too_long_is_refused (no answer; the method to set the time did not exist).

--- a/packages/core/nutmegchute_core/rules.py
+++ b/packages/core/nutmegchute_core/rules.py
@@ -202,11 +202,13 @@
     None stands for the entry's default.
     """
 
-    __slots__ = ("body_bytes", "header_bytes", "idle_s")
+    __slots__ = ("body_bytes", "header_bytes", "header_s", "idle_s")
 
     def __init__(self, document: dict[str, Any]) -> None:
         self.header_bytes: int | None = document.get("header_bytes")
         self.body_bytes: int | None = document.get("body_bytes")
+        header_ms: float | None = document.get("header_timeout_ms")
+        self.header_s = None if header_ms is None else header_ms / 1000
         idle_ms: float | None = document.get("idle_timeout_ms")
         self.idle_s = None if idle_ms is None else idle_ms / 1000
 
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -338,6 +338,7 @@
         read = super().read_request_headers
         if not read():  # type: ignore[no-untyped-call]
             return False
+        self.conn.client.head_until = None
         connection = self.inheaders.get(b"Connection", b"").lower()
         if b"close" in [option.strip() for option in connection.split(b",")]:
             self.close_connection = True
@@ -591,6 +592,7 @@
         """Serve one request; return whether to keep the connection open."""
         now = time.monotonic()
         self.client.restart(now)
+        self.client.head_until = now + self.server.head_timeout_s
         try:
             return bool(super().communicate())  # type: ignore[no-untyped-call]
         finally:
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -560,6 +560,8 @@
         if limits.body_bytes is not None:
             self._http.limit_body(limits.body_bytes)
             self._handler.body_bytes = limits.body_bytes
+        if limits.header_s is not None:
+            self._http.limit_header_time(limits.header_s)
         if limits.idle_s is not None:
             self._http.limit_idle(limits.idle_s)
 
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -43,6 +43,7 @@
 # The longest body of a request for a page.
 PAGE_BODY_BYTES = 1048576
 DISCARD_BYTES = 65536
+HEAD_TIMEOUT_S = 10.0
 LINGER_S = 1.0
 # Refused connections that wait for their callers to read; beyond these the
 # oldest are closed at once.
@@ -192,6 +193,7 @@
 
     def relieve(self) -> None:
         """Find threads for the requests that are queued; call this often."""
+        self._guard.end_late(self._list_waiting())
         if self._queue.qsize() > self.idle:
             self._make_room()
         for _ in range(self._queue.partial):
@@ -257,6 +259,8 @@
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         self.requests = Workers(self, threads)
+        # How long the head of a request may take to arrive, in seconds.
+        self.head_timeout_s = HEAD_TIMEOUT_S
         self.gateway = Gateway
         self.closing = False
         self._handlers: list[tuple[bytes, Handler]] = []
@@ -375,6 +379,10 @@
         """Set the size limit of request heads, in bytes."""
         self._server.max_request_header_size = limit
 
+    def limit_header_time(self, header_s: float) -> None:
+        """Set how long the head of a request may take, in seconds."""
+        self._server.head_timeout_s = header_s
+
     def limit_idle(self, idle_s: float) -> None:
         """Set the time after which idle connections are closed."""
         self._server.timeout = idle_s
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,5 +1,6 @@
 """Test the stop of the HTTP server and the start of its threads."""
 
+import contextlib
 import socket
 import threading
 
@@ -73,6 +74,26 @@
     return socket.create_connection((host, int(port)), timeout=10.0)
 
 
+def test_head_that_takes_too_long_is_refused() -> None:
+    """Guard against a time-out for heads that is declared and not applied."""
+    server = HttpServer(find_free_address(), 2)
+    server.limit_header_time(0.0)
+    server.add_handler(b"/", answer_empty)
+    server.start()
+    with connect(server) as client:
+        client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n")
+        client.sendall(b"X: y\r\n")
+        answer = b""
+        while not answer:
+            server.sweep()
+            client.settimeout(0.1)
+            with contextlib.suppress(TimeoutError):
+                answer = client.recv(1000)
+    server.stop()
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert b"Nutmegchute-Outcome: not-run" in answer
+
+
 def test_unread_body_is_discarded_in_pieces() -> None:
     """Guard against an unread body that is held as a whole."""
     server = HttpServer(find_free_address(), 2)
