Keep descriptors for endpoints, peers and the disk

What callers saw: 400 idle connections at a process with 256 descriptors took all of them. Ordinary calls and changes of the configuration were not answered, and the listener logged an exception for each try to accept.

Cause: accepted connections were bounded by 4096 for each listener, not by what the process may open.

Each listener has a share of the open files (setting open_files, default the system's limit; the platform's settings name it): half for callers, a tenth each for relays and the directory. At its limit a listener closes the connections idle for the longest, first those that have never sent a request, and else refuses the new one with 503. A process without descriptors pauses before it accepts again.

--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -1,6 +1,7 @@
 """Start and stop a daemon in the same way for every role."""
 
 import asyncio
+import resource
 import signal
 from collections.abc import Coroutine
 from functools import partial
@@ -32,6 +33,11 @@
 ALL_PATHS = b"/"
 METRICS_PATH = b"/metrics"
 METRICS_THREADS = 1
+# Shares of the open files for the connections of callers. The rest is left to
+# connections to endpoints and between daemons, and to the disk.
+HTTP_SHARE = 0.5
+LISTENER_SHARES = {"relay_address": 0.1, "directory_address": 0.1}
+SMALL_LISTENER_SHARE = 0.05
 
 
 class Daemon:
@@ -44,9 +50,11 @@
         self._links = Links()
         self._metrics = Metrics(settings.statsd_address, settings.name)
         self._guard = Guard(settings.memory_bytes)
+        self._open_files = _find_open_files(settings)
         self._http = HttpServer(
             settings.http_address, settings.http_threads, self._guard
         )
+        self._http.limit_connections(int(self._open_files * HTTP_SHARE))
         # Additional listeners by the setting that holds their address.
         self._listeners: dict[str, HttpServer] = {}
         self._stopping = asyncio.Event()
@@ -135,6 +143,8 @@
         if address is None:
             return None
         server = HttpServer(address, threads, self._guard)
+        share = LISTENER_SHARES.get(setting, SMALL_LISTENER_SHARE)
+        server.limit_connections(int(self._open_files * share))
         self._listeners[setting] = server
         self.run_every(HTTP_SWEEP_PERIOD_S, server.sweep)
         return server
@@ -166,6 +176,9 @@
     def _report_clients(self) -> None:
         """Report what clients hold, and whom that was refused for."""
         self._guard.report()
+        servers = (self._http, *self._listeners.values())
+        connections = sum(one.connections for one in servers)
+        self._metrics.gauge("connections", connections)
         self._metrics.gauge("held_bytes", self._guard.held_bytes)
         self._metrics.gauge("held_bytes_bound", self._guard.bound_bytes)
         for reason, count in self._guard.pop_ended().items():
@@ -244,3 +257,11 @@
             raise StartError(
                 f"{setting}: cannot listen on {server.address}: {error}"
             ) from error
+
+
+def _find_open_files(settings: Settings) -> int:
+    """Return how many files the process may have open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if settings.open_files is None:
+        return limit
+    return min(limit, settings.open_files)
--- a/packages/daemon/nutmegchute_daemon/documents.py
+++ b/packages/daemon/nutmegchute_daemon/documents.py
@@ -78,6 +78,7 @@
     cpus: list[NonNegativeInt] = []
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     request_body_bytes: NonNegativeInt = 1048576
+    open_files: Annotated[int, Meta(ge=128)] | None = None
     memory_bytes: Annotated[int, Meta(ge=MIN_MEMORY_BYTES)] = (
         DEFAULT_MEMORY_BYTES
     )
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -7,6 +7,7 @@
 import struct
 import sys
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from http.client import responses
 from typing import Any
@@ -578,6 +579,8 @@
         self.ready_at = time.monotonic()
         # Whether no request has arrived yet.
         self.is_new = True
+        self.is_used = False
+        self.on_close: Callable[[CallerConnection], None] | None = None
         # Whether to close only after the caller has had time to read.
         self.lingers = False
         self._reset = False
@@ -614,6 +617,8 @@
             self.lingers = False
             self.server.linger(self)
             return
+        if self.on_close is not None:
+            self.on_close(self)
         super().close()
 
     def has_whole_request(self) -> bool:
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -44,6 +44,7 @@
     "clients_ended.REASON": (COUNTER, "requests"),
     "held_bytes": (GAUGE, "bytes"),
     "held_bytes_bound": (GAUGE, "bytes"),
+    "connections": (GAUGE, "connections"),
     "in_flight": (GAUGE, "calls"),
     "upstreams": (GAUGE, "endpoints"),
     "limited": (GAUGE, "endpoints"),
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import errno
 import io
 import logging
 import queue
@@ -15,8 +16,10 @@
 from traceback import format_exc
 from typing import Any
 
+from cheroot import connections
 from cheroot import wsgi
 from cheroot.workers import threadpool
+from nutmegchute_core.holdings import SHORT_OF_FILES
 from urllib3.util.wait import wait_for_read
 
 from .events import Event
@@ -44,6 +47,9 @@
 PAGE_BODY_BYTES = 1048576
 DISCARD_BYTES = 65536
 HEAD_TIMEOUT_S = 10.0
+IDLE_CLOSED_AT_ONCE = 16
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+FULL_PAUSE_S = 0.05
 LINGER_S = 1.0
 # Refused connections that wait for their callers to read; beyond these the
 # oldest are closed at once.
@@ -239,6 +245,53 @@
             self._threads.append(worker)
 
 
+class Connections(connections.ConnectionManager):
+    """Accept connections up to a limit, which idle ones make room for."""
+
+    _selector: Any
+
+    def close_idle(self) -> bool:
+        """Close the connections idle for the longest; return if any were.
+
+        Those that have never sent a request come first.
+        """
+        idle = []
+        for descriptor, conn in self._selector.connections:
+            if conn is self.server:
+                continue
+            idle.append((conn.is_used, conn.last_used, descriptor, conn))
+        idle.sort(key=lambda one: one[:3])
+        for _, _, descriptor, conn in idle[:IDLE_CLOSED_AT_ONCE]:
+            self._selector.unregister(descriptor)
+            conn.close()
+        return bool(idle)
+
+    def _from_server_socket(self, server_socket: Any) -> Any:
+        server = self.server
+        if server.is_full:
+            self.close_idle()
+        try:
+            accepted = super()._from_server_socket(  # type: ignore[misc]
+                server_socket
+            )
+        except OSError as error:
+            if error.errno not in NO_DESCRIPTORS:
+                raise
+            server.guard.record(SHORT_OF_FILES)
+            if not self.close_idle():
+                # The connection stays in the kernel's queue.
+                time.sleep(FULL_PAUSE_S)
+            return None
+        if accepted is None:
+            return None
+        server.count_connection(accepted)
+        if not server.is_over:
+            return accepted
+        server.guard.record(SHORT_OF_FILES)
+        server.refuse(accepted)
+        return None
+
+
 class Listener(wsgi.Server):
     """Accept callers and limit how many wait for a worker thread."""
 
@@ -261,6 +314,8 @@
         self.requests = Workers(self, threads)
         # How long the head of a request may take to arrive, in seconds.
         self.head_timeout_s = HEAD_TIMEOUT_S
+        self.max_connections = MAX_KEEP_ALIVE_CONNECTIONS
+        self._open: set[CallerConnection] = set()
         self.gateway = Gateway
         self.closing = False
         self._handlers: list[tuple[bytes, Handler]] = []
@@ -292,12 +347,42 @@
                 # New connections come here before their first request.
                 self.put_conn(conn)
                 return
+        conn.is_used = True
         conn.ready_at = time.monotonic()
         try:
             self.requests.put(conn)
         except queue.Full:
             self.refuse(conn)
 
+    def prepare(self) -> None:
+        """Listen and start the first worker threads.
+
+        :raises OSError: the address cannot be bound
+        """
+        super().prepare()
+        self._connections.close()  # type: ignore[has-type]
+        self._connections = Connections(self)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further connection may be open."""
+        return len(self._open) >= self.max_connections
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether more connections are open than may be."""
+        return len(self._open) > self.max_connections
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    def count_connection(self, conn: CallerConnection) -> None:
+        """Count a new connection until it is closed."""
+        self._open.add(conn)
+        conn.on_close = self._open.discard
+
     def linger(self, conn: CallerConnection) -> None:
         """Close a connection after its caller has had time to read."""
         with contextlib.suppress(OSError):
@@ -383,6 +468,15 @@
         """Set how long the head of a request may take, in seconds."""
         self._server.head_timeout_s = header_s
 
+    def limit_connections(self, limit: int) -> None:
+        """Set how many connections may be open."""
+        self._server.max_connections = limit
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return self._server.connection_count
+
     def limit_idle(self, idle_s: float) -> None:
         """Set the time after which idle connections are closed."""
         self._server.timeout = idle_s
--- a/packages/daemon/nutmegchute_daemon/settings.py
+++ b/packages/daemon/nutmegchute_daemon/settings.py
@@ -175,6 +175,12 @@
         """Return the memory that the process may use, in bytes."""
         return int(self._values["memory_bytes"])
 
+    @property
+    def open_files(self) -> int | None:
+        """Return how many files may be open, None for the system's limit."""
+        value = self._values["open_files"]
+        return None if value is None else int(value)
+
     @property
     def entries_keep_s(self) -> float:
         """Return how long callers may cache a list of entries, in seconds."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -111,3 +111,16 @@
     server.stop()
 
 
+def test_oldest_idle_connection_is_closed_for_a_new_one() -> None:
+    """Guard against callers refused for connections that nobody uses."""
+    server = HttpServer(find_free_address(), 2)
+    server.limit_connections(2)
+    server.add_handler(b"/", answer_empty)
+    server.start()
+    request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+    silent = [connect(server) for _ in range(2)]
+    with connect(server) as client:
+        client.sendall(request)
+        assert client.recv(1000).startswith(b"HTTP/1.1 200")
+    assert [one.recv(1) for one in silent] == [b"", b""]
+    server.stop()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -141,7 +141,7 @@
 
 def test_setting_names_end_in_their_units() -> None:
     """The name of each numeric setting ends in its unit."""
-    counts = {"http_threads", "entries_answer"}
+    counts = {"http_threads", "entries_answer", "open_files"}
     counts |= {"extra_ratio", "extra_fixed", "warm_up_overage"}
     counts |= {"quota_overage", "quota_slack"}
     for name, schema in SCHEMA["properties"].items():
