Bound the kernel's buffers of connections

The kernel lets a receive buffer grow to 32 MB and a send buffer to 4 MB on this machine, for each connection that is not read. Unread bytes count to the memory of a vm. By reading: the crowds of the tests pass without this change as well, since their clients send less than that to a connection that is not read.

Callers' connections get 64 KiB to receive and 128 KiB to send, those to endpoints 128 KiB to receive, which bounds what an answer that its caller does not read makes an entry hold. The kernel doubles these.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -35,6 +35,13 @@
 KEEP_ALIVE_SHARE = 0.75
 MAX_IDLE_S = 60.0
 
+# Bounds what a caller that does not read makes the kernel hold of its answer.
+RECEIVE_BUFFER_BYTES = 131072
+SOCKET_OPTIONS = [
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+]
+
 # How long an endpoint reads nothing before its answer is looked for.
 BLOCKED_S = 0.02
 BODILESS_STATUSES = frozenset({204, 304})
@@ -500,7 +507,9 @@
     def create(self, endpoint: str, timeout_s: float) -> Connection:
         """Create a connection without connecting it."""
         host, port = split_address(endpoint)
-        return Connection(host, port, timeout=timeout_s)
+        return Connection(
+            host, port, timeout=timeout_s, socket_options=SOCKET_OPTIONS
+        )
 
     def release(
         self,
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -46,6 +46,9 @@
 # The longest body of a request for a page.
 PAGE_BODY_BYTES = 1048576
 DISCARD_BYTES = 65536
+# The kernel doubles these for its own overhead.
+RECEIVE_BUFFER_BYTES = 65536
+SEND_BUFFER_BYTES = 131072
 HEAD_TIMEOUT_S = 10.0
 IDLE_CLOSED_AT_ONCE = 16
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
@@ -360,6 +363,13 @@
         :raises OSError: the address cannot be bound
         """
         super().prepare()
+        # Connections inherit the sizes of these buffers. The kernel would
+        # let a client that is not read fill 32 MB.
+        for name, size in (
+            (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+        ):
+            self.socket.setsockopt(socket.SOL_SOCKET, name, size)
         self._connections.close()  # type: ignore[has-type]
         self._connections = Connections(self)
 
