Do not blame endpoints for callers that stop in a body

What callers saw: nothing yet; by reading, while a crowd of callers that stop in a body was served, healthy endpoints were ejected and the entry checked its links, as each such attempt counted as a failure of its endpoint.

Cause: an attempt that ends because the rest of its body does not arrive is lost, which it is, and a loss that is no time-out counts against the endpoint and against the links.

Such a loss is now recorded as "body cut short" and counts against neither. The call still ends as unknown, since a part of it has been sent.

Failed before: test_bodies_cut_short_do_not_eject_an_endpoint, with any other loss in the place of the new one, and test_body_cut_short_is_not_blamed_on_the_endpoint ("malformed answer" for "body cut short").

--- a/packages/core/nutmegchute_core/calls.py
+++ b/packages/core/nutmegchute_core/calls.py
@@ -18,6 +18,8 @@
 CANCELLED = "cancelled"
 # Loss of an attempt whose connection the endpoint closed.
 CLOSED = "closed"
+# Loss of an attempt whose caller did not send the rest of the body.
+CUT_SHORT = "body cut short"
 
 CALL_CHART = load_chart("call")
 
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -8,6 +8,7 @@
 from .calls import Call
 from .calls import CANCELLED
 from .calls import CLOSED
+from .calls import CUT_SHORT
 from .calls import LOST
 from .calls import NOT_RUN
 from .calls import Result
@@ -739,6 +740,8 @@
         """Return whether a failed attempt counts against the endpoint."""
         if result.outcome == CANCELLED or result.is_untried:
             return False
+        if result.loss == CUT_SHORT:
+            return False
         if result.notice is not None and result.notice.rest_s is not None:
             # An endpoint that asks for rest is busy, not broken.
             return False
--- a/packages/core/nutmegchute_core/relays.py
+++ b/packages/core/nutmegchute_core/relays.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from .calls import Call
+from .calls import CUT_SHORT
 from .calls import Deny
 from .calls import NOT_RUN
 from .calls import Refuse
@@ -132,7 +133,7 @@
         if result.reached:
             self.reachability.record_contact(is_new, now)
             return False
-        if not result.loss:
+        if not result.loss or result.loss == CUT_SHORT:
             return False
         due = self.reachability.record_failure(address, is_new, now)
         return due or result.crashed
--- a/packages/daemon/nutmegchute_daemon/senders.py
+++ b/packages/daemon/nutmegchute_daemon/senders.py
@@ -9,6 +9,7 @@
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import CLOSED
+from nutmegchute_core.calls import CUT_SHORT
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_core.calls import Refusal
@@ -72,6 +73,10 @@
 CONNECT_FAILED = "connection failed"
 
 
+class CutBodyError(DaemonError):
+    """Report that a caller did not send the rest of a body."""
+
+
 class BodyRemainder:
     """Stream the rest of a long body as it arrives; it can be read once."""
 
@@ -87,7 +92,10 @@
     def __next__(self) -> bytes:
         """Return the next piece; an error in reading it aborts the attempt."""
         self.is_started = True
-        piece = self._read(BUFFER_BYTES)
+        try:
+            piece = self._read(BUFFER_BYTES)
+        except DaemonError as error:
+            raise CutBodyError(str(error)) from error
         if not piece:
             raise StopIteration
         return piece
@@ -750,6 +758,8 @@
 
 def _loss_reason(error: Exception) -> str:
     """Return how an attempt was lost, as far as the error shows it."""
+    if isinstance(error, CutBodyError):
+        return CUT_SHORT
     cause = error.__cause__ if isinstance(error, BrokenAnswerError) else error
     if cause is not None and isinstance(cause.__cause__, MalformedAnswerError):
         return MALFORMED
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -9,6 +9,7 @@
 from nutmegchute_core.calls import ANSWERED
 from nutmegchute_core.calls import CANCELLED
 from nutmegchute_core.calls import CLOSED
+from nutmegchute_core.calls import CUT_SHORT
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import NOT_RUN
 from nutmegchute_daemon.answers import BrokenAnswerError
@@ -16,6 +17,7 @@
 from nutmegchute_daemon.body_pacers import BodyPacer
 from nutmegchute_daemon.connections import ConnectionPool
 from nutmegchute_daemon.connections import Exchange
+from nutmegchute_daemon.exchanges import BadBodyError
 from nutmegchute_daemon.senders import BodyRemainder
 from nutmegchute_daemon.senders import CONNECT_REFUSED
 from nutmegchute_daemon.senders import CONNECT_TIMED_OUT
@@ -102,6 +104,21 @@
     assert f"content-length: {len(body)}".encode() in head.lower()
 
 
+def test_body_cut_short_is_not_blamed_on_the_endpoint() -> None:
+    """Guard against a loss by the caller that counts as the endpoint's."""
+
+    def read(size: int) -> bytes:
+        raise BadBodyError(400, "body was cut short")
+
+    headers = HTTPHeaderDict({"Content-Length": "100"})
+    request = Request("POST", "/a", headers, b"start", BodyRemainder(read))
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        sender = Sender(ConnectionPool())
+        reply = sender.send(request, f"{host}:{port}", LONG_S, Exchange())
+    assert (reply.outcome, reply.loss) == (LOST, CUT_SHORT)
+
+
 def _receive(
     listener: socket.socket, size: int, received: list[bytes]
 ) -> None:
--- a/tests/test_untried_attempts.py
+++ b/tests/test_untried_attempts.py
@@ -1,7 +1,10 @@
 """Test that attempts that were never tried say nothing of their endpoints."""
 
 import pytest
+from nutmegchute_core.calls import CUT_SHORT
+from nutmegchute_core.calls import LOST
 from nutmegchute_core.calls import Relay
+from nutmegchute_core.calls import Result
 from nutmegchute_core.calls import Send
 from nutmegchute_core.evidence import UNSENT
 from nutmegchute_core.quarantines import CaseUpdate
@@ -28,6 +31,20 @@
     assert not balancer._relays.reachability.is_doubtful(0.02)
 
 
+def test_bodies_cut_short_do_not_eject_an_endpoint() -> None:
+    """Guard against endpoints ejected for callers that stop in a body."""
+    balancer = build_balancer("a:1")
+    endpoint = balancer._pools["catalogo"].endpoints["a:1"]
+    for number in range(20):
+        send = arrive(balancer, "POST")
+        result = Result(
+            send.call_id, send.attempt, LOST, 0.001, loss=CUT_SHORT
+        )
+        balancer.finish(result, number / 1000)
+    assert endpoint.ejected_until == 0.0
+    assert not balancer._relays.reachability.is_doubtful(0.02)
+
+
 @pytest.mark.parametrize(("loss", "is_failure"), [("", False), ("x", True)])
 def test_attempt_that_found_no_connection_counts(
     loss: str, is_failure: bool
