Leave room for other calls beside those with long bodies

Cause: calls whose long bodies do arrive keep no thread waiting, so they took all slots of active calls, and every thread that was added.

Calls with bodies of more than 64 KiB, or in chunks, now take no slots beyond the usual number, and calls without may take half as many more while long ones are active; threads are added for them in the same way. When a call finds no room, the client without progress for the longest is ended for the next one.

Failed before: test_long_bodies_leave_room_for_other_calls (503).

--- a/packages/core/nutmegchute_core/holdings.py
+++ b/packages/core/nutmegchute_core/holdings.py
@@ -59,7 +59,7 @@
     """Hold what one request occupies.
 
     ``waits_since`` is when a thread began to wait for its client, None while
-    none does. ``ended`` is why the request is being ended, empty while it
+    none does; ``is_long`` is whether its body is long. ``ended`` is why the request is being ended, empty while it
     is not.
     """
 
@@ -69,6 +69,7 @@
         "_stopped_at",
         "ended",
         "held_bytes",
+        "is_long",
         "waits_since",
     )
 
@@ -83,6 +84,7 @@
         self._progress_at = now
         self._stopped_at = now
         self.waits_since: float | None = None
+        self.is_long = False
 
     def begin_wait(self, now: float) -> None:
         """Record that a thread waits for the client."""
@@ -110,6 +112,10 @@
         since = self.waits_since
         return since is not None and now - since >= KEPT_WAITING_S
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether the request may occupy its thread for long."""
+        return self.is_long or self.is_kept_waiting(now)
+
 
 class Holdings:
     """Account for the bytes that all requests of a process hold."""
--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -219,18 +219,27 @@
         self._report_end(call, send, reply)
 
     def _reserve_slot(self, http: StrictRequest) -> bool:
+        """Count a call as active if there is room; return whether it is.
+
+        Calls with long bodies leave room for others.
+        """
+        client = http.conn.client
         with self._lock:
-            if len(self._clients) >= self._max_calls + self._count_waiting():
-                return False
-            self._clients.add(http.conn.client)
-            return True
-
-    def _count_waiting(self) -> int:
-        """Return the calls whose clients keep their threads waiting."""
-        if len(self._clients) < self._max_calls:
-            return 0
+            room = self._max_calls
+            if len(self._clients) >= room and not client.is_long:
+                room += min(self._count_slow(), self._max_calls // 2)
+            if len(self._clients) < room:
+                self._clients.add(client)
+                return True
+            clients = list(self._clients)
+        # A client that makes no progress is ended for the next call.
+        http.server.guard.end_slowest(clients)
+        return False
+
+    def _count_slow(self) -> int:
+        """Return the calls that may occupy their threads for long."""
         now = time.monotonic()
-        return sum(one.is_kept_waiting(now) for one in self._clients)
+        return sum(one.is_slow(now) for one in self._clients)
 
     def _handle(self, http: StrictRequest, door: RelayDoor | None) -> None:
         if self.refusal is not None:
--- a/packages/daemon/nutmegchute_daemon/exchanges.py
+++ b/packages/daemon/nutmegchute_daemon/exchanges.py
@@ -16,6 +16,7 @@
 from cheroot import server
 from cheroot.errors import MaxSizeExceeded
 from nutmegchute_core.holdings import estimate_decoded
+from nutmegchute_core.holdings import SMALL_BYTES
 from nutmegchute_core.holdings import TOO_SLOW
 from urllib3.util.wait import wait_for_read
 
@@ -354,6 +355,8 @@
         else:
             length = int(self.inheaders.get(b"Content-Length", 0))
             self.rfile = server.KnownLengthRFile(self.conn.rfile, length)
+        if self.chunked_read or self.rfile.remaining > SMALL_BYTES:
+            self.conn.client.is_long = True
         self.server.gateway(self).respond()
         self.ensure_headers_sent()
         if self._aborted:
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -215,8 +215,9 @@
 
     def _make_room(self) -> None:
         """Provide a thread for a whole request."""
-        waiting = len(self._list_waiting())
-        if self._count - waiting >= self.max:
+        now = time.monotonic()
+        slow = sum(one.is_slow(now) for one in self._list_clients())
+        if self._count - slow >= self.max:
             return
         if self._count < self.max + self._max_waiting:
             self._add(1)
@@ -235,10 +236,15 @@
     def _list_waiting(self) -> list[Client]:
         """List the clients that keep threads waiting."""
         now = time.monotonic()
+        clients = self._list_clients()
+        return [one for one in clients if one.is_kept_waiting(now)]
+
+    def _list_clients(self) -> list[Client]:
+        """List the clients that threads serve."""
         found = []
         for worker in list(self._threads):
             conn = worker.conn
-            if conn is not None and conn.client.is_kept_waiting(now):
+            if conn is not None:
                 found.append(conn.client)
         return found
 
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -22,6 +22,8 @@
 SHED_FIRST = b"X-Shed-First: 1\r\n"
 WAIT_S = 5.0
 POLL_S = 0.05
+# Of the call server.
+THREADS = 8
 
 
 def build_shed(head: bytes | None) -> bytes:
@@ -163,6 +165,19 @@
     assert harness.upload().startswith(b"HTTP/1.1 200")
 
 
+def test_long_bodies_leave_room_for_other_calls(build: Any) -> None:
+    """Guard against calls refused while long bodies hold all slots."""
+    harness = build(faulty_upstreams.answer)
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % len(PHOTOS)
+    callers = [harness.server.connect() for _ in range(THREADS)]
+    for caller in callers:
+        caller.sendall(head + PHOTOS[: len(PHOTOS) // 2])
+    _wait_until(lambda: harness.server.handler.active >= THREADS - 1)
+    assert harness.server.call("/a").startswith(b"HTTP/1.1 200")
+    for caller in callers:
+        caller.close()
+
+
 def test_shed_chunked_upload_is_resent(build: Any) -> None:
     """Resend a body without a length, byte for byte.
 
