--- a/packages/core/nutmegchute_core/holdings.py
+++ b/packages/core/nutmegchute_core/holdings.py
@@ -59,8 +59,8 @@
     """Hold what one request occupies.
 
     ``waits_since`` is when a thread began to wait for its client, None while
-    none does; ``is_long`` is whether its body is long. ``ended`` is why the request is being ended, empty while it
-    is not.
+    none does. ``is_long`` is whether its body is long. ``ended`` is why the
+    request is being ended, empty while it is not.
     """
 
     __slots__ = (
