--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -1,6 +1,7 @@
 """Open many requests that do not end, and measure the daemon under them."""
 
 import contextlib
+import resource
 import socket
 import threading
 import time
@@ -25,7 +26,7 @@
 REOPEN_S = 0.1
 POLL_S = 0.2
 JOIN_S = 30.0
-PAGE_BYTES = 4096
+PAGE_BYTES = resource.getpagesize()
 
 # Returns the pieces of one request.
 Pieces = Callable[[], Iterable[bytes]]
