Stop threads that wait for clients to read

Cause: a stop shuts the receiving side of a connection only, which wakes a thread that reads and not one that writes. It waited for the time-out.

Failed before: test_unread_answer_does_not_delay_a_stop (the stop had not ended after 60 s, with a time-out of 600 s).

--- a/packages/core/nutmegchute_core/holdings.py
+++ b/packages/core/nutmegchute_core/holdings.py
@@ -38,6 +38,7 @@
 SHORT_OF_THREADS = "short of threads"
 SHORT_OF_FILES = "short of open files"
 TOO_SLOW = "too slow"
+STOPPING = "stopping"
 
 
 def find_bound(memory_bytes: int) -> int:
--- a/packages/daemon/nutmegchute_daemon/servers.py
+++ b/packages/daemon/nutmegchute_daemon/servers.py
@@ -20,6 +20,7 @@
 from cheroot import wsgi
 from cheroot.workers import threadpool
 from nutmegchute_core.holdings import SHORT_OF_FILES
+from nutmegchute_core.holdings import STOPPING
 from urllib3.util.wait import wait_for_read
 
 from .events import Event
@@ -200,6 +201,15 @@
             self._end_waiting()
             self._queue.put_partial(obj)
 
+    def stop(self, timeout: int = 5) -> None:
+        """End the threads, also those that wait for clients."""
+        now = time.monotonic()
+        for client in self._list_clients():
+            # An answer that is being read may be written to its end.
+            if client.is_kept_waiting(now) or not client.is_writing:
+                client.end(STOPPING)
+        super().stop(timeout)
+
     def relieve(self) -> None:
         """Find threads for the requests that are queued; call this often."""
         self._guard.end_late(self._list_waiting())
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,10 +3,13 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
+from nutmegchute_daemon import exchanges
 from nutmegchute_daemon.exchanges import DISCARD_BYTES
 from nutmegchute_daemon.exchanges import StrictRequest
+from nutmegchute_daemon.guards import Client
 from nutmegchute_daemon.servers import HttpServer
 from nutmegchute_daemon.servers import INITIAL_THREADS
 from nutmegchute_daemon.servers import STOP_TIMEOUT_S
@@ -124,3 +127,29 @@
         assert client.recv(1000).startswith(b"HTTP/1.1 200")
     assert [one.recv(1) for one in silent] == [b"", b""]
     server.stop()
+
+
+def test_unread_answer_does_not_delay_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a stop that lasts as long as a client does not read."""
+    monkeypatch.setattr(exchanges, "CALLER_TIMEOUT_S", 600.0)
+    server = HttpServer(find_free_address(), 2)
+    clients: list[Client] = []
+
+    def answer(http: StrictRequest) -> None:
+        clients.append(http.conn.client)
+        http.begin(200, [("Content-Length", str(LONG_BODY))])
+        http.write(bytes(LONG_BODY))
+
+    server.add_handler(b"/", answer)
+    server.start()
+    with connect(server) as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not clients or not clients[0].is_kept_waiting(time.monotonic()):
+            time.sleep(0.01)
+        stopping = threading.Thread(target=server.stop, daemon=True)
+        stopping.start()
+        stopping.join(60.0)
+        assert not stopping.is_alive()
