Log whether a replica is current and when callers left

New: NC2026 and NC2027 with the reason, replica in a router's NC3001, the gauge control_age_s, left_ms in NC3016. No decision changes. test_voters_are_logged_once expects the new line, too.

--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -49,6 +49,10 @@
 CANDIDATE = "candidate"
 LEADER = "leader"
 
+# Why the state of a replica may be outdated.
+WITHOUT_CONTACT = "without contact"
+BEHIND_LEADER = "behind the leader"
+
 REPLICA_CHART = load_chart("replica")
 
 
@@ -218,7 +222,13 @@
         A replica in contact with the leader may still look for the entries
         on which both agree, or receive a snapshot.
         """
-        return self.in_contact(now) and not self._is_behind
+        return not self.staleness(now)
+
+    def staleness(self, now: float) -> str:
+        """Return why this replica's state may be outdated, empty if not."""
+        if not self.in_contact(now):
+            return WITHOUT_CONTACT
+        return BEHIND_LEADER if self._is_behind else ""
 
     def match_index(self, identity: str) -> int | None:
         """Return the last index at which a replica's log matches this one."""
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -412,6 +412,7 @@
                 continue
             if is_peer_closed(call.socket_number):
                 self._metrics.count("abandoned")
+                call.record.left_ms = round((now - opened_at) * 1000, 1)
                 self._abandon(call_id)
 
     def end_all(self) -> None:
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -80,6 +80,8 @@
     GRANTS_BEGUN = ("NC2024", "replica grants permits")
     GRANTS_ENDED = ("NC2025", "replica grants no permits")
     EVACUATION_ORDERED = ("NC2023", "evacuation begun or finished")
+    STATE_CURRENT = ("NC2026", "state of the replica is current")
+    STATE_OUTDATED = ("NC2027", "state of the replica may be outdated")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
     LEASE_EXPIRED = ("NC3010", "configuration lease expired")
--- a/packages/daemon/nutmegchute_daemon/pending_calls.py
+++ b/packages/daemon/nutmegchute_daemon/pending_calls.py
@@ -80,6 +80,7 @@
     __slots__ = (
         "ahead",
         "ended_at",
+        "left_ms",
         "opened_at",
         "outcome",
         "priority",
@@ -96,6 +97,9 @@
         # its answer is written.
         self.opened_at: float | None = None
         self.ended_at: float | None = None
+        # When its caller was found to have left, in milliseconds from its
+        # admission; None while it is connected.
+        self.left_ms: float | None = None
         self.route = ""
         self.service = ""
         self.outcome = "gone"
--- a/packages/daemon/nutmegchute_daemon/quorums.py
+++ b/packages/daemon/nutmegchute_daemon/quorums.py
@@ -11,16 +11,19 @@
 
 
 class QuorumReport:
-    """Log changes of the voters and long times without a leader."""
+    """Log changes of the voters and whether this replica is current."""
 
-    __slots__ = ("_leaderless_since", "_membership")
+    __slots__ = ("_leaderless_since", "_membership", "_staleness")
 
     def __init__(self, now: float) -> None:
         self._membership = Membership()
         self._leaderless_since = now
+        # None until the first update.
+        self._staleness: str | None = None
 
     def update(self, replica: Replica, now: float) -> None:
-        """Log a changed membership, or that there has long been no leader."""
+        """Log what has changed, or that there has long been no leader."""
+        self._log_staleness(replica, now)
         membership = replica.membership
         if membership != self._membership:
             self._membership = membership
@@ -47,6 +50,20 @@
             last_index=replica.last_index,
         )
 
+    def _log_staleness(self, replica: Replica, now: float) -> None:
+        staleness = replica.staleness(now)
+        if staleness == self._staleness:
+            return
+        self._staleness = staleness
+        log(
+            Event.STATE_OUTDATED if staleness else Event.STATE_CURRENT,
+            reason=staleness,
+            state=replica.state,
+            term=replica.term,
+            committed=replica.commit_index,
+            last_index=replica.last_index,
+        )
+
 
 def _names(membership: Membership, identities: list[str]) -> list[str]:
     names = []
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -72,6 +72,8 @@
 # Age of the last reply from control up to which an unknown key is denied. A
 # watch is held for 0.8 s.
 KEYS_FRESH_S = 1.2
+# The most that the gauge of this age shows, also before the first reply.
+MAX_CONTROL_AGE_S = 3600.0
 # How long a call with an unknown key waits for a newer configuration. A key
 # may be used as soon as control has accepted it; routers whose replica
 # follows the leader have it a heartbeat of 0.2 s later, 0.35 s on busy vms.
@@ -220,6 +222,9 @@
             "upstreams": len(self._catalog.live()),
             "entries": self._entry_count,
             "config_index": self._tree.index,
+            "control_age_s": min(
+                MAX_CONTROL_AGE_S, boot_time() - self._contact_at
+            ),
             "limited": self._balancer.count_limited(),
             "permits_waiting": self._quotas.waiting,
             "organisations_at_quota": self._quotas.count_exhausted(),
@@ -431,6 +436,7 @@
             told=record.told,
             relayed=call.is_relayed,
             reason=record.reason,
+            left_ms=record.left_ms,
             ahead=record.ahead,
             priority=record.priority,
             ms=record.ms,
@@ -490,7 +496,7 @@
         if reply.evacuations is not None:
             self._dispatcher.apply_evacuations(reply.evacuations)
         if reply.tree is not None and self._tree.apply_reply(reply.tree):
-            self._apply_tree()
+            self._apply_tree(replica)
         if reply.quarantine is not None:
             self._dispatcher.apply_quarantine(reply.quarantine)
         if reply.helpers is not None:
@@ -535,7 +541,7 @@
             call.arrival.deduct_wait(now - held_at)
             self._route(call)
 
-    def _apply_tree(self) -> None:
+    def _apply_tree(self, replica: str) -> None:
         documents = self._tree.documents
         self._balancer.configure(read_services(documents), self._loop.time())
         # Replaced in one step, between two calls: if each worker thread
@@ -551,6 +557,7 @@
             Event.CONFIG_APPLIED,
             index=self._tree.index,
             revisions=self._tree.revisions,
+            replica=replica,
         )
         self._update_upstreams()
 
--- a/tests/test_quorums.py
+++ b/tests/test_quorums.py
@@ -10,6 +10,7 @@
 from nutmegchute_core.messages import Snapshot
 from nutmegchute_core.messages import VoteReply
 from nutmegchute_core.replicas import Replica
+from nutmegchute_core.replicas import WITHOUT_CONTACT
 from nutmegchute_daemon import quorums
 from nutmegchute_daemon.events import Event
 from nutmegchute_daemon.quorums import LEADERLESS_S
@@ -47,6 +48,16 @@
     report.update(build_replica(), 0.1)
     report.update(build_replica(), 0.2)
     assert lines == [
+        (
+            Event.STATE_OUTDATED,
+            {
+                "reason": WITHOUT_CONTACT,
+                "state": "follower",
+                "term": 3,
+                "committed": 0,
+                "last_index": 0,
+            },
+        ),
         (
             Event.VOTERS_CHANGED,
             {
@@ -55,7 +66,7 @@
                 "majority": 3,
                 "index": 0,
             },
-        )
+        ),
     ]
 
 
