--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -298,8 +298,8 @@
             self._messages.append(HandOver(self._identity, best, self.term))
 
     @property
-    def is_dispensable(self) -> bool:
-        """Return whether the group can do without this replica's vote."""
+    def should_retire(self) -> bool:
+        """Return whether to give up this replica's vote before it stops."""
         membership = self.membership
         if self._identity not in membership.voters:
             return False
--- a/packages/daemon/nutmegchute_daemon/consensus.py
+++ b/packages/daemon/nutmegchute_daemon/consensus.py
@@ -311,7 +311,7 @@
 
     async def _retire(self, node: Node) -> None:
         give_up_at = self._loop.time() + RETIRE_TIMEOUT_S
-        while node.replica.is_dispensable and self._loop.time() < give_up_at:
+        while node.replica.should_retire and self._loop.time() < give_up_at:
             node.replica.retire(self._loop.time())
             self._flush()
             await asyncio.sleep(RETIRE_PERIOD_S)
--- a/packages/fakes/nutmegchute_fakes/call_servers.py
+++ b/packages/fakes/nutmegchute_fakes/call_servers.py
@@ -1,8 +1,10 @@
 """Serve callers as an entry does, in this process, without control."""
 
 import asyncio
+import contextlib
 import socket
 import threading
+from collections.abc import Iterator
 from functools import partial
 from typing import Any
 
@@ -97,6 +99,16 @@
         """Return the number of calls without an outcome."""
         return int(self._runner.run_sync(lambda: self._balancer.in_flight))
 
+    @contextlib.contextmanager
+    def pause(self) -> Iterator[None]:
+        """Hold the loop; worker threads go on."""
+        resume = threading.Event()
+        self._loop.call_soon_threadsafe(resume.wait)
+        try:
+            yield
+        finally:
+            resume.set()
+
     def use_balancer(self, balancer: Any) -> None:
         """Replace the balancer; later calls use the new one."""
         self._runner.run_sync(self._build_dispatcher, balancer)
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -181,7 +181,7 @@
             return
         replica = self.node.replica
         late = self._cluster.now - since >= RETIRE_S
-        if late or not replica.is_dispensable:
+        if late or not replica.should_retire:
             self.kill()
             return
         replica.retire(self._cluster.now)
@@ -577,12 +577,16 @@
         """Advance the clock, then check the invariants."""
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
-            time, _, action = heapq.heappop(self._events)
-            self.now = max(self.now, time)
-            action()
+            self.step()
         self.now = end
         self.check()
 
+    def step(self) -> None:
+        """Run the next event."""
+        time, _, action = heapq.heappop(self._events)
+        self.now = max(self.now, time)
+        action()
+
     def run_until(
         self, condition: Callable[[], bool], timeout_s: float
     ) -> bool:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from nutmegchute_core import nodes
 from nutmegchute_core.commands import NoOp
 from nutmegchute_core.errors import ReconfigurationError
 from nutmegchute_core.follow_protocol import Enroll
@@ -580,3 +581,84 @@
             1.0,
         )
         assert follower.is_current(1.0) == is_current
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("seed", range(6))
+def test_current_replica_has_every_accepted_change(
+    seed: int, size: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A leader is elected and has committed nothing of its term yet.
+
+    Neither it nor its followers know then what was accepted before. A router
+    that starts would get the configuration of the last snapshot from them
+    and refuse the requests of newer routes.
+    """
+    monkeypatch.setattr(nodes, "SNAPSHOT_ENTRIES", 3)
+    cluster = SimulatedCluster(size, entries=0, seed=seed)
+    wait_until_ready(cluster)
+    for number in range(5):
+        change_until_accepted(cluster, f"change-{number}", number)
+    replicas = list(cluster.replicas.values())
+    for replica in replicas:
+        replica.kill()
+    for replica in replicas:
+        replica.start()
+    end = cluster.now + 4.0
+    current: set[str] = set()
+    while cluster.now < end:
+        cluster.step()
+        for replica in replicas:
+            node = replica.node
+            if node is None or not node.replica.is_current(cluster.now):
+                continue
+            current.add(replica.name)
+            assert node.machine.tree.revisions == {"lending": 5}
+    assert current == set(cluster.names)
+
+
+def build_demoted_replica() -> Replica:
+    """Build a replica whose last entry, not committed, demotes itself."""
+    before = Membership([Member(one, one) for one in "abcd"])
+    change = Reconfigure(before.demoted("c"), "control", "c votes no more")
+    log = Log(Snapshot(membership=before), [LogEntry(1, 1, change)])
+    return Replica("c", HardState(1, None), log, 0.0, 1)
+
+
+def test_replica_campaigns_until_its_demotion_is_committed() -> None:
+    """A leader is lost for good while it demotes a replica.
+
+    That replica alone has the newest entry, so it denies the others its
+    vote, and they need it. If it did not stand itself, nobody would be
+    elected ever again.
+    """
+    replica = build_demoted_replica()
+    replica.tick(1.0)
+    asked = [
+        one.target
+        for one in replica.take_effects().messages
+        if isinstance(one, VoteRequest)
+    ]
+    assert asked == ["a", "b", "d"]
+
+
+def test_demoted_replica_does_not_campaign() -> None:
+    """A learner whose demotion is committed leaves elections to others."""
+    replica = build_demoted_replica()
+    request = AppendRequest("a", "c", 1, 1, 1, 1, [], 1)
+    replica.receive(request, 0.0)
+    replica.take_effects()
+    replica.tick(9.0)
+    assert replica.take_effects().messages == []
+
+
+def test_replica_waits_until_its_demotion_is_committed() -> None:
+    """A replica is told to stop and learns that its vote was given up.
+
+    If the leader were lost before it has committed that, the others would
+    need the replica, which had ended for good.
+    """
+    replica = build_demoted_replica()
+    assert replica.should_retire
+    replica.receive(AppendRequest("a", "c", 1, 1, 1, 1, [], 1), 0.0)
+    assert not replica.should_retire
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -13,7 +13,9 @@
 from nutmegchute_daemon.watchers import FIRST_TIMEOUT_S
 from nutmegchute_daemon.watchers import WATCH_MARGIN_S
 from nutmegchute_daemon.watchers import Watcher
+from virtual_time import run_virtual
 
+RENEW_GAP_S = 0.1
 ADDRESS = "10.1.0.1:7000"
 ZONE = "surco"
 
@@ -119,3 +121,39 @@
     assert links.opened == [FIRST_TIMEOUT_S]
     assert links.timeouts[0] == WATCH_MARGIN_S
     assert links.dropped == 0
+
+
+class SilentLinks(FakeLinks):
+    """Answer the first request; later ones time out."""
+
+    async def send_request(
+        self, address: str, method: Any, request: Any, timeout_s: float
+    ) -> WatchReply | None:
+        """Return the first reply, then None after the timeout."""
+        if self.replies:
+            return self.replies.pop(0)
+        await asyncio.sleep(timeout_s)
+        return None
+
+
+def test_renewed_requests_time_out_together() -> None:
+    """A replica falls silent while the entry renews its request often.
+
+    If each renewal had a timeout of its own, the entry would stay with the
+    silent replica and keep an old configuration for as long as it renews.
+    """
+
+    async def run() -> None:
+        links = SilentLinks(WatchReply({}, 1))
+        chooser = ReplicaChooser("r1", ZONE, [ADDRESS])
+        watcher = Watcher(chooser, cast(Links, links), FakeEntry())
+        watcher.start()
+        renewed_s = 0.0
+        while renewed_s < WATCH_HOLD_S + WATCH_MARGIN_S + RENEW_GAP_S:
+            await asyncio.sleep(RENEW_GAP_S)
+            watcher.renew()
+            renewed_s += RENEW_GAP_S
+        watcher.stop()
+        assert links.dropped == 1
+
+    run_virtual(run())
