Do not count a replica as current under a leader without a commit

Cause: a leader knows what earlier terms committed only once it has committed an entry of its own (Raft, 5.4.2). Reads and the entries' polls waited for that; the flag by which routers rely on a replica did not.

A replica is current once the entry at its commit index is of its leader's term: only then is what it has applied all that was acknowledged before. The first commit of a term is sent at once and not with the next heartbeat, so that followers need one round trip for it.

Two tests called a replica current whose last committed entry was of an earlier term than its leader, which is the fault. They now require that it is not current then, and that it is after a commit of that term.

--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -52,6 +52,7 @@
 # Why the state of a replica may be outdated.
 WITHOUT_CONTACT = "without contact"
 BEHIND_LEADER = "behind the leader"
+NOTHING_COMMITTED = "nothing committed under this leader"
 
 REPLICA_CHART = load_chart("replica")
 
@@ -220,7 +221,8 @@
         """Return whether this replica's state is that of the majority.
 
         A replica in contact with the leader may still look for the entries
-        on which both agree, or receive a snapshot.
+        on which both agree, or receive a snapshot. A new leader does not know
+        which entries of earlier terms are committed.
         """
         return not self.staleness(now)
 
@@ -228,7 +230,11 @@
         """Return why this replica's state may be outdated, empty if not."""
         if not self.in_contact(now):
             return WITHOUT_CONTACT
-        return BEHIND_LEADER if self._is_behind else ""
+        if self._is_behind:
+            return BEHIND_LEADER
+        if self._log.term_at(self._commit_index) != self.term:
+            return NOTHING_COMMITTED
+        return ""
 
     def match_index(self, identity: str) -> int | None:
         """Return the last index at which a replica's log matches this one."""
@@ -649,7 +655,11 @@
             or self._log.term_at(index) != self.term
         ):
             return
+        was_ready = self.is_ready
         self._commit_index = index
+        if not was_ready:
+            # The followers' states count as outdated until they know.
+            self._append_due = True
         removed = self._identity not in self.membership.voters
         if removed and self._log.membership_index <= index:
             self._broadcast(leadership)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -564,8 +564,10 @@
     follower.receive(AppendRequest("r1", "r2", 3, 1, 7, 1, [], 8), 1.0)
     assert follower.in_contact(1.0)
     assert not follower.is_current(1.0)
-    entries = [LogEntry(1, index, NoOp()) for index in (6, 7, 8)]
-    follower.receive(AppendRequest("r1", "r2", 3, 2, 5, 1, entries, 8), 1.1)
+    entries = build_entries({1: 7, 3: 8})[5:]
+    follower.receive(AppendRequest("r1", "r2", 3, 2, 5, 1, entries, 7), 1.1)
+    assert not follower.is_current(1.1)
+    follower.receive(AppendRequest("r1", "r2", 3, 2, 8, 3, [], 8), 1.1)
     assert follower.is_current(1.1)
     follower.receive(AppendRequest("r1", "r2", 3, 3, 8, 1, [], 9), 1.2)
     assert not follower.is_current(1.2)
@@ -574,6 +576,8 @@
 def test_replica_that_receives_a_snapshot_is_not_current() -> None:
     """Routers served an old tree of a replica that had half a snapshot."""
     follower = build_follower(last=2)
+    assert not follower.is_current(1.0)
+    follower.receive(AppendRequest("r2", "r1", 2, 1, 2, 2, [], 2), 1.0)
     assert follower.is_current(1.0)
     for offset, is_current in ((0, False), (1, True)):
         follower.receive(
