Let a replica stand while its demotion is not committed

Cause: the leader demotes the replaced replica by an entry that this one may receive first. If the leader is lost for good then, the replica alone holds the newest entry: it denies the others its vote, as their logs are older, they need it, as their membership counts it, and it did not stand itself, as the newest membership of its own log gives it no vote.

All machines that lost power were back, also the one that did not count any more; no loss beyond the one disk.

A replica stands if the newest or the committed membership gives it a vote, as the Raft thesis has it (4.2.2). A learner whose demotion is committed still leaves elections to the others.

--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -348,7 +348,7 @@
             return
         if now < self._election_at:
             return
-        if self._identity not in self.membership.voters:
+        if not self._may_stand:
             self._reset_election(now)
             return
         self._start_pre_vote(now)
@@ -433,6 +433,27 @@
         )
         self.reconfigure(change, now)
 
+    @property
+    def _may_stand(self) -> bool:
+        """Return whether this replica may stand for election.
+
+        One whose demotion is not committed may have to: if it alone holds the
+        newest entry, it denies all others its vote, which they may still
+        need (Ongaro, "Consensus: Bridging Theory and Practice", 4.2.2).
+        """
+        return self._is_voter or self._was_voter
+
+    @property
+    def _is_voter(self) -> bool:
+        """Return whether the newest membership gives this replica a vote."""
+        return self._identity in self.membership.voters
+
+    @property
+    def _was_voter(self) -> bool:
+        """Return whether the committed membership gave it a vote."""
+        committed = self._log.membership_at(self._commit_index)
+        return self._identity in committed.voters
+
     def _start_pre_vote(self, now: float) -> None:
         # A pre-vote, which does not raise the term, keeps a replica that was
         # partitioned or frozen from deposing a working leader.
