Wait with a stop until the demotion is committed

What callers could see: each call refused for ever after a planned replacement, where the leader's disk and all power are lost in the same moment.

Cause: a replica that is told to stop gives its vote up and ended as soon as its own log said so, by an entry that only the leader and itself might hold. If the leader is lost before the entry is committed, the membership of the others still counts the replica, which never returns: two of four votes are no majority.

The stop goes on once the replica's own commit index covers the entry, which the leader's next message brings, and after 1 s at the latest, as before.

--- a/packages/core/nutmegchute_core/replicas.py
+++ b/packages/core/nutmegchute_core/replicas.py
@@ -306,9 +306,10 @@
     @property
     def should_retire(self) -> bool:
         """Return whether to give up this replica's vote before it stops."""
+        if not self._is_voter:
+            # Until its demotion is committed, the others may need it.
+            return self._was_voter
         membership = self.membership
-        if self._identity not in membership.voters:
-            return False
         if membership.learners:
             return True
         return len(membership.voters) > MIN_VOTERS
