Let renewed requests to control share one time-out

What callers could see: a router that keeps an old configuration and old endpoints for as long as its watched replica is silent and it renews its request more often than once in 1.4 s, which it does after each pause of its own and whenever its links to endpoints are lost or back.

Cause: each renewal began a new time-out, so none ever ended and no other replica was asked.

Now the replica is given up 1.4 s after the first request that it did not answer.

--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -156,16 +156,23 @@
             )
 
     async def _request(self, address: str, hold_s: float) -> WatchReply | None:
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
         timeout_s = WATCH_MARGIN_S + hold_s
-        while True:
+        left_s = timeout_s
+        while left_s > 0:
+            hold_s = min(hold_s, max(0.0, left_s - WATCH_MARGIN_S))
             request = self._entry.build_request(hold_s)
             self._pending = asyncio.ensure_future(
-                self._links.send_request(address, WATCH, request, timeout_s)
+                self._links.send_request(address, WATCH, request, left_s)
             )
             await asyncio.wait([self._pending])
             if not self._pending.cancelled():
                 return self._pending.result()
-            # Cancelled by renew(): send the present state instead.
+            # Cancelled by renew(): send the present state instead, within
+            # the same time, since the replica may be silent.
+            left_s = begun_at + timeout_s - loop.time()
+        return None
 
     def _report_contact(self, address: str, lost: bool) -> None:
         if lost == self._contact_lost:
