Notice callers that have left before each send and within bodies

What callers saw: nothing; endpoints worked for callers that had left, and others waited for the room.

A body beyond its buffered start, or a second request, hid it: the call stayed in the queue until its deadline and was sent. - A call that the loop came to late, at a start, after a pause, or beside many others, was sent 0.1 to 0.2 s before its caller was looked for. - Within an answer nobody looked: a slow endpoint went on.

The state of the connection is asked of the kernel (POLLRDHUP), which tells it whatever is unread; before each send; and until the last byte of the answer. A call that was never sent returns its permit. A caller that closes its sending side alone counts as gone, as before where nothing was unread.

Two tests made calls with an invalid socket, that is without a caller; the calls now have one that stays.

--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -406,14 +406,8 @@
                 until = exchange.wait_until
                 if until is not None and now > until:
                     exchange.end()
-            if call_id not in self._calls or call.claimed:
-                # A claimed call continues without its caller: its outcome
-                # is recorded, and returned when the key is sent again.
-                continue
-            if is_peer_closed(call.socket_number):
-                self._metrics.count("abandoned")
-                call.record.left_ms = round((now - opened_at) * 1000, 1)
-                self._abandon(call_id)
+            if self._has_left(call):
+                self._end_departed(call_id)
 
     def end_all(self) -> None:
         """End every call now and interrupt the answers under way."""
@@ -430,6 +424,28 @@
         """Shut down the hedging threads."""
         self._hedge_threads.shutdown(wait=False, cancel_futures=True)
 
+    def _has_left(self, call: PendingCall) -> bool:
+        """Return whether an endpoint works for a caller that has left."""
+        if call.record.ended_at is not None or call.record.left_ms is not None:
+            return False
+        if call.claimed and call.call_id in self._calls:
+            # It continues without its caller: its outcome is recorded, and
+            # returned when the key is sent again.
+            return False
+        return is_peer_closed(call.socket_number)
+
+    def _end_departed(self, call_id: int) -> None:
+        """End a call whose caller has left, also within its answer."""
+        opened_at, call = self._open_calls.get(call_id, (0.0, None))
+        if call is None:
+            return
+        self._metrics.count("abandoned")
+        left_s = self._loop.time() - opened_at
+        call.record.left_ms = round(left_s * 1000, 1)
+        self._abandon(call_id)
+        for exchange in call.exchanges.values():
+            exchange.end()
+
     def _report_crash(self, call: PendingCall, send: dict[str, Any]) -> None:
         send["crashed"] = True
         self._metrics.count("crashes")
@@ -444,6 +460,10 @@
         )
 
     def _send(self, call: PendingCall, send: Send) -> None:
+        if self._has_left(call):
+            # Not here, since actions are being carried out.
+            self._loop.call_soon(self._end_departed, call.call_id)
+            return
         exchange = Exchange()
         call.exchanges[send.attempt] = exchange
         now = self._loop.time()
@@ -491,7 +511,9 @@
         _, call = self._open_calls.get(cancel.call_id, (0.0, None))
         if call is None:
             return
-        call.exchanges[cancel.attempt].end()
+        exchange = call.exchanges.get(cancel.attempt)
+        if exchange is not None:
+            exchange.end()
         if call.worker_attempt == cancel.attempt:
             # The worker is free for what follows.
             call.worker_attempt = None
--- a/packages/daemon/nutmegchute_daemon/sockets.py
+++ b/packages/daemon/nutmegchute_daemon/sockets.py
@@ -1,21 +1,16 @@
 """Check a connection without consuming its data."""
 
-import socket
+import select
+
+# Also set while data is unread, which may hide the end of the stream.
+_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
 def is_peer_closed(socket_number: int) -> bool:
     """Return whether the other side has closed its connection."""
-    try:
-        sock = socket.socket(fileno=socket_number)
-    except OSError:
-        return True
-    try:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return sock.recv(1, flags) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
+    if socket_number < 0:
+        # This side has closed it already.
         return True
-    finally:
-        # The worker owns the descriptor; detaching keeps it open.
-        sock.detach()
+    poll = select.poll()
+    poll.register(socket_number, select.POLLRDHUP)
+    return any(events & _CLOSED for _, events in poll.poll(0))
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -1,6 +1,7 @@
 """Test what the calls of an entry are answered when it stops."""
 
 import asyncio
+import socket
 
 from nutmegchute_core.balancers import Balancer
 from nutmegchute_core.calls import CallAction
@@ -36,6 +37,8 @@
 
     def __init__(self, *endpoints: str) -> None:
         self.settled: list[str] = []
+        # All calls come from one caller, which stays.
+        self._connection, self._caller = socket.socketpair()
         self.balancer = Balancer(seed=1)
         services = read_services({"a": team(desk=RULES)})
         self.balancer.configure(services, 0.0)
@@ -57,7 +60,7 @@
         call = PendingCall(
             Arrival("desk", method, "/", 2.0, 1),
             Request(method, "/", HTTPHeaderDict(), b""),
-            -1,
+            self._connection.fileno(),
         )
         call.needs_helper = needs_helper
         self.dispatcher.admit(call, 2.0)
--- a/tests/test_quota_clients.py
+++ b/tests/test_quota_clients.py
@@ -269,10 +269,11 @@
         )
         returned: list[PendingCall] = []
         dispatcher.on_not_run = returned.append
+        connection, _caller = socket.socketpair()
         call = PendingCall(
             Arrival("desk", "GET", "/", 2.0, 1, key=b"k1"),
             Request("GET", "/", HTTPHeaderDict(), b""),
-            -1,
+            connection.fileno(),
         )
         dispatcher.admit(call, 2.0)
         await asyncio.sleep(0.1)
