--- a/packages/daemon/nutmegchute_daemon/callers.py
+++ b/packages/daemon/nutmegchute_daemon/callers.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -96,6 +97,7 @@
         "_sender",
         "body_bytes",
         "buffer_limit",
+        "config_index",
         "dispatcher",
         "refusal",
         "refusal_retry_s",
@@ -123,6 +125,8 @@
         self._name = name
         self.body_bytes = body_bytes
         self.buffer_limit: BufferLimit = _default_buffer_limit
+        # Returns the log index of the configuration in force here.
+        self.config_index: Callable[[], int] = _no_index
         self._lock = threading.Lock()
         # The clients of the calls that are served at present.
         self._clients: set[Client] = set()
@@ -155,6 +159,12 @@
             http.close_connection = True
             self._refuse(http, 503, "unknown token", 0.0, ELSEWHERE)
             return
+        if self.config_index() < door.required_index(http):
+            # It may have it a moment later, so that it is not avoided.
+            http.close_connection = True
+            reason = "configuration is older"
+            self._refuse(http, 503, reason, 0.0, FULL)
+            return
         self._answer(http, door)
 
     def _answer(self, http: StrictRequest, door: RelayDoor | None) -> None:
@@ -178,7 +188,9 @@
         sender = self._sender
         target = request.target
         if isinstance(send, Relay):
-            headers = self._relay_format.headers(call, send, remaining_ms)
+            headers = self._relay_format.headers(
+                call, send, remaining_ms, self.config_index()
+            )
             sender = self._relay_sender
             target = self._format.relayed_target(call)
         else:
@@ -478,6 +490,11 @@
         http.write(body)
 
 
+def _no_index() -> int:
+    """Return the index of an entry that has no configuration."""
+    return 0
+
+
 def _default_buffer_limit(host: str, path: str) -> int:
     """Return the number of bytes buffered where no route sets another."""
     return BUFFER_BYTES
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -160,6 +160,7 @@
         self._dispatcher.on_links = self._report_links
         self._prober.on_check = self._dispatcher.record_check
         self._handler.dispatcher = self
+        self._handler.config_index = lambda: self._follower.index
         pages = EntryPages(self, self._runner, settings.entries_keep_s)
         pages.drain = DrainPage(settings, self._runner, self.stop)
         self._http.mount(open_pages(pages))
--- a/packages/daemon/nutmegchute_daemon/protocols.py
+++ b/packages/daemon/nutmegchute_daemon/protocols.py
@@ -18,6 +18,7 @@
 # Names the attempt of a call, in its request and in the answer to it.
 RELAY_CALL_HEADER = "Nutmegchute-Relay-Call"
 RELAY_CLAIMED_HEADER = "Nutmegchute-Relay-Claimed"
+RELAY_CONFIG_HEADER = "Nutmegchute-Relay-Config"
 RELAY_KEY_HEADER = "Nutmegchute-Relay-Key"
 RELAY_OUTCOME_HEADER = "Nutmegchute-Relay-Outcome"
 RELAY_REASON_HEADER = "Nutmegchute-Relay-Reason"
--- a/packages/daemon/nutmegchute_daemon/relays.py
+++ b/packages/daemon/nutmegchute_daemon/relays.py
@@ -28,6 +28,7 @@
 from .protocols import OUTCOME_HEADER
 from .protocols import RELAY_CALL_HEADER
 from .protocols import RELAY_CLAIMED_HEADER
+from .protocols import RELAY_CONFIG_HEADER
 from .protocols import RELAY_KEY_HEADER
 from .protocols import RELAY_OUTCOME_HEADER
 from .protocols import RELAY_PREFIX
@@ -65,15 +66,23 @@
         self._origin = secrets.token_urlsafe(ORIGIN_BYTES)
 
     def headers(
-        self, call: PendingCall, relay: Relay, remaining_ms: int
+        self,
+        call: PendingCall,
+        relay: Relay,
+        remaining_ms: int,
+        config_index: int,
     ) -> HTTPHeaderDict:
-        """Return the headers of a call that is passed on."""
+        """Return the headers of a call that is passed on.
+
+        A helper with an older configuration than ``config_index`` refuses it.
+        """
         relay_id = build_relay_id(self._origin, relay.call_id, relay.attempt)
         # The first header, so that a helper that refuses a call before it has
         # read all of the head knows the id.
         headers = HTTPHeaderDict({RELAY_CALL_HEADER: relay_id})
         headers.extend(self._calls.relayed_headers(call, remaining_ms))
         headers[RELAY_TOKEN_HEADER] = relay.token
+        headers[RELAY_CONFIG_HEADER] = str(config_index)
         if call.arrival.key is not None:
             headers[RELAY_KEY_HEADER] = prove_key(
                 call.arrival.key, relay.token
@@ -160,6 +169,14 @@
         token = http.inheaders.get(RELAY_TOKEN_HEADER.encode(), b"")
         return hmac.compare_digest(token, self.address.token.encode())
 
+    def required_index(self, http: StrictRequest) -> int:
+        """Return the index of the configuration that a call needs, or 0.
+
+        Entries of an earlier build name none.
+        """
+        value = http.inheaders.get(RELAY_CONFIG_HEADER.encode(), b"")
+        return int(value) if value.isdigit() else 0
+
     def describe(self, http: StrictRequest, call: PendingCall) -> None:
         """Record on a call what the entry that passed it on says of it."""
         headers = http.inheaders
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -196,6 +196,7 @@
         self._prober.on_result = self._dispatcher.record_probe
         self._handler.dispatcher = self
         self._handler.buffer_limit = self._buffer_bytes
+        self._handler.config_index = lambda: self._tree.index
         self._http.add_handler(ALL_PATHS, self._handler)
         self._relays = self.add_relay_listener(self._door, self._handler)
         health = self.add_listener(
--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -31,6 +31,7 @@
 UNKNOWN = b"Nutmegchute-Outcome: unknown"
 TOKEN = "token"
 DEADLINE_S = 1.0
+DEADLINE_MS = 1000
 _ID = re.compile(rb"Nutmegchute-Relay-Call: ([^\r]*)\r\n")
 
 # Writes a name into an answer, or several, or none.
@@ -511,3 +512,27 @@
     assert result.refusal is not None and result.refusal.brief
     assert result.naming == "this request"
     assert site.count_ran() == before
+
+
+@pytest.mark.parametrize(
+    ("own", "of_helper"), [(5, 4), (5, 0), (5, 5), (5, 6)]
+)
+def test_helper_with_an_older_configuration_runs_nothing(
+    site: Site, own: int, of_helper: int
+) -> None:
+    """A helper has lost control and lacks the newest configuration.
+
+    It would send a call to the service of an older route, or answer that a
+    new route does not exist, for an entry that knows better.
+    """
+    helper = site.serve_by(faulty_upstreams.answer, DEADLINE_MS)
+    site.entry.handler.config_index = lambda: own
+    helper.handler.config_index = lambda: of_helper
+    answer = site.entry.call("/loan", "POST", b"x")
+    if of_helper >= own:
+        assert answer.startswith(b"HTTP/1.1 200")
+        return
+    assert REFUSED in answer
+    assert site.count_ran() == 0
+    (result,) = site.balancer.results
+    assert result.refusal is not None and result.refusal.elsewhere
