Take only calls that can end before the stop

What callers saw: in a planned stop, calls that came late in the grace were passed on and given up with a 502 at its end, among them calls that may not be repeated.

Cause: a stopping router passed every call on for three seconds, whatever its endpoint needs and however long the grace is, and an entry for as long as callers keep its address. A second SIGTERM ended all calls at once.

All others are refused at once as not run, to come back elsewhere; queued ones as soon as no endpoint can end them in time. The time limit of a router is half a second before the end of its shutdown limit.

The time counts up to the first bytes of a long answer, not its end.

--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -32,6 +32,7 @@
 from .pools import Pool
 from .pools import QUEUE_FULL
 from .pools import SHED_RETRY_S
+from .pools import STOPPING
 from .quarantines import FREE
 from .quarantines import QUARANTINED
 from .quarantines import QuarantineUpdate
@@ -62,7 +63,7 @@
 WITHDRAWN = "the key is no longer valid"
 TOO_MANY_SUSPECTS = "too many suspects wait"
 # Reasons for which any other entry would refuse a call as well.
-DECIDED = frozenset({CRASHES, TOO_MANY_SUSPECTS})
+DECIDED = frozenset({CRASHES, STOPPING, TOO_MANY_SUSPECTS})
 
 
 class Balancer:
@@ -206,6 +207,19 @@
             self._apply_changed_demands(now, actions)
         return actions
 
+    def end_at(self, at: float, now: float) -> list[Action]:
+        """Send only calls that are likely to end before a time.
+
+        The entry stops then. Others are refused, as are queued ones when
+        their latest send time has passed.
+        """
+        self._pools.end_at(at)
+        for call in self._calls.values():
+            pool = self._pools.get(call.service)
+            if pool is not None:
+                self._schedule_expiry(pool, call)
+        return self._dispatch_all(now)
+
     def limit_extra_sends(self, share: float, burst: float) -> None:
         """Set this entry's share of each service's retries and hedges."""
         self._pools.limit_extra_sends(share, burst)
@@ -292,6 +306,9 @@
         )
         call.is_relayed = is_relayed
         self._calls[call_id] = call
+        if pool.is_stopped(call, now):
+            refusal = self._refuse_or_lose(pool, call, now, STOPPING)
+            return call_id, [refusal]
         if self.is_cut_off:
             passed_on = self._pass_on(call, now)
             if passed_on is not None:
@@ -947,9 +964,10 @@
         pool = self._pools.get(call.service)
         if pool is not None:
             pool.queue.remove(call.call_id)
-        actions.append(
-            self._refuse_or_lose(pool, call, now, "deadline passed")
-        )
+        reason = "deadline passed"
+        if pool is not None and pool.is_stopped(call, now):
+            reason = STOPPING
+        actions.append(self._refuse_or_lose(pool, call, now, reason))
 
     def _cancel(
         self,
@@ -983,7 +1001,9 @@
         refuse = Refuse(call.call_id, reason, retry_after_s)
         if call.is_relayed:
             links = self._relays.reachability
-            refuse.elsewhere = reason not in DECIDED and links.is_doubtful(now)
+            refuse.elsewhere = reason == STOPPING or (
+                reason not in DECIDED and links.is_doubtful(now)
+            )
         if pool is not None and call.organisation is not None:
             refuse.ahead = pool.count_ahead(call, now)
             refuse.priority = call.organisation.priority
--- a/packages/core/nutmegchute_core/latencies.py
+++ b/packages/core/nutmegchute_core/latencies.py
@@ -3,6 +3,7 @@
 MEAN_WEIGHT = 0.05
 QUANTILE_STEP = 0.1
 INITIAL_LATENCY_S = 0.02
+PEAK_DECAY = 0.005
 
 
 class Quantile:
@@ -29,6 +30,25 @@
             self._value_s *= 1.0 - QUANTILE_STEP * (1.0 - self._share)
 
 
+class Peak:
+    """Estimate the longest latency: raise it at once, lower it slowly."""
+
+    __slots__ = ("_value_s",)
+
+    def __init__(self) -> None:
+        self._value_s: float | None = None
+
+    @property
+    def value_s(self) -> float | None:
+        """Return the estimate, in seconds; None before the first latency."""
+        return self._value_s
+
+    def record(self, latency_s: float) -> None:
+        """Record one latency, in seconds."""
+        lowered_s = (self._value_s or 0.0) * (1.0 - PEAK_DECAY)
+        self._value_s = max(latency_s, lowered_s)
+
+
 class Mean:
     """Estimate an exponentially weighted moving mean."""
 
--- a/packages/core/nutmegchute_core/pool_sets.py
+++ b/packages/core/nutmegchute_core/pool_sets.py
@@ -1,6 +1,7 @@
 """Hold the pools of all services and the settings common to them."""
 
 from collections.abc import Iterable
+from math import inf
 from random import Random
 
 from .demands import Demands
@@ -20,6 +21,7 @@
         "_by_service",
         "_demands",
         "_evacuations",
+        "_end_at",
         "_extra",
         "_inquiry_limit",
         "_policy",
@@ -42,6 +44,7 @@
         self._demands = demands
         self._by_service: dict[str, Pool] = {}
         self._evacuations = EvacuationUpdate(0, [])
+        self._end_at = inf
         self._extra: tuple[float, float] | None = None
         self._inquiry_limit = (0.0, 1.0)
 
@@ -78,6 +81,12 @@
             pools[name] = pool
         self._by_service = pools
 
+    def end_at(self, at: float) -> None:
+        """Send only calls that are likely to end before a time."""
+        self._end_at = at
+        for pool in self.values():
+            pool.end_at(at)
+
     def limit_extra_sends(self, share: float, burst: float) -> None:
         """Set this entry's share of each service's retries and hedges."""
         self._extra = (share, burst)
@@ -133,6 +142,7 @@
             self._warm_ups,
             self._demands,
         )
+        pool.end_at(self._end_at)
         if self._extra is not None:
             pool.limit_extra_sends(*self._extra)
         pool.planner.limit(*self._inquiry_limit)
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -1,5 +1,6 @@
 """Hold one service's endpoints, queue, limits and budgets."""
 
+from math import inf
 from random import Random
 
 from .budgets import ExtraBudget
@@ -61,6 +62,11 @@
 SHED_RETRY_S = (0.01, 0.03)
 QUEUE_FULL = "queue full"
 TOO_LATE = "cannot be answered in time"
+STOPPING = "entry stops before an answer is likely"
+# Other entries can serve the call at once.
+STOPPING_RETRY_S = 0.1
+# A call may take this multiple of the longest latency known.
+LONGEST_MARGIN = 1.25
 # Share of its remaining time that a call may be expected to wait.
 ADMIT_SHARE = 0.5
 # Where calls are held until an endpoint has a free slot, those that can still
@@ -88,6 +94,7 @@
     __slots__ = (
         "_chooser",
         "_demands",
+        "_end_at",
         "_endpoints",
         "_extra",
         "_in_flight",
@@ -124,6 +131,8 @@
         self.eligibility = Eligibility(
             self._chooser, random, warm_ups, service
         )
+        # When this entry ends its calls, as it stops.
+        self._end_at = inf
         self._extra = ExtraBudget()
         self.planner = InquiryPlanner(self._chooser, policy)
         self._probes = ProbeBudget(service.probes_per_s, service.most_entries)
@@ -157,6 +166,8 @@
 
         For a call of an organisation, only the calls before it count.
         """
+        if self.is_stopped(call, now):
+            return STOPPING_RETRY_S
         if not self.queue:
             return EMPTY_QUEUE_RETRY_S
         ahead = len(self.queue)
@@ -186,6 +197,10 @@
         """Return whether endpoints may be queried at all."""
         return self.holds_calls and self.planner.has_budget
 
+    def end_at(self, at: float) -> None:
+        """Send only calls that are likely to end before a time."""
+        self._end_at = at
+
     def limit_extra_sends(self, share: float, burst: float) -> None:
         """Set this entry's share of the retries and hedges."""
         self._extra.limit(share, burst)
@@ -326,9 +341,14 @@
 
     def latest_send_at(self, call: Call) -> float:
         """Return the latest send time to meet the deadline."""
-        if not self._policy.admission:
-            return call.deadline_at
-        return call.deadline_at - self._typical_s(call)
+        latest_at = call.deadline_at
+        if self._policy.admission:
+            latest_at -= self._typical_s(call)
+        return min(latest_at, self._end_at - self._longest_s(call))
+
+    def is_stopped(self, call: Call, now: float) -> bool:
+        """Return whether a call is likely to outlast this entry."""
+        return now >= self._end_at - self._longest_s(call)
 
     def too_late(self, call: Call, now: float) -> bool:
         """Return whether a call sent now would miss its deadline."""
@@ -336,6 +356,8 @@
 
     def unavailable(self, call: Call, now: float) -> Unavailable | None:
         """Return why a queued call cannot be served, or None."""
+        if self.is_stopped(call, now):
+            return Unavailable(STOPPING, STOPPING_RETRY_S)
         if self.too_late(call, now):
             return Unavailable(TOO_LATE)
         until = self.latest_send_at(call)
@@ -640,6 +662,8 @@
         self, call: Call, sent: SentAttempt, result: Result, now: float
     ) -> None:
         endpoint = sent.endpoint
+        if result.outcome == ANSWERED:
+            self._latency_of(call).longest.record(result.latency_s)
         if result.load is not None and self._policy.reports:
             self._chooser.record_load(
                 endpoint, result.load, now, result.stretch
@@ -771,6 +795,14 @@
         max_s = (call.deadline_at - call.arrived_at) * TYPICAL_MAX_SHARE
         return min(max_s, self._latency_of(call).median.value_s)
 
+    def _longest_s(self, call: Call) -> float:
+        """Return how long an attempt of a call may take."""
+        max_s = call.deadline_at - call.arrived_at
+        longest_s = self._latency_of(call).longest.value_s
+        if longest_s is None:
+            return max_s
+        return min(max_s, longest_s * LONGEST_MARGIN)
+
     def _record_latency(
         self, call: Call, sent: SentAttempt, latency_s: float
     ) -> None:
--- a/packages/core/nutmegchute_core/rule_latencies.py
+++ b/packages/core/nutmegchute_core/rule_latencies.py
@@ -3,6 +3,7 @@
 from .endpoints import Endpoint
 from .inquiries import is_nearly_full
 from .inquiries import MAX_REPORT_AGE_S
+from .latencies import Peak
 from .latencies import Quantile
 
 HEDGE_QUANTILE = 0.92
@@ -12,18 +13,20 @@
 
 
 class RuleLatency:
-    """Estimate the median and tail latency of one rule's calls.
+    """Estimate the median, tail and longest latency of one rule's calls.
 
-    ``deadline_s`` is the longest deadline that a caller has sent.
+    ``deadline_s`` is the longest deadline that a caller has sent. The longest
+    latency includes those of cold endpoints.
     """
 
-    __slots__ = ("deadline_s", "median", "tail")
+    __slots__ = ("deadline_s", "longest", "median", "tail")
 
     def __init__(self, objective_s: float) -> None:
         # An entry sees few calls of a rule, and initial estimates that are
         # too low would hedge each of the first ones.
         self.median = Quantile(0.5, objective_s * INITIAL_MEDIAN_SHARE)
         self.tail = Quantile(HEDGE_QUANTILE, objective_s * INITIAL_TAIL_SHARE)
+        self.longest = Peak()
         self.deadline_s = 0.0
 
     def record(self, latency_s: float) -> None:
--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -59,7 +59,7 @@
         self._listeners: dict[str, HttpServer] = {}
         self._stopping = asyncio.Event()
         self._abort_requested = asyncio.Event()
-        self._signal_count = 0
+        self._stop_signalled = False
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -68,7 +68,7 @@
         :raises StartError: an address or the data folder cannot be used
         """
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._on_signal)
+            self._loop.add_signal_handler(number, self._on_signal, number)
         # Without a handler, SIGHUP would end the process.
         self._loop.add_signal_handler(signal.SIGHUP, self._on_sighup)
         try:
@@ -184,13 +184,14 @@
         for reason, count in self._guard.pop_ended().items():
             self._metrics.count(f"clients_ended.{reason}", count)
 
-    def _on_signal(self) -> None:
+    def _on_signal(self, number: int) -> None:
         # A drain by an operator followed by the service manager's signal is
-        # one graceful stop; only a second signal aborts the calls in flight.
-        self._signal_count += 1
-        self._stopping.set()
-        if self._signal_count > 1:
+        # one graceful stop, and service managers may repeat SIGTERM. Only
+        # an interrupt during a stop aborts the calls in flight.
+        if number == signal.SIGINT and self._stop_signalled:
             self._abort_requested.set()
+        self._stop_signalled = True
+        self._stopping.set()
 
     def _on_sighup(self) -> None:
         if self._settings.path is None:
--- a/packages/daemon/nutmegchute_daemon/dispatchers.py
+++ b/packages/daemon/nutmegchute_daemon/dispatchers.py
@@ -409,6 +409,10 @@
             if self._has_left(call):
                 self._end_departed(call_id)
 
+    def end_at(self, at: float) -> None:
+        """Send only calls that are likely to end before a time."""
+        self.perform(self._balancer.end_at(at, self._loop.time()))
+
     def end_all(self) -> None:
         """End every call now and interrupt the answers under way."""
         self._ending = True
--- a/packages/daemon/nutmegchute_daemon/entries.py
+++ b/packages/daemon/nutmegchute_daemon/entries.py
@@ -205,6 +205,8 @@
         """Leave the directory, wait out cached answers, finish the calls."""
         self._directory.drain()
         log(Event.DRAINING)
+        limit_s = self._settings.shutdown_limit_s
+        self._dispatcher.end_at(self._loop.time() + limit_s)
         await self._gossiper.exchange_all()
         # A caller may have just received this address and may cache it for
         # that long; closing earlier would refuse its connection.
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -81,8 +81,7 @@
 # One in so many worker threads may wait so; further unknown keys are denied
 # at once, so that guesses do not keep valid calls out.
 KEY_WAIT_DIVISOR = 8
-# Part of the time limit of a stop that is reserved for writing the last
-# answers and ending the process.
+# Part of the time limit of a stop that is reserved for late answers.
 STOP_MARGIN_S = 0.5
 ALL_PATHS = b"/"
 
@@ -272,7 +271,9 @@
         self._http.disable_keep_alive()
         if self._relays is not None:
             self._relays.disable_keep_alive()
-        await asyncio.sleep(self._settings.send_on_s)
+        limit_s = self._settings.shutdown_limit_s - STOP_MARGIN_S
+        self._dispatcher.end_at(self._loop.time() + limit_s)
+        await asyncio.sleep(min(self._settings.send_on_s, limit_s))
         # Later calls might not be answered before the stop. They are
         # refused, as other entries can serve them at once.
         self._handler.refusal_retry_s = LEAVING_RETRY_S
