--- a/tests/test_relayed_calls.py
+++ b/tests/test_relayed_calls.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import threading
+import tracemalloc
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -32,6 +33,10 @@
 TOKEN = "token"
 DEADLINE_S = 1.0
 DEADLINE_MS = 1000
+LINE_BYTES = 60
+READ_BYTES = 65536
+MAX_MEMORY_BYTES = 4_000_000
+LOAN = b"POST /call/catalogo/loan HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
 _ID = re.compile(rb"Nutmegchute-Relay-Call: ([^\r]*)\r\n")
 
 # Writes a name into an answer, or several, or none.
@@ -536,3 +541,66 @@
     assert site.count_ran() == 0
     (result,) = site.balancer.results
     assert result.refusal is not None and result.refusal.elsewhere
+
+
+def write_without_end(
+    start: bytes, repeated: bytes
+) -> Callable[[UpstreamConnection], None]:
+    """Return a behaviour that writes bytes until its peer closes."""
+
+    def write(connection: UpstreamConnection) -> None:
+        connection.read()
+        connection.write(start)
+        while True:
+            connection.write(repeated * 1000)
+
+    return write
+
+
+ENDLESS = {
+    "no answer": (b"", b"\x00"),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "chunk": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n",
+        b"x",
+    ),
+}
+
+
+@pytest.mark.parametrize("is_helper", [True, False])
+@pytest.mark.parametrize("form", sorted(ENDLESS))
+def test_endless_answer_through_a_helper_ends(
+    site: Site, form: str, is_helper: bool
+) -> None:
+    """A helper, or the endpoint behind it, sends bytes without end.
+
+    The entry must neither keep them nor pass off a part as whole.
+    """
+    behaviour = write_without_end(*ENDLESS[form])
+    if is_helper:
+        site.help_by(behaviour)
+    else:
+        site.serve_by(behaviour, 300)
+    tracemalloc.start()
+    try:
+        with site.entry.connect() as sock:
+            sock.sendall(LOAN + b"Content-Length: 1\r\n\r\nx")
+            status = sock.recv(LINE_BYTES)
+            while piece := receive(sock):
+                assert not piece.endswith(b"\r\n0\r\n\r\n")
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_MEMORY_BYTES
+    if status.startswith(b"HTTP/1.1 200"):
+        assert not is_helper and form in ("body", "chunk")
+
+
+def receive(sock: socket.socket) -> bytes:
+    """Return what arrives next, nothing at the end or after a reset."""
+    try:
+        return sock.recv(READ_BYTES)
+    except ConnectionResetError:
+        return b""
