Let a stopping replica wait three seconds for its successor

What callers could see: each call refused for ever, and no configuration to read, after a planned replacement whose newcomer was out of reach for a moment when the old replica was told to stop, followed by one lost disk and a loss of all power.

Cause: the old replica waited one second for its vote to be taken over and ended with it otherwise, though its vm is killed only after its grace. The others then need a second of silence and a newcomer that has caught up until they do without it.

The wait is at most three fifths of the time limit of a stop, and there is none where no newcomer waits.

--- a/packages/daemon/nutmegchute_daemon/consensus.py
+++ b/packages/daemon/nutmegchute_daemon/consensus.py
@@ -49,7 +49,10 @@
 PROPOSE_TIMEOUT_S = 3.0
 TRANSFER_TIMEOUT_S = 0.3
 TRANSFER_PERIOD_S = 0.02
-RETIRE_TIMEOUT_S = 1.0
+# A stop waits so long until the vote is given up, but no longer than a share
+# of its time limit.
+RETIRE_TIMEOUT_S = 3.0
+RETIRE_SHARE = 0.6
 RETIRE_PERIOD_S = 0.05
 RECOVER_PERIOD_S = 1.0
 READ_TIMEOUT_S = 0.9
@@ -310,7 +313,8 @@
             await asyncio.sleep(TRANSFER_PERIOD_S)
 
     async def _retire(self, node: Node) -> None:
-        give_up_at = self._loop.time() + RETIRE_TIMEOUT_S
+        limit_s = self._settings.shutdown_limit_s * RETIRE_SHARE
+        give_up_at = self._loop.time() + min(RETIRE_TIMEOUT_S, limit_s)
         while node.replica.should_retire and self._loop.time() < give_up_at:
             node.replica.retire(self._loop.time())
             self._flush()
--- a/packages/fakes/nutmegchute_fakes/replicas.py
+++ b/packages/fakes/nutmegchute_fakes/replicas.py
@@ -37,7 +37,7 @@
 INTRODUCE_S = 0.5
 MEMBERSHIP_CHECK_S = 0.5
 HAND_OVER_S = 0.3
-RETIRE_S = 1.0
+RETIRE_S = 3.0
 RETIRE_TICK_S = 0.1
 RECOVER_S = 1.0
 FOLLOW_S = 0.3
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -225,6 +225,32 @@
     check_recovered(cluster, operator.accepted)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_stopping_replica_waits_for_a_slow_successor(seed: int) -> None:
+    """A replica is told to stop while its successor is out of reach.
+
+    If it ended with its vote, a disk and all power lost before the others
+    call it silent would leave no majority for ever, although the vm was still
+    there when its successor came back.
+    """
+    cluster = SimulatedCluster(3, entries=0, seed=seed, auto_membership=True)
+    assert cluster.run_until(lambda: is_ready(cluster), 5.0)
+    operator = Operator(cluster)
+    new = cluster.add(cluster.names)
+    cluster.run(CATCH_UP_S)
+    others = [one for one in cluster.replicas if one != new.name]
+    cluster.partitions = {(new.name, one) for one in others}
+    cluster.run(1.0)
+    removed = cluster.replicas[cluster.names[seed % 3]]
+    removed.stop()
+    cluster.run(1.5)
+    cluster.partitions = set()
+    cluster.run(0.5)
+    lost = operator.change()
+    lose_disks_and_power(cluster, [lost], [removed])
+    check_recovered(cluster, operator.accepted)
+
+
 @pytest.mark.parametrize("seed", [0, 1, 2, 8, 12])
 def test_leader_that_lost_its_disk_finds_the_group(seed: int) -> None:
     """A leader loses its disk, and the others in its settings are gone.
