--- a/packages/core/nutmegchute_core/balancers.py
+++ b/packages/core/nutmegchute_core/balancers.py
@@ -306,7 +306,7 @@
         )
         call.is_relayed = is_relayed
         self._calls[call_id] = call
-        if pool.is_stopped(call, now):
+        if pool.outlasts_stop(call, now):
             refusal = self._refuse_or_lose(pool, call, now, STOPPING)
             return call_id, [refusal]
         if self.is_cut_off:
@@ -965,7 +965,7 @@
         if pool is not None:
             pool.queue.remove(call.call_id)
         reason = "deadline passed"
-        if pool is not None and pool.is_stopped(call, now):
+        if pool is not None and pool.outlasts_stop(call, now):
             reason = STOPPING
         actions.append(self._refuse_or_lose(pool, call, now, reason))
 
--- a/packages/core/nutmegchute_core/pools.py
+++ b/packages/core/nutmegchute_core/pools.py
@@ -166,7 +166,7 @@
 
         For a call of an organisation, only the calls before it count.
         """
-        if self.is_stopped(call, now):
+        if self.outlasts_stop(call, now):
             return STOPPING_RETRY_S
         if not self.queue:
             return EMPTY_QUEUE_RETRY_S
@@ -346,8 +346,8 @@
             latest_at -= self._typical_s(call)
         return min(latest_at, self._end_at - self._longest_s(call))
 
-    def is_stopped(self, call: Call, now: float) -> bool:
-        """Return whether a call is likely to outlast this entry."""
+    def outlasts_stop(self, call: Call, now: float) -> bool:
+        """Return whether a call sent now may not end before this entry."""
         return now >= self._end_at - self._longest_s(call)
 
     def too_late(self, call: Call, now: float) -> bool:
@@ -356,7 +356,7 @@
 
     def unavailable(self, call: Call, now: float) -> Unavailable | None:
         """Return why a queued call cannot be served, or None."""
-        if self.is_stopped(call, now):
+        if self.outlasts_stop(call, now):
             return Unavailable(STOPPING, STOPPING_RETRY_S)
         if self.too_late(call, now):
             return Unavailable(TOO_LATE)
