--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -23,6 +23,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+# After this time a case ends as one that could not run.
+LIMIT_S = 114.0
 
 FRONT, READINESS, CONTROL, DIRECTORY = 8144, 8140, 8146, 8142
 INTERNAL = (7660, 7675)
@@ -106,6 +108,8 @@
 class Deployment:
     """Start, signal and stop the control replicas and the routers."""
 
+    started = []
+
     def __init__(self, record, controls=3, routers=2, limits=None, bounds=None):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="nutmegchute-case-"))
@@ -125,6 +129,7 @@
         }
         self.zones = ["miraflores", "san-isidro", "surco"]
         self.processes = {}
+        self.started.append(self)
         with open(ROOT / "deploy/system.toml", "rb") as file:
             self._roles = tomllib.load(file)["roles"]
         if not (ROOT / "target/deps").is_dir():
@@ -191,9 +196,9 @@
 
     def stop(self):
         """End all processes that were started, and remove their files."""
-        for process in self.processes.values():
+        for process in list(self.processes.values()):
             process.kill()
-        for process in self.processes.values():
+        for process in list(self.processes.values()):
             process.wait()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -568,10 +573,22 @@
     raise NotRunError(f"not within {within_s} s: {what}")
 
 
+def _give_up(record, reason):
+    """End all processes and the case itself."""
+    record.write(f"could not run: {reason}")
+    for site in Deployment.started:
+        site.stop()
+    os._exit(NOT_RUN)
+
+
 def run(folder, case):
     """Run a case and exit with its result."""
     record = Record(folder)
     result = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: _give_up(record, "SIGTERM"))
+    timer = threading.Timer(LIMIT_S, _give_up, (record, "out of time"))
+    timer.daemon = True
+    timer.start()
     try:
         result = case(record)
     except NotRunError as error:
