Take the end of a stream after a reported reset for a break

An endpoint answered a long upload at once with a 200 without a length, sent half of the body and reset the connection while the upload was still written. The caller got that half with a proper last chunk: a complete answer.

Cause: the kernel reports a reset once, to whichever call comes first. Here it was the write of the next piece of the upload, whose error only ended the upload. The reads after it returned what had arrived and then the end of the stream, as after an orderly close.

On bare sockets a write after the reset raised ConnectionResetError, the reads then returned the data and an empty piece; without a write the second read raised the error. The same answer with a length or in chunks was a break before.

Whatever takes an error from the socket now records it, a write, a read or a poll of what has arrived. The end of the stream after that is an error as well, whoever reads it. An answer is still delivered if its end was seen before the write: then the endpoint's side was closed in order, and a reset takes nothing away. Framed answers that have arrived in full are delivered as before.

--- a/packages/daemon/nutmegchute_daemon/connections.py
+++ b/packages/daemon/nutmegchute_daemon/connections.py
@@ -24,6 +24,7 @@
 from .answer_heads import read_head
 from .answer_heads import skip_trailers
 from .settings import split_address
+from .sockets import is_half_closed
 
 MAX_IDLE_PER_ENDPOINT = 64
 # Servers commonly close a connection after five idle seconds or more. One
@@ -119,11 +120,18 @@
 
     A time-out of the socket covers a single read: an endpoint that sends a
     byte now and then would hold its reader without end.
+
+    The kernel reports a reset once. After that, reads return what has arrived
+    and then the end of the stream, as after an orderly close. ``has_failed``
+    tells that an error was reported, so that this end is an error as well.
     """
 
-    def __init__(self, sock: socket.socket, deadline: float) -> None:
+    def __init__(
+        self, sock: socket.socket, deadline: float, has_failed: bool = False
+    ) -> None:
         # On the monotonic clock.
         self.deadline = deadline
+        self._has_failed = has_failed
         # While set, reads return None if nothing has arrived.
         self.polls = False
         # The socket stays open until this is closed, even if the connection
@@ -139,18 +147,31 @@
         """Read into a buffer what has arrived or arrives next.
 
         :raises TimeoutError: the deadline has passed
+        :raises ConnectionResetError: the stream was not closed in order
         """
         if self.polls:
             self._socket.settimeout(0.0)
             try:
-                return self._socket.recv_into(buffer)
+                return self._receive(buffer)
             except BlockingIOError:
                 return None
         left_s = self.deadline - time.monotonic()
         if left_s <= 0:
             raise TimeoutError("deadline has passed")
         self._socket.settimeout(left_s)
-        return self._socket.recv_into(buffer)
+        return self._receive(buffer)
+
+    def _receive(self, buffer: Any) -> int:
+        try:
+            size = self._socket.recv_into(buffer)
+        except BlockingIOError:
+            raise
+        except OSError:
+            self._has_failed = True
+            raise
+        if not size and self._has_failed:
+            raise ConnectionResetError("stream ended after an error")
+        return size
 
     def close(self) -> None:
         """Let go of the socket."""
@@ -396,6 +417,10 @@
     carried = 0
     # On the monotonic clock.
     _deadline = 0.0
+    # Whether the endpoint was seen to close its side in order.
+    _has_ended = False
+    # Whether a write took an error before the endpoint's side was closed.
+    _has_failed = False
 
     def __init__(self, *args: Any, **values: Any) -> None:
         super().__init__(*args, **values)
@@ -419,6 +444,15 @@
         :raises EarlyAnswerError: the request is answered and no longer read
         :raises TimeoutError: the endpoint reads too slowly
         """
+        try:
+            self._write(data)
+        except EarlyAnswerError:
+            raise
+        except OSError:
+            self._has_failed = not self._has_ended
+            raise
+
+    def _write(self, data: Any) -> None:
         sock = self.sock
         if sock is None or not isinstance(data, bytes):
             super().send(data)
@@ -430,6 +464,9 @@
                     raise EarlyAnswerError("answered before it was read")
                 if time.monotonic() >= self._deadline:
                     raise TimeoutError("endpoint does not read the request")
+            # An answer that has ended is complete, even if the endpoint
+            # resets the connection because of what is written after it.
+            self._has_ended = self._has_ended or is_half_closed(sock)
             left = left[sock.send(left) :]
 
     def _is_answered(self) -> bool:
@@ -463,7 +500,7 @@
         self, sock: socket.socket, **values: Any
     ) -> Answer:
         """Build the answer that is read next, and store it."""
-        source = AnswerSource(sock, self._deadline)
+        source = AnswerSource(sock, self._deadline, self._has_failed)
         self.answer = Answer(source, self.earlier, **values)
         return self.answer
 
--- a/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
+++ b/packages/fakes/nutmegchute_fakes/faulty_upstreams.py
@@ -71,6 +71,10 @@
         """Close in order, before the behaviour ends."""
         self._socket.close()
 
+    def end_writing(self) -> None:
+        """End the own side in order; the peer may still write."""
+        self._socket.shutdown(socket.SHUT_WR)
+
     def wait_for_close(self) -> None:
         """Wait until the peer has closed the connection."""
         with contextlib.suppress(OSError):
