--- a/packages/daemon/nutmegchute_daemon/daemons.py
+++ b/packages/daemon/nutmegchute_daemon/daemons.py
@@ -83,6 +83,7 @@
         self._http.limit_body(self._settings.request_body_bytes)
         self.run_every(HTTP_SWEEP_PERIOD_S, self._http.sweep)
         self.run_every(FLUSH_PERIOD_S, self._report_clients)
+        self.run_every(FLUSH_PERIOD_S, self._report_sent_bytes)
         self.run_every(FLUSH_PERIOD_S, self._metrics.flush)
         self.start_tasks()
         reporter = Reporter(self._metrics, self.gauges, self._loop.time)
@@ -184,6 +185,10 @@
         for reason, count in self._guard.pop_ended().items():
             self._metrics.count(f"clients_ended.{reason}", count)
 
+    def _report_sent_bytes(self) -> None:
+        for method, count in self._links.pop_sent_bytes().items():
+            self._metrics.count(f"sent_bytes.{method}", count)
+
     def _on_signal(self, number: int) -> None:
         # A drain by an operator followed by the service manager's signal is
         # one graceful stop, and service managers may repeat SIGTERM. Only
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -82,6 +82,7 @@
     EVACUATION_ORDERED = ("NC2023", "evacuation begun or finished")
     STATE_CURRENT = ("NC2026", "state of the replica is current")
     STATE_OUTDATED = ("NC2027", "state of the replica may be outdated")
+    REPLY_LONG = ("NC2028", "long reply sent")
     QUARANTINED = ("NC2021", "request quarantined")
     QUARANTINE_LIFTED = ("NC2022", "quarantine lifted")
     LEASE_EXPIRED = ("NC3010", "configuration lease expired")
--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -12,7 +13,15 @@
 import grpc
 import msgspec
 
+from .events import Event
+from .events import log
+
 UNARY_TIMEOUT_S = 1.0
+# Replies of this size and above are logged: on a link of 3 Mbit/s they take a
+# tenth of a second and more.
+LONG_REPLY_BYTES = 32 * 1024
+INVALID_REPLY = "invalid reply"
+NO_CONNECTION = "no connection"
 # Proxies from the environment must not apply between the daemons, and a peer
 # that restarts must be reconnected in well under an election timeout.
 # Keepalive closes a connection that a partition broke silently: TCP alone
@@ -81,9 +90,19 @@
 class Links:
     """Serve gRPC methods and hold the channels to other daemons."""
 
-    __slots__ = ("_calls", "_channels", "_closing", "_server", "_started")
+    __slots__ = (
+        "_calls",
+        "_channels",
+        "_closing",
+        "_failures",
+        "_sent_bytes",
+        "_server",
+        "_started",
+    )
 
     def __init__(self) -> None:
+        self._failures: dict[str, str] = {}
+        self._sent_bytes: Counter[str] = Counter()
         self._channels: dict[str, Any] = {}
         self._calls: dict[tuple[str, str], Any] = {}
         # The event loop itself holds only weak references to tasks.
@@ -103,8 +122,16 @@
                 code = grpc.StatusCode.INVALID_ARGUMENT
                 await context.abort(code, str(error))
                 raise
-            reply = await handler(request)
-            return _ENCODER.encode(reply)
+            reply = _ENCODER.encode(await handler(request))
+            self._sent_bytes[method.name] += len(reply)
+            if len(reply) >= LONG_REPLY_BYTES:
+                log(
+                    Event.REPLY_LONG,
+                    method=method.name,
+                    peer=context.peer(),
+                    bytes=len(reply),
+                )
+            return reply
 
         rpc = grpc.unary_unary_rpc_method_handler(answer)
         generic = grpc.method_handlers_generic_handler(
@@ -118,6 +145,15 @@
         await self._server.start()
         self._started = True
 
+    def failure(self, address: str) -> str:
+        """Return why the last failed request to a daemon got no reply."""
+        return self._failures.get(address, "")
+
+    def pop_sent_bytes(self) -> Counter[str]:
+        """Return the bytes of the replies since the last call, by method."""
+        sent_bytes, self._sent_bytes = self._sent_bytes, Counter()
+        return sent_bytes
+
     async def send_request(
         self,
         address: str,
@@ -133,9 +169,13 @@
         try:
             reply = await call(data, timeout=timeout_s)
             return method.decode_reply(reply)
-        except (grpc.aio.AioRpcError, msgspec.DecodeError):
+        except grpc.aio.AioRpcError as error:
+            self._failures[address] = error.code().name.lower()
+            return None
+        except msgspec.DecodeError:
             # An invalid reply, as from another version, counts as none: the
             # error would end the loop of the calling coroutine for good.
+            self._failures[address] = INVALID_REPLY
             return None
         except asyncio.CancelledError:
             if _is_cancelled():
@@ -152,6 +192,7 @@
         try:
             await asyncio.wait_for(channel.channel_ready(), timeout_s)
         except (TimeoutError, grpc.aio.UsageError):
+            self._failures[address] = NO_CONNECTION
             return False
         except asyncio.CancelledError:
             if _is_cancelled():
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -42,6 +42,7 @@
     "relayed": (COUNTER, "calls"),
     "probes": (COUNTER, "probes"),
     "clients_ended.REASON": (COUNTER, "requests"),
+    "sent_bytes.METHOD": (COUNTER, "bytes"),
     "held_bytes": (GAUGE, "bytes"),
     "held_bytes_bound": (GAUGE, "bytes"),
     "connections": (GAUGE, "connections"),
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -32,6 +32,7 @@
 FIRST_TIMEOUT_S = 0.2
 FIRST_RETRY_S = 0.05
 FIRST_TRIES = 20
+OUT_OF_CONTACT = "replica out of contact"
 
 
 class WatchingEntry(Protocol):
@@ -111,7 +112,9 @@
                 continue
             self._reached = True
             self._chooser.record_answer(address, reply.current, boot_time())
-            self._report_contact(address, lost=not reply.current)
+            self._report_contact(
+                address, lost=not reply.current, reason=OUT_OF_CONTACT
+            )
             self._handle_reply(address, reply)
             if reply.current:
                 self._failures = 0
@@ -122,7 +125,7 @@
     async def _handle_failure(self, address: str) -> None:
         self._failures += 1
         self._chooser.record_failure(address, boot_time())
-        self._report_contact(address, lost=True)
+        self._report_contact(address, True, self._links.failure(address))
         self._links.drop(address)
         if self._chooser.active is None:
             await asyncio.sleep(self._retry_delay_s())
@@ -174,11 +177,18 @@
             left_s = begun_at + timeout_s - loop.time()
         return None
 
-    def _report_contact(self, address: str, lost: bool) -> None:
+    def _report_contact(
+        self, address: str, lost: bool, reason: str = ""
+    ) -> None:
         if lost == self._contact_lost:
             return
         self._contact_lost = lost
         if lost:
-            log(Event.CONTROL_LOST, "warning", address=address)
+            log(
+                Event.CONTROL_LOST,
+                "warning",
+                address=address,
+                reason=reason,
+            )
         else:
             log(Event.CONTROL_REACHED, address=address)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -49,6 +49,10 @@
         await asyncio.Event().wait()
         return None
 
+    def failure(self, address: str) -> str:
+        """Return the reason of a failure, which is always silence."""
+        return "deadline_exceeded"
+
     def drop(self, address: str) -> None:
         """Count the closed connections."""
         self.dropped += 1
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -152,5 +152,9 @@
         await asyncio.sleep(timeout_s)
         return self._network.is_open(self._host, address)
 
+    def failure(self, address: str) -> str:
+        """Return the reason of a failure, which is always silence."""
+        return "deadline_exceeded"
+
     def drop(self, address: str) -> None:
         """Close the connection, which has no state here."""
