--- a/packages/core/nutmegchute_core/sessions.py
+++ b/packages/core/nutmegchute_core/sessions.py
@@ -15,6 +15,7 @@
 from .mirrors import NO_WATERMARK
 from .mirrors import Watermark
 from .quarantines import QuarantineUpdate
+from .transfers import Offer
 
 # How long a watch is held while nothing changes. An entry watches one replica
 # only, so this and the entry's margin bound how long it uses stale data after
@@ -58,7 +59,9 @@
     the rate of calls that the entry receives. ``limits`` is the watermark of
     the replica's board of rate limits that the entry holds, None from an
     entry that does not know of limits. ``helpers`` is the digest of its
-    helpers, None from an entry that does not know of them.
+    helpers, None from an entry that does not know of them. ``fetching``
+    says whether it fetches an offered tree, None from an entry that does not
+    know of offers.
     """
 
     entry: EntryInfo
@@ -72,6 +75,7 @@
     group: int = 0
     limits: Watermark | None = None
     helpers: int | None = None
+    fetching: bool | None = None
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -88,7 +92,7 @@
     endpoints, ``evacuations`` the evacuated availability zones, ``group``
     all entries, ``limits`` the rate limits of endpoints, ``helpers`` the
     entries that serve this one's calls while it is cut off; each is None if
-    unchanged.
+    unchanged. ``offer`` replaces a tree that is too long for a reply.
     """
 
     deltas: dict[str, Delta]
@@ -105,6 +109,7 @@
     group: EntryGroup | None = None
     limits: LimitUpdate | None = None
     helpers: list[EntryInfo] | None = None
+    offer: Offer | None = None
 
 
 class EntryState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/nutmegchute_daemon/events.py
+++ b/packages/daemon/nutmegchute_daemon/events.py
@@ -71,6 +71,12 @@
     LIMITS_UNREPORTED = ("NC3026", "rate limits could not be reported")
     REST_BEGUN = ("NC3027", "endpoint asked for rest")
     ENDPOINT_LEAVING = ("NC3028", "endpoint says that it leaves")
+    TRANSFER_BEGUN = ("NC3035", "transfer of a configuration begun")
+    TRANSFER_ENDED = ("NC3036", "transfer of a configuration ended")
+    TRANSFER_INTERRUPTED = (
+        "NC3037",
+        "transfer of a configuration interrupted",
+    )
     LINKS_LOST = ("NC3032", "no endpoint can be reached")
     LINKS_BACK = ("NC3033", "endpoints can be reached again")
     CLIENTS_ENDED = ("NC3034", "requests refused or ended for others")
--- a/packages/daemon/nutmegchute_daemon/methods.py
+++ b/packages/daemon/nutmegchute_daemon/methods.py
@@ -16,11 +16,14 @@
 from nutmegchute_core.quotas import QuotaRequest
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
+from nutmegchute_core.transfers import PartReply
+from nutmegchute_core.transfers import PartRequest
 
 from .links import Method
 
 FOLLOW = Method("Configuration", "Follow", FollowRequest, FollowReply)
 RELAY = Method("Configuration", "Relay", FollowRequest, RelayReply)
+FETCH = Method("Configuration", "Fetch", PartRequest, PartReply)
 WATCH = Method("Endpoints", "Watch", WatchRequest, WatchReply)
 PEER = Method("Endpoints", "Peer", PeerRequest, PeerReply)
 REPORT_LIMITS = Method(
--- a/packages/daemon/nutmegchute_daemon/metrics.py
+++ b/packages/daemon/nutmegchute_daemon/metrics.py
@@ -58,6 +58,7 @@
     "organisations_at_quota": (GAUGE, "organisations"),
     "entries": (GAUGE, "entries"),
     "config_index": (GAUGE, "log index"),
+    "config_missing_bytes": (GAUGE, "bytes"),
     "control_age_s": (GAUGE, "seconds"),
     "leads": (GAUGE, "0 or 1"),
     "commit": (GAUGE, "log index"),
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from nutmegchute_core.discovery import Discovery
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.limit_boards import LimitReports
 from nutmegchute_core.long_polls import quarantine_since
 from nutmegchute_core.long_polls import tree_changes_since
@@ -26,6 +27,7 @@
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
+from nutmegchute_core.transfers import Offer
 
 from .clocks import boot_time
 from .errors import DaemonError
@@ -34,6 +36,7 @@
 from .notifiers import BatchNotifier
 from .notifiers import Notifier
 from .refusals import Refusals
+from .transfers import TreeOffers
 
 EPOCH_BITS = 48
 EXPIRE_S = 0.25
@@ -74,6 +77,7 @@
         "_discovery",
         "_in_contact",
         "_node",
+        "_offers",
         "_progress",
         "_refusals",
     )
@@ -88,6 +92,7 @@
         self._discovery = Discovery(own_address, epoch, boot_time())
         self._in_contact = in_contact
         self._node = node
+        self._offers = TreeOffers()
         self._refusals = Refusals()
         self._changes = BatchNotifier()
         self._progress = Notifier()
@@ -97,6 +102,11 @@
         """Return this replica's registry, entry sessions and peers."""
         return self._discovery
 
+    @property
+    def offers(self) -> TreeOffers:
+        """Return the long changes of the tree that entries may fetch."""
+        return self._offers
+
     @property
     def instance_count(self) -> int:
         """Return the number of instances registered here."""
@@ -281,6 +291,7 @@
                 if left_s <= 0:
                     break
                 await self._changes.wait(left_s)
+            tree, offer = await self._find_tree_changes(request)
         except asyncio.CancelledError:
             # The connection ended, most likely because the entry stopped:
             # callers are not directed to it until it sends a new watch.
@@ -288,7 +299,9 @@
             self._changes.notify(NOTIFY_GAP_S)
             raise
         discovery.sessions.record_answer(request.entry.name, boot_time())
-        return self._build_reply(request)
+        return msgspec.structs.replace(
+            self._build_reply(request), tree=tree, offer=offer
+        )
 
     async def handle_peer_request(self, request: PeerRequest) -> PeerReply:
         """Reply to another replica's poll, at once if there are changes."""
@@ -385,7 +398,7 @@
         if node is None or not self._in_contact():
             # Replying lets the entry watch a replica that is in contact.
             return True
-        if node.machine.tree.index > request.index:
+        if node.machine.tree.index > request.index and not request.fetching:
             return True
         if node.machine.quarantine.index > request.quarantine:
             return True
@@ -415,6 +428,22 @@
                 return member.availability_zone == zone
         return False
 
+    async def _find_tree_changes(
+        self, request: WatchRequest
+    ) -> tuple[FollowReply | None, Offer | None]:
+        """Return what an entry's tree lacks, or its offer if it is long."""
+        node = self._node()
+        if node is None or request.fetching or self._should_refer(request):
+            return None, None
+        if not self._in_contact():
+            # Out of contact, this replica's tree may be outdated.
+            return None, None
+        tree = tree_changes_since(node, request.index, True)
+        if tree is None or request.fetching is None:
+            return tree, None
+        offer = await self._offers.offer(tree, request.index)
+        return (tree, None) if offer is None else (None, offer)
+
     def _build_reply(self, request: WatchRequest) -> WatchReply:
         discovery = self._discovery
         now = boot_time()
@@ -437,11 +466,9 @@
             replicas=_replicas_since(node, request.members),
         )
         if should_refer or not self._in_contact():
-            # Out of contact, this replica's tree may be outdated.
             return reply
         return msgspec.structs.replace(
             reply,
-            tree=tree_changes_since(node, request.index, True),
             quarantine=quarantine_since(node, request.quarantine),
             evacuations=node.machine.evacuations.since(request.evacuations),
             group=discovery.group(request.group, now),
--- a/packages/daemon/nutmegchute_daemon/routers.py
+++ b/packages/daemon/nutmegchute_daemon/routers.py
@@ -19,6 +19,7 @@
 from nutmegchute_core.calls import Result
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import Process
 from nutmegchute_core.mirrors import NO_WATERMARK
@@ -222,6 +223,7 @@
             "upstreams": len(self._catalog.live()),
             "entries": self._entry_count,
             "config_index": self._tree.index,
+            "config_missing_bytes": self._watcher.missing_bytes,
             "control_age_s": min(
                 MAX_CONTROL_AGE_S, boot_time() - self._contact_at
             ),
@@ -515,6 +517,15 @@
             self._watcher.renew()
         self._release_held()
 
+    def handle_tree(self, replica: str, tree: FollowReply) -> None:
+        """Apply the changes of the tree that were fetched from a replica."""
+        ready = self._can_serve
+        if self._tree.apply_reply(tree):
+            self._apply_tree(replica)
+        if self._can_serve != ready:
+            self._watcher.renew()
+        self._release_held()
+
     def _report_links(self) -> None:
         """Tell control whether this entry reaches endpoints."""
         self._watcher.renew()
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -4,6 +4,8 @@
 from traceback import format_exc
 from typing import Protocol
 
+import msgspec
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import ReplicaInfo
 from nutmegchute_core.sessions import WATCH_HOLD_S
@@ -15,6 +17,7 @@
 from .events import log
 from .links import Links
 from .methods import WATCH
+from .transfers import TreeFetcher
 
 # How long beyond its hold a request may take before its connection counts as
 # broken and another replica is tried. Covers a round trip and a busy replica.
@@ -32,6 +35,8 @@
 FIRST_TIMEOUT_S = 0.2
 FIRST_RETRY_S = 0.05
 FIRST_TRIES = 20
+# Hold of requests during a transfer, after which they report the new tree.
+FETCHING_HOLD_S = 0.2
 OUT_OF_CONTACT = "replica out of contact"
 
 
@@ -44,6 +49,9 @@
     def handle_reply(self, replica: str, reply: WatchReply) -> None:
         """Apply the reply of a replica."""
 
+    def handle_tree(self, replica: str, tree: FollowReply) -> None:
+        """Apply the changes of the tree that were fetched from a replica."""
+
 
 class Watcher:
     """Keep a long poll open at one control replica at a time."""
@@ -53,6 +61,7 @@
         "_contact_lost",
         "_entry",
         "_failures",
+        "_fetcher",
         "_links",
         "_pending",
         "_reached",
@@ -65,6 +74,7 @@
         self._chooser = chooser
         self._links = links
         self._entry = entry
+        self._fetcher = TreeFetcher(links, self._handle_tree)
         self._contact_lost = False
         self._reached = False
         self._failures = 0
@@ -78,6 +88,11 @@
         others = [one for one in self._chooser.addresses if one != active]
         return others if active is None else [active, *others]
 
+    @property
+    def missing_bytes(self) -> int:
+        """Return the bytes of a tree that are still to be fetched."""
+        return self._fetcher.missing_bytes
+
     def start(self) -> None:
         """Start sending requests."""
         self._task = asyncio.ensure_future(self._run())
@@ -97,6 +112,7 @@
 
     def stop(self) -> None:
         """Stop sending requests."""
+        self._fetcher.stop()
         if self._task is not None:
             self._task.cancel()
 
@@ -151,12 +167,15 @@
         except Exception:
             # If this ended the task, the entry would never again update its
             # configuration and endpoints, and would serve by stale ones.
-            log(
-                Event.REPLY_FAILED,
-                "error",
-                address=address,
-                trace=format_exc(),
-            )
+            _log_failure(address)
+        if reply.offer is not None:
+            self._fetcher.handle_offer(address, reply.offer)
+
+    def _handle_tree(self, address: str, tree: FollowReply) -> None:
+        try:
+            self._entry.handle_tree(address, tree)
+        except Exception:
+            _log_failure(address)
 
     async def _request(self, address: str, hold_s: float) -> WatchReply | None:
         loop = asyncio.get_running_loop()
@@ -165,7 +184,7 @@
         left_s = timeout_s
         while left_s > 0:
             hold_s = min(hold_s, max(0.0, left_s - WATCH_MARGIN_S))
-            request = self._entry.build_request(hold_s)
+            request = self._build_request(hold_s)
             self._pending = asyncio.ensure_future(
                 self._links.send_request(address, WATCH, request, left_s)
             )
@@ -177,6 +196,14 @@
             left_s = begun_at + timeout_s - loop.time()
         return None
 
+    def _build_request(self, hold_s: float) -> WatchRequest:
+        if self._fetcher.is_fetching:
+            hold_s = min(hold_s, FETCHING_HOLD_S)
+        return msgspec.structs.replace(
+            self._entry.build_request(hold_s),
+            fetching=self._fetcher.is_fetching,
+        )
+
     def _report_contact(
         self, address: str, lost: bool, reason: str = ""
     ) -> None:
@@ -192,3 +219,7 @@
             )
         else:
             log(Event.CONTROL_REACHED, address=address)
+
+
+def _log_failure(address: str) -> None:
+    log(Event.REPLY_FAILED, "error", address=address, trace=format_exc())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,6 +15,7 @@
 from nutmegchute_core.catalogs import Catalog
 from nutmegchute_core.directories import EntryInfo
 from nutmegchute_core.evacuations import Evacuations
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.members import Announcement
 from nutmegchute_core.members import DRAINING
 from nutmegchute_core.members import UP
@@ -24,6 +25,7 @@
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WatchReply
 from nutmegchute_core.sessions import WatchRequest
+from nutmegchute_core.trees import Branch
 from nutmegchute_daemon import peers as peers_module
 from nutmegchute_daemon import registrars as registrars_module
 from nutmegchute_daemon import watchers as watchers_module
@@ -51,18 +53,21 @@
 
 
 class Tree:
-    """Stub the replicated tree: an index and nothing else."""
+    """Stub the replicated tree: an index and one document."""
 
     def __init__(self) -> None:
         self.index = 1
+        self.document: Any = None
         self.documents: dict[str, Any] = {}
 
     def steps_since(self, index: int) -> None:
         """Return None: the stub keeps no steps."""
 
-    def changed_since(self, index: int) -> dict[str, Any]:
-        """Return no branches."""
-        return {}
+    def changed_since(self, index: int) -> dict[str, Branch]:
+        """Return the document's branch, if there is a document."""
+        if self.document is None:
+            return {}
+        return {"desk": Branch(self.index, self.document, self.index)}
 
 
 class Replica:
@@ -107,6 +112,7 @@
     def commit(self, index: int) -> None:
         """Apply a committed change."""
         self.tree.index = max(self.tree.index, index)
+        self.tree.document = self._cluster.document
         self.registrar.notify_long_polls()
 
     def _node(self) -> SimpleNamespace:
@@ -144,6 +150,7 @@
         self.catalog = Catalog()
         self.index = 0
         self.went_back = False
+        self.documents: dict[str, Any] = {}
         self._members = -1
         links = cast(Links, VirtualLinks(name, cluster.network))
         chooser = ReplicaChooser(name, zone, cluster.seeds)
@@ -164,12 +171,17 @@
             self.watcher.update(reply.replicas)
             self._members = reply.members
         if reply.tree is not None:
-            self.went_back |= reply.tree.index < self.index
-            self.index = max(self.index, reply.tree.index)
+            self.handle_tree(replica, reply.tree)
         self.catalog.refresh(reply.unreachable, now)
         for source, delta in reply.deltas.items():
             self.catalog.apply(source, delta, now)
 
+    def handle_tree(self, replica: str, tree: FollowReply) -> None:
+        """Apply a tree."""
+        self.went_back |= tree.index < self.index
+        self.index = max(self.index, tree.index)
+        self.documents = tree.documents or {}
+
     def states(self) -> dict[str, str]:
         """Map the known endpoints to their state."""
         return {one.instance: one.state for one in self.catalog.live()}
@@ -268,6 +280,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         # Index of the newest accepted change.
         self.index = 1
+        self.document: Any = None
 
     async def start(self, settle_s: float) -> None:
         """Start everything and wait until it has settled."""
@@ -289,6 +302,15 @@
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def wait(self, for_s: float) -> None:
+        """Let virtual time pass."""
+        await asyncio.sleep(for_s)
+
     def freeze(self, address: str) -> None:
         """Freeze a replica."""
         self._frozen.add(address)
@@ -314,9 +336,10 @@
                 reached += 1
         return 2 * reached > len(self.members)
 
-    async def change(self) -> int:
-        """Commit a change at the replicas that reach a majority."""
+    async def change(self, document: Any = None) -> int:
+        """Commit a document at the replicas that reach a majority."""
         self.index += 1
+        self.document = document
         await asyncio.sleep(COMMIT_S)
         for replica in self.replicas:
             if self.reaches_majority(replica.address):
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from nutmegchute_core.directories import EntryInfo
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.replica_choosers import ReplicaChooser
 from nutmegchute_core.sessions import WATCH_HOLD_S
 from nutmegchute_core.sessions import WatchReply
@@ -69,6 +70,9 @@
     def handle_reply(self, replica: str, reply: WatchReply) -> None:
         """Ignore the reply."""
 
+    def handle_tree(self, replica: str, tree: FollowReply) -> None:
+        """Ignore the tree."""
+
 
 def run_watcher(*replies: WatchReply | None) -> FakeLinks:
     """Run a watcher until all scripted replies are used."""
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -58,6 +58,9 @@
         self._handlers: dict[tuple[str, str], Any] = {}
         self._cut: set[frozenset[str]] = set()
         self._stopped: set[str] = set()
+        # Bytes per second of the limited links, and what occupies them.
+        self._rates: dict[str, float] = {}
+        self._busy: dict[str, asyncio.Lock] = {}
         self._changed = asyncio.Event()
         self.messages = 0
         self.cross_zone_bytes = 0
@@ -70,6 +73,11 @@
         """Freeze a host: delay all messages from and to it."""
         self._stopped.add(host)
 
+    def limit(self, host: str, bytes_per_s: float) -> None:
+        """Limit the rate of a host's link, which has no limit otherwise."""
+        self._rates[host] = bytes_per_s
+        self._busy[host] = asyncio.Lock()
+
     def heal(self) -> None:
         """End all cuts and freezes; deliver the delayed messages."""
         self._cut.clear()
@@ -97,6 +105,12 @@
         is_same_zone = self._zones[source] == self._zones[target]
         if not is_same_zone:
             self.cross_zone_bytes += len(data) + OVERHEAD_BYTES // 2
+        size = len(data) + OVERHEAD_BYTES // 2
+        for host in (source, target):
+            if host not in self._rates:
+                continue
+            async with self._busy[host]:
+                await asyncio.sleep(size / self._rates[host])
         await asyncio.sleep(
             SAME_ZONE_DELAY_S if is_same_zone else CROSS_ZONE_DELAY_S
         )
