--- a/packages/core/nutmegchute_core/follow_protocol.py
+++ b/packages/core/nutmegchute_core/follow_protocol.py
@@ -7,6 +7,7 @@
 from .evacuations import EvacuationUpdate
 from .patches import Step
 from .quarantines import QuarantineUpdate
+from .transfers import Offer
 
 # An entry's lease, from its last confirmed request. It outlasts one lost
 # request (hold, timeout, retry) and leaves time for a failover within the
@@ -25,7 +26,8 @@
     ``index`` is that of the tree, ``quarantine`` that of the quarantine
     cases, ``evacuations`` that of the evacuated availability zones.
     ``leaving`` withdraws the entry. Without ``hold`` the leader replies even
-    if nothing changed.
+    if nothing changed. ``fetching`` says whether the entry fetches an offered
+    tree, None if it cannot fetch any.
     """
 
     entry: str
@@ -34,6 +36,7 @@
     hold: bool = True
     quarantine: int = 0
     evacuations: int = 0
+    fetching: bool | None = None
 
 
 class FollowReply(msgspec.Struct, frozen=True):
@@ -46,7 +49,8 @@
     Only a ``current`` reply may be acted on: it comes from a leader that a
     quorum confirmed after the request arrived. ``quarantine`` lists the
     requests that crash endpoints, ``evacuations`` the evacuated availability
-    zones; each is None if unchanged.
+    zones; each is None if unchanged. ``offer`` replaces ``documents`` that
+    are too long for a reply.
     """
 
     leader: str | None
@@ -58,6 +62,7 @@
     steps: list[Step] | None = None
     quarantine: QuarantineUpdate | None = None
     evacuations: EvacuationUpdate | None = None
+    offer: Offer | None = None
 
 
 class Enroll(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/nutmegchute_core/long_polls.py
+++ b/packages/core/nutmegchute_core/long_polls.py
@@ -155,7 +155,7 @@
 
 def _has_changes(node: Node, request: FollowRequest) -> bool:
     machine = node.machine
-    if machine.tree.index > request.index:
+    if machine.tree.index > request.index and not request.fetching:
         return True
     if machine.evacuations.index > request.evacuations:
         return True
@@ -165,7 +165,9 @@
 def _build_reply(node: Node, request: FollowRequest) -> FollowReply:
     leader = node.replica.membership.find(node.replica.identity)
     name = leader.name if leader is not None else None
-    reply = tree_changes_since(node, request.index)
+    reply = None
+    if not request.fetching:
+        reply = tree_changes_since(node, request.index)
     if reply is None:
         reply = FollowReply(name, None, True, node.machine.tree.index)
     quarantine = quarantine_since(node, request.quarantine)
--- a/packages/daemon/nutmegchute_daemon/consensus.py
+++ b/packages/daemon/nutmegchute_daemon/consensus.py
@@ -38,6 +38,7 @@
 from .follow_servers import FollowServer
 from .groups import Group
 from .links import Links
+from .methods import FETCH
 from .methods import FOLLOW
 from .proposals import PendingProposals
 from .quorums import QuorumReport
@@ -45,6 +46,7 @@
 from .storages import Identity
 from .storages import open_storage
 from .storages import Storage
+from .transfers import TreeOffers
 
 PROPOSE_TIMEOUT_S = 3.0
 TRANSFER_TIMEOUT_S = 0.3
@@ -75,6 +77,7 @@
         links: Links,
         spawn: Spawn,
         on_change: Callable[[], None],
+        offers: TreeOffers,
     ) -> None:
         """Open the data folder and load the replica, if it has a group.
 
@@ -95,7 +98,7 @@
             self._node = self._load()
         self._problem: str | None = None
         self._follow_server = FollowServer(
-            self._loop, lambda: self._node, self._flush_soon
+            self._loop, lambda: self._node, self._flush_soon, offers
         )
         self._proposals = PendingProposals(self._loop)
         self._leading_term: int | None = None
@@ -111,6 +114,7 @@
             self._group.introduce_to,
         )
         links.serve(DELIVER, self._on_deliver)
+        links.serve(FETCH, offers.handle_part)
         links.serve(FOLLOW, self._follow_server.handle_request)
         links.serve(CLAIM, self._on_claim)
 
--- a/packages/daemon/nutmegchute_daemon/controls.py
+++ b/packages/daemon/nutmegchute_daemon/controls.py
@@ -30,6 +30,7 @@
 from .servers import HttpServer
 from .servers import LoopRunner
 from .settings import Settings
+from .transfers import TreeOffers
 
 MAINTAIN_PERIOD_S = 0.5
 DIRECTORY_THREADS = 8
@@ -54,9 +55,10 @@
     def prepare(self) -> None:
         """Open the data folder and mount the pages."""
         settings = self._settings
+        offers = TreeOffers()
         try:
             self._consensus = Consensus(
-                settings, self._links, self.spawn, self._on_change
+                settings, self._links, self.spawn, self._on_change, offers
             )
         except StorageError as error:
             raise StartError(f"data_folder: {error}") from error
@@ -69,6 +71,7 @@
             settings.grpc_address,
             self._consensus.is_current,
             lambda: self._consensus.node,
+            offers,
         )
         self._peers = PeerExchange(self._links, self.registrar)
         self._endpoint_file = EndpointFile(
--- a/packages/daemon/nutmegchute_daemon/follow_servers.py
+++ b/packages/daemon/nutmegchute_daemon/follow_servers.py
@@ -3,11 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.follow_protocol import FollowRequest
 from nutmegchute_core.long_polls import LongPolls
 from nutmegchute_core.nodes import Node
 
+from .transfers import TreeOffers
+
 UNKNOWN_LEADER = FollowReply(None, None, False)
 
 
@@ -15,7 +18,8 @@
     """Reply to each request when it is due, or redirect it.
 
     ``node`` returns the replica, None until it is loaded; ``flush_soon``
-    schedules sending what a request has proposed.
+    schedules sending what a request has proposed. ``offers`` holds the trees
+    that are too long for a reply.
     """
 
     __slots__ = (
@@ -25,6 +29,7 @@
         "_long_polls",
         "_loop",
         "_node",
+        "_offers",
     )
 
     def __init__(
@@ -32,10 +37,12 @@
         loop: asyncio.AbstractEventLoop,
         node: Callable[[], Node | None],
         flush_soon: Callable[[], None],
+        offers: TreeOffers,
     ) -> None:
         self._loop = loop
         self._node = node
         self._flush_soon = flush_soon
+        self._offers = offers
         self._long_polls = LongPolls()
         self._futures: dict[int, asyncio.Future[FollowReply]] = {}
         self._last_id = 0
@@ -60,9 +67,10 @@
         future: asyncio.Future[FollowReply] = self._loop.create_future()
         self._futures[request_id] = future
         try:
-            return await future
+            reply = await future
         finally:
             self._futures.pop(request_id, None)
+        return await self._offer_documents(request, reply)
 
     def advance(self, node: Node) -> None:
         """Send the replies that are due."""
@@ -85,6 +93,29 @@
         self.redirect_all()
         self._long_polls = LongPolls()
 
+    async def _offer_documents(
+        self, request: FollowRequest, reply: FollowReply
+    ) -> FollowReply:
+        """Replace the documents of a reply by an offer if they are long."""
+        if request.fetching is None or reply.documents is None:
+            return reply
+        # Without what differs between replies, so that replicas and requests
+        # share one offer.
+        tree = FollowReply(
+            leader=None,
+            leader_address=None,
+            current=True,
+            index=reply.index,
+            revisions=reply.revisions,
+            documents=reply.documents,
+        )
+        offer = await self._offers.offer(tree, request.index)
+        if offer is None:
+            return reply
+        return msgspec.structs.replace(
+            reply, revisions={}, documents=None, offer=offer
+        )
+
     def _send_replies(self, replies: dict[int, FollowReply]) -> None:
         for request_id, reply in replies.items():
             future = self._futures.get(request_id)
--- a/packages/daemon/nutmegchute_daemon/followers.py
+++ b/packages/daemon/nutmegchute_daemon/followers.py
@@ -20,6 +20,7 @@
 from .methods import FOLLOW
 from .methods import RELAY
 from .settings import Settings
+from .transfers import TreeFetcher
 from .trees import TreeCopy
 
 # Above HOLD_S, for which the leader may hold a request.
@@ -29,6 +30,8 @@
 PROBE_TIMEOUT_S = 1.0
 RETRY_S = 0.1
 IDLE_S = 2.0
+# Time between two requests during a transfer, which keep the lease.
+FETCHING_S = 0.5
 
 
 class Follower:
@@ -37,6 +40,7 @@
     __slots__ = (
         "_entries",
         "_evacuations",
+        "_fetcher",
         "_leader_address",
         "_lease",
         "_links",
@@ -61,6 +65,7 @@
         self._settings = settings
         self._links = links
         self._on_tree = on_tree
+        self._fetcher = TreeFetcher(links, self._apply_fetched)
         self._entries = [one for one in settings.entries if one != own_address]
         self._lease = TreeLease(len(self._entries))
         self._leader_address: str | None = None
@@ -106,7 +111,7 @@
         reply = await self._links.send_request(
             address,
             FOLLOW,
-            self._request(hold=not relayed),
+            self._request(hold=not relayed, can_fetch=True),
             PROBE_TIMEOUT_S if relayed else TIMEOUT_S,
         )
         if reply is None:
@@ -115,6 +120,9 @@
             self._leader_address = address
             self._relay_address = None
             self._apply(reply, sent_at)
+            if reply.offer is not None:
+                self._fetcher.handle_offer(address, reply.offer)
+            await self._fetcher.wait(FETCHING_S)
             return
         hint = reply.leader_address if reply is not None else None
         self._leader_address = hint if hint != address else None
@@ -173,14 +181,17 @@
         )
         return RelayReply(reply or FollowReply(None, None, False))
 
-    def _request(self, hold: bool) -> FollowRequest:
+    def _request(self, hold: bool, can_fetch: bool = False) -> FollowRequest:
         hold = hold and self._lease.may_hold(_clock())
+        is_fetching = self._fetcher.is_fetching
         return FollowRequest(
             self._settings.name,
             self.index,
-            hold=hold,
+            hold=hold and not is_fetching,
             quarantine=self._quarantine,
             evacuations=self._evacuations,
+            # A relay passes no parts on.
+            fetching=is_fetching if can_fetch else None,
         )
 
     def _next_replica(self) -> str:
@@ -193,21 +204,28 @@
         if reply.evacuations is not None:
             self._evacuations = reply.evacuations.index
             self.on_evacuations(reply.evacuations)
-        if self._tree.apply_reply(reply):
-            self._on_tree(
-                msgspec.structs.replace(
-                    reply,
-                    documents=self._tree.documents,
-                    revisions=self._tree.revisions,
-                )
-            )
-            log(Event.CONFIG_APPLIED, index=self.index)
+        self._apply_tree(reply)
         if reply.quarantine is not None:
             self._quarantine = reply.quarantine.index
             self.on_quarantine(reply.quarantine)
         self._lease.renew(sent_at)
         self._report_lease()
 
+    def _apply_fetched(self, replica: str, tree: FollowReply) -> None:
+        self._apply_tree(tree)
+
+    def _apply_tree(self, reply: FollowReply) -> None:
+        if not self._tree.apply_reply(reply):
+            return
+        self._on_tree(
+            msgspec.structs.replace(
+                reply,
+                documents=self._tree.documents,
+                revisions=self._tree.revisions,
+            )
+        )
+        log(Event.CONFIG_APPLIED, index=self.index)
+
     def _report_lease(self) -> None:
         lapsed = not self.has_lease
         if lapsed == self._reported_lapsed or not self.index:
--- a/packages/daemon/nutmegchute_daemon/peers.py
+++ b/packages/daemon/nutmegchute_daemon/peers.py
@@ -10,7 +10,6 @@
 from .events import Event
 from .events import log
 from .links import Links
-from .methods import FETCH
 from .methods import PEER
 from .methods import REPORT_LIMITS
 from .methods import SEEN
@@ -46,7 +45,6 @@
         self._confirmation_tasks: dict[str, asyncio.Task[None]] = {}
         self._confirm_task: asyncio.Task[None] | None = None
         links.serve(WATCH, registrar.handle_watch)
-        links.serve(FETCH, registrar.offers.handle_part)
         links.serve(PEER, registrar.handle_peer_request)
         links.serve(SEEN, registrar.handle_confirmation)
         links.serve(REPORT_LIMITS, registrar.handle_limits)
--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -69,7 +69,7 @@
 
     ``in_contact`` returns whether the replica is in contact with a majority
     and holds what that has committed; ``node`` returns its node, None until
-    it is loaded.
+    it is loaded. ``offers`` holds the trees that are too long for a reply.
     """
 
     __slots__ = (
@@ -87,12 +87,13 @@
         own_address: str,
         in_contact: Callable[[], bool],
         node: Callable[[], Node | None],
+        offers: TreeOffers | None = None,
     ) -> None:
         epoch = secrets.randbits(EPOCH_BITS)
         self._discovery = Discovery(own_address, epoch, boot_time())
         self._in_contact = in_contact
         self._node = node
-        self._offers = TreeOffers()
+        self._offers = offers or TreeOffers()
         self._refusals = Refusals()
         self._changes = BatchNotifier()
         self._progress = Notifier()
@@ -102,11 +103,6 @@
         """Return this replica's registry, entry sessions and peers."""
         return self._discovery
 
-    @property
-    def offers(self) -> TreeOffers:
-        """Return the long changes of the tree that entries may fetch."""
-        return self._offers
-
     @property
     def instance_count(self) -> int:
         """Return the number of instances registered here."""
--- a/packages/daemon/nutmegchute_daemon/transfers.py
+++ b/packages/daemon/nutmegchute_daemon/transfers.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from traceback import format_exc
 
 import msgspec
 from nutmegchute_core.follow_protocol import FollowReply
@@ -45,9 +46,10 @@
     def __init__(self) -> None:
         self._outbox = Outbox()
         # Index of the newest tree offered, and its offers by the index that
-        # they start from; None where the changes are short.
+        # they start from and whether they are steps; None where the changes
+        # are short.
         self._index = 0
-        self._builds: dict[int, asyncio.Task[Offer | None]] = {}
+        self._builds: dict[tuple[int, bool], asyncio.Task[Offer | None]] = {}
 
     async def handle_part(self, request: PartRequest) -> PartReply:
         """Reply to the request of a part."""
@@ -60,10 +62,11 @@
             self._builds = {}
         if tree.index < self._index:
             return await self._build(tree)
-        build = self._builds.get(after)
+        key = (after, tree.steps is not None)
+        build = self._builds.get(key)
         if build is None or self._is_evicted(build):
             build = asyncio.ensure_future(self._build(tree))
-            self._builds[after] = build
+            self._builds[key] = build
         # One entry that leaves must not cancel it for the others.
         return await asyncio.shield(build)
 
@@ -140,6 +143,11 @@
         )
         self._task = asyncio.ensure_future(self._fetch(transfer))
 
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until the transfer under way ends, at most a time."""
+        if self._task is not None:
+            await asyncio.wait([self._task], timeout=timeout_s)
+
     def stop(self) -> None:
         """Stop the transfer that is under way."""
         if self._task is not None:
@@ -205,7 +213,15 @@
                 reason=str(error),
             )
             return
-        self._on_tree(self._source, tree)
+        try:
+            self._on_tree(self._source, tree)
+        except Exception:
+            log(
+                Event.REPLY_FAILED,
+                "error",
+                address=self._source,
+                trace=format_exc(),
+            )
 
 
 def _sort_teams(tree: FollowReply) -> FollowReply:
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -74,7 +74,7 @@
         self._chooser = chooser
         self._links = links
         self._entry = entry
-        self._fetcher = TreeFetcher(links, self._handle_tree)
+        self._fetcher = TreeFetcher(links, entry.handle_tree)
         self._contact_lost = False
         self._reached = False
         self._failures = 0
@@ -167,16 +167,15 @@
         except Exception:
             # If this ended the task, the entry would never again update its
             # configuration and endpoints, and would serve by stale ones.
-            _log_failure(address)
+            log(
+                Event.REPLY_FAILED,
+                "error",
+                address=address,
+                trace=format_exc(),
+            )
         if reply.offer is not None:
             self._fetcher.handle_offer(address, reply.offer)
 
-    def _handle_tree(self, address: str, tree: FollowReply) -> None:
-        try:
-            self._entry.handle_tree(address, tree)
-        except Exception:
-            _log_failure(address)
-
     async def _request(self, address: str, hold_s: float) -> WatchReply | None:
         loop = asyncio.get_running_loop()
         begun_at = loop.time()
@@ -219,7 +218,3 @@
             )
         else:
             log(Event.CONTROL_REACHED, address=address)
-
-
-def _log_failure(address: str) -> None:
-    log(Event.REPLY_FAILED, "error", address=address, trace=format_exc())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -30,10 +30,12 @@
 from nutmegchute_daemon import registrars as registrars_module
 from nutmegchute_daemon import watchers as watchers_module
 from nutmegchute_daemon.links import Links
+from nutmegchute_daemon.methods import FETCH
 from nutmegchute_daemon.peers import PeerExchange
 from nutmegchute_daemon.registrars import EXPIRE_S
 from nutmegchute_daemon.registrars import NotConfirmedError
 from nutmegchute_daemon.registrars import Registrar
+from nutmegchute_daemon.transfers import TreeOffers
 from nutmegchute_daemon.watchers import Watcher
 from virtual_time import Network
 from virtual_time import run_virtual
@@ -80,10 +82,12 @@
         self.evacuations = Evacuations()
         self._cluster = cluster
         self._contact_at = 0.0
+        offers = TreeOffers()
         self.registrar = Registrar(
-            address, self.in_contact, lambda: cast(Any, self._node())
+            address, self.in_contact, lambda: cast(Any, self._node()), offers
         )
         links = cast(Links, VirtualLinks(address, cluster.network))
+        links.serve(FETCH, offers.handle_part)
         self.exchange = PeerExchange(links, self.registrar)
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -1,13 +1,35 @@
 """Send long configurations over narrow links, on virtual time."""
 
+import asyncio
 from random import Random
+from types import SimpleNamespace
+from typing import Any
+from typing import cast
 
 import pytest
 import test_discovery
+from nutmegchute_core.evacuations import Evacuations
+from nutmegchute_core.follow_protocol import FollowReply
 from nutmegchute_core.members import UP
+from nutmegchute_core.nodes import Node
+from nutmegchute_core.quarantines import Quarantine
+from nutmegchute_core.replicas import LEADER
+from nutmegchute_daemon import followers
+from nutmegchute_daemon.follow_servers import FollowServer
+from nutmegchute_daemon.followers import Follower
+from nutmegchute_daemon.links import Links
+from nutmegchute_daemon.methods import FETCH
+from nutmegchute_daemon.methods import FOLLOW
+from nutmegchute_daemon.periods import repeat
+from nutmegchute_daemon.settings import Settings
+from nutmegchute_daemon.transfers import TreeOffers
 from test_discovery import BOUND_S
 from test_discovery import Cluster
 from test_discovery import run_scenario
+from test_discovery import Tree
+from virtual_time import Network
+from virtual_time import run_virtual
+from virtual_time import VirtualLinks
 
 # The clock of the daemons is virtual here as well.
 virtual_clock = test_discovery.virtual_clock
@@ -143,3 +165,106 @@
             assert set(one.states().values()) == {UP}
 
     run_scenario(build_cluster, scenario)
+
+
+class Leader:
+    """Serve the tree to the entries that follow it; commit at once."""
+
+    def __init__(self, address: str, network: Network) -> None:
+        self.tree = Tree()
+        self._address = address
+        member = SimpleNamespace(
+            name="control-1", identity="control-1", grpc_address=address
+        )
+        machine = SimpleNamespace(
+            tree=self.tree,
+            quarantine=Quarantine(),
+            evacuations=Evacuations(),
+            entries={"entry-0"},
+        )
+        replica = SimpleNamespace(
+            state=LEADER,
+            term=1,
+            is_ready=True,
+            identity="control-1",
+            leader="control-1",
+            membership=SimpleNamespace(find=lambda identity: member),
+            begin_read=lambda: 1,
+            confirmed_round=1,
+        )
+        self.node = cast(
+            Node, SimpleNamespace(machine=machine, replica=replica)
+        )
+        offers = TreeOffers()
+        self.server = FollowServer(
+            asyncio.get_running_loop(), lambda: self.node, lambda: None, offers
+        )
+        links = VirtualLinks(address, network)
+        links.serve(FETCH, offers.handle_part)
+        links.serve(FOLLOW, self.server.handle_request)
+
+    async def run(self) -> None:
+        """Send the replies that are due."""
+        while True:
+            self.server.advance(self.node)
+            await asyncio.sleep(0.01)
+
+    def change(self, document: Any) -> int:
+        """Commit a document; return its index."""
+        self.tree.index += 1
+        self.tree.document = document
+        return self.tree.index
+
+
+def test_following_entry_keeps_its_lease_during_a_transfer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against entries that stop since a long tree never arrives."""
+    trees: list[FollowReply] = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(followers, "_clock", loop.time)
+        network = Network({"entry-0": "surco", "10.1.0.1:1": "surco"})
+        network.limit("entry-0", BYTES_PER_S / 4)
+        leader = Leader("10.1.0.1:1", network)
+        links = cast(Links, VirtualLinks("entry-0", network))
+        follower = Follower(build_entry_settings(), links, trees.append)
+        tasks = [
+            asyncio.ensure_future(leader.run()),
+            asyncio.ensure_future(repeat(0, follower.follow)),
+        ]
+        await asyncio.sleep(SETTLE_S)
+        index = leader.change(build_document(1))
+        ends_at = loop.time() + 4 * TRANSFER_S
+        while loop.time() < ends_at:
+            assert follower.has_lease
+            await asyncio.sleep(0.1)
+        assert follower.index == index
+        assert leader.server.in_force(index, leader.node)
+        assert trees[-1].documents == {"desk": build_document(1)}
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(run())
+
+
+def build_entry_settings() -> Settings:
+    """Build the settings of an entry with one control replica."""
+    return Settings(
+        {
+            "role": "entry",
+            "name": "entry-0",
+            "availability_zone": "surco",
+            "http_address": "127.0.0.1:1",
+            "grpc_address": "127.0.0.1:2",
+            "control": [
+                {
+                    "name": "control-1",
+                    "grpc_address": "10.1.0.1:1",
+                    "http_address": "10.1.0.1:2",
+                }
+            ],
+            "entries": ["127.0.0.1:2"],
+        }
+    )
