--- a/packages/core/nutmegchute_core/discovery.py
+++ b/packages/core/nutmegchute_core/discovery.py
@@ -33,6 +33,9 @@
 # How long a starting replica waits for the others' entries before it lists
 # any. A list of the first entries alone would direct all callers to them.
 SETTLE_S = 0.7
+# Changed processes, of some 150 bytes each, from which on a reply leaves the
+# changes of further registries to the next one.
+LONG_DELTAS = 400
 # Shortest time between two builds of the list of entries, which changes
 # with every entry that starts during a deployment.
 GROUP_REFRESH_S = 1.0
@@ -134,15 +137,24 @@
         return False
 
     def deltas(self, request: WatchRequest, now: float) -> dict[str, Delta]:
-        """Return the deltas that an entry lacks, by replica address."""
+        """Return the deltas that an entry lacks, by replica address.
+
+        If they are long, some are left to the next reply: a starting entry
+        would not get all of them over a narrow link in time.
+        """
         found = {}
+        processes = 0
         own = request.watermarks.get(self._own_address, NO_WATERMARK)
         if own != self.watermark:
-            found[self._own_address] = self.registry.since(*own, now)
+            delta = self.registry.since(*own, now)
+            found[self._own_address] = delta
+            processes += delta.size
         for address, mirror in self.peers.mirrors(now).items():
             watermark = request.watermarks.get(address, NO_WATERMARK)
-            if mirror.is_ahead_of(watermark):
-                found[address] = mirror.since(watermark, now)
+            if processes >= LONG_DELTAS or not mirror.is_ahead_of(watermark):
+                continue
+            found[address] = mirror.since(watermark, now)
+            processes += found[address].size
         return found
 
     def limits_since(
--- a/packages/core/nutmegchute_core/histories.py
+++ b/packages/core/nutmegchute_core/histories.py
@@ -29,6 +29,11 @@
     ended: list[Process] = []
     lapsed: list[Process] = []
 
+    @property
+    def size(self) -> int:
+        """Return the number of processes that changed."""
+        return len(self.present) + len(self.ended) + len(self.lapsed)
+
 
 class Tombstone:
     """Hold the time and generation in which a process was removed."""
--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -146,6 +146,27 @@
     run_scenario(build_cluster, scenario)
 
 
+def test_starting_entries_get_many_endpoints_over_narrow_links() -> None:
+    """Guard against endpoints that a starting entry never gets."""
+
+    def build() -> Cluster:
+        cluster = Cluster(zones=3, entries=3, replicas=5, endpoints=1200)
+        for entry in cluster.entries:
+            cluster.network.limit(entry.name, BYTES_PER_S)
+        return cluster
+
+    async def scenario(cluster: Cluster) -> None:
+        for entry in cluster.entries:
+            cluster.network.stop(entry.name)
+        await cluster.start(SETTLE_S)
+        cluster.network.heal()
+        await cluster.wait(SETTLE_S)
+        for entry in cluster.entries:
+            assert len(entry.states()) == len(cluster.endpoints)
+
+    run_scenario(build, scenario)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_frequent_changes_do_not_starve_a_transfer(seed: int) -> None:
     """Guard against transfers that newer changes replace before their end."""
