--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -173,6 +173,30 @@
     assert (reply.outcome, reply.evidence) == (LOST, "")
 
 
+@pytest.mark.parametrize("status", [200, 201, 204, 206, 299])
+@pytest.mark.parametrize(
+    "line",
+    ["X-A: s", "Server-Signature:", "Server-Signatura: s", "Server: s"],
+)
+def test_success_without_a_signature_is_no_answer(
+    clients: list[Client], status: int, line: str
+) -> None:
+    """Guard against a success whose signature was damaged beyond its name."""
+    client = Client([build_answer(status, "Request-Id: a", line)])
+    clients.append(client)
+    assert client.send("a").outcome == LOST
+
+
+@pytest.mark.parametrize("status", [302, 404, 500, 504])
+def test_failure_needs_no_signature(
+    clients: list[Client], status: int
+) -> None:
+    """Guard against the loss of a failure that the endpoint reported."""
+    client = Client([build_answer(status, "Request-Id: a")])
+    clients.append(client)
+    assert client.send("a").outcome == ANSWERED
+
+
 def test_answers_that_contradict_each_other_prove_nothing(
     clients: list[Client],
 ) -> None:
@@ -260,9 +284,8 @@
 
     Without it the log cannot tell a rejection from one of another request.
     """
-    first = build_answer(200, "Request-Id: a")
     second = build_answer(503, "Not-Executed: 1", *lines)
-    client = Client([first, second])
+    client = Client([success("a"), second])
     clients.append(client)
     assert client.send("a").carried == 0
     reply = client.send("b")
--- a/tests/test_report_headers.py
+++ b/tests/test_report_headers.py
@@ -37,6 +37,8 @@
 from urllib3 import HTTPHeaderDict
 
 WAIT_S = 10.0
+# Without it a success is no answer.
+SIGNATURE = b"Server-Signature: s"
 NOW = 1_800_000_000.0
 MAX_LOAD = 2 * 10**9
 HUGE = "9" * 400
@@ -125,9 +127,9 @@
 
     def one(report: str) -> FaultyUpstream:
         def behaviour(connection: UpstreamConnection) -> None:
-            line = f"Instance-Load: {report}".encode()
+            lines = [f"Instance-Load: {report}".encode(), SIGNATURE]
             while connection.read() is not None:
-                connection.write(build_answer(b"ok", line))
+                connection.write(build_answer(b"ok", *lines))
 
         running.append(FaultyUpstream(behaviour))
         return running[-1]
