--- a/packages/daemon/nutmegchute_daemon/followers.py
+++ b/packages/daemon/nutmegchute_daemon/followers.py
@@ -120,6 +120,8 @@
             self._leader_address = address
             self._relay_address = None
             self._apply(reply, sent_at)
+            if reply.documents is not None:
+                self._fetcher.discard()
             if reply.offer is not None:
                 self._fetcher.handle_offer(address, reply.offer)
             await self._fetcher.wait(FETCHING_S)
--- a/packages/daemon/nutmegchute_daemon/links.py
+++ b/packages/daemon/nutmegchute_daemon/links.py
@@ -22,6 +22,7 @@
 LONG_REPLY_BYTES = 32 * 1024
 INVALID_REPLY = "invalid reply"
 NO_CONNECTION = "no connection"
+DROPPED = "connection dropped"
 # Proxies from the environment must not apply between the daemons, and a peer
 # that restarts must be reconnected in well under an election timeout.
 # Keepalive closes a connection that a partition broke silently: TCP alone
@@ -184,6 +185,7 @@
             # this would end the loop that sends requests: after a partition
             # two replicas would never again exchange their registries, and
             # neither could acknowledge an endpoint's drain.
+            self._failures[address] = DROPPED
             return None
 
     async def open(self, address: str, timeout_s: float) -> bool:
@@ -198,6 +200,7 @@
             if _is_cancelled():
                 raise
             # Another exchange dropped the channel, as in send_request().
+            self._failures[address] = DROPPED
             return False
         return True
 
--- a/packages/daemon/nutmegchute_daemon/transfers.py
+++ b/packages/daemon/nutmegchute_daemon/transfers.py
@@ -143,6 +143,11 @@
         )
         self._task = asyncio.ensure_future(self._fetch(transfer))
 
+    def discard(self) -> None:
+        """Discard an interrupted transfer: a reply had the tree."""
+        if not self.is_fetching:
+            self._transfer = None
+
     async def wait(self, timeout_s: float) -> None:
         """Wait until the transfer under way ends, at most a time."""
         if self._task is not None:
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -173,6 +173,8 @@
                 address=address,
                 trace=format_exc(),
             )
+        if reply.tree is not None:
+            self._fetcher.discard()
         if reply.offer is not None:
             self._fetcher.handle_offer(address, reply.offer)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,6 +8,7 @@
 from nutmegchute_core.peers import Confirmation
 from nutmegchute_daemon import links as links_module
 from nutmegchute_daemon.events import Event
+from nutmegchute_daemon.links import DROPPED
 from nutmegchute_daemon.links import INVALID_REPLY
 from nutmegchute_daemon.links import Links
 from nutmegchute_daemon.links import LONG_REPLY_BYTES
@@ -18,7 +19,10 @@
 
 
 async def interrupt_request(cancel: bool) -> Acknowledgement | None:
-    """Send a request, then drop the channel or cancel the task."""
+    """Send a request, then drop the channel or cancel the task.
+
+    The failure is checked where a reply is missing.
+    """
     address = find_free_address()
     server, client = Links(), Links()
     received = asyncio.Event()
@@ -39,7 +43,9 @@
             task.cancel()
         else:
             client.drop(address)
-        return await task
+        reply: Acknowledgement | None = await task
+        assert client.failure(address) == DROPPED
+        return reply
     finally:
         await client.stop(0)
         await server.stop(0)
--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -14,6 +14,7 @@
 from nutmegchute_core.nodes import Node
 from nutmegchute_core.quarantines import Quarantine
 from nutmegchute_core.replicas import LEADER
+from nutmegchute_core.transfers import Offer
 from nutmegchute_daemon import followers
 from nutmegchute_daemon.follow_servers import FollowServer
 from nutmegchute_daemon.followers import Follower
@@ -22,6 +23,7 @@
 from nutmegchute_daemon.methods import FOLLOW
 from nutmegchute_daemon.periods import repeat
 from nutmegchute_daemon.settings import Settings
+from nutmegchute_daemon.transfers import TreeFetcher
 from nutmegchute_daemon.transfers import TreeOffers
 from test_discovery import BOUND_S
 from test_discovery import Cluster
@@ -188,6 +190,25 @@
     run_scenario(build_cluster, scenario)
 
 
+def test_interrupted_transfer_is_discarded_for_a_whole_tree() -> None:
+    """Guard against a rest that is reported missing for ever."""
+
+    async def run() -> None:
+        network = Network({"entry-0": "surco", "10.1.0.1:1": "surco"})
+        network.cut("entry-0", "10.1.0.1:1")
+        links = cast(Links, VirtualLinks("entry-0", network))
+        fetcher = TreeFetcher(links, lambda replica, tree: None)
+        fetcher.handle_offer("10.1.0.1:1", Offer(7, b"digest", 100))
+        fetcher.discard()
+        assert fetcher.missing_bytes == 100
+        await fetcher.wait(SETTLE_S)
+        assert fetcher.missing_bytes == 100
+        fetcher.discard()
+        assert fetcher.missing_bytes == 0
+
+    run_virtual(run())
+
+
 class Leader:
     """Serve the tree to the entries that follow it; commit at once."""
 
