--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -16,6 +16,7 @@
 from nutmegchute_daemon.claims import CLAIM
 from nutmegchute_daemon.deliveries import DELIVER
 from nutmegchute_daemon.groups import INTRODUCE
+from nutmegchute_daemon.methods import FETCH
 from nutmegchute_daemon.methods import FOLLOW
 from nutmegchute_daemon.methods import PEER
 from nutmegchute_daemon.methods import SEEN
@@ -259,6 +260,30 @@
         heartbeats.stop()
 
 
+def test_long_configuration_reaches_running_and_starting_routers(
+    site: Site,
+) -> None:
+    """Guard against trees that daemons offer and cannot fetch."""
+    heartbeats = HeartbeatSender(site, Endpoint("i-1", "desk"))
+    routes = [build_route(f"look-{number}", "safe") for number in range(600)]
+    try:
+        _wait_until_served(site)
+        configuration = build_configuration(2, 1, LOOK, *routes)
+        assert _has_status(site.post("/Config.Replace", configuration))
+        for number in range(2):
+            wait_for(
+                partial(_try_request, site, number, "/look-599/"),
+                "long configuration",
+            )
+        site.kill(site.routers[0])
+        site.start(site.routers[0], False)
+        wait_for(
+            lambda: _try_request(site, 0, "/look-599/"), "after its start"
+        )
+    finally:
+        heartbeats.stop()
+
+
 def test_starting_router_queues_calls(site: Site) -> None:
     """Serve a call that arrives before the configuration.
 
@@ -485,7 +510,7 @@
     """
     desk = Endpoint("i-1", "desk")
     heartbeats = HeartbeatSender(site, desk)
-    methods = (DELIVER, FOLLOW, WATCH, CLAIM, INTRODUCE, PEER, SEEN)
+    methods = (DELIVER, FETCH, FOLLOW, WATCH, CLAIM, INTRODUCE, PEER, SEEN)
     try:
         _wait_until_served(site)
         for ip in site.controls:
