--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -13,8 +13,12 @@
 from nutmegchute_core.calls import LOST
 from nutmegchute_core.routes import BUFFER_BYTES
 from nutmegchute_daemon.answers import BrokenAnswerError
+from nutmegchute_daemon.call_formats import CallFormat
 from nutmegchute_daemon.connections import ConnectionPool
 from nutmegchute_daemon.connections import Exchange
+from nutmegchute_daemon.protocols import RELAY_CALL_HEADER
+from nutmegchute_daemon.protocols import RELAY_OUTCOME_HEADER
+from nutmegchute_daemon.relays import RelayFormat
 from nutmegchute_daemon.senders import BodyRemainder
 from nutmegchute_daemon.senders import Reply
 from nutmegchute_daemon.senders import Request
@@ -36,7 +40,10 @@
 LONG_PART = PART * 2000
 LAST_CHUNK = b"0\r\n\r\n"
 UNKNOWN = b"Nutmegchute-Outcome: unknown"
-RELAY_HEAD = b"Nutmegchute-Relay-Outcome: answered\r\n"
+RELAY_ID = "origin.2.1"
+RELAY_HEAD = (
+    f"{RELAY_CALL_HEADER}: {RELAY_ID}\r\n{RELAY_OUTCOME_HEADER}: answered\r\n"
+).encode()
 
 
 class Endpoint(FaultyUpstream):
@@ -99,7 +106,9 @@
 def upload(endpoint: Endpoint, sender: Sender | None = None) -> Reply:
     """Send an upload that the endpoint answers before its end."""
     remainder = BodyRemainder(Upload(endpoint).read)
-    headers = HTTPHeaderDict({"Nutmegchute-Attempt-Id": "2.1"})
+    headers = HTTPHeaderDict(
+        {"Nutmegchute-Attempt-Id": "2.1", RELAY_CALL_HEADER: RELAY_ID}
+    )
     request = Request("POST", "/a", headers, PIECE, remainder)
     return (sender or build_sender()).send(
         request, endpoint.address, WAIT_S, Exchange()
@@ -143,6 +152,17 @@
         endpoint.stop()
 
 
+@pytest.mark.parametrize("part", [b"", PART])
+def test_reset_by_a_helper_is_seen(part: bytes) -> None:
+    """Guard against half an answer of an entry that serves another's calls."""
+    endpoint = Endpoint(HEADS[0] + RELAY_HEAD + b"\r\n" + part)
+    sender = Sender(ConnectionPool(), RelayFormat(CallFormat()))
+    try:
+        assert read_whole(upload(endpoint, sender)) is None
+    finally:
+        endpoint.stop()
+
+
 def test_reset_on_a_kept_connection_is_seen() -> None:
     """Guard against the same on the second call of a connection."""
     name = b"Nutmegchute-Attempt-Id: 2.1\r\n"
