--- a/packages/fakes/nutmegchute_fakes/demo.py
+++ b/packages/fakes/nutmegchute_fakes/demo.py
@@ -38,8 +38,13 @@
 RATE_PER_S = 100
 
 
-def build_declaration(deadline_ms: int) -> dict[str, object]:
-    """Return the declaration of the demo team."""
+def build_declaration(
+    deadline_ms: int, extra_rules: int = 0
+) -> dict[str, object]:
+    """Return the declaration of the demo team.
+
+    ``extra_rules`` apply to no request; they make the declaration long.
+    """
     rules = [
         {
             "name": "loan",
@@ -58,6 +63,14 @@
             "reason": "a patron waits at the desk",
         },
     ]
+    for number in range(extra_rules):
+        rules.append(
+            {
+                **rules[1],
+                "name": f"shelf-{number}",
+                "path_prefix": f"/shelf-{number}/",
+            }
+        )
     service = {"slots": 3, "rules": rules}
     return {"services": {"prestamos": service, "catalogo": service}}
 
--- a/packages/fakes/nutmegchute_fakes/soak.py
+++ b/packages/fakes/nutmegchute_fakes/soak.py
@@ -90,6 +90,8 @@
 RECOVERY_S = 10.0
 RETRY_DELAY_S = 0.25
 REQUEST_TIMEOUT_S = 25.0
+# Makes a declaration so long that entries fetch it in parts.
+EXTRA_RULES = 300
 MAX_LOAN_ATTEMPTS = 12
 SETTLE_S = 3.0
 MAX_SEED = 10**6
@@ -468,7 +470,7 @@
         )
 
     def _race(self) -> None:
-        """Apply two conflicting changes of one branch at the same time."""
+        """Apply a short and a long change of one branch at the same time."""
         with ThreadPoolExecutor(2) as pool:
             for number in range(2):
                 pool.submit(self._apply_concurrently, number)
@@ -480,7 +482,7 @@
         try:
             apply_declaration(
                 folder,
-                build_declaration(1900 + number),
+                build_declaration(1900 + number, number * EXTRA_RULES),
                 controls,
                 OPERATOR_KEY,
             )
