--- a/packages/daemon/nutmegchute_daemon/registrars.py
+++ b/packages/daemon/nutmegchute_daemon/registrars.py
@@ -87,13 +87,13 @@
         own_address: str,
         in_contact: Callable[[], bool],
         node: Callable[[], Node | None],
-        offers: TreeOffers | None = None,
+        offers: TreeOffers,
     ) -> None:
         epoch = secrets.randbits(EPOCH_BITS)
         self._discovery = Discovery(own_address, epoch, boot_time())
         self._in_contact = in_contact
         self._node = node
-        self._offers = offers or TreeOffers()
+        self._offers = offers
         self._refusals = Refusals()
         self._changes = BatchNotifier()
         self._progress = Notifier()
--- a/packages/daemon/nutmegchute_daemon/transfers.py
+++ b/packages/daemon/nutmegchute_daemon/transfers.py
@@ -41,15 +41,17 @@
     compressed once for all of them.
     """
 
-    __slots__ = ("_builds", "_index", "_outbox")
+    __slots__ = ("_builds", "_newest", "_outbox")
 
     def __init__(self) -> None:
         self._outbox = Outbox()
-        # Index of the newest tree offered, and its offers by the index that
-        # they start from and whether they are steps; None where the changes
-        # are short.
-        self._index = 0
-        self._builds: dict[tuple[int, bool], asyncio.Task[Offer | None]] = {}
+        # The offers by the indexes between which they lead and whether they
+        # are steps; None where the changes are short. Only those that lead
+        # to the newest tree will be used again.
+        self._builds: dict[
+            tuple[int, int, bool], asyncio.Task[Offer | None]
+        ] = {}
+        self._newest = 0
 
     async def handle_part(self, request: PartRequest) -> PartReply:
         """Reply to the request of a part."""
@@ -57,12 +59,10 @@
 
     async def offer(self, tree: FollowReply, after: int) -> Offer | None:
         """Offer the changes after an index; return None if they are short."""
-        if tree.index > self._index:
-            self._index = tree.index
+        if tree.index > self._newest:
+            self._newest = tree.index
             self._builds = {}
-        if tree.index < self._index:
-            return await self._build(tree)
-        key = (after, tree.steps is not None)
+        key = (after, tree.index, tree.steps is not None)
         build = self._builds.get(key)
         if build is None or self._is_evicted(build):
             build = asyncio.ensure_future(self._build(tree))
--- a/packages/daemon/nutmegchute_daemon/watchers.py
+++ b/packages/daemon/nutmegchute_daemon/watchers.py
@@ -141,7 +141,8 @@
     async def _handle_failure(self, address: str) -> None:
         self._failures += 1
         self._chooser.record_failure(address, boot_time())
-        self._report_contact(address, True, self._links.failure(address))
+        reason = self._links.failure(address)
+        self._report_contact(address, lost=True, reason=reason)
         self._links.drop(address)
         if self._chooser.active is None:
             await asyncio.sleep(self._retry_delay_s())
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -9,13 +9,14 @@
 from nutmegchute_daemon.endpoint_files import EndpointFile
 from nutmegchute_daemon.endpoint_files import ENDPOINTS_FILE
 from nutmegchute_daemon.registrars import Registrar
+from nutmegchute_daemon.transfers import TreeOffers
 
 ENDPOINT = Announcement("prestamos", "10.0.0.1:80", "surco", 3, 0)
 
 
 def registrar() -> Registrar:
     """Build a registrar that is in contact."""
-    return Registrar("10.1.0.1:7000", lambda: True, lambda: None)
+    return Registrar("10.1.0.1:7000", lambda: True, lambda: None, TreeOffers())
 
 
 async def save_endpoints(disk: Disk, owner: Registrar) -> None:
