--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import cast
 
+import msgspec
 import pytest
 import test_discovery
 from nutmegchute_core.evacuations import Evacuations
@@ -36,6 +37,7 @@
 # The clock of the daemons is virtual here as well.
 virtual_clock = test_discovery.virtual_clock
 
+ENCODER = msgspec.msgpack.Encoder()
 # A link of 0.8 Mbit/s.
 BYTES_PER_S = 100_000.0
 DOCUMENT_BYTES = 300_000
@@ -52,6 +54,27 @@
     return [Random(seed).randbytes(size)]
 
 
+def build_routes(routes: int) -> list[dict[str, Any]]:
+    """Build a document of routes, which can be compressed."""
+    names = Random(1)
+    found = []
+    for _ in range(routes):
+        name = names.randbytes(8).hex()
+        found.append(
+            {
+                "name": name,
+                "host": f"{name[:6]}.example",
+                "path": f"/{name[6:]}/",
+                "service": "desk",
+                "idempotent": True,
+                "timeout_ms": 2000,
+                "target_ms": 300,
+                "priority": "lookup",
+            }
+        )
+    return found
+
+
 def build_cluster() -> Cluster:
     """Build three replicas and six entries on narrow links."""
     cluster = Cluster(zones=3, entries=6, replicas=3, endpoints=6)
@@ -74,6 +97,38 @@
     run_scenario(build_cluster, scenario)
 
 
+@pytest.mark.parametrize("entries", [17, 117, 312])
+def test_hundreds_of_entries_get_a_long_configuration_in_time(
+    entries: int,
+) -> None:
+    """Guard against traffic that grows faster than the number of entries."""
+    document = build_routes(1400)
+    link_bytes_per_s = 3e6 / 8
+
+    def build() -> Cluster:
+        cluster = Cluster(zones=5, entries=entries, replicas=5, endpoints=50)
+        for entry in cluster.entries:
+            cluster.network.limit(entry.name, link_bytes_per_s)
+        return cluster
+
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.start(SETTLE_S)
+        carried = cluster.network.carried_bytes
+        carried.clear()
+        index = await cluster.change(document)
+        await cluster.wait(BOUND_S)
+        total = 0
+        for entry in cluster.entries:
+            assert entry.index == index
+            total += carried[entry.name]
+        busiest = max(carried[one.name] for one in cluster.entries)
+        print(f"{entries} entries: {total} bytes, {busiest} at one entry")
+        assert busiest < len(ENCODER.encode(document))
+        assert total < entries * len(ENCODER.encode(document)) / 2
+
+    run_scenario(build, scenario)
+
+
 def test_drain_passes_a_transfer() -> None:
     """Guard against drains that wait until a long transfer has ended."""
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import selectors
+from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -63,6 +64,8 @@
         self._busy: dict[str, asyncio.Lock] = {}
         self._changed = asyncio.Event()
         self.messages = 0
+        # With headers, by the host that sends or receives them.
+        self.carried_bytes: Counter[str] = Counter()
         self.cross_zone_bytes = 0
 
     def cut(self, one: str, other: str) -> None:
@@ -107,6 +110,7 @@
             self.cross_zone_bytes += len(data) + OVERHEAD_BYTES // 2
         size = len(data) + OVERHEAD_BYTES // 2
         for host in (source, target):
+            self.carried_bytes[host] += size
             if host not in self._rates:
                 continue
             async with self._busy[host]:
