--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -18,15 +18,15 @@
 MESSAGE = Random(1).randbytes(100_000)
 
 
-def fetch(outbox: Outbox, transfer: Transfer, took_s: float) -> int:
-    """Fetch what is missing; return the size of the last part."""
-    size = 0
+def fetch(outbox: Outbox, transfer: Transfer, took_s: float) -> list[int]:
+    """Fetch what is missing; return the sizes of the parts."""
+    sizes = []
     while transfer.missing:
         reply = outbox.part(transfer.next_part())
         assert reply.data is not None
-        size = len(reply.data)
+        sizes.append(len(reply.data))
         transfer.add(reply.data, took_s)
-    return size
+    return sizes
 
 
 @pytest.mark.parametrize("took_s", [0.0, 0.05, 10.0])
@@ -42,14 +42,26 @@
     """Guard against parts that occupy a slow link for long."""
     outbox = Outbox()
     transfer = Transfer(outbox.offer(7, MESSAGE))
-    assert transfer.next_part().size == FIRST_PART_BYTES
+    sizes = fetch(outbox, transfer, 2 * LONG_PART_S)
+    assert sizes[:3] == [FIRST_PART_BYTES >> shift for shift in range(3)]
+    assert sizes[-2] == MIN_PART_BYTES
+
+
+def test_silent_link_gets_small_parts() -> None:
+    """Guard against parts that never arrive in time."""
+    transfer = Transfer(Outbox().offer(7, MESSAGE))
     for _ in range(10):
         transfer.record_silence()
     assert transfer.next_part().size == MIN_PART_BYTES
-    transfer = Transfer(outbox.offer(7, MESSAGE))
-    fetch(outbox, transfer, 2 * LONG_PART_S)
+
+
+def test_fast_link_gets_large_parts() -> None:
+    """Guard against one round trip for each 8 KiB of a long message."""
+    outbox = Outbox()
     transfer = Transfer(outbox.offer(8, bytes(4 * MAX_PART_BYTES)))
-    assert fetch(outbox, transfer, 0.0) <= MAX_PART_BYTES
+    sizes = fetch(outbox, transfer, 0.0)
+    assert sizes[:3] == [FIRST_PART_BYTES << shift for shift in range(3)]
+    assert max(sizes) == MAX_PART_BYTES
 
 
 def test_resumed_transfer_requests_what_is_missing() -> None:
